Frame: packages, checks, shared types, wire protocol

Cause: the first commit; every part needs the same names before work splits. Ruled out: protocol messages as the domain types (a decision would then carry generated classes); one type per role (the same group would be described thrice). Change: package frame, formatter, linter, build, generated protocol code, the domain model, the table of result codes, commands of the replicated log. Conclusion: parts can be written side by side against these types.

--- /dev/null
+++ b/src/bin/pistachiospoke.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+console.log('pistachiospoke');
--- /dev/null
+++ b/src/common/index.ts
@@ -0,0 +1,25 @@
+export { Blackboard } from './blackboard.js';
+export { assertNever, type Controller } from './controller.js';
+export {
+  createFailure,
+  FailureError,
+  findResultCode,
+  formatFailure,
+  type Failure,
+} from './failure.js';
+export { LifecycleManager, type LifecycleObserver, type ManagedPart } from './lifecycle.js';
+export {
+  createEntropySource,
+  createIdentifier,
+  createRandomSource,
+  type RandomSource,
+} from './random.js';
+export {
+  findResultCodeName,
+  resultCodeNames,
+  resultCodes,
+  type ExecutionOutcome,
+  type ResultCode,
+  type ResultCodeName,
+} from './result-codes.js';
+export { systemClock, type Clock, type Milliseconds, type WallTime } from './time.js';
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,1 @@
+export { configurationSchema, emptyConfiguration } from './schema.js';
--- /dev/null
+++ b/src/consensus/index.ts
@@ -0,0 +1,1 @@
+export type { LeadershipView, ReplicatedLog, StateMachine } from './replicated-log.js';
--- /dev/null
+++ b/src/consensus/replicated-log.ts
@@ -0,0 +1,31 @@
+import type { Result } from 'ts-results';
+
+import type { Failure } from '../common/index.js';
+
+/** What the rest of control needs of the replicated log; the log itself is in this folder. */
+
+/** Where this control host stands. */
+export type LeadershipView =
+  | { readonly type: 'leader'; readonly term: number }
+  | { readonly type: 'follower'; readonly term: number; readonly leader: string }
+  | { readonly type: 'leaderless'; readonly term: number };
+
+/** The state machine that the log feeds; all methods are synchronous and free of I/O. */
+export interface StateMachine<Answer> {
+  /** Applies one committed command, given as JSON text, and returns the answer for its submitter. */
+  readonly apply: (index: number, command: string) => Answer;
+  /** The whole state as JSON text. */
+  readonly takeSnapshot: () => string;
+  readonly restoreSnapshot: (index: number, snapshot: string) => void;
+}
+
+/** A log that is the same on all control hosts. */
+export interface ReplicatedLog<Answer> {
+  /** Resolves once the command is committed and applied here, or with a failure (`noQuorum`, `changeUncertain`). Leader only. */
+  readonly propose: (command: string) => Promise<Result<Answer, Failure>>;
+  /** Resolves with the index at which a read is not stale (a round of the quorum after the call). Leader only. */
+  readonly confirmRead: () => Promise<Result<number, Failure>>;
+  readonly view: () => LeadershipView;
+  /** Milliseconds since this host last knew that it was up to date with a leader that had a quorum. */
+  readonly staleness: () => number;
+}
--- /dev/null
+++ b/src/lease/index.ts
@@ -0,0 +1,1 @@
+export { driftMargin, type LeaseAnswer, type LeaseQuestion } from './messages.js';
