State that gateways and sidecars watch, as a type

Cause: the request path and the watch client are written side by side. Ruled out: passing the watch client itself (the request path could then not be tested alone). Change: WatchedState and WatchedStateSource in the model. Conclusion: both sides have one interface.

--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -39,3 +39,4 @@
   ServiceName,
 } from './identifiers.js';
 export { isSelected, type Labels, type Selector } from './label.js';
+export type { WatchedGroup, WatchedState, WatchedStateSource } from './watched-state.js';
