Wire, watch client and watch hub

Cause: every role talks to control; the watch is what makes accepted configuration hold at the edge. Ruled out: polling (costs a unary call per round, and its interval adds to the time in force); broadcast of load (grows with hosts times gateways). Change: Connect server and client pool, codecs, a watch that keeps the highest revision, a hub that sends changes only. Conclusion: control, gateway and sidecar can be written against these.

--- /dev/null
+++ b/src/control/watch-hub.ts
@@ -0,0 +1,155 @@
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+
+import {
+  WatchResponseSchema,
+  type WatchResponse,
+} from '../generated/pistachiospoke/v1/control_pb.js';
+import type { Configuration, GroupName, Revision, WatchedGroup } from '../model/index.js';
+import { encodeGroup, MessageQueue } from '../wire/index.js';
+
+/** Sends the state in force to every watcher: the whole of it once, then changes only. */
+
+/** What watchers are told. */
+export interface PublishedState {
+  /** Log index of the state. */
+  readonly index: number;
+  readonly revision: Revision;
+  readonly configuration: Configuration;
+  readonly groups: ReadonlyMap<GroupName, WatchedGroup>;
+}
+
+/** Who watches. */
+export interface Watcher {
+  readonly name: string;
+  readonly kind: string;
+  /** Highest revision the watcher said it had when it connected; reports of sidecars bring newer ones. */
+  readonly revision: Revision;
+}
+
+type WatchEventInit = MessageInitShape<typeof WatchResponseSchema>['event'];
+
+interface Subscription {
+  readonly watcher: Watcher;
+  readonly queue: MessageQueue<WatchResponse>;
+}
+
+/** Messages queued for one watcher before it is cut off and has to connect again. */
+const queueCapacity = 5000;
+
+/** All watches of one control host. */
+export class WatchHub {
+  readonly #subscriptions = new Set<Subscription>();
+  #published: PublishedState;
+  /** The revision last sent to each watcher. */
+  readonly #sent = new Map<Subscription, Revision>();
+
+  constructor(initial: PublishedState) {
+    this.#published = initial;
+  }
+
+  /** Sends what differs from the last published state. */
+  publish(state: PublishedState): void {
+    const events = listChanges(this.#published, state);
+    this.#published = state;
+    if (events.length === 0) {
+      return;
+    }
+    const messages = events.map((event) => encodeEvent(state.index, event));
+    for (const subscription of this.#subscriptions) {
+      for (const message of messages) {
+        subscription.queue.push(message);
+      }
+      this.#sent.set(subscription, state.revision);
+    }
+  }
+
+  /** Tells watchers that this control host lives, and whether it is up to date with a quorum. */
+  sendHeartbeat(isFresh: boolean): void {
+    const message = encodeEvent(this.#published.index, {
+      case: 'heartbeat',
+      value: { fresh: isFresh },
+    });
+    for (const { queue } of this.#subscriptions) {
+      queue.push(message);
+    }
+  }
+
+  /** Opens a watch; the queue starts with the whole state. */
+  subscribe(watcher: Watcher): MessageQueue<WatchResponse> {
+    const queue = new MessageQueue<WatchResponse>(queueCapacity);
+    const subscription = { watcher, queue };
+    for (const event of listWholeState(this.#published, watcher.revision)) {
+      queue.push(encodeEvent(this.#published.index, event));
+    }
+    this.#subscriptions.add(subscription);
+    this.#sent.set(subscription, this.#published.revision);
+    return queue;
+  }
+
+  /** Ends a watch. */
+  unsubscribe(queue: MessageQueue<WatchResponse>): void {
+    queue.close();
+    for (const subscription of this.#subscriptions) {
+      if (subscription.queue === queue) {
+        this.#subscriptions.delete(subscription);
+        this.#sent.delete(subscription);
+      }
+    }
+  }
+
+  /** Watchers and the revision last sent to each. */
+  listWatchers(): readonly Watcher[] {
+    return [...this.#subscriptions].map((subscription) => ({
+      ...subscription.watcher,
+      revision: this.#sent.get(subscription) ?? 0,
+    }));
+  }
+
+  /** Ends all watches. */
+  close(): void {
+    for (const { queue } of this.#subscriptions) {
+      queue.close();
+    }
+    this.#subscriptions.clear();
+  }
+}
+
+function listWholeState(state: PublishedState, knownRevision: Revision): readonly WatchEventInit[] {
+  const events: WatchEventInit[] = [];
+  if (state.revision !== knownRevision) {
+    events.push(describeConfiguration(state));
+  }
+  for (const group of state.groups.values()) {
+    events.push({ case: 'group', value: encodeGroup(group) });
+  }
+  events.push({ case: 'synchronized', value: {} });
+  return events;
+}
+
+function listChanges(before: PublishedState, after: PublishedState): readonly WatchEventInit[] {
+  const events: WatchEventInit[] = [];
+  if (before.revision !== after.revision) {
+    events.push(describeConfiguration(after));
+  }
+  for (const [name, group] of after.groups) {
+    const known = before.groups.get(name);
+    if (known?.group !== group.group || known.isServing !== group.isServing) {
+      events.push({ case: 'group', value: encodeGroup(group) });
+    }
+  }
+  for (const name of before.groups.keys()) {
+    if (!after.groups.has(name)) {
+      events.push({ case: 'groupRemoved', value: { name } });
+    }
+  }
+  return events;
+}
+
+function describeConfiguration(state: PublishedState): WatchEventInit {
+  const document = JSON.stringify(state.configuration);
+  return { case: 'configuration', value: { revision: BigInt(state.revision), document } };
+}
+
+function encodeEvent(index: number, event: WatchEventInit): WatchResponse {
+  return create(WatchResponseSchema, { index: BigInt(index), event });
+}
--- /dev/null
+++ b/src/watch/index.ts
@@ -0,0 +1,2 @@
+export { ControlWatcher, type ControlWatcherOptions } from './control-watcher.js';
+export { WatchedStateKeeper, type WatchEvent, type WatchVerdict } from './watched-state-keeper.js';
--- /dev/null
+++ b/src/watch/watched-state-keeper.ts
@@ -0,0 +1,121 @@
+import { emptyConfiguration } from '../configuration/index.js';
+import { assertNever } from '../common/index.js';
+import type {
+  Configuration,
+  GroupName,
+  Revision,
+  WatchedGroup,
+  WatchedState,
+} from '../model/index.js';
+
+/** Decides what a watcher believes from what control hosts tell it; free of I/O. */
+
+/** What a control host tells a watcher. */
+export type WatchEvent =
+  | { readonly type: 'connected' }
+  | {
+      readonly type: 'configuration';
+      readonly revision: Revision;
+      readonly configuration: Configuration;
+    }
+  | { readonly type: 'group'; readonly index: number; readonly group: WatchedGroup }
+  | { readonly type: 'groupRemoved'; readonly index: number; readonly name: GroupName }
+  | { readonly type: 'synchronized'; readonly index: number }
+  | { readonly type: 'heartbeat'; readonly index: number; readonly isFresh: boolean };
+
+/** Whether to go on with this control host. */
+export type WatchVerdict = 'unchanged' | 'changed' | 'leave';
+
+/**
+ * Keeps the highest revision and never goes back.
+ * A control host that lags, or that a partition cut off, offers an older state; taking it would revert an accepted
+ * change. Such a host is left as soon as its state shows to be older than what is held.
+ */
+export class WatchedStateKeeper {
+  #state: WatchedState = {
+    revision: 0,
+    configuration: emptyConfiguration,
+    groups: new Map(),
+    isSynchronized: false,
+  };
+  #index = 0;
+  /** Groups collected since the connection was opened, until the state is whole. */
+  #incoming: Map<GroupName, WatchedGroup> | undefined;
+
+  read(): WatchedState {
+    return this.#state;
+  }
+
+  handle(event: WatchEvent): WatchVerdict {
+    switch (event.type) {
+      case 'connected':
+        this.#incoming = new Map();
+        return 'unchanged';
+      case 'configuration':
+        return this.#takeConfiguration(event.revision, event.configuration);
+      case 'group':
+        return this.#takeGroup(event.index, event.group);
+      case 'groupRemoved':
+        return this.#removeGroup(event.index, event.name);
+      case 'synchronized':
+        return this.#synchronize(event.index);
+      case 'heartbeat':
+        return event.isFresh ? 'unchanged' : 'leave';
+      default:
+        return assertNever(event);
+    }
+  }
+
+  #takeConfiguration(revision: Revision, configuration: Configuration): WatchVerdict {
+    if (revision < this.#state.revision) {
+      return 'leave';
+    }
+    if (revision === this.#state.revision) {
+      return 'unchanged';
+    }
+    this.#state = { ...this.#state, revision, configuration };
+    return 'changed';
+  }
+
+  #takeGroup(index: number, group: WatchedGroup): WatchVerdict {
+    const { name } = group.group;
+    if (this.#incoming !== undefined) {
+      this.#incoming.set(name, group);
+      return 'unchanged';
+    }
+    this.#index = Math.max(this.#index, index);
+    const present = this.#state.groups.get(name);
+    if (present !== undefined && present.group.fencingNumber > group.group.fencingNumber) {
+      return 'unchanged';
+    }
+    const groups = new Map(this.#state.groups).set(name, group);
+    this.#state = { ...this.#state, groups };
+    return 'changed';
+  }
+
+  #removeGroup(index: number, name: GroupName): WatchVerdict {
+    if (this.#incoming !== undefined) {
+      this.#incoming.delete(name);
+      return 'unchanged';
+    }
+    this.#index = Math.max(this.#index, index);
+    if (!this.#state.groups.has(name)) {
+      return 'unchanged';
+    }
+    const groups = new Map(this.#state.groups);
+    groups.delete(name);
+    this.#state = { ...this.#state, groups };
+    return 'changed';
+  }
+
+  #synchronize(index: number): WatchVerdict {
+    const groups = this.#incoming;
+    this.#incoming = undefined;
+    if (groups === undefined || index < this.#index) {
+      return 'leave';
+    }
+    this.#index = index;
+    this.#state = { ...this.#state, groups, isSynchronized: true };
+    return 'changed';
+  }
+}
--- /dev/null
+++ b/src/wire/index.ts
@@ -0,0 +1,14 @@
+export { parseAddress } from './address.js';
+export {
+  decodeArtifact,
+  decodeGroup,
+  decodeGroupHealth,
+  decodeHostFacts,
+  encodeArtifact,
+  encodeGroup,
+  encodeGroupHealth,
+  encodeHostFacts,
+} from './codecs.js';
+export { MessageQueue } from './message-queue.js';
+export { RpcClientPool } from './rpc-client.js';
+export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
--- /dev/null
+++ b/src/wire/rpc-client.ts
@@ -0,0 +1,66 @@
+import type { DescService } from '@bufbuild/protobuf';
+import { createClient, type Client } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+
+import type { Milliseconds } from '../common/index.js';
+
+/** Connections to other processes of the system, one HTTP/2 session for each address. */
+
+/** Pings on a connection with open streams find a peer that is gone; silence of a live peer is judged by the caller. */
+const pingInterval: Milliseconds = 2000;
+const pingTimeout: Milliseconds = 1500;
+const idleTimeout: Milliseconds = 60_000;
+
+interface Connection {
+  readonly manager: Http2SessionManager;
+  readonly transport: ReturnType<typeof createConnectTransport>;
+}
+
+/** Hands out clients and retires connections that went silent. */
+export class RpcClientPool {
+  readonly #connections = new Map<string, Connection>();
+
+  /** A client of a service at an address; connects at the first call. */
+  client<Service extends DescService>(service: Service, address: string): Client<Service> {
+    return createClient(service, this.#connect(address).transport);
+  }
+
+  /**
+   * Drops the connection to an address, so that the next call opens a new one.
+   * Something between two hosts can lose track of an open connection: bytes then go nowhere, with no error,
+   * while new connections work. Calls still open on the old one end with an error.
+   */
+  retire(address: string): void {
+    const connection = this.#connections.get(address);
+    this.#connections.delete(address);
+    connection?.manager.abort();
+  }
+
+  /** Drops all connections. */
+  close(): void {
+    for (const address of [...this.#connections.keys()]) {
+      this.retire(address);
+    }
+  }
+
+  #connect(address: string): Connection {
+    const known = this.#connections.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const baseUrl = `http://${address}`;
+    const manager = new Http2SessionManager(baseUrl, {
+      pingIntervalMs: pingInterval,
+      pingTimeoutMs: pingTimeout,
+      idleConnectionTimeoutMs: idleTimeout,
+    });
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: manager,
+    });
+    const connection = { manager, transport };
+    this.#connections.set(address, connection);
+    return connection;
+  }
+}
--- /dev/null
+++ b/src/wire/rpc-server.ts
@@ -0,0 +1,71 @@
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+
+import type { ConnectRouter } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+import { createFailure, FailureError, type ManagedPart } from '../common/index.js';
+import { parseAddress } from './address.js';
+
+/** The server of the protocols between the system's own processes: Connect over HTTP/2 without TLS. */
+
+/** How long open streams get to end by themselves when the server closes, in milliseconds. */
+const closeGrace = 500;
+
+/** Options of a server. */
+export interface RpcServerOptions {
+  readonly address: string;
+  readonly routes: (router: ConnectRouter) => void;
+}
+
+/** A server as a managed part; closing it ends every session, so that no peer waits for it. */
+export function createRpcServer(options: RpcServerOptions): ManagedPart {
+  const sessions = new Set<ServerHttp2Session>();
+  const server = createServer(connectNodeAdapter({ routes: options.routes }));
+  server.on('session', (session) => {
+    sessions.add(session);
+    session.on('close', () => sessions.delete(session));
+    session.on('error', () => {
+      session.destroy();
+    });
+  });
+  return {
+    name: `rpc server ${options.address}`,
+    open: () => listen(server, options.address),
+    close: () => closeServer(server, sessions),
+  };
+}
+
+function listen(server: Http2Server, address: string): Promise<void> {
+  const { host, port } = parseAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'EADDRINUSE') {
+        reject(new FailureError(createFailure('addressInUse', address)));
+        return;
+      }
+      reject(error);
+    });
+    server.listen(port, host, resolve);
+  });
+}
+
+async function closeServer(
+  server: Http2Server,
+  sessions: ReadonlySet<ServerHttp2Session>,
+): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+  });
+  for (const session of sessions) {
+    session.close();
+  }
+  const timer = setTimeout(() => {
+    for (const session of sessions) {
+      session.destroy();
+    }
+  }, closeGrace);
+  await closed;
+  clearTimeout(timer);
+}
