Stand-ins for upstreams, announcements

Ruled out: a list of upstreams in settings (the platform gives none). Change: stand-in engine (orders, fencing, streamed tokens) and service; sidecar takes announcements by HTTP. Conclusion: the sidecar can be joined to an upstream.

--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -26,7 +26,7 @@
   readonly revision: Revision;
 }
 
-type WatchEventInit = MessageInitShape<typeof WatchResponseSchema>['event'];
+type WatchEventInit = NonNullable<MessageInitShape<typeof WatchResponseSchema>['event']>;
 
 interface Subscription {
   readonly watcher: Watcher;
--- /dev/null
+++ b/src/stand-in/engine.ts
@@ -0,0 +1,156 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+
+import { z } from 'zod';
+
+import { createIdentifier, type ManagedPart } from '../common/index.js';
+import { isArtifactCovered, type Artifact } from '../model/index.js';
+import { parseAddress } from '../wire/index.js';
+import { startAnnouncing } from './announcer.js';
+import {
+  chatRequestSchema,
+  createToken,
+  doneEvent,
+  formatChunk,
+  formatCompletion,
+  type ChatRequest,
+} from './chat.js';
+import { answerJson, readJson } from './http.js';
+
+/** A stand-in for a model engine: loads by order, streams tokens at a set pace, stops when its caller goes away. */
+
+const orderSchema = z.strictObject({
+  type: z.enum(['load', 'unload']),
+  artifact: z.object({
+    model: z.string(),
+    version: z.string(),
+    adapters: z.array(z.string()).readonly(),
+  }),
+  fencingNumber: z.int(),
+});
+
+/** Options of a stand-in engine. */
+export interface StandInEngineOptions {
+  readonly listen: string;
+  readonly sidecar: string;
+  readonly checksFencingNumber: boolean;
+  readonly capacity: number;
+  readonly tokenMilliseconds: number;
+  readonly loadMilliseconds: number;
+}
+
+/** One host's part of a model engine. */
+export class StandInEngine implements ManagedPart {
+  readonly name = 'stand-in engine';
+  readonly #options: StandInEngineOptions;
+  readonly #server = createServer((request, response) => {
+    void this.#handle(request, response);
+  });
+  #loaded: readonly Artifact[] = [];
+  #fencingNumber = 0;
+  #running = 0;
+  #stopAnnouncing: (() => void) | undefined;
+
+  constructor(options: StandInEngineOptions) {
+    this.#options = options;
+  }
+
+  async open(): Promise<void> {
+    const { host, port } = parseAddress(this.#options.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    this.#stopAnnouncing = startAnnouncing(this.#options.sidecar, () => ({
+      type: 'engine',
+      address: this.#options.listen,
+      isHealthy: true,
+      checksFencingNumber: this.#options.checksFencingNumber,
+      loaded: this.#loaded,
+      load: { running: this.#running, queued: 0, capacity: this.#options.capacity },
+    }));
+  }
+
+  close(): Promise<void> {
+    this.#stopAnnouncing?.();
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeAllConnections();
+    });
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      if (request.url === '/orders') {
+        await this.#takeOrder(request, response);
+        return;
+      }
+      if (request.url === '/v1/chat/completions') {
+        await this.#complete(chatRequestSchema.parse(await readJson(request)), response);
+        return;
+      }
+      answerJson(response, 404, { message: 'unknown path' });
+    } catch (error) {
+      answerJson(response, 400, { message: String(error) });
+    }
+  }
+
+  async #takeOrder(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = orderSchema.parse(await readJson(request));
+    if (this.#options.checksFencingNumber && order.fencingNumber < this.#fencingNumber) {
+      answerJson(response, 409, { message: 'old fencing number' });
+      return;
+    }
+    this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
+    answerJson(response, 202, { message: 'order taken' });
+    if (order.type === 'unload') {
+      this.#loaded = [];
+      return;
+    }
+    if (isArtifactCovered(order.artifact, this.#loaded)) {
+      return;
+    }
+    this.#loaded = [];
+    await delay(this.#options.loadMilliseconds);
+    this.#loaded = [order.artifact];
+  }
+
+  async #complete(chat: ChatRequest, response: ServerResponse): Promise<void> {
+    this.#running += 1;
+    try {
+      await this.#writeAnswer(chat, response);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #writeAnswer(chat: ChatRequest, response: ServerResponse): Promise<void> {
+    const id = createIdentifier();
+    if (chat.stream) {
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+    }
+    let text = '';
+    for (let index = 0; index < chat.max_tokens; index += 1) {
+      await delay(this.#options.tokenMilliseconds);
+      if (response.destroyed) {
+        return;
+      }
+      const token = createToken(chat, index);
+      text += token;
+      if (chat.stream) {
+        response.write(formatChunk(chat, id, token));
+      }
+    }
+    if (chat.stream) {
+      response.end(doneEvent);
+      return;
+    }
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(formatCompletion(chat, id, text));
+  }
+}
+
+function delay(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/stand-in/service.ts
@@ -0,0 +1,75 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+
+import type { ManagedPart } from '../common/index.js';
+import { parseAddress } from '../wire/index.js';
+import { startAnnouncing } from './announcer.js';
+import { answerJson } from './http.js';
+
+/** A stand-in for a plain service: counts and echoes each call, so that a test can see a repeated one. */
+
+/** Options of a stand-in service. */
+export interface StandInServiceOptions {
+  readonly listen: string;
+  readonly sidecar: string;
+  readonly service: string;
+  readonly capacity: number;
+  readonly answerMilliseconds: number;
+}
+
+/** One upstream of a plain service. */
+export class StandInService implements ManagedPart {
+  readonly name = 'stand-in service';
+  readonly #options: StandInServiceOptions;
+  readonly #server = createServer((request, response) => {
+    void this.#handle(request, response);
+  });
+  #calls = 0;
+  #stopAnnouncing: (() => void) | undefined;
+
+  constructor(options: StandInServiceOptions) {
+    this.#options = options;
+  }
+
+  async open(): Promise<void> {
+    const { host, port } = parseAddress(this.#options.listen);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    this.#stopAnnouncing = startAnnouncing(this.#options.sidecar, () => ({
+      type: 'service',
+      address: this.#options.listen,
+      isHealthy: true,
+      service: this.#options.service,
+      load: { running: 0, queued: 0, capacity: this.#options.capacity },
+    }));
+  }
+
+  close(): Promise<void> {
+    this.#stopAnnouncing?.();
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeAllConnections();
+    });
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      chunks.push(chunk);
+    }
+    this.#calls += 1;
+    const call = this.#calls;
+    await new Promise((resolve) => setTimeout(resolve, this.#options.answerMilliseconds));
+    answerJson(response, 200, {
+      service: this.#options.service,
+      upstream: this.#options.listen,
+      method: request.method,
+      path: request.url,
+      body: Buffer.concat(chunks).toString('utf8'),
+      call,
+    });
+  }
+}
