Reports of sidecars to every control host

Cause: a new leader must know the hosts at once, and a sidecar must be able to report anywhere. Change: report stream, batches between control hosts, logging and metrics. Conclusion: placement can read one directory on any control host.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -23,3 +23,5 @@
   type ResultCodeName,
 } from './result-codes.js';
 export { systemClock, type Clock, type Milliseconds, type WallTime } from './time.js';
+export { createLogger, type LogLevel } from './logging.js';
+export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
--- /dev/null
+++ b/src/control/report-codec.ts
@@ -0,0 +1,43 @@
+import { create } from '@bufbuild/protobuf';
+
+import {
+  HostReportSchema,
+  type HostReport as HostReportMessage,
+} from '../generated/pistachiospoke/v1/control_pb.js';
+import {
+  decodeGroupHealth,
+  decodeHostFacts,
+  encodeGroupHealth,
+  encodeHostFacts,
+} from '../wire/index.js';
+import type { HostReport } from './host-directory.js';
+
+/** Between a sidecar's report and its message on the wire. */
+
+export function decodeReport(message: HostReportMessage): HostReport {
+  const { host, incarnation, draining } = message;
+  return {
+    host,
+    incarnation,
+    facts:
+      message.facts === undefined
+        ? undefined
+        : decodeHostFacts(message.facts, host, incarnation, draining),
+    configurationRevision: Number(message.configurationRevision),
+    groups: message.groups.map(decodeGroupHealth),
+    isDraining: draining,
+    isLeaving: message.leaving,
+  };
+}
+
+export function encodeReport(report: HostReport): HostReportMessage {
+  return create(HostReportSchema, {
+    host: report.host,
+    incarnation: report.incarnation,
+    configurationRevision: BigInt(report.configurationRevision),
+    groups: report.groups.map(encodeGroupHealth),
+    draining: report.isDraining,
+    leaving: report.isLeaving,
+    ...(report.facts === undefined ? {} : { facts: encodeHostFacts(report.facts) }),
+  });
+}
--- /dev/null
+++ b/src/control/shell/report-service.ts
@@ -0,0 +1,163 @@
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { Logger } from 'pino';
+
+import type { Clock, ManagedPart, Milliseconds } from '../../common/index.js';
+import {
+  ConsensusService,
+  type ForwardReportsRequest,
+  type HostReport as HostReportMessage,
+} from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { HostName } from '../../model/index.js';
+import type { RpcClientPool } from '../../wire/index.js';
+import type { HostDirectory, HostReport } from '../host-directory.js';
+import { decodeReport, encodeReport } from '../report-codec.js';
+
+/**
+ * Takes the reports of sidecars and passes them on to the other control hosts,
+ * so that a new leader already knows the hosts and a sidecar may report to any control host.
+ */
+
+const forwardInterval: Milliseconds = 500;
+const forwardTimeout: Milliseconds = 2000;
+
+/** Options of the report service. */
+export interface ReportServiceOptions {
+  readonly name: string;
+  /** Addresses of the other control hosts. */
+  readonly peers: () => readonly string[];
+  readonly directory: HostDirectory;
+  readonly clients: RpcClientPool;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called after each report that may change placement or what watchers see. */
+  readonly onReport: (report: HostReport) => void;
+}
+
+/** Reports heard here, waiting to be passed on to one peer. */
+interface Outbox {
+  readonly reports: Map<HostName, HostReport>;
+  isSending: boolean;
+}
+
+export class ReportService implements ManagedPart {
+  readonly name = 'report service';
+  readonly #options: ReportServiceOptions;
+  readonly #outboxes = new Map<string, Outbox>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: ReportServiceOptions) {
+    this.#options = options;
+  }
+
+  open(): void {
+    this.#timer = setInterval(() => {
+      this.#forwardAll();
+    }, forwardInterval);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Handles one sidecar's stream until it ends. */
+  async takeStream(messages: AsyncIterable<HostReportMessage>): Promise<void> {
+    for await (const message of messages) {
+      const report = decodeReport(message);
+      if (!this.#take(report)) {
+        // The sidecar sends its facts first on every stream, so a new stream mends what is missing.
+        throw new ConnectError('facts of this host are not known here', Code.FailedPrecondition);
+      }
+      this.#enqueue(report);
+    }
+  }
+
+  /** Takes what another control host passes on; answers the hosts whose facts are missing here. */
+  takeForwarded(request: ForwardReportsRequest): readonly HostName[] {
+    return request.reports
+      .map(decodeReport)
+      .filter((report) => !this.#take(report))
+      .map((report) => report.host);
+  }
+
+  #take(report: HostReport): boolean {
+    const { directory, clock, onReport } = this.#options;
+    const isTaken = directory.take(report, clock.monotonic());
+    if (isTaken) {
+      onReport(report);
+    }
+    return isTaken;
+  }
+
+  #enqueue(report: HostReport): void {
+    for (const peer of this.#options.peers()) {
+      const outbox = this.#outbox(peer);
+      const facts = report.facts ?? outbox.reports.get(report.host)?.facts;
+      outbox.reports.set(report.host, { ...report, facts });
+    }
+  }
+
+  #outbox(peer: string): Outbox {
+    const known = this.#outboxes.get(peer);
+    if (known !== undefined) {
+      return known;
+    }
+    const outbox = { reports: new Map<HostName, HostReport>(), isSending: false };
+    this.#outboxes.set(peer, outbox);
+    return outbox;
+  }
+
+  #forwardAll(): void {
+    for (const peer of this.#options.peers()) {
+      void this.#forward(peer, this.#outbox(peer));
+    }
+  }
+
+  async #forward(peer: string, outbox: Outbox): Promise<void> {
+    if (outbox.isSending || outbox.reports.size === 0) {
+      return;
+    }
+    const reports = [...outbox.reports.values()];
+    outbox.reports.clear();
+    outbox.isSending = true;
+    const { clients, name, logger } = this.#options;
+    try {
+      const response = await clients
+        .client(ConsensusService, peer)
+        .forwardReports(
+          { from: name, reports: reports.map(encodeReport) },
+          { timeoutMs: forwardTimeout },
+        );
+      this.#enqueueFacts(outbox, response.missingFacts);
+    } catch (error) {
+      logger.debug({ peer, error: String(error) }, 'reports not passed on');
+      this.#enqueueFacts(
+        outbox,
+        reports.filter((report) => report.facts !== undefined).map((report) => report.host),
+      );
+    } finally {
+      outbox.isSending = false;
+    }
+  }
+
+  /** Facts lost on the way are sent again with the next batch; a heartbeat alone would be refused for ever. */
+  #enqueueFacts(outbox: Outbox, hosts: readonly HostName[]): void {
+    for (const host of hosts) {
+      const known = this.#options.directory.read().get(host);
+      if (known === undefined) {
+        continue;
+      }
+      const { facts, configurationRevision, groups } = known;
+      const report: HostReport = {
+        host,
+        incarnation: facts.incarnation,
+        facts,
+        configurationRevision,
+        groups,
+        isDraining: facts.isDraining,
+        isLeaving: false,
+        ...outbox.reports.get(host),
+      };
+      outbox.reports.set(host, { ...report, facts });
+    }
+  }
+}
--- /dev/null
+++ b/src/sidecar/shell/report-client.ts
@@ -0,0 +1,100 @@
+import type { Logger } from 'pino';
+
+import type { ManagedPart, Milliseconds } from '../../common/index.js';
+import { encodeReport } from '../../control/index.js';
+import type { HostReport } from '../../control/index.js';
+import {
+  ControlService,
+  type HostReport as HostReportMessage,
+} from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { HostFacts } from '../../model/index.js';
+import { MessageQueue, type RpcClientPool } from '../../wire/index.js';
+
+/** Reports to one control host: facts when they change, otherwise a small heartbeat. */
+
+const heartbeatInterval: Milliseconds = 1000;
+const reconnectDelay: Milliseconds = 250;
+
+/** Options of the report client. */
+export interface ReportClientOptions {
+  readonly control: readonly string[];
+  readonly clients: RpcClientPool;
+  readonly logger: Logger;
+  /** The whole report of this moment; `facts` is always set. */
+  readonly describe: () => HostReport & { readonly facts: HostFacts };
+}
+
+export class ReportClient implements ManagedPart {
+  readonly name = 'report client';
+  readonly #options: ReportClientOptions;
+  readonly #closing = new AbortController();
+  #turn: number;
+  #queue: MessageQueue<HostReportMessage> | undefined;
+  #sentFacts = '';
+  #sentRest = '';
+  #timer: NodeJS.Timeout | undefined;
+  #running: Promise<void> | undefined;
+
+  constructor(options: ReportClientOptions, firstTurn: number) {
+    this.#options = options;
+    this.#turn = firstTurn;
+  }
+
+  open(): void {
+    this.#timer = setInterval(() => {
+      this.#send(true);
+    }, heartbeatInterval);
+    this.#running = this.#run();
+  }
+
+  /** Ends the last stream after what is queued, a good-bye included. */
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#closing.abort();
+    this.#queue?.close();
+    await this.#running;
+  }
+
+  /** Sends at once when something to report changed. */
+  notify(): void {
+    this.#send(false);
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isClosing()) {
+      const { control, clients, logger } = this.#options;
+      const address = control[this.#turn % control.length] ?? '';
+      this.#turn += 1;
+      const queue = new MessageQueue<HostReportMessage>();
+      this.#queue = queue;
+      this.#sentFacts = '';
+      this.#send(true);
+      try {
+        await clients.client(ControlService, address).report(queue);
+      } catch (error) {
+        logger.info({ address, error: String(error) }, 'report stream ended');
+      }
+      if (!this.#isClosing()) {
+        await new Promise((resolve) => setTimeout(resolve, reconnectDelay));
+      }
+    }
+  }
+
+  #isClosing(): boolean {
+    return this.#closing.signal.aborted;
+  }
+
+  /** A heartbeat is sent in any case; facts only when they differ from those sent on this stream. */
+  #send(isHeartbeat: boolean): void {
+    const { facts, ...rest } = this.#options.describe();
+    const factsText = JSON.stringify(facts);
+    const restText = JSON.stringify(rest);
+    const isChanged = factsText !== this.#sentFacts;
+    if (!isHeartbeat && !isChanged && restText === this.#sentRest) {
+      return;
+    }
+    this.#queue?.push(encodeReport({ ...rest, facts: isChanged ? facts : undefined }));
+    this.#sentFacts = factsText;
+    this.#sentRest = restText;
+  }
+}
