--- /dev/null
+++ b/src/lease/held-lease.ts
@@ -0,0 +1,99 @@
+import type { Milliseconds } from '../common/index.js';
+import type { GroupMember, Incarnation } from '../model/index.js';
+
+/** Share of a lease after which a lead asks again over a new connection, once the old one closed. */
+const firstRetryShare = 1 / 20;
+
+/** What a lead holds of one member. */
+export class HeldLease {
+  readonly member: GroupMember;
+  /** Questions without an answer yet, by sequence, with when they left. */
+  readonly #pending = new Map<number, Milliseconds>();
+  #sequence = 0;
+  /** Highest sequence whose answer counted; an older answer says nothing of the present. */
+  #lastAnswered = 0;
+  #until: Milliseconds = -Infinity;
+  #confirmedSentAt: Milliseconds = -Infinity;
+  #incarnation: Incarnation | undefined;
+  #retryAt: Milliseconds = Infinity;
+  #isRetried = false;
+
+  constructor(member: GroupMember) {
+    this.member = member;
+  }
+
+  /** End of the lease on the lead's clock. */
+  get until(): Milliseconds {
+    return this.#until;
+  }
+
+  /** When the last question that was granted left. */
+  get confirmedSentAt(): Milliseconds {
+    return this.#confirmedSentAt;
+  }
+
+  /** When to ask again out of turn. */
+  get retryAt(): Milliseconds {
+    return this.#retryAt;
+  }
+
+  /** Records a question that leaves now and returns its sequence. */
+  noteAsked(now: Milliseconds, duration: Milliseconds): number {
+    for (const [sequence, sentAt] of this.#pending) {
+      if (sentAt + duration <= now) {
+        this.#pending.delete(sequence);
+      }
+    }
+    this.#sequence += 1;
+    this.#pending.set(this.#sequence, now);
+    this.#retryAt = Infinity;
+    return this.#sequence;
+  }
+
+  /** Records a grant and returns when its question left; undefined for one that does not count. */
+  noteGranted(sequence: number, incarnation: Incarnation): Milliseconds | undefined {
+    const sentAt = this.#pending.get(sequence);
+    if (sentAt === undefined || sequence <= this.#lastAnswered) {
+      return undefined;
+    }
+    if (this.#incarnation !== incarnation) {
+      this.#incarnation = incarnation;
+      this.#until = -Infinity;
+    }
+    this.#pending.delete(sequence);
+    this.#lastAnswered = sequence;
+    this.#confirmedSentAt = sentAt;
+    this.#isRetried = false;
+    return sentAt;
+  }
+
+  /** Moves the end of the lease; it never moves back by an answer that was long on its way. */
+  extend(until: Milliseconds): void {
+    this.#until = Math.max(this.#until, until);
+  }
+
+  /** Records a refusal, which ends the lease at once; false for one older than the last answer. */
+  noteRefused(sequence: number): boolean {
+    if (sequence < this.#lastAnswered) {
+      return false;
+    }
+    this.#lastAnswered = sequence;
+    this.#end();
+    return true;
+  }
+
+  /** Ends the lease: whatever was asked before says nothing any more. */
+  noteClosed(now: Milliseconds, duration: Milliseconds): void {
+    this.#lastAnswered = this.#sequence;
+    this.#end();
+    if (!this.#isRetried) {
+      this.#isRetried = true;
+      this.#retryAt = now + duration * firstRetryShare;
+    }
+  }
+
+  #end(): void {
+    this.#until = -Infinity;
+    this.#confirmedSentAt = -Infinity;
+  }
+}
