Replicated state of control: changes, placement, claims

Cause: control needs one deterministic state that every control host reaches from the same commands, and that answers a resend, a race and a repeated key alike on all of them.

Result codes 4009 and 4010 for refused placements.

--- a/src/common/result-codes.ts
+++ b/src/common/result-codes.ts
@@ -415,6 +415,22 @@
     'The change id was used before with another change.',
     'Use a new change id for a new change.',
   ),
+  stalePlacement: row(
+    4009,
+    409,
+    'notApplicable',
+    true,
+    'Groups changed since this placement was decided.',
+    'Nothing to do; control decides again.',
+  ),
+  hostInTwoGroups: row(
+    4010,
+    409,
+    'notApplicable',
+    false,
+    'The placement would put one host into two groups.',
+    'Report it: placement must not decide this.',
+  ),
 
   damagedLog: row(
     5001,
--- /dev/null
+++ b/src/control/state/answer-text.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod';
+
+import { groupSchema, failureSchema, acceptedChangeSchema } from './snapshot.js';
+import type { CommandAnswer } from './state.js';
+
+/** Answers to commands as JSON text, from control to operators and gateways. */
+
+const answerSchema = z.discriminatedUnion('type', [
+  z.strictObject({ type: z.literal('changed'), revision: z.int() }),
+  z.strictObject({ type: z.literal('placed'), groups: z.array(groupSchema).readonly() }),
+  z.strictObject({ type: z.literal('claimed') }),
+  z.strictObject({ type: z.literal('settled') }),
+  z.strictObject({
+    type: z.literal('refused'),
+    failure: failureSchema,
+    winner: acceptedChangeSchema.nullable().transform((winner) => winner ?? undefined),
+    differences: z.array(z.string()).readonly(),
+  }),
+]);
+
+/** The answer as JSON text, for SubmitResponse. */
+export function encodeCommandAnswer(answer: CommandAnswer): string {
+  return JSON.stringify(
+    answer.type === 'refused' ? { ...answer, winner: answer.winner ?? null } : answer,
+  );
+}
+
+/** The answer in a SubmitResponse; undefined for a text that is none. */
+export function decodeCommandAnswer(text: string): CommandAnswer | undefined {
+  try {
+    return answerSchema.parse(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/control/state/apply.ts
@@ -0,0 +1,33 @@
+import { assertNever } from '../../common/index.js';
+import { applyChange } from './apply-change.js';
+import { applyClaimKey, applySettleClaim } from './apply-claim.js';
+import { applyPlaceGroups } from './apply-placement.js';
+import type { Command } from './commands.js';
+import type { Applied, ControlState } from './state.js';
+
+/**
+ * Applies one committed command. Pure: the same commands give the same state on every control host, so it reads
+ * no clock and no random number; time comes from the command's `at`.
+ */
+export function applyCommand(state: ControlState, command: Command): Applied {
+  const index = state.index + 1;
+  const claims = state.claims.sweep(index, command.at);
+  return applyByType({ ...state, index, claims }, command);
+}
+
+function applyByType(state: ControlState, command: Command): Applied {
+  switch (command.type) {
+    case 'applyConfiguration':
+    case 'setHostLabels':
+    case 'setHostDrain':
+      return applyChange(state, command);
+    case 'placeGroups':
+      return applyPlaceGroups(state, command);
+    case 'claimKey':
+      return applyClaimKey(state, command);
+    case 'settleClaim':
+      return applySettleClaim(state, command);
+    default:
+      return assertNever(command);
+  }
+}
--- a/src/control/state/commands.ts
+++ b/src/control/state/commands.ts
@@ -26,7 +26,7 @@
 ]);
 
 /** A group as placement wants it; the fencing number is given when the command is applied. */
-const groupPlacement = z
+export const groupPlacement = z
   .strictObject({
     name: z.string(),
     declaration: z.string(),
--- /dev/null
+++ b/src/control/state/host-override.ts
@@ -0,0 +1,21 @@
+import type { HostFacts, Labels } from '../../model/index.js';
+import type { HostOverride } from './state.js';
+
+/** The facts a host announced, with what operators set on it in place of its own. */
+export function applyHostOverride(facts: HostFacts, override: HostOverride | undefined): HostFacts {
+  if (override === undefined) {
+    return facts;
+  }
+  return {
+    ...facts,
+    labels: mergeLabels(facts.labels, override.labels),
+    isDraining: facts.isDraining || override.isDraining,
+  };
+}
+
+function mergeLabels(announced: Labels, set: HostOverride['labels']): Labels {
+  const entries = Object.entries({ ...announced, ...set });
+  return Object.fromEntries(
+    entries.filter((entry): entry is [string, string] => entry[1] !== null),
+  );
+}
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -1,4 +1,10 @@
+export { decodeCommandAnswer, encodeCommandAnswer } from './answer-text.js';
+export { applyCommand } from './apply.js';
+export { keptAnswers, keptHistory } from './apply-change.js';
+export { ClaimRegister, claimLifetimeMilliseconds } from './claim-register.js';
 export { commandSchema, type Change, type Command, type GroupPlacement } from './commands.js';
+export { applyHostOverride } from './host-override.js';
+export { ControlStateMachine, type StateListener } from './state-machine.js';
 export {
   initialControlState,
   type AcceptedChange,
@@ -9,3 +15,15 @@
   type ControlState,
   type HostOverride,
 } from './state.js';
+export {
+  viewSchemas,
+  type ConfigurationView,
+  type ControlView,
+  type GroupsView,
+  type GroupView,
+  type HostsView,
+  type HostView,
+  type ViewKind,
+  type WatchersView,
+  type WatcherView,
+} from './views.js';
--- /dev/null
+++ b/src/control/state/state-machine.ts
@@ -0,0 +1,73 @@
+import { createFailure } from '../../common/index.js';
+import type { StateMachine } from '../../consensus/index.js';
+import { applyCommand } from './apply.js';
+import { commandSchema, type Command } from './commands.js';
+import { decodeSnapshot, encodeSnapshot } from './snapshot.js';
+import { initialControlState, type CommandAnswer, type ControlState } from './state.js';
+
+/** Told of the state after each command or restore. */
+export type StateListener = (state: ControlState) => void;
+
+/** The replicated state of control, fed by the log. */
+export class ControlStateMachine implements StateMachine<CommandAnswer> {
+  #state: ControlState = initialControlState;
+  readonly #listener: StateListener;
+
+  constructor(listener: StateListener = ignoreState) {
+    this.#listener = listener;
+  }
+
+  /** The state after the last command applied. */
+  read(): ControlState {
+    return this.#state;
+  }
+
+  readonly apply = (index: number, command: string): CommandAnswer => {
+    // Entries of the log that are no commands have indexes too; the state follows the log's count.
+    const before = { ...this.#state, index: index - 1 };
+    const parsed = parseCommand(command);
+    if (typeof parsed === 'string') {
+      this.#change({ ...before, index });
+      return refuseCommand(parsed);
+    }
+    const { state, answer } = applyCommand(before, parsed);
+    this.#change(state);
+    return answer;
+  };
+
+  readonly takeSnapshot = (): string => encodeSnapshot(this.#state);
+
+  readonly restoreSnapshot = (index: number, snapshot: string): void => {
+    this.#change({ ...decodeSnapshot(snapshot), index });
+  };
+
+  #change(state: ControlState): void {
+    this.#state = state;
+    this.#listener(state);
+  }
+}
+
+/** The command, or what is wrong with the text. */
+function parseCommand(text: string): Command | string {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return 'not JSON';
+  }
+  const parsed = commandSchema.safeParse(value);
+  if (parsed.success) {
+    return parsed.data;
+  }
+  const issue = parsed.error.issues[0];
+  return issue === undefined ? 'unknown' : `${issue.path.join('.')}: ${issue.message}`;
+}
+
+function refuseCommand(detail: string): CommandAnswer {
+  const failure = createFailure('invalidCommand', detail);
+  return { type: 'refused', failure, winner: undefined, differences: [] };
+}
+
+function ignoreState(): void {
+  // Nobody listens.
+}
--- a/src/control/state/state.ts
+++ b/src/control/state/state.ts
@@ -11,6 +11,7 @@
   Revision,
 } from '../../model/index.js';
 import type { Failure, WallTime } from '../../common/index.js';
+import { ClaimRegister } from './claim-register.js';
 
 /** What operators set on one host; goes before what the host says of itself. */
 export interface HostOverride {
@@ -28,6 +29,10 @@
   readonly revision: Revision;
   /** Undefined for an accepted change. */
   readonly failure: Failure | undefined;
+  /** The change that won, for a conflict of revisions. */
+  readonly winner: AcceptedChange | undefined;
+  /** What the refused change would have made differ, one line each. */
+  readonly differences: readonly string[];
   readonly at: WallTime;
 }
 
@@ -47,21 +52,24 @@
   readonly key: string;
   readonly fingerprint: string;
   readonly requestId: RequestId;
-  readonly state: 'running' | 'ran' | 'unknown';
+  /** `notRun` frees the key for other requests and refuses a late claim by the same one. */
+  readonly state: 'running' | 'ran' | 'unknown' | 'notRun';
   readonly at: WallTime;
 }
 
 /** All that the control hosts replicate. */
 export interface ControlState {
-  /** Number of commands applied. */
+  /** Log index of the last command applied. */
   readonly index: number;
+  /** Log index of the last command that changed groups. */
+  readonly groupsIndex: number;
   readonly revision: Revision;
   readonly configuration: Configuration;
   readonly overrides: ReadonlyMap<HostName, HostOverride>;
   readonly groups: ReadonlyMap<GroupName, Group>;
   /** Highest fencing number given out. */
   readonly fencingNumber: FencingNumber;
-  readonly claims: ReadonlyMap<string, Claim>;
+  readonly claims: ClaimRegister;
   readonly answers: ReadonlyMap<ChangeId, ChangeAnswer>;
   readonly history: readonly AcceptedChange[];
 }
@@ -69,12 +77,13 @@
 /** State before the first command. */
 export const initialControlState: ControlState = {
   index: 0,
+  groupsIndex: 0,
   revision: 0,
   configuration: emptyConfiguration,
   overrides: new Map(),
   groups: new Map(),
   fencingNumber: 0,
-  claims: new Map(),
+  claims: ClaimRegister.empty,
   answers: new Map(),
   history: [],
 };
@@ -90,6 +99,8 @@
       readonly failure: Failure;
       /** The change that won, for a conflict of revisions. */
       readonly winner: AcceptedChange | undefined;
+      /** What the refused change would have made differ from the present state, one line each. */
+      readonly differences: readonly string[];
     };
 
 /** State after a command and the answer to it. */
--- /dev/null
+++ b/src/control/state/views.ts
@@ -0,0 +1,149 @@
+import { z } from 'zod';
+
+import { configurationSchema } from '../../configuration/index.js';
+import { acceptedChangeSchema } from './snapshot.js';
+
+/**
+ * JSON answers of ControlService.Get, one schema for each kind; control writes them, the command line reads them.
+ * What may be missing is null in the JSON.
+ */
+
+const revision = z.int().min(0);
+
+const artifact = z
+  .strictObject({
+    model: z.string(),
+    version: z.string(),
+    adapters: z.array(z.string()).readonly(),
+  })
+  .readonly();
+
+const upstream = z.discriminatedUnion('type', [
+  z
+    .strictObject({
+      type: z.literal('engine'),
+      loaded: z.array(artifact).readonly(),
+      checksFencingNumber: z.boolean(),
+    })
+    .readonly(),
+  z.strictObject({ type: z.literal('service'), service: z.string() }).readonly(),
+]);
+
+const offer = z.discriminatedUnion('type', [
+  z.strictObject({ type: z.literal('model'), artifact }).readonly(),
+  z.strictObject({ type: z.literal('service'), service: z.string() }).readonly(),
+]);
+
+/** Kind `configuration`: the configuration in force and the newest accepted changes, oldest first. */
+export const configurationViewSchema = z
+  .strictObject({
+    revision,
+    configuration: configurationSchema,
+    history: z.array(acceptedChangeSchema).readonly(),
+  })
+  .readonly();
+
+const hostView = z
+  .strictObject({
+    host: z.string(),
+    address: z.string(),
+    incarnation: z.string(),
+    region: z.string(),
+    failureDomain: z.string(),
+    fabricDomain: z.string(),
+    accelerators: z.int(),
+    /** Announced labels with those that operators set in their place. */
+    labels: z.record(z.string(), z.string()).readonly(),
+    upstream: upstream.nullable(),
+    isHealthy: z.boolean(),
+    /** By an operator or by the host itself. */
+    isDraining: z.boolean(),
+    /** Whether its sidecar reports now. */
+    isPresent: z.boolean(),
+    /** Group that the host is placed in. */
+    group: z.string().nullable(),
+    /** Time since the last report of its sidecar. */
+    lastReportMilliseconds: z.number(),
+  })
+  .readonly();
+
+/** Kind `hosts`: every host that has announced itself. */
+export const hostsViewSchema = z
+  .strictObject({ revision, hosts: z.array(hostView).readonly() })
+  .readonly();
+
+const groupView = z
+  .strictObject({
+    name: z.string(),
+    declaration: z.string(),
+    fencingNumber: z.int(),
+    offer,
+    members: z.array(z.string()).readonly(),
+    isServing: z.boolean(),
+    isDraining: z.boolean(),
+    /** Members whose lease the lead does not hold. */
+    missing: z.array(z.string()).readonly(),
+  })
+  .readonly();
+
+/** Kind `groups`: every placed group, and the healthy hosts that are in none. */
+export const groupsViewSchema = z
+  .strictObject({
+    revision,
+    groups: z.array(groupView).readonly(),
+    strandedHosts: z.array(z.string()).readonly(),
+  })
+  .readonly();
+
+const watcherView = z
+  .strictObject({
+    watcher: z.string(),
+    kind: z.string(),
+    /** Highest configuration revision that it has applied. */
+    revision,
+    /** Control host that it watches, where known. */
+    control: z.string().nullable(),
+    lastSeenMilliseconds: z.number(),
+  })
+  .readonly();
+
+/** Kind `watchers`: which revision each gateway and sidecar has in force. */
+export const watchersViewSchema = z
+  .strictObject({ revision, watchers: z.array(watcherView).readonly() })
+  .readonly();
+
+/** Kind `control`: the control host that answers. */
+export const controlViewSchema = z
+  .strictObject({
+    name: z.string(),
+    role: z.enum(['leader', 'follower', 'leaderless']),
+    term: z.int(),
+    leader: z.string().nullable(),
+    index: z.int(),
+    revision,
+    /** Time since this host last knew that it was up to date with a leader that had a quorum. */
+    stalenessMilliseconds: z.number(),
+    voters: z
+      .array(z.strictObject({ name: z.string(), address: z.string() }).readonly())
+      .readonly(),
+  })
+  .readonly();
+
+/** Schemas by the kind that a GetRequest names. */
+export const viewSchemas = {
+  configuration: configurationViewSchema,
+  hosts: hostsViewSchema,
+  groups: groupsViewSchema,
+  watchers: watchersViewSchema,
+  control: controlViewSchema,
+} as const;
+
+export type ViewKind = keyof typeof viewSchemas;
+export type ConfigurationView = z.infer<typeof configurationViewSchema>;
+export type HostsView = z.infer<typeof hostsViewSchema>;
+export type HostView = HostsView['hosts'][number];
+export type GroupsView = z.infer<typeof groupsViewSchema>;
+export type GroupView = GroupsView['groups'][number];
+export type WatchersView = z.infer<typeof watchersViewSchema>;
+export type WatcherView = WatchersView['watchers'][number];
+export type ControlView = z.infer<typeof controlViewSchema>;
