Settings of the three processes and configuration documents, checked

Cause: a process must not start on settings that are wrong, and an operator must see which line is wrong and what was expected there.

Ruled out: reporting zod's issues as they are (no line, no known names); host names in addresses (the system talks by IP numbers); repeating the cross-checks when a command is applied (control hosts of two versions would disagree for ever about one committed change; they are made on submission).

--- /dev/null
+++ b/__tests__/settings/settings.test.ts
@@ -0,0 +1,133 @@
+import { describe, expect, it } from 'vitest';
+
+import {
+  controlSettingsSchema,
+  formatProblem,
+  gatewaySettingsSchema,
+  loadSettings,
+  parseAddress,
+  parseOverride,
+  parseSettings,
+  sidecarSettingsSchema,
+  type SettingsOverride,
+} from '../../src/settings/index.js';
+
+const gatewayText = `{
+  // An entry host in bole.
+  "name": "gateway-1",
+  "region": "addis",
+  "failureDomain": "bole",
+  "listen": "0.0.0.0:8400",
+  "internal": "10.0.0.4:8410",
+  "control": ["10.0.0.1:8501"],
+}`;
+
+function findProblems(
+  text: string,
+  overrides: readonly SettingsOverride[] = [],
+): readonly string[] {
+  const result = parseSettings(gatewaySettingsSchema, 'gateway.jsonc', text, overrides);
+  return result.ok ? [] : result.val.map(formatProblem);
+}
+
+describe('settings', () => {
+  it('fills in what the file leaves out', () => {
+    const settings = parseSettings(gatewaySettingsSchema, 'gateway.jsonc', gatewayText).unwrap();
+    expect(settings.limits.requestTimeoutMilliseconds).toBe(120_000);
+    expect(settings.log.level).toBe('info');
+    expect(settings.metrics).toBeUndefined();
+  });
+
+  it('names line, column and what was expected', () => {
+    const text = gatewayText
+      .replace('"gateway-1"', '17')
+      .replace('"10.0.0.4:8410"', '"entry-host:8410"')
+      .replace('"region"', '"regoin"');
+    expect(findProblems(text)).toEqual([
+      'gateway.jsonc:3:3: error: name: expected string, received number',
+      'gateway.jsonc:1:1: error: region: missing, expected string',
+      'gateway.jsonc:7:3: error: internal: expected an IP number with a port, such as 10.0.0.7:8400 or [fd00::7]:8400',
+      'gateway.jsonc:4:3: error: regoin: unknown name, expected one of: name, region, failureDomain, listen, internal, control, limits, shutdown, log, metrics',
+    ]);
+  });
+
+  it('names the place of a syntax error', () => {
+    const text = gatewayText.replace('"bole",', '"bole"');
+    expect(findProblems(text)).toEqual(['gateway.jsonc:6:3: error: not valid JSON: CommaExpected']);
+    expect(findProblems('')).toEqual(['gateway.jsonc:1:1: error: the file is empty']);
+  });
+
+  // Symptom: a gateway listens at an address that the settings seem not to have.
+  // Sequence: an operator adds a line and overlooks that the name stands further down already.
+  // Cause: JSON parsers take the last of two equal names without a word.
+  it('refuses a name that stands twice', () => {
+    const text = gatewayText.replace('"region"', '"listen": "10.0.0.4:8499", "region"');
+    expect(findProblems(text)).toEqual([
+      'gateway.jsonc:6:3: error: listen: this name stands twice in one object, expected once',
+    ]);
+  });
+
+  // Symptom: other hosts connect to themselves, or to nothing, when they follow an announced address.
+  // Sequence: a sidecar listens at all interfaces and announces 0.0.0.0 to control.
+  // Cause: the address to bind and the address to announce were taken for one.
+  it('refuses all interfaces where others are told the address', () => {
+    const text = gatewayText.replace('10.0.0.4:8410', '0.0.0.0:8410');
+    expect(findProblems(text)).toEqual([
+      'gateway.jsonc:7:3: error: internal: expected the IP number by which other hosts reach this one, not all interfaces',
+    ]);
+  });
+
+  it('takes flags before the file and reports their mistakes at the flag', () => {
+    const level = parseOverride('log.level=debug') ?? { path: '', value: '' };
+    const wrong = parseOverride('limits.maximumBodyBytes=many') ?? { path: '', value: '' };
+    const settings = parseSettings(gatewaySettingsSchema, 'gateway.jsonc', gatewayText, [level]);
+    expect(settings.unwrap().log.level).toBe('debug');
+    expect(findProblems(gatewayText, [level, wrong])).toEqual([
+      '--set limits.maximumBodyBytes: error: limits.maximumBodyBytes: expected number, received string',
+    ]);
+    expect(parseOverride('log.level')).toBeUndefined();
+  });
+
+  it('says that a file cannot be read', () => {
+    const result = loadSettings(sidecarSettingsSchema, '/nowhere/sidecar.jsonc');
+    expect(result.err && result.val.map((problem) => problem.message)).toEqual([
+      expect.stringContaining('cannot be read: ENOENT'),
+    ]);
+  });
+
+  it('refuses voters that are not distinct and elections shorter than heartbeats allow', () => {
+    const text = JSON.stringify({
+      name: 'control-1',
+      region: 'addis',
+      failureDomain: 'bole',
+      listen: '10.0.0.1:8501',
+      voters: [
+        { name: 'control-1', address: '10.0.0.1:8501' },
+        { name: 'control-1', address: '10.0.0.2:8501' },
+      ],
+      dataFolder: 'data',
+      timeouts: { heartbeatMilliseconds: 500, electionMilliseconds: 600 },
+    });
+    const result = parseSettings(controlSettingsSchema, 'control.jsonc', text);
+    expect(result.err && result.val.map((problem) => problem.path)).toEqual([
+      'voters[1]',
+      'timeouts',
+    ]);
+  });
+});
+
+describe('addresses', () => {
+  it('takes IP numbers with a port only', () => {
+    expect(parseAddress('10.0.0.7:8400')).toEqual({ host: '10.0.0.7', port: 8400 });
+    expect(parseAddress('[fd00::7]:8400')).toEqual({ host: 'fd00::7', port: 8400 });
+    for (const text of [
+      'localhost:80',
+      '10.0.0.7',
+      '10.0.0.7:0',
+      '10.0.0.7:70000',
+      '[10.0.0.7]:1',
+    ]) {
+      expect(parseAddress(text)).toBeUndefined();
+    }
+  });
+});
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,2 +1,9 @@
+export { crossCheck, type CrossFinding } from './cross-checks.js';
 export { describeDifferences, summarizeDifferences } from './diff.js';
+export {
+  checkConfiguration,
+  parseConfiguration,
+  type CheckedConfiguration,
+  type ConfigurationProblem,
+} from './parse.js';
 export { configurationSchema, emptyConfiguration } from './schema.js';
--- /dev/null
+++ b/src/control/state/parse-command.ts
@@ -0,0 +1,43 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import { createFailure, type Failure } from '../../common/index.js';
+import { crossCheck } from '../../configuration/index.js';
+import { formatPath } from '../../settings/index.js';
+import { commandSchema, type Command } from './commands.js';
+
+/** Reads a command of the log. */
+export function parseCommand(text: string): Result<Command, Failure> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return new Err(createFailure('invalidCommand', 'not JSON'));
+  }
+  const parsed = commandSchema.safeParse(value);
+  if (parsed.success) {
+    return new Ok(parsed.data);
+  }
+  const details = parsed.error.issues.map((issue) => `${formatPath(issue.path)}: ${issue.message}`);
+  return new Err(createFailure('invalidCommand', details.join('; ')));
+}
+
+/**
+ * Reads a command from a submitter and makes the checks that go before the log.
+ * These are not made again when the command is applied: a control host of a newer version with one check more would
+ * refuse a committed change that the others have accepted, and the hosts would never agree again.
+ */
+export function checkSubmittedCommand(text: string): Result<Command, Failure> {
+  return parseCommand(text).andThen(checkDocument);
+}
+
+function checkDocument(command: Command): Result<Command, Failure> {
+  if (command.type !== 'applyConfiguration') {
+    return new Ok(command);
+  }
+  const errors = crossCheck(command.document).filter((finding) => finding.severity === 'error');
+  if (errors.length === 0) {
+    return new Ok(command);
+  }
+  const details = errors.map((error) => `${formatPath(error.path)}: ${error.message}`);
+  return new Err(createFailure('invalidConfiguration', details.join('; ')));
+}
--- a/src/control/state/state-machine.ts
+++ b/src/control/state/state-machine.ts
@@ -1,7 +1,6 @@
-import { createFailure } from '../../common/index.js';
 import type { StateMachine } from '../../consensus/index.js';
 import { applyCommand } from './apply.js';
-import { commandSchema, type Command } from './commands.js';
+import { parseCommand } from './parse-command.js';
 import { decodeSnapshot, encodeSnapshot } from './snapshot.js';
 import { initialControlState, type CommandAnswer, type ControlState } from './state.js';
 
@@ -26,11 +25,11 @@
     // Entries of the log that are no commands have indexes too; the state follows the log's count.
     const before = { ...this.#state, index: index - 1 };
     const parsed = parseCommand(command);
-    if (typeof parsed === 'string') {
+    if (parsed.err) {
       this.#change({ ...before, index });
-      return refuseCommand(parsed);
+      return { type: 'refused', failure: parsed.val, winner: undefined, differences: [] };
     }
-    const { state, answer } = applyCommand(before, parsed);
+    const { state, answer } = applyCommand(before, parsed.val);
     this.#change(state);
     return answer;
   };
@@ -47,27 +46,6 @@
   }
 }
 
-/** The command, or what is wrong with the text. */
-function parseCommand(text: string): Command | string {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch {
-    return 'not JSON';
-  }
-  const parsed = commandSchema.safeParse(value);
-  if (parsed.success) {
-    return parsed.data;
-  }
-  const issue = parsed.error.issues[0];
-  return issue === undefined ? 'unknown' : `${issue.path.join('.')}: ${issue.message}`;
-}
-
-function refuseCommand(detail: string): CommandAnswer {
-  const failure = createFailure('invalidCommand', detail);
-  return { type: 'refused', failure, winner: undefined, differences: [] };
-}
-
 function ignoreState(): void {
   // Nobody listens.
 }
--- /dev/null
+++ b/src/settings/common-settings.ts
@@ -0,0 +1,44 @@
+import { z } from 'zod';
+
+import { reachableAddress } from './address.js';
+
+/** Settings that several processes share. */
+
+/** Names of hosts, regions and domains. */
+export const placeName = z
+  .string()
+  .regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/,
+    'expected letters, digits, dots and hyphens, 63 at most',
+  );
+
+/** The control hosts that a process may ask, in order of preference. */
+export const controlAddresses = z.array(reachableAddress).min(1).readonly();
+
+export const logSettings = z
+  .strictObject({
+    level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
+  })
+  .readonly()
+  .prefault({});
+
+/** Where metrics are sent, by UDP in the format of StatsD; undefined for nowhere. */
+export const metricsSettings = z
+  .strictObject({
+    host: z.union([z.ipv4(), z.ipv6()], 'expected an IP number'),
+    port: z.int().min(1).max(65_535),
+  })
+  .readonly()
+  .optional()
+  .transform((settings) => settings);
+
+/** How a process stops. */
+export const shutdownSettings = z
+  .strictObject({
+    /** Time during which the process still takes work after it has said that it is leaving. */
+    graceMilliseconds: z.int().min(0).max(600_000).default(2000),
+    /** Time after which what is still in flight is ended with an error. */
+    hardLimitMilliseconds: z.int().min(0).max(3_600_000).default(600_000),
+  })
+  .readonly()
+  .prefault({});
--- /dev/null
+++ b/src/settings/control-settings.ts
@@ -0,0 +1,65 @@
+import { z } from 'zod';
+
+import { reachableAddress } from './address.js';
+import { logSettings, metricsSettings, placeName, shutdownSettings } from './common-settings.js';
+
+const highestVoterCount = 7;
+
+const voter = z.strictObject({ name: placeName, address: reachableAddress }).readonly();
+
+const voters = z
+  .array(voter)
+  .min(1)
+  .max(highestVoterCount)
+  .readonly()
+  .superRefine((list, context) => {
+    list.forEach((candidate, index) => {
+      const first = list.findIndex(
+        (other) => other.name === candidate.name || other.address === candidate.address,
+      );
+      if (first !== index) {
+        const message = `expected names and addresses that differ, but [${first}] has the same`;
+        context.addIssue({ code: 'custom', path: [index], message });
+      }
+    });
+  });
+
+/** Times of the replicated log; the defaults suit domains that are a few milliseconds apart. */
+const timeouts = z
+  .strictObject({
+    /** Between two signs of life from the leader. */
+    heartbeatMilliseconds: z.int().min(10).max(10_000).default(100),
+    /** Shortest silence of the leader before an election; the longest is twice that. */
+    electionMilliseconds: z.int().min(50).max(60_000).default(800),
+    /** Longest wait for a change to be committed before its submitter is told that it is uncertain. */
+    commitMilliseconds: z.int().min(100).max(60_000).default(5000),
+    /** Between two signs of life on a quiet watch. */
+    watchHeartbeatMilliseconds: z.int().min(100).max(60_000).default(1000),
+  })
+  .readonly()
+  .prefault({})
+  .refine(
+    (times) => times.electionMilliseconds >= 3 * times.heartbeatMilliseconds,
+    'expected electionMilliseconds of at least three times heartbeatMilliseconds',
+  );
+
+/** Settings of pistachiospoke-control. */
+export const controlSettingsSchema = z
+  .strictObject({
+    /** Unique among control hosts. */
+    name: placeName,
+    region: placeName,
+    failureDomain: placeName,
+    listen: reachableAddress,
+    /** The voters that a first start forms from, this host included; later ones are in the log. */
+    voters,
+    /** Folder for the log and the snapshots; relative to the folder in which the process is started. */
+    dataFolder: z.string().min(1),
+    timeouts,
+    shutdown: shutdownSettings,
+    log: logSettings,
+    metrics: metricsSettings,
+  })
+  .readonly();
+
+export type ControlSettings = z.infer<typeof controlSettingsSchema>;
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,10 @@
+export { parseAddress, type SocketAddress } from './address.js';
+export { describeIssues, type SchemaFinding } from './check.js';
+export { readProcessFlags, type ProcessFlags } from './command-line.js';
+export { controlSettingsSchema, type ControlSettings } from './control-settings.js';
+export { gatewaySettingsSchema, type GatewaySettings } from './gateway-settings.js';
+export { loadSettings, parseSettings, type SettingsProblem } from './load.js';
+export { parseOverride, type SettingsOverride } from './override.js';
+export { formatPath, formatProblem, type DocumentProblem, type ProblemPlace } from './problem.js';
+export { sidecarSettingsSchema, type SidecarSettings } from './sidecar-settings.js';
+export { TextDocument } from './text-document.js';
