--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,22 +2,15 @@
 import { chmod, readdir } from 'node:fs/promises';
 import { build } from 'esbuild';
 
+import { bundleOptions } from './bundle-options.mjs';
+
 const entryFolder = 'src/bin';
-const requireBanner =
-  "import { createRequire as createRequireForBundle } from 'node:module';\n" +
-  'const require = createRequireForBundle(import.meta.url);';
 
 const entries = (await readdir(entryFolder)).filter((name) => name.endsWith('.ts'));
 await build({
+  ...bundleOptions,
   entryPoints: entries.map((name) => `${entryFolder}/${name}`),
   outdir: 'dist',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  mainFields: ['module', 'main'],
-  banner: { js: `#!/usr/bin/env node\n${requireBanner}` },
-  logLevel: 'warning',
 });
 for (const name of entries) {
   await chmod(`dist/${name.replace(/\.ts$/, '.js')}`, 0o755);
