--- /dev/null
+++ b/__tests__/support/programs.ts
@@ -0,0 +1,168 @@
+/** Starts the built programs for tests and benches, and ends only what it started. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { existsSync } from 'node:fs';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { waitFor } from './wait.js';
+
+export interface ProgramExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+export interface ProgramOptions {
+  /** Told apart in messages of failed tests; the program's name by default. */
+  readonly label?: string;
+  readonly environment?: Readonly<Record<string, string>>;
+  /** Flags for Node itself, before the program. */
+  readonly nodeFlags?: readonly string[];
+}
+
+/** How much of a program's output is kept, in characters. */
+const outputLimit = 2_000_000;
+const stopPatience = 30_000;
+
+/** One started program. */
+export class RunningProgram {
+  readonly label: string;
+  readonly #child: ChildProcess;
+  readonly #exited: Promise<ProgramExit>;
+  #output = '';
+  #exit: ProgramExit | undefined;
+
+  constructor(label: string, child: ChildProcess) {
+    this.label = label;
+    this.#child = child;
+    this.#exited = new Promise((resolve) => {
+      child.once('exit', (code, signal) => {
+        this.#exit = { code, signal };
+        resolve(this.#exit);
+      });
+    });
+    for (const stream of [child.stdout, child.stderr]) {
+      stream?.setEncoding('utf8').on('data', (text: string) => {
+        this.#output = (this.#output + text).slice(-outputLimit);
+      });
+    }
+  }
+
+  get pid(): number {
+    if (this.#child.pid === undefined) {
+      throw new Error(`${this.label} did not start`);
+    }
+    return this.#child.pid;
+  }
+
+  /** What it wrote to standard output and error so far. */
+  get output(): string {
+    return this.#output;
+  }
+
+  get isRunning(): boolean {
+    return this.#exit === undefined;
+  }
+
+  /** Sends a signal: SIGTERM stops it gracefully, SIGSTOP freezes it, SIGCONT lets it go on, SIGKILL is a crash. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.isRunning) {
+      this.#child.kill(signal);
+    }
+  }
+
+  waitForExit(): Promise<ProgramExit> {
+    return this.#exited;
+  }
+
+  /** Waits until the output matches. */
+  waitForOutput(pattern: RegExp): Promise<RegExpMatchArray> {
+    return waitFor(`${this.label} to write ${String(pattern)}`, () => {
+      const match = this.#output.match(pattern);
+      if (match === null && !this.isRunning) {
+        throw new Error(`${this.label} ended: ${this.#output.slice(-2000)}`);
+      }
+      return match ?? undefined;
+    });
+  }
+
+  /** Stops it: SIGTERM first; SIGKILL when it does not end, which the answer then shows. */
+  async stop(): Promise<ProgramExit> {
+    this.signal('SIGCONT');
+    this.signal('SIGTERM');
+    const killer = setTimeout(() => {
+      this.signal('SIGKILL');
+    }, stopPatience);
+    const exit = await this.#exited;
+    clearTimeout(killer);
+    return exit;
+  }
+}
+
+/** Owns the programs and the folder of one test; `stop` ends and removes all of them. */
+export class ProgramGroup {
+  readonly folder: string;
+  readonly #programs: RunningProgram[] = [];
+
+  private constructor(folder: string) {
+    this.folder = folder;
+  }
+
+  static async create(): Promise<ProgramGroup> {
+    return new ProgramGroup(await mkdtemp(join(tmpdir(), 'pistachiospoke-test-')));
+  }
+
+  get programs(): readonly RunningProgram[] {
+    return this.#programs;
+  }
+
+  /** Writes a file into the group's folder and returns its path. */
+  async write(name: string, content: string): Promise<string> {
+    const path = join(this.folder, name);
+    await writeFile(path, content);
+    return path;
+  }
+
+  /** Starts `dist/NAME.js`. */
+  start(
+    name: string,
+    commandArguments: readonly string[],
+    options: ProgramOptions = {},
+  ): RunningProgram {
+    const file = join('dist', `${name}.js`);
+    if (!existsSync(file)) {
+      throw new Error(`${file} is missing: run npm run build first`);
+    }
+    const child = spawn(
+      process.execPath,
+      [...(options.nodeFlags ?? []), file, ...commandArguments],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        env: { ...process.env, ...options.environment },
+      },
+    );
+    const program = new RunningProgram(options.label ?? name, child);
+    this.#programs.push(program);
+    return program;
+  }
+
+  /** Runs a program to its end, for the command line. */
+  async run(
+    name: string,
+    commandArguments: readonly string[],
+  ): Promise<{ readonly exit: ProgramExit; readonly output: string }> {
+    const program = this.start(name, commandArguments);
+    const exit = await program.waitForExit();
+    return { exit, output: program.output };
+  }
+
+  /** Stops everything, last started first, and removes the folder. */
+  async stop(): Promise<void> {
+    for (const program of [...this.#programs].reverse()) {
+      if (program.isRunning) {
+        await program.stop();
+      }
+    }
+    await rm(this.folder, { recursive: true, force: true });
+  }
+}
