--- /dev/null
+++ b/src/consensus/core/core.ts
@@ -0,0 +1,247 @@
+import { createFailure, type Controller, type Milliseconds } from '../../common/index.js';
+import type { LeadershipView } from '../replicated-log.js';
+import { Elections } from './elections.js';
+import type { ConsensusEffect, ConsensusEvent, Proposal, StoredState } from './events.js';
+import { FollowerLog } from './follower-log.js';
+import { Formation } from './formation.js';
+import { Leadership } from './leadership.js';
+import type { Member, Membership } from './membership.js';
+import { MembershipChanges } from './membership-changes.js';
+import type { AcknowledgementMessage, ConsensusMessage, LeaderMessage } from './messages.js';
+import { Reads } from './reads.js';
+import type { Role } from './role.js';
+import type { CoreSettings } from './settings.js';
+import { CoreState } from './state.js';
+
+/** The decisions of one control host about the replicated log, free of I/O. */
+export class ConsensusCore implements Controller<ConsensusEvent, ConsensusEffect> {
+  readonly #state: CoreState;
+  readonly #elections: Elections;
+  readonly #formation: Formation;
+  readonly #followerLog: FollowerLog;
+  readonly #leadership: Leadership;
+  readonly #reads: Reads;
+  readonly #membershipChanges: MembershipChanges;
+  #shownRole: Role = 'follower';
+  #shownView: LeadershipView;
+
+  constructor(settings: CoreSettings, stored: StoredState) {
+    this.#state = new CoreState(settings, stored);
+    this.#elections = new Elections(this.#state);
+    this.#formation = new Formation(this.#state, this.#elections);
+    this.#followerLog = new FollowerLog(this.#state);
+    this.#leadership = new Leadership(this.#state);
+    this.#reads = new Reads(this.#state, this.#leadership);
+    this.#membershipChanges = new MembershipChanges(this.#state, this.#leadership);
+    this.#shownView = this.#state.view;
+  }
+
+  get view(): LeadershipView {
+    return this.#state.view;
+  }
+
+  get self(): Member {
+    return this.#state.self;
+  }
+
+  get membership(): Membership {
+    return this.#state.log.membership;
+  }
+
+  get commitIndex(): number {
+    return this.#state.commitIndex;
+  }
+
+  /** Index of the newest snapshot; 0 before the first. */
+  get snapshotIndex(): number {
+    return this.#state.log.snapshot?.index ?? 0;
+  }
+
+  /** How long ago this host last knew that it was up to date with a leader that had a quorum. */
+  staleness(now: Milliseconds): Milliseconds {
+    return Math.max(now - this.#state.freshAt, 0);
+  }
+
+  handle(event: ConsensusEvent): readonly ConsensusEffect[] {
+    this.#state.observeTime(event.now);
+    this.#checkLeadership();
+    this.#dispatch(event);
+    this.#settle();
+    return this.#state.outbox.take();
+  }
+
+  #dispatch(event: ConsensusEvent): void {
+    switch (event.type) {
+      case 'tick':
+        this.#tick();
+        return;
+      case 'received':
+        this.#receive({ name: event.from, storageId: event.message.sender }, event.message);
+        return;
+      case 'persisted':
+        this.#state.markSynced(event.write);
+        this.#elections.handleSynced();
+        return;
+      case 'proposed':
+        this.#propose(event.proposals);
+        return;
+      case 'readRequested':
+        this.#reads.request(event.readId);
+        return;
+      case 'membershipRequested':
+        this.#membershipChanges.request(event.requestId, event.change);
+        return;
+      case 'snapshotTaken':
+        this.#state.compact(event.index, event.data);
+        return;
+    }
+  }
+
+  #tick(): void {
+    this.#formation.tick();
+    this.#elections.tick();
+    if (this.#state.role === 'leader') {
+      this.#leadership.tick();
+    }
+  }
+
+  #propose(proposals: readonly Proposal[]): void {
+    if (this.#state.role === 'leader') {
+      this.#leadership.propose(proposals);
+      return;
+    }
+    const failure = createFailure('noQuorum', 'this control host is not the leader', 1000);
+    this.#leadership.refuse(proposals, failure);
+  }
+
+  #receive(from: Member, message: ConsensusMessage): void {
+    // A message for an earlier data folder of this host must not count: that folder's votes and log are lost.
+    const { recipient } = message;
+    if (recipient !== undefined && recipient !== this.#state.self.storageId) {
+      return;
+    }
+    switch (message.type) {
+      case 'preVote':
+        this.#elections.answerPreVote(from.name, message);
+        return;
+      case 'preVoteAnswer':
+        this.#elections.countPreVote(message);
+        return;
+      case 'vote':
+        this.#elections.answerVote(from.name, message);
+        return;
+      case 'voteAnswer':
+        this.#elections.countVote(message);
+        return;
+      case 'append':
+      case 'snapshotChunk':
+        this.#receiveFromLeader(from, message);
+        return;
+      case 'appendAccepted':
+      case 'appendRejected':
+      case 'snapshotProgress':
+        this.#receiveAnswer(message);
+        return;
+      case 'staleTerm':
+        this.#elections.observeTerm(message.term);
+        return;
+      case 'greeting':
+        this.#receiveGreeting(from);
+        return;
+      case 'formationQuestion':
+        this.#formation.answerQuestion(from, message);
+        return;
+      case 'formationPromise':
+        this.#formation.handlePromise(from, message);
+        return;
+    }
+  }
+
+  #receiveFromLeader(leader: Member, message: LeaderMessage): void {
+    if (message.term < this.#state.term) {
+      this.#state.outbox.sendWhenSynced(leader.name, {
+        type: 'staleTerm',
+        sender: this.#state.self.storageId,
+        recipient: leader.storageId,
+        term: this.#state.term,
+      });
+      return;
+    }
+    if (message.term === this.#state.term && this.#state.role === 'leader') {
+      throw new Error(`${leader.name} leads term ${message.term} as well`);
+    }
+    this.#elections.followLeader(message.term, leader);
+    switch (message.type) {
+      case 'append':
+        this.#followerLog.handleAppend(leader, message);
+        return;
+      case 'snapshotChunk':
+        this.#followerLog.handleSnapshotChunk(leader, message);
+        return;
+    }
+  }
+
+  #receiveAnswer(message: AcknowledgementMessage): void {
+    this.#elections.observeTerm(message.term);
+    if (this.#state.role === 'leader') {
+      this.#leadership.handleAnswer(message);
+    }
+  }
+
+  #receiveGreeting(from: Member): void {
+    if (this.#state.role === 'leader') {
+      this.#membershipChanges.handleGreeting(from);
+    }
+  }
+
+  #checkLeadership(): void {
+    if (this.#state.role === 'leader' && this.#leadership.hasLostQuorum()) {
+      this.#elections.stepDown({ type: 'quorumLost' });
+      this.#settle();
+    }
+  }
+
+  /** Starts and stops what belongs to a leader, and does what the event made possible. */
+  #settle(): void {
+    this.#followRole();
+    if (this.#state.role === 'leader') {
+      this.#leadership.advanceCommit();
+      this.#reads.confirm();
+      this.#membershipChanges.advance();
+      this.#resignWhenRemoved();
+    }
+    this.#showView();
+  }
+
+  /** A leader that was taken out leads until that change is committed. */
+  #resignWhenRemoved(): void {
+    const { log, self, commitIndex } = this.#state;
+    const isVoter = log.membership.voters.some((voter) => voter.storageId === self.storageId);
+    if (!isVoter && log.membershipIndex <= commitIndex) {
+      this.#elections.stepDown({ type: 'removed' });
+      this.#followRole();
+    }
+  }
+
+  #followRole(): void {
+    const { role } = this.#state;
+    const wasLeader = this.#shownRole === 'leader';
+    this.#shownRole = role;
+    if (role === 'leader' && !wasLeader) {
+      this.#leadership.start();
+    }
+    if (role !== 'leader' && wasLeader) {
+      this.#leadership.stop();
+      this.#reads.stop();
+      this.#membershipChanges.stop();
+    }
+  }
+
+  #showView(): void {
+    const { view } = this.#state;
+    if (JSON.stringify(view) !== JSON.stringify(this.#shownView)) {
+      this.#shownView = view;
+      this.#state.outbox.emit({ type: 'leadershipChanged', view });
+    }
+  }
+}
