Control process around the replicated state

Cause: the path needs configuration and placement from a process of its own. Ruled out: reads from any control host (could be stale); handing a command on twice (two hosts that disagree would pass it to and fro). Change: submitter, operators' calls, views, placement loop, watches; a log in memory stands in until consensus is wired.

--- /dev/null
+++ b/src/bin/pistachiospoke-control.ts
@@ -0,0 +1,14 @@
+import { createLogger, runProcess, systemClock } from '../common/index.js';
+import { ControlProcess } from '../control/index.js';
+import { controlSettingsSchema, readProcessSettings } from '../settings/index.js';
+
+/** A control host: configuration, placement and claims, with durable state. */
+
+const settings = readProcessSettings(
+  'pistachiospoke-control',
+  'Keeps configuration, places groups and claims idempotency keys.',
+  controlSettingsSchema,
+);
+const logger = createLogger(settings.name, settings.log.level);
+const control = new ControlProcess({ settings, clock: systemClock, logger });
+await runProcess(control.listParts(), logger);
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -25,3 +25,4 @@
 export { systemClock, type Clock, type Milliseconds, type WallTime } from './time.js';
 export { createLogger, type LogLevel } from './logging.js';
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
+export { runProcess } from './process-runner.js';
--- /dev/null
+++ b/src/control/control-client.ts
@@ -0,0 +1,69 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import {
+  createFailure,
+  findResultCodeName,
+  type Failure,
+  type Milliseconds,
+} from '../common/index.js';
+import { ControlService } from '../generated/pistachiospoke/v1/control_pb.js';
+import type { RpcClientPool } from '../wire/index.js';
+import { decodeCommandAnswer, type Command, type CommandAnswer } from './state/index.js';
+
+/** Submits commands from gateways: to one control host, and to the others when it cannot answer. */
+
+/** Options of the client. */
+export interface ControlClientOptions {
+  readonly control: readonly string[];
+  readonly clients: RpcClientPool;
+  /** How long one control host may take. */
+  readonly timeout: Milliseconds;
+}
+
+export class ControlClient {
+  readonly #options: ControlClientOptions;
+  #turn: number;
+
+  constructor(options: ControlClientOptions, firstTurn: number) {
+    this.#options = options;
+    this.#turn = firstTurn;
+  }
+
+  /**
+   * Resolves with the first definite answer; with the last failure when no control host has one.
+   * The same command may reach the log twice, so only commands that are idempotent by their own identifier go here.
+   */
+  async submit(command: Command): Promise<Result<CommandAnswer, Failure>> {
+    const { control } = this.#options;
+    let failure = createFailure('noQuorum', 'no control host answered');
+    for (let tried = 0; tried < control.length; tried += 1) {
+      const address = control[this.#turn % control.length] ?? '';
+      const result = await this.#submitTo(address, command);
+      if (result.ok) {
+        return result;
+      }
+      failure = result.val;
+      this.#turn += 1;
+    }
+    return new Err(failure);
+  }
+
+  async #submitTo(address: string, command: Command): Promise<Result<CommandAnswer, Failure>> {
+    const { clients, timeout } = this.#options;
+    try {
+      const response = await clients
+        .client(ControlService, address)
+        .submit({ command: JSON.stringify(command) }, { timeoutMs: timeout });
+      const answer = decodeCommandAnswer(response.answer);
+      if (answer !== undefined) {
+        return new Ok(answer);
+      }
+      const code = findResultCodeName(response.resultCode);
+      return new Err(createFailure(code, response.message, response.retryAfterMilliseconds));
+    } catch (error) {
+      // The connection may have gone silent for good while a new one works.
+      clients.retire(address);
+      return new Err(createFailure('changeUncertain', String(error)));
+    }
+  }
+}
--- /dev/null
+++ b/src/control/shell/control-process.ts
@@ -0,0 +1,228 @@
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { Logger } from 'pino';
+
+import type { Clock, ManagedPart, Milliseconds } from '../../common/index.js';
+import type { ReplicatedLog } from '../../consensus/index.js';
+import {
+  ConsensusService,
+  ControlService,
+  type WatchRequest,
+  type WatchResponse,
+} from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { WatchedGroup } from '../../model/index.js';
+import type { HostAvailability } from '../../placement/index.js';
+import type { ControlSettings } from '../../settings/index.js';
+import { createRpcServer, RpcClientPool } from '../../wire/index.js';
+import { HostDirectory, type ReportedHost } from '../host-directory.js';
+import { ControlStateMachine, type CommandAnswer, type WatcherView } from '../state/index.js';
+import { WatchHub, type PublishedState } from '../watch-hub.js';
+import { CommandSubmitter } from './command-submitter.js';
+import { OperatorService } from './operator-service.js';
+import { PlacementLoop } from './placement-loop.js';
+import { ReportService } from './report-service.js';
+import { StandaloneLog } from './standalone-log.js';
+import type { ViewSource } from './views.js';
+
+/** Puts the parts of a control host together. */
+
+/** A host that reported nothing for this long is not present. */
+const presenceLimit: Milliseconds = 3000;
+/** A control host that was not up to date with a quorum for this long tells its watchers so. */
+const freshnessLimit: Milliseconds = 2000;
+
+/** Options of a control host. */
+export interface ControlProcessOptions {
+  readonly settings: ControlSettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class ControlProcess {
+  readonly #options: ControlProcessOptions;
+  readonly #clients = new RpcClientPool();
+  readonly #directory = new HostDirectory();
+  readonly #machine = new ControlStateMachine(() => {
+    this.#publish();
+  });
+  readonly #log: ReplicatedLog<CommandAnswer> = new StandaloneLog(this.#machine);
+  readonly #hub = new WatchHub(this.#describeState());
+  readonly #submitter: CommandSubmitter;
+  readonly #operators: OperatorService;
+  readonly #reports: ReportService;
+  readonly #placement: PlacementLoop;
+  #heartbeat: NodeJS.Timeout | undefined;
+
+  constructor(options: ControlProcessOptions) {
+    this.#options = options;
+    const { settings, clock, logger } = options;
+    const shared = { log: this.#log, clients: this.#clients, clock, logger };
+    const findAddress = (name: string) => this.#findAddress(name);
+    this.#submitter = new CommandSubmitter({ ...shared, findAddress });
+    this.#operators = new OperatorService({
+      ...shared,
+      submitter: this.#submitter,
+      findAddress,
+      describe: () => this.#describeView(),
+    });
+    this.#reports = new ReportService({
+      ...shared,
+      name: settings.name,
+      peers: () => this.#listPeers(),
+      directory: this.#directory,
+      onReport: () => {
+        this.#publish();
+      },
+    });
+    this.#placement = new PlacementLoop({
+      ...shared,
+      submitter: this.#submitter,
+      directory: this.#directory,
+      readState: () => this.#machine.read(),
+      judge: (host, now) => judgeAvailability(host, now),
+      isWatcherSuspected: () => false,
+    });
+  }
+
+  /** Parts in the order in which they open. */
+  listParts(): readonly ManagedPart[] {
+    const { settings } = this.#options;
+    const server = createRpcServer({
+      address: settings.listen,
+      routes: (router) => {
+        this.#register(router);
+      },
+    });
+    return [
+      {
+        name: 'connections',
+        open: () => undefined,
+        close: () => {
+          this.#clients.close();
+        },
+      },
+      this.#reports,
+      server,
+      this.#placement,
+      {
+        name: 'watches',
+        open: () => {
+          this.#openWatches();
+        },
+        close: () => {
+          this.#closeWatches();
+        },
+      },
+    ];
+  }
+
+  #register(router: ConnectRouter): void {
+    router.service(ControlService, {
+      watch: (request) => this.#watch(request),
+      report: async (messages) => {
+        await this.#reports.takeStream(messages);
+        return {};
+      },
+      submit: (request) => this.#operators.submit(request.command),
+      get: (request, context) => this.#operators.get(request, context),
+      status: () => ({ answer: '{}' }),
+    });
+    router.service(ConsensusService, {
+      forward: (request) => this.#operators.takeForwarded(request.command),
+      forwardReports: (request) => ({
+        missingFacts: [...this.#reports.takeForwarded(request)],
+      }),
+    });
+  }
+
+  async *#watch(request: WatchRequest): AsyncIterable<WatchResponse> {
+    const { watcher, kind } = request;
+    const revision = Number(request.configurationRevision);
+    const queue = this.#hub.subscribe({ name: watcher, kind, revision });
+    try {
+      yield* queue;
+    } finally {
+      this.#hub.unsubscribe(queue);
+    }
+  }
+
+  #openWatches(): void {
+    const { watchHeartbeatMilliseconds } = this.#options.settings.timeouts;
+    this.#heartbeat = setInterval(() => {
+      this.#hub.sendHeartbeat(this.#log.staleness() < freshnessLimit);
+    }, watchHeartbeatMilliseconds);
+  }
+
+  #closeWatches(): void {
+    clearInterval(this.#heartbeat);
+    this.#hub.close();
+  }
+
+  #publish(): void {
+    this.#hub.publish(this.#describeState());
+  }
+
+  #describeState(): PublishedState {
+    const { index, revision, configuration, groups } = this.#machine.read();
+    const watched = [...groups.values()].map((group): [string, WatchedGroup] => {
+      const isServing = this.#directory.findHealth(group)?.isServing ?? false;
+      return [group.name, { group, isServing }];
+    });
+    return { index, revision, configuration, groups: new Map(watched) };
+  }
+
+  #describeView(): ViewSource {
+    const { settings, clock } = this.#options;
+    return {
+      name: settings.name,
+      state: this.#machine.read(),
+      directory: this.#directory,
+      watchers: this.#listWatchers(),
+      leadership: this.#log.view(),
+      staleness: this.#log.staleness(),
+      voters: settings.voters,
+      now: clock.monotonic(),
+      isPresent,
+    };
+  }
+
+  /** Gateways by their watches, sidecars by their reports, which say what they have applied. */
+  #listWatchers(): readonly WatcherView[] {
+    const control = this.#options.settings.name;
+    const now = this.#options.clock.monotonic();
+    const gateways = this.#hub
+      .listWatchers()
+      .filter((watcher) => watcher.kind === 'gateway')
+      .map(({ name, kind, revision }) => ({
+        watcher: name,
+        kind,
+        revision,
+        control,
+        lastSeenMilliseconds: 0,
+      }));
+    const sidecars = [...this.#directory.read().values()].map((host) => ({
+      watcher: host.facts.host,
+      kind: 'sidecar',
+      revision: host.configurationRevision,
+      control: null,
+      lastSeenMilliseconds: Math.round(now - host.lastHeard),
+    }));
+    return [...gateways, ...sidecars];
+  }
+
+  #findAddress(name: string): string | undefined {
+    return this.#options.settings.voters.find((voter) => voter.name === name)?.address;
+  }
+
+  #listPeers(): readonly string[] {
+    const { voters, name } = this.#options.settings;
+    return voters.filter((voter) => voter.name !== name).map((voter) => voter.address);
+  }
+}
+
+function isPresent(host: ReportedHost, now: Milliseconds): boolean {
+  return now - host.lastHeard < presenceLimit;
+}
+
+function judgeAvailability(host: ReportedHost, now: Milliseconds): HostAvailability {
+  return isPresent(host, now) ? { type: 'present' } : { type: 'gone' };
+}
--- /dev/null
+++ b/src/control/shell/operator-service.ts
@@ -0,0 +1,156 @@
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import type { HandlerContext } from '@connectrpc/connect';
+import type { Result } from 'ts-results';
+
+import {
+  assertNever,
+  createFailure,
+  resultCodes,
+  type Failure,
+  type Milliseconds,
+} from '../../common/index.js';
+import type { ReplicatedLog } from '../../consensus/index.js';
+import {
+  ControlService,
+  GetResponseSchema,
+  SubmitResponseSchema,
+  type GetRequest,
+  type GetResponse,
+  type SubmitResponse,
+} from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { RpcClientPool } from '../../wire/index.js';
+import {
+  encodeCommandAnswer,
+  checkSubmittedCommand,
+  viewSchemas,
+  type Command,
+  type CommandAnswer,
+  type ViewKind,
+} from '../state/index.js';
+import { retryWithoutQuorum, type CommandSubmitter } from './command-submitter.js';
+import { createView, type ViewSource } from './views.js';
+
+/** Answers operators and gateways: commands and reads. */
+
+/** Marks a read that was already handed on once, so that two hosts that disagree do not pass it to and fro. */
+const forwardedHeader = 'pistachiospoke-forwarded';
+const forwardTimeout: Milliseconds = 3000;
+
+/** Options of the operator service. */
+export interface OperatorServiceOptions {
+  readonly log: ReplicatedLog<CommandAnswer>;
+  readonly submitter: CommandSubmitter;
+  readonly clients: RpcClientPool;
+  readonly findAddress: (name: string) => string | undefined;
+  readonly describe: () => ViewSource;
+}
+
+export class OperatorService {
+  readonly #options: OperatorServiceOptions;
+
+  constructor(options: OperatorServiceOptions) {
+    this.#options = options;
+  }
+
+  /** A command from outside control. */
+  submit(text: string): Promise<SubmitResponse> {
+    return this.#answer(text, (command) => this.#options.submitter.submit(command));
+  }
+
+  /** A command that another control host hands on. */
+  takeForwarded(text: string): Promise<SubmitResponse> {
+    return this.#answer(text, (command) => this.#options.submitter.proposeHere(command));
+  }
+
+  /** A read that is not stale: from the leader, after it heard from a quorum. */
+  async get(request: GetRequest, context: HandlerContext): Promise<GetResponse> {
+    if (!isViewKind(request.kind)) {
+      return refuseGet(createFailure('invalidCommand', `unknown kind ${request.kind}`));
+    }
+    if (request.kind === 'control') {
+      return this.#read(request.kind);
+    }
+    const leadership = this.#options.log.view();
+    switch (leadership.type) {
+      case 'leader':
+        return this.#readConfirmed(request.kind);
+      case 'follower': {
+        const isForwarded = context.requestHeader.has(forwardedHeader);
+        return isForwarded ? refuseStale() : this.#forward(request, leadership.leader);
+      }
+      case 'leaderless':
+        return refuseStale();
+      default:
+        return assertNever(leadership);
+    }
+  }
+
+  async #answer(
+    text: string,
+    carryOut: (command: Command) => Promise<Result<CommandAnswer, Failure>>,
+  ): Promise<SubmitResponse> {
+    const command = checkSubmittedCommand(text);
+    if (command.err) {
+      return encodeFailure(command.val);
+    }
+    const result = await carryOut(command.unwrap());
+    return result.ok ? encodeAnswer(result.val) : encodeFailure(result.val);
+  }
+
+  async #readConfirmed(kind: ViewKind): Promise<GetResponse> {
+    const confirmed = await this.#options.log.confirmRead();
+    return confirmed.ok ? this.#read(kind) : refuseGet(confirmed.val);
+  }
+
+  #read(kind: ViewKind): GetResponse {
+    const source = this.#options.describe();
+    const answer = JSON.stringify(createView(kind, source));
+    return create(GetResponseSchema, { answer, index: BigInt(source.state.index) });
+  }
+
+  async #forward(request: GetRequest, leader: string): Promise<GetResponse> {
+    const address = this.#options.findAddress(leader);
+    if (address === undefined) {
+      return refuseStale();
+    }
+    try {
+      return await this.#options.clients
+        .client(ControlService, address)
+        .get(request, { headers: { [forwardedHeader]: '1' }, timeoutMs: forwardTimeout });
+    } catch {
+      return refuseStale();
+    }
+  }
+}
+
+function isViewKind(kind: string): kind is ViewKind {
+  return kind in viewSchemas;
+}
+
+function refuseStale(): GetResponse {
+  return refuseGet(createFailure('notFresh', 'this control host reaches no leader'));
+}
+
+function refuseGet(failure: Failure): GetResponse {
+  return create(GetResponseSchema, describeFailure(failure));
+}
+
+function encodeAnswer(answer: CommandAnswer): SubmitResponse {
+  const text = encodeCommandAnswer(answer);
+  if (answer.type !== 'refused') {
+    return create(SubmitResponseSchema, { answer: text });
+  }
+  return create(SubmitResponseSchema, { ...describeFailure(answer.failure), answer: text });
+}
+
+function encodeFailure(failure: Failure): SubmitResponse {
+  const message: MessageInitShape<typeof SubmitResponseSchema> = {
+    ...describeFailure(failure),
+    retryAfterMilliseconds: failure.retryAfterMilliseconds ?? retryWithoutQuorum,
+  };
+  return create(SubmitResponseSchema, message);
+}
+
+function describeFailure(failure: Failure): { resultCode: number; message: string } {
+  return { resultCode: resultCodes[failure.code].number, message: failure.detail };
+}
--- /dev/null
+++ b/src/control/shell/placement-loop.ts
@@ -0,0 +1,111 @@
+import type { Logger } from 'pino';
+
+import type { Clock, ManagedPart, Milliseconds } from '../../common/index.js';
+import type { ReplicatedLog } from '../../consensus/index.js';
+import {
+  planPlacement,
+  type HostAvailability,
+  type PlacementDecision,
+  type PlacementInput,
+} from '../../placement/index.js';
+import type { HostDirectory, ReportedHost } from '../host-directory.js';
+import { applyHostOverride, type CommandAnswer, type ControlState } from '../state/index.js';
+import type { CommandSubmitter } from './command-submitter.js';
+
+/** On the leader, asks placement what to do whenever something may have changed, and commits the answer. */
+
+const interval: Milliseconds = 250;
+/** A new leader first collects reports this long: hosts it has not heard of yet are not lost. */
+const settleTime: Milliseconds = 3000;
+
+const estimates = { loadDuration: 60_000, handover: 2000, hostUnavailability: 0.01 };
+
+/** Options of the placement loop. */
+export interface PlacementLoopOptions {
+  readonly log: ReplicatedLog<CommandAnswer>;
+  readonly submitter: CommandSubmitter;
+  readonly directory: HostDirectory;
+  readonly readState: () => ControlState;
+  readonly judge: (host: ReportedHost, now: Milliseconds) => HostAvailability;
+  readonly isWatcherSuspected: () => boolean;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class PlacementLoop implements ManagedPart {
+  readonly name = 'placement loop';
+  readonly #options: PlacementLoopOptions;
+  #timer: NodeJS.Timeout | undefined;
+  #leadingSince: Milliseconds | undefined;
+  #isSubmitting = false;
+
+  constructor(options: PlacementLoopOptions) {
+    this.#options = options;
+  }
+
+  open(): void {
+    this.#timer = setInterval(() => {
+      void this.#step();
+    }, interval);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  async #step(): Promise<void> {
+    const { log, clock } = this.#options;
+    const now = clock.monotonic();
+    if (log.view().type !== 'leader') {
+      this.#leadingSince = undefined;
+      return;
+    }
+    this.#leadingSince ??= now;
+    if (this.#isSubmitting || now - this.#leadingSince < settleTime) {
+      return;
+    }
+    const state = this.#options.readState();
+    const decision = planPlacement(this.#describe(state, now));
+    if (decision.place.length === 0 && decision.dissolve.length === 0) {
+      return;
+    }
+    await this.#commit(decision, state.index);
+  }
+
+  #describe(state: ControlState, now: Milliseconds): PlacementInput {
+    const { directory, judge, isWatcherSuspected } = this.#options;
+    const hosts = [...directory.read().values()].map((host) => ({
+      facts: applyHostOverride(host.facts, state.overrides.get(host.facts.host)),
+      availability: judge(host, now),
+    }));
+    const groups = [...state.groups.values()].map((group) => ({
+      group,
+      health: directory.findHealth(group),
+    }));
+    return {
+      configuration: state.configuration,
+      hosts,
+      groups,
+      estimates,
+      isWatcherSuspected: isWatcherSuspected(),
+    };
+  }
+
+  async #commit(decision: PlacementDecision, basedOn: number): Promise<void> {
+    const { submitter, logger } = this.#options;
+    const { place, dissolve, notes } = decision;
+    this.#isSubmitting = true;
+    try {
+      const result = await submitter.proposeHere({
+        type: 'placeGroups',
+        at: 0,
+        place,
+        dissolve,
+        basedOn,
+      });
+      logger.info({ notes, result: result.val }, 'placement decided');
+    } finally {
+      this.#isSubmitting = false;
+    }
+  }
+}
--- a/src/lease/index.ts
+++ b/src/lease/index.ts
@@ -1,3 +1,9 @@
+export {
+  decodeLeaseAnswer,
+  decodeLeaseQuestion,
+  encodeLeaseAnswer,
+  encodeLeaseQuestion,
+} from './codecs.js';
 export {
   LeaseLead,
   questionsPerLease,
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -8,3 +8,4 @@
 export { formatPath, formatProblem, type DocumentProblem, type ProblemPlace } from './problem.js';
 export { sidecarSettingsSchema, type SidecarSettings } from './sidecar-settings.js';
 export { TextDocument } from './text-document.js';
+export { readProcessSettings } from './process-settings.js';
