Requests: gateway and attempt service, thin whole path

Ruled out: calling engines from the gateway (nobody beside the host could refuse a late or doubled attempt); a request machine that is stepped per token (xstate's pure transition costs some 12 microseconds a step). Change: RequestController, Router, LoadBook, RetryBudget and the callers' HTTP server in src/gateway; AttemptController, AttemptRegistry, AdmissionController and the AttemptService shell in src/sidecar/attempts. New result code attemptTooOld (2013): an attempt older than a sidecar remembers tombstones is refused.

--- a/src/common/result-codes.ts
+++ b/src/common/result-codes.ts
@@ -228,6 +228,14 @@
     'This attempt is already known here; the second copy was not run.',
     'Nothing to do; the first goes on.',
   ),
+  attemptTooOld: row(
+    2013,
+    503,
+    'notRun',
+    true,
+    'The attempt is older than the sidecar remembers attempts, or a wall clock is wrong.',
+    'Send it again; if it stays, compare the clocks of the gateway and the host.',
+  ),
   answerLost: row(
     2101,
     502,
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,27 @@
+export type { ClaimClient, ClaimOutcome, ClaimQuestion, ClaimSettlement } from './claims.js';
+export { LoadBook } from './load-book.js';
+export type {
+  AttemptTarget,
+  RequestEffect,
+  RequestEvent,
+  RequestFacts,
+  StreamEvent,
+} from './messages.js';
+export { noMetrics, type Metrics, type MetricTags } from './metrics.js';
+export {
+  defaultRequestLimits,
+  RequestController,
+  type RequestLimits,
+  type RequestSurroundings,
+} from './request-controller.js';
+export { RetryBudget } from './retry-budget.js';
+export { Router, type RouteQuestion, type RouteVerdict } from './router.js';
+export {
+  createGateway,
+  defaultCallerLimits,
+  defaultDrainLimits,
+  Gateway,
+  type DrainLimits,
+  type GatewayOptions,
+} from './shell/gateway.js';
+export type { CallerLimits, RequestOutcome } from './shell/request-runner.js';
--- /dev/null
+++ b/src/gateway/shell/gateway.ts
@@ -0,0 +1,360 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+import type { Logger } from 'pino';
+import { Err, Ok, type Result } from 'ts-results';
+
+import {
+  assertNever,
+  createFailure,
+  createIdentifier,
+  FailureError,
+  type Clock,
+  type Failure,
+  type ManagedPart,
+  type Milliseconds,
+  type RandomSource,
+} from '../../common/index.js';
+import type { Account, Address, RequestId, WatchedStateSource } from '../../model/index.js';
+import { createRequestId } from '../../sidecar/attempts/index.js';
+import type { ClaimClient } from '../claims.js';
+import { LoadBook } from '../load-book.js';
+import type { Metrics } from '../metrics.js';
+import { listModelNames } from '../reach.js';
+import { defaultRequestLimits, type RequestLimits } from '../request-controller.js';
+import { RetryBudget } from '../retry-budget.js';
+import { Router } from '../router.js';
+import { findAccount } from './accounts.js';
+import { AttemptConnections } from './attempt-connections.js';
+import { readBody } from './body.js';
+import { CallerAnswer } from './caller-answer.js';
+import { readPath, type PathMeaning } from './paths.js';
+import {
+  parseChat,
+  parseService,
+  type ParseContext,
+  type ParsedRequest,
+} from './request-parser.js';
+import {
+  RequestRunner,
+  type CallerLimits,
+  type RequestOutcome,
+  type RunnerSurroundings,
+} from './request-runner.js';
+
+/** What a gateway needs. */
+export interface GatewayOptions {
+  readonly name: string;
+  /** `ip:port` for callers; port 0 takes a free one. */
+  readonly address: Address;
+  readonly watched: WatchedStateSource;
+  readonly claims: ClaimClient;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly maximumBodyBytes: number;
+  /** Bytes of an answer that is not streamed, held until it is whole. */
+  readonly maximumAnswerBytes: number;
+  /** Time for a request that names none. */
+  readonly defaultTimeout?: Milliseconds;
+  readonly drain?: DrainLimits;
+  readonly requestLimits?: RequestLimits;
+  readonly callerLimits?: CallerLimits;
+  /** Told how each request came out, for service-level counters. */
+  readonly observe?: (outcome: RequestOutcome) => void;
+}
+
+/** Times of a graceful shutdown. */
+export interface DrainLimits {
+  /** How long the gateway says that it is not ready before it refuses new requests. */
+  readonly unreadyPeriod: Milliseconds;
+  /** When what is still in flight is cut, and reported. */
+  readonly hardLimit: Milliseconds;
+}
+
+/** The balancer gets two seconds to notice; answers get five minutes to end. */
+export const defaultDrainLimits: DrainLimits = { unreadyPeriod: 2000, hardLimit: 300_000 };
+
+/** Callers notice a silent stream within seconds; one that takes nothing for half a minute is gone. */
+export const defaultCallerLimits: CallerLimits = { keepAliveInterval: 5000, stallLimit: 30_000 };
+
+const defaultTimeout: Milliseconds = 300_000;
+const tickInterval: Milliseconds = 50;
+const socketKeepAlive: Milliseconds = 10_000;
+const shortRetryAfter: Milliseconds = 1000;
+
+type RequestMeaning = Extract<PathMeaning, { readonly type: 'chat' | 'service' }>;
+
+/** The callers' HTTP server and the requests in flight. */
+export class Gateway implements ManagedPart {
+  readonly name = 'gateway';
+  readonly #options: GatewayOptions;
+  readonly #server: Server;
+  readonly #connections = new AttemptConnections();
+  readonly #surroundings: RunnerSurroundings;
+  readonly #runners = new Set<RequestRunner>();
+  readonly #running = new Map<string, number>();
+  #phase: 'serving' | 'unready' | 'stopping' = 'serving';
+  #timer: NodeJS.Timeout | undefined;
+  #loads = new LoadBook();
+  #unsubscribe: (() => void) | undefined;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+    const limits = options.requestLimits ?? defaultRequestLimits;
+    this.#surroundings = {
+      router: new Router(options.watched.read, this.#loads),
+      loads: this.#loads,
+      retryBudget: new RetryBudget(),
+      limits: { ...limits, maximumAnswerBytes: options.maximumAnswerBytes },
+      clock: options.clock,
+      logger: options.logger,
+      connections: this.#connections,
+      claims: options.claims,
+      noticeRevision: options.watched.noticeRevision,
+      callerLimits: options.callerLimits ?? defaultCallerLimits,
+    };
+  }
+
+  /** The port that callers reach; known once the gateway is open. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
+  /** Requests that have no final answer yet. */
+  get inFlight(): number {
+    return this.#runners.size;
+  }
+
+  async open(): Promise<void> {
+    const { host, port } = splitAddress(this.#options.address);
+    this.#server.keepAliveTimeout = socketKeepAlive;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', (error) => {
+        reject(new FailureError(createFailure('addressInUse', error.message)));
+      });
+      this.#server.listen(port, host, resolve);
+    });
+    this.#unsubscribe = this.#options.watched.subscribe((state) => {
+      this.#loads.retain(new Set(state.groups.keys()));
+    });
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, tickInterval);
+  }
+
+  /** A graceful shutdown: unready first, then nothing new, then all in flight to its end or to the hard limit. */
+  async close(): Promise<void> {
+    const { unreadyPeriod, hardLimit } = this.#options.drain ?? defaultDrainLimits;
+    const end = this.#now() + unreadyPeriod + hardLimit;
+    this.#phase = 'unready';
+    await pause(unreadyPeriod);
+    this.#phase = 'stopping';
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    while (this.#runners.size > 0 && this.#now() < end) {
+      await pause(tickInterval);
+    }
+    this.#reportCut();
+    clearInterval(this.#timer);
+    this.#unsubscribe?.();
+    this.#server.closeAllConnections();
+    this.#connections.close();
+  }
+
+  #reportCut(): void {
+    if (this.#runners.size > 0) {
+      const requests = [...this.#runners].map(({ description }) => description);
+      this.#options.logger.warn({ requests }, 'hard limit of the shutdown cuts requests in flight');
+    }
+  }
+
+  #tick(): void {
+    for (const runner of this.#runners) {
+      runner.tick();
+    }
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const id = createRequestId(this.#options.clock.wall(), createIdentifier());
+    const meaning = readPath(request.method ?? 'GET', request.url ?? '/');
+    try {
+      await this.#answer(meaning, id, request, response);
+    } catch (error) {
+      this.#options.logger.error({ err: error, requestId: id }, 'request failed');
+      this.#fail(response, id, createFailure('internal', ''));
+    }
+  }
+
+  async #answer(
+    meaning: PathMeaning,
+    id: RequestId,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    switch (meaning.type) {
+      case 'live':
+        sendText(response, 200, 'live\n');
+        return;
+      case 'ready':
+        this.#answerReady(response);
+        return;
+      case 'unknown':
+        this.#fail(response, id, createFailure('unknownPath', request.url ?? ''));
+        return;
+      case 'wrongMethod':
+        response.setHeader('allow', meaning.allowed);
+        this.#fail(response, id, createFailure('unsupportedMethod', request.method ?? ''));
+        return;
+      case 'models':
+        this.#answerModels(id, request, response);
+        return;
+      case 'chat':
+      case 'service':
+        await this.#answerRequest(meaning, id, request, response);
+        return;
+      default:
+        assertNever(meaning);
+    }
+  }
+
+  #answerReady(response: ServerResponse): void {
+    const isReady = this.#phase === 'serving' && this.#options.watched.read().isSynchronized;
+    sendText(response, isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
+  }
+
+  #answerModels(id: RequestId, request: IncomingMessage, response: ServerResponse): void {
+    const account = this.#authenticate(request);
+    if (account.err) {
+      this.#fail(response, id, account.val);
+      return;
+    }
+    const names = listModelNames(this.#options.watched.read(), account.val);
+    const data = names.map((name) => ({ id: name, object: 'model', owned_by: 'pistachiospoke' }));
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(JSON.stringify({ object: 'list', data }));
+  }
+
+  async #answerRequest(
+    meaning: RequestMeaning,
+    id: RequestId,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const admitted = this.#admit(request);
+    if (admitted.err) {
+      this.#fail(response, id, admitted.val);
+      return;
+    }
+    const body = await readBody(request, this.#options.maximumBodyBytes);
+    if (body.err) {
+      this.#fail(response, id, body.val);
+      return;
+    }
+    const parsed = this.#parse(meaning, request, body.val, {
+      id,
+      now: this.#now(),
+      account: admitted.val,
+      configuration: this.#options.watched.read().configuration,
+      defaultTimeout: this.#options.defaultTimeout ?? defaultTimeout,
+    });
+    if (parsed.err) {
+      this.#fail(response, id, parsed.val);
+      return;
+    }
+    this.#start(parsed.val, response);
+  }
+
+  /** What can be refused before the body is read. */
+  #admit(request: IncomingMessage): Result<Account, Failure> {
+    if (this.#phase === 'stopping') {
+      return new Err(createFailure('stopping', '', shortRetryAfter));
+    }
+    const account = this.#authenticate(request);
+    if (account.err) {
+      return account;
+    }
+    const { name, limits } = account.val;
+    const running = this.#running.get(name) ?? 0;
+    const isFull = limits.concurrentRequests !== undefined && running >= limits.concurrentRequests;
+    return isFull ? new Err(createFailure('accountLimit', name, shortRetryAfter)) : account;
+  }
+
+  #authenticate(request: IncomingMessage): Result<Account, Failure> {
+    const { accounts } = this.#options.watched.read().configuration;
+    const account = findAccount(request.headers.authorization, accounts);
+    return account === undefined ? new Err(createFailure('unknownAccount', '')) : new Ok(account);
+  }
+
+  #parse(
+    meaning: RequestMeaning,
+    request: IncomingMessage,
+    body: Buffer,
+    context: ParseContext,
+  ): Result<ParsedRequest, Failure> {
+    return meaning.type === 'chat'
+      ? parseChat(request, body, context)
+      : parseService(request, body, context, meaning.path);
+  }
+
+  #start(request: ParsedRequest, response: ServerResponse): void {
+    const { account } = request.facts;
+    const runner = new RequestRunner(request, response, this.#surroundings, (outcome) => {
+      this.#runners.delete(runner);
+      this.#running.set(account, (this.#running.get(account) ?? 1) - 1);
+      this.#observe(outcome);
+    });
+    this.#runners.add(runner);
+    this.#running.set(account, (this.#running.get(account) ?? 0) + 1);
+    runner.start();
+  }
+
+  #observe(outcome: RequestOutcome): void {
+    const { metrics, observe } = this.#options;
+    const { wanted } = outcome.request.facts.route;
+    const target = wanted.type === 'model' ? wanted.model : wanted.service;
+    const tags = { target, result: outcome.code };
+    metrics.increment('gateway.requests', tags);
+    metrics.timing('gateway.duration', outcome.duration, tags);
+    if (outcome.firstBytes !== undefined) {
+      metrics.timing('gateway.first_bytes', outcome.firstBytes, { target });
+    }
+    metrics.gauge('gateway.in_flight', this.#runners.size);
+    observe?.(outcome);
+  }
+
+  #fail(response: ServerResponse, id: RequestId, failure: Failure): void {
+    this.#options.metrics.increment('gateway.refused', { result: failure.code });
+    if (this.#phase === 'stopping' || failure.code === 'bodyTooLarge') {
+      response.setHeader('connection', 'close');
+    }
+    new CallerAnswer(response, id).fail(failure);
+  }
+
+  #now(): Milliseconds {
+    return this.#options.clock.monotonic();
+  }
+}
+
+/** Makes the gateway's part of a process. */
+export function createGateway(options: GatewayOptions): Gateway {
+  return new Gateway(options);
+}
+
+function sendText(response: ServerResponse, status: number, text: string): void {
+  response.writeHead(status, { 'content-type': 'text/plain' });
+  response.end(text);
+}
+
+function splitAddress(address: Address): { readonly host: string; readonly port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+function pause(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/src/gateway/shell/request-runner.ts
@@ -0,0 +1,330 @@
+import type { ServerResponse } from 'node:http';
+
+import type { Logger } from 'pino';
+
+import {
+  assertNever,
+  type Clock,
+  type Failure,
+  type Milliseconds,
+  type ResultCodeName,
+} from '../../common/index.js';
+import type { AttemptName, Revision } from '../../model/index.js';
+import type { AttemptMessage } from '../../sidecar/attempts/index.js';
+import { encodeRun } from '../../sidecar/attempts/wire.js';
+import type { ClaimClient, ClaimOutcome } from '../claims.js';
+import type { AttemptTarget, RequestEffect, RequestEvent, StreamNumber } from '../messages.js';
+import { RequestController, type RequestSurroundings } from '../request-controller.js';
+import type { AttemptConnections, StreamHandle } from './attempt-connections.js';
+import { CallerAnswer } from './caller-answer.js';
+import type { ParsedRequest } from './request-parser.js';
+
+/** What the runners of one gateway share. */
+export interface RunnerSurroundings extends RequestSurroundings {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly connections: AttemptConnections;
+  readonly claims: ClaimClient;
+  readonly noticeRevision: (revision: Revision) => void;
+  readonly callerLimits: CallerLimits;
+}
+
+/** Times for the caller's side of a request. */
+export interface CallerLimits {
+  /** Silence on a stream after which the caller gets a comment. */
+  readonly keepAliveInterval: Milliseconds;
+  /** A caller that takes nothing for this long is taken for gone. */
+  readonly stallLimit: Milliseconds;
+}
+
+/** How one request came out, for metrics and service-level counters. */
+export interface RequestOutcome {
+  readonly request: ParsedRequest;
+  /** `ok` for a whole answer. */
+  readonly code: ResultCodeName;
+  readonly attempts: number;
+  readonly duration: Milliseconds;
+  /** From arrival to the first bytes for the caller; undefined when there were none. */
+  readonly firstBytes: Milliseconds | undefined;
+}
+
+type EffectOf<Type extends RequestEffect['type']> = Extract<RequestEffect, { readonly type: Type }>;
+
+const settleAttempts = 5;
+const firstSettlePause: Milliseconds = 200;
+
+/** Carries out what the `RequestController` of one request decides. */
+export class RequestRunner {
+  readonly #request: ParsedRequest;
+  readonly #shared: RunnerSurroundings;
+  readonly #controller: RequestController;
+  readonly #response: ServerResponse;
+  readonly #answer: CallerAnswer;
+  readonly #streams = new Map<StreamNumber, StreamHandle>();
+  readonly #done: (outcome: RequestOutcome) => void;
+  readonly #arrivedAt: Milliseconds;
+  #firstBytesAt: Milliseconds | undefined;
+  #lastDrain: Milliseconds;
+  #lastWaiting = 0;
+  #resumeReading: (() => void) | undefined;
+  #isDone = false;
+
+  constructor(
+    request: ParsedRequest,
+    response: ServerResponse,
+    surroundings: RunnerSurroundings,
+    done: (outcome: RequestOutcome) => void,
+  ) {
+    this.#request = request;
+    this.#shared = surroundings;
+    this.#response = response;
+    this.#done = done;
+    this.#answer = new CallerAnswer(response, request.facts.id);
+    this.#controller = new RequestController(request.facts, surroundings);
+    this.#arrivedAt = this.#now();
+    this.#lastDrain = this.#arrivedAt;
+  }
+
+  /** Name of the request and where it stands, for the report of a hard limit. */
+  get description(): string {
+    return `${this.#request.facts.id} (${this.#controller.stage})`;
+  }
+
+  start(): void {
+    this.#response.on('close', () => {
+      this.#handle({ type: 'callerGone', now: this.#now() });
+    });
+    this.#response.on('drain', () => {
+      this.#letRead();
+    });
+    this.#handle({ type: 'arrived', now: this.#now() });
+  }
+
+  tick(): void {
+    const now = this.#now();
+    this.#handle({ type: 'tick', now });
+    if (this.#isDone) {
+      return;
+    }
+    this.#answer.keepAlive(now, this.#shared.callerLimits.keepAliveInterval);
+    this.#watchStall(now);
+  }
+
+  /**
+   * A caller whose connection went silent takes nothing and never says so: the kernel would resend for many minutes
+   * while the upstream works for nobody. Bytes that wait for too long without one of them being taken show it.
+   */
+  #watchStall(now: Milliseconds): void {
+    const waiting = this.#answer.waitingBytes;
+    if (waiting === 0 || waiting < this.#lastWaiting) {
+      this.#lastDrain = now;
+    }
+    this.#lastWaiting = waiting;
+    if (now - this.#lastDrain >= this.#shared.callerLimits.stallLimit) {
+      this.#response.destroy();
+    }
+  }
+
+  #handle(event: RequestEvent): void {
+    for (const effect of this.#controller.handle(event)) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: RequestEffect): void {
+    switch (effect.type) {
+      case 'claim':
+        void this.#claim();
+        return;
+      case 'settle':
+        void this.#settle(effect.outcome);
+        return;
+      case 'run':
+        this.#run(effect);
+        return;
+      case 'ask':
+        void this.#ask(effect.attempt, effect.target);
+        return;
+      case 'resume':
+        this.#resume(effect);
+        return;
+      case 'cancel':
+        void this.#shared.connections.cancel(effect.target.address, this.#nameOf(effect));
+        return;
+      case 'dropStream':
+        this.#streams.get(effect.stream)?.drop();
+        this.#streams.delete(effect.stream);
+        return;
+      case 'retireConnection':
+        this.#streams.get(effect.stream)?.retireConnection();
+        return;
+      case 'noticeRevision':
+        this.#shared.noticeRevision(effect.revision);
+        return;
+      case 'answerHead':
+        this.#firstBytesAt ??= this.#now();
+        this.#answer.begin(effect.status, effect.headers, effect.isStream);
+        return;
+      case 'answerBytes':
+        this.#answer.write(effect.bytes, this.#now());
+        return;
+      case 'answerEnd':
+        this.#answer.end();
+        this.#finish('ok');
+        return;
+      case 'answerFailure':
+        this.#fail(effect.failure);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  #run(effect: EffectOf<'run'>): void {
+    const { facts, upstream } = this.#request;
+    const { target, attempt, stream, remaining, configurationRevision } = effect;
+    const order = {
+      name: this.#nameOf(effect),
+      group: target.group,
+      fencingNumber: target.fencingNumber,
+      configurationRevision,
+      remaining,
+      account: facts.account,
+      accountWeight: facts.accountWeight,
+      priority: facts.priority,
+      isNonIdempotent: facts.isNonIdempotent,
+    };
+    this.#log().debug({ attempt, group: target.group, fencingNumber: target.fencingNumber }, 'run');
+    const message = encodeRun(order, upstream);
+    const handle = this.#shared.connections.run(target.address, message, this.#listen(stream));
+    this.#streams.set(stream, handle);
+  }
+
+  #resume(effect: EffectOf<'resume'>): void {
+    const { stream, target, offset } = effect;
+    this.#log().info({ attempt: effect.attempt, group: target.group, offset }, 'resume');
+    const name = this.#nameOf(effect);
+    const listener = this.#listen(stream);
+    const handle = this.#shared.connections.resume(target.address, name, offset, listener);
+    this.#streams.set(stream, handle);
+  }
+
+  #listen(stream: StreamNumber): {
+    readonly message: (message: AttemptMessage) => void;
+    readonly closed: (wasSent: boolean) => void;
+    readonly ready: () => Promise<void>;
+  } {
+    return {
+      message: (message) => {
+        this.#handle({ ...message, stream, now: this.#now() });
+      },
+      closed: (wasSent) => {
+        this.#streams.delete(stream);
+        this.#handle({ type: 'closed', stream, now: this.#now(), wasSent });
+      },
+      ready: () => this.#waitForCaller(),
+    };
+  }
+
+  async #waitForCaller(): Promise<void> {
+    if (!this.#answer.isSlow || this.#isDone) {
+      return;
+    }
+    this.#handle({ type: 'callerSlow', now: this.#now(), isSlow: true });
+    await new Promise<void>((resolve) => {
+      this.#resumeReading = resolve;
+    });
+    this.#handle({ type: 'callerSlow', now: this.#now(), isSlow: false });
+  }
+
+  #letRead(): void {
+    this.#resumeReading?.();
+    this.#resumeReading = undefined;
+  }
+
+  async #ask(attempt: number, target: AttemptTarget): Promise<void> {
+    this.#log().info({ attempt, group: target.group }, 'ask after an attempt');
+    const name = this.#nameOf({ attempt, target });
+    const state = await this.#shared.connections.ask(target.address, name);
+    const now = this.#now();
+    this.#handle(
+      state === undefined
+        ? { type: 'askFailed', now, attempt }
+        : { type: 'askAnswered', now, attempt, state },
+    );
+  }
+
+  async #claim(): Promise<void> {
+    const { claim, account, id } = this.#request.facts;
+    if (claim === undefined) {
+      return;
+    }
+    const result = await this.#shared.claims.claim({ account, ...claim, requestId: id });
+    const now = this.#now();
+    if (result.err) {
+      const retryAfter = result.val.retryAfterMilliseconds;
+      this.#handle({ type: 'claimAnswered', now, code: 'claimUnavailable', retryAfter });
+      return;
+    }
+    const answer = result.val;
+    const code = answer.type === 'refused' ? answer.failure.code : 'ok';
+    this.#handle({ type: 'claimAnswered', now, code, retryAfter: undefined });
+  }
+
+  /** Tells the log how the request came out; a key that is not settled stays claimed until it expires. */
+  async #settle(outcome: ClaimOutcome): Promise<void> {
+    const { claim, account, id } = this.#request.facts;
+    if (claim === undefined) {
+      return;
+    }
+    const settlement = { account, key: claim.key, requestId: id, outcome };
+    for (let attempt = 0; attempt < settleAttempts; attempt += 1) {
+      const result = await this.#shared.claims.settle(settlement);
+      if (result.ok) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, firstSettlePause * 2 ** attempt));
+    }
+    this.#log().warn({ outcome }, 'claim could not be settled');
+  }
+
+  #fail(failure: Failure): void {
+    if (failure.code === 'cancelled') {
+      this.#response.destroy();
+    } else {
+      this.#answer.fail(failure);
+    }
+    this.#finish(failure.code);
+  }
+
+  #finish(code: ResultCodeName): void {
+    this.#isDone = true;
+    for (const stream of this.#streams.values()) {
+      stream.drop();
+    }
+    this.#streams.clear();
+    this.#letRead();
+    const now = this.#now();
+    this.#done({
+      request: this.#request,
+      code,
+      attempts: this.#controller.attempts,
+      duration: now - this.#arrivedAt,
+      firstBytes:
+        this.#firstBytesAt === undefined ? undefined : this.#firstBytesAt - this.#arrivedAt,
+    });
+  }
+
+  #nameOf(effect: { readonly attempt: number; readonly target: AttemptTarget }): AttemptName {
+    const { attempt, target } = effect;
+    return { requestId: this.#request.facts.id, attempt, incarnation: target.incarnation };
+  }
+
+  #log(): Logger {
+    return this.#shared.logger.child({ requestId: this.#request.facts.id });
+  }
+
+  #now(): Milliseconds {
+    return this.#shared.clock.monotonic();
+  }
+}
--- /dev/null
+++ b/src/sidecar/attempts/index.ts
@@ -0,0 +1,23 @@
+export {
+  AttemptController,
+  defaultAttemptLimits,
+  type AttemptLimits,
+} from './attempt-controller.js';
+export {
+  AttemptService,
+  createAttemptService,
+  type AttemptServiceOptions,
+  type GroupAdmission,
+} from './attempt-service.js';
+export type {
+  AttemptEffect,
+  AttemptEvent,
+  AttemptKey,
+  AttemptMessage,
+  GroupFacts,
+  HeaderField,
+  SubscriberId,
+  UpstreamRequest,
+} from './messages.js';
+export { createRequestId, readRequestTime } from './request-identifier.js';
+export { HttpUpstreamCaller, type UpstreamAnswer, type UpstreamCaller } from './upstream-caller.js';
