Sidecar and gateway processes; thin whole path

Ruled out: revision 'sent' as revision in force (a stream that swallows bytes would show it too early); gateways acknowledge what they applied.

--- a/src/control/control-client.ts
+++ b/src/control/control-client.ts
@@ -36,8 +36,7 @@
   async submit(command: Command): Promise<Result<CommandAnswer, Failure>> {
     const { control } = this.#options;
     let failure = createFailure('noQuorum', 'no control host answered');
-    for (let tried = 0; tried < control.length; tried += 1) {
-      const address = control[this.#turn % control.length] ?? '';
+    for (const address of rotate(control, this.#turn)) {
       const result = await this.#submitTo(address, command);
       if (result.ok) {
         return result;
@@ -67,3 +66,8 @@
     }
   }
 }
+
+function rotate(addresses: readonly string[], turn: number): readonly string[] {
+  const first = turn % addresses.length;
+  return [...addresses.slice(first), ...addresses.slice(0, first)];
+}
--- a/src/control/hosts/host-health.ts
+++ b/src/control/hosts/host-health.ts
@@ -10,12 +10,7 @@
 import type { HostAvailability } from '../../placement/index.js';
 import { scaleHoldBack } from './hold-back.js';
 import { ReturnEstimate } from './return-estimate.js';
-import type {
-  HostHealthEffect,
-  HostHealthEvent,
-  HostHealthOptions,
-  HostReport,
-} from './types.js';
+import type { HostHealthEffect, HostHealthEvent, HostHealthOptions, HostReport } from './types.js';
 import { judgeSilences } from './watcher-suspicion.js';
 import { WatchedHost } from './watched-host.js';
 
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -16,6 +16,7 @@
 import { HostDirectory, type ReportedHost } from '../host-directory.js';
 import { ControlStateMachine, type CommandAnswer, type WatcherView } from '../state/index.js';
 import { WatchHub, type PublishedState } from '../watch-hub.js';
+import { WatcherDirectory } from '../watcher-directory.js';
 import { CommandSubmitter } from './command-submitter.js';
 import { OperatorService } from './operator-service.js';
 import { PlacementLoop } from './placement-loop.js';
@@ -41,6 +42,7 @@
   readonly #options: ControlProcessOptions;
   readonly #clients = new RpcClientPool();
   readonly #directory = new HostDirectory();
+  readonly #watchers = new WatcherDirectory();
   readonly #machine = new ControlStateMachine(() => {
     this.#publish();
   });
@@ -69,6 +71,7 @@
       name: settings.name,
       peers: () => this.#listPeers(),
       directory: this.#directory,
+      watchers: this.#watchers,
       onReport: () => {
         this.#publish();
       },
@@ -124,7 +127,12 @@
       },
       submit: (request) => this.#operators.submit(request.command),
       get: (request, context) => this.#operators.get(request, context),
-      status: () => ({ answer: '{}' }),
+      acknowledge: ({ watcher }) => {
+        if (watcher !== undefined) {
+          this.#reports.takeWatcher(watcher);
+        }
+        return {};
+      },
     });
     router.service(ConsensusService, {
       forward: (request) => this.#operators.takeForwarded(request.command),
@@ -148,6 +156,7 @@
   #openWatches(): void {
     const { watchHeartbeatMilliseconds } = this.#options.settings.timeouts;
     this.#heartbeat = setInterval(() => {
+      this.#refreshWatchers();
       this.#hub.sendHeartbeat(this.#log.staleness() < freshnessLimit);
     }, watchHeartbeatMilliseconds);
   }
@@ -185,30 +194,36 @@
     };
   }
 
-  /** Gateways by their watches, sidecars by their reports, which say what they have applied. */
+  /** Gateways by what they acknowledged, sidecars by their reports. */
   #listWatchers(): readonly WatcherView[] {
-    const control = this.#options.settings.name;
     const now = this.#options.clock.monotonic();
-    const gateways = this.#hub
-      .listWatchers()
-      .filter((watcher) => watcher.kind === 'gateway')
-      .map(({ name, kind, revision }) => ({
-        watcher: name,
-        kind,
-        revision,
-        control,
-        lastSeenMilliseconds: 0,
-      }));
+    const gateways = this.#watchers.list().map(({ state, heardAt }) => ({
+      watcher: state.name,
+      kind: state.kind,
+      revision: state.revision,
+      control: state.control,
+      lastSeenMilliseconds: Math.round(now - heardAt),
+      address: state.address,
+    }));
     const sidecars = [...this.#directory.read().values()].map((host) => ({
       watcher: host.facts.host,
       kind: 'sidecar',
       revision: host.configurationRevision,
       control: null,
       lastSeenMilliseconds: Math.round(now - host.lastHeard),
+      address: null,
     }));
     return [...gateways, ...sidecars];
   }
 
+  /** A gateway that watches here is there now; one whose watch ended grows old in the list. */
+  #refreshWatchers(): void {
+    const { settings, clock } = this.#options;
+    for (const name of this.#hub.listWatchers('gateway')) {
+      this.#watchers.refresh(name, settings.name, clock.monotonic());
+    }
+  }
+
   #findAddress(name: string): string | undefined {
     return this.#options.settings.voters.find((voter) => voter.name === name)?.address;
   }
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -6,10 +6,12 @@
   ConsensusService,
   type ForwardReportsRequest,
   type HostReport as HostReportMessage,
+  type WatcherState,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { HostName } from '../../model/index.js';
 import type { RpcClientPool } from '../../wire/index.js';
 import type { HostDirectory, HostReport } from '../host-directory.js';
+import { decodeWatcher, encodeWatcher, type WatcherDirectory } from '../watcher-directory.js';
 import { decodeReport, encodeReport } from '../report-codec.js';
 
 /**
@@ -26,6 +28,7 @@
   /** Addresses of the other control hosts. */
   readonly peers: () => readonly string[];
   readonly directory: HostDirectory;
+  readonly watchers: WatcherDirectory;
   readonly clients: RpcClientPool;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -73,15 +76,27 @@
 
   /** Takes what another control host passes on; answers the hosts whose facts are missing here. */
   takeForwarded(request: ForwardReportsRequest): readonly HostName[] {
+    for (const watcher of request.watchers) {
+      this.#options.watchers.take(decodeWatcher(watcher, request.from), this.#now());
+    }
     return request.reports
       .map(decodeReport)
       .filter((report) => !this.#take(report))
       .map((report) => report.host);
   }
 
+  /** Takes a gateway's word on the revision it has in force. */
+  takeWatcher(watcher: WatcherState): void {
+    this.#options.watchers.take(decodeWatcher(watcher, this.#options.name), this.#now());
+  }
+
+  #now(): Milliseconds {
+    return this.#options.clock.monotonic();
+  }
+
   #take(report: HostReport): boolean {
-    const { directory, clock, onReport } = this.#options;
-    const isTaken = directory.take(report, clock.monotonic());
+    const { directory, onReport } = this.#options;
+    const isTaken = directory.take(report, this.#now());
     if (isTaken) {
       onReport(report);
     }
@@ -113,7 +128,11 @@
   }
 
   async #forward(peer: string, outbox: Outbox): Promise<void> {
-    if (outbox.isSending || outbox.reports.size === 0) {
+    if (outbox.isSending) {
+      return;
+    }
+    const watchers = this.#options.watchers.listWatchedBy(this.#options.name).map(encodeWatcher);
+    if (outbox.reports.size === 0 && watchers.length === 0) {
       return;
     }
     const reports = [...outbox.reports.values()];
@@ -124,7 +143,7 @@
       const response = await clients
         .client(ConsensusService, peer)
         .forwardReports(
-          { from: name, reports: reports.map(encodeReport) },
+          { from: name, reports: reports.map(encodeReport), watchers },
           { timeoutMs: forwardTimeout },
         );
       this.#enqueueFacts(outbox, response.missingFacts);
--- a/src/control/state/views.ts
+++ b/src/control/state/views.ts
@@ -104,6 +104,8 @@
     /** Control host that it watches, where known. */
     control: z.string().nullable(),
     lastSeenMilliseconds: z.number(),
+    /** `ip:port` where it serves processes of the system, for `report burn`; null where it serves none. */
+    address: z.string().nullable(),
   })
   .readonly();
 
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -22,7 +22,7 @@
 export interface Watcher {
   readonly name: string;
   readonly kind: string;
-  /** Highest revision the watcher said it had when it connected; reports of sidecars bring newer ones. */
+  /** Highest revision the watcher said it had when it connected. */
   readonly revision: Revision;
 }
 
@@ -40,8 +40,6 @@
 export class WatchHub {
   readonly #subscriptions = new Set<Subscription>();
   #published: PublishedState;
-  /** The revision last sent to each watcher. */
-  readonly #sent = new Map<Subscription, Revision>();
 
   constructor(initial: PublishedState) {
     this.#published = initial;
@@ -59,7 +57,6 @@
       for (const message of messages) {
         subscription.queue.push(message);
       }
-      this.#sent.set(subscription, state.revision);
     }
   }
 
@@ -82,7 +79,6 @@
       queue.push(encodeEvent(this.#published.index, event));
     }
     this.#subscriptions.add(subscription);
-    this.#sent.set(subscription, this.#published.revision);
     return queue;
   }
 
@@ -92,17 +88,15 @@
     for (const subscription of this.#subscriptions) {
       if (subscription.queue === queue) {
         this.#subscriptions.delete(subscription);
-        this.#sent.delete(subscription);
       }
     }
   }
 
-  /** Watchers and the revision last sent to each. */
-  listWatchers(): readonly Watcher[] {
-    return [...this.#subscriptions].map((subscription) => ({
-      ...subscription.watcher,
-      revision: this.#sent.get(subscription) ?? 0,
-    }));
+  /** Names of the watchers of one kind. */
+  listWatchers(kind: string): readonly string[] {
+    return [...this.#subscriptions]
+      .filter(({ watcher }) => watcher.kind === kind)
+      .map(({ watcher }) => watcher.name);
   }
 
   /** Ends all watches. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -24,4 +24,5 @@
   type DrainLimits,
   type GatewayOptions,
 } from './shell/gateway.js';
+export { createGatewayParts, type GatewayProcessOptions } from './shell/gateway-process.js';
 export type { CallerLimits, RequestOutcome } from './shell/request-runner.js';
--- /dev/null
+++ b/src/gateway/shell/gateway-process.ts
@@ -0,0 +1,83 @@
+import type { Logger } from 'pino';
+
+import {
+  createMetrics,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+  type RandomSource,
+} from '../../common/index.js';
+import { ControlClient } from '../../control/index.js';
+import type { GatewaySettings } from '../../settings/index.js';
+import { ControlWatcher } from '../../watch/index.js';
+import { createRpcServer, RpcClientPool } from '../../wire/index.js';
+import { createGateway } from './gateway.js';
+import { LogClaimClient } from './log-claim-client.js';
+import { ServiceLevels } from './service-levels.js';
+
+/** Puts the parts of a gateway process together. */
+
+/** How long one control host may take over a claim before the next is asked. */
+const claimTimeout: Milliseconds = 2000;
+
+/** Options of a gateway process. */
+export interface GatewayProcessOptions {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** Parts in the order in which they open. */
+export function createGatewayParts(options: GatewayProcessOptions): readonly ManagedPart[] {
+  const { settings, clock, random, logger } = options;
+  const { name, control, internal, limits, shutdown } = settings;
+  const clients = new RpcClientPool();
+  const metrics = createMetrics(settings.metrics, { gateway: name });
+  const firstTurn = random.integerBelow(control.length);
+  const watched = new ControlWatcher(
+    { watcher: name, kind: 'gateway', address: internal, control, clients, logger },
+    firstTurn,
+  );
+  const controlClient = new ControlClient({ control, clients, timeout: claimTimeout }, firstTurn);
+  const levels = new ServiceLevels(name, clock, () => watched.read().configuration);
+  const gateway = createGateway({
+    name,
+    address: settings.listen,
+    watched,
+    claims: new LogClaimClient(controlClient),
+    clock,
+    random,
+    logger,
+    metrics,
+    maximumBodyBytes: limits.maximumBodyBytes,
+    maximumAnswerBytes: limits.maximumAnswerBytes,
+    defaultTimeout: limits.requestTimeoutMilliseconds,
+    drain: {
+      unreadyPeriod: shutdown.graceMilliseconds,
+      hardLimit: shutdown.hardLimitMilliseconds,
+    },
+    observe: (outcome) => {
+      levels.observe(outcome);
+    },
+  });
+  const server = createRpcServer({
+    address: internal,
+    routes: (router) => {
+      levels.register(router);
+    },
+  });
+  return [
+    { name: 'metrics', open: () => undefined, close: () => metrics.close() },
+    {
+      name: 'connections',
+      open: () => undefined,
+      close: () => {
+        clients.close();
+      },
+    },
+    watched,
+    server,
+    gateway,
+  ];
+}
--- /dev/null
+++ b/src/sidecar/index.ts
@@ -0,0 +1,1 @@
+export { SidecarProcess, type SidecarProcessOptions } from './shell/sidecar-process.js';
--- /dev/null
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -0,0 +1,262 @@
+import type { Logger } from 'pino';
+
+import {
+  createIdentifier,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+  type RandomSource,
+} from '../../common/index.js';
+import type { HostReport } from '../../control/index.js';
+import { defaultLongestLease } from '../../lease/index.js';
+import {
+  isArtifactCovered,
+  type Group,
+  type GroupName,
+  type HostFacts,
+  type WatchedState,
+} from '../../model/index.js';
+import type { SidecarSettings } from '../../settings/index.js';
+import { ControlWatcher } from '../../watch/index.js';
+import { createRpcServer, RpcClientPool } from '../../wire/index.js';
+import { AttemptService, HttpUpstreamCaller, type GroupAdmission } from '../attempts/index.js';
+import { createAnnounceServer, UpstreamMonitor, type UpstreamState } from '../upstream/index.js';
+import { EngineOrders } from './engine-orders.js';
+import { GroupLeader } from './group-leader.js';
+import { LeaseMemberDriver } from './lease-member-driver.js';
+import { ReportClient } from './report-client.js';
+
+/** Puts the parts of a sidecar together. */
+
+const tickInterval: Milliseconds = 100;
+const drainPollInterval: Milliseconds = 50;
+
+/** Options of a sidecar. */
+export interface SidecarProcessOptions {
+  readonly settings: SidecarSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+export class SidecarProcess {
+  readonly #options: SidecarProcessOptions;
+  readonly #incarnation = createIdentifier();
+  readonly #clients = new RpcClientPool();
+  readonly #monitor = new UpstreamMonitor();
+  readonly #watcher: ControlWatcher;
+  readonly #reports: ReportClient;
+  readonly #member: LeaseMemberDriver;
+  readonly #leader: GroupLeader;
+  readonly #orders: EngineOrders;
+  readonly #attempts: AttemptService;
+  #timer: NodeJS.Timeout | undefined;
+  #isDraining = false;
+  #isLeaving = false;
+
+  constructor(options: SidecarProcessOptions) {
+    this.#options = options;
+    const { settings, clock, random, logger } = options;
+    const { host, control } = settings;
+    const incarnation = this.#incarnation;
+    const shared = { host, incarnation, control, clients: this.#clients, clock, logger };
+    const firstTurn = random.integerBelow(control.length);
+    this.#watcher = new ControlWatcher(
+      { ...shared, watcher: host, kind: 'sidecar', address: '' },
+      firstTurn,
+    );
+    this.#reports = new ReportClient({ ...shared, describe: () => this.#describe() }, firstTurn);
+    this.#member = new LeaseMemberDriver({ ...shared, longestLease: defaultLongestLease });
+    const onHealth = () => {
+      this.#reports.notify();
+    };
+    this.#leader = new GroupLeader({ ...shared, member: this.#member, onHealth });
+    this.#orders = new EngineOrders(clock, logger);
+    this.#attempts = new AttemptService({
+      ...shared,
+      readGroup: (name) => this.#readAdmission(name),
+      confirmWhole: (group) => this.#confirm(group),
+      readRevision: () => this.#watcher.read().revision,
+      noticeRevision: (revision) => {
+        this.#watcher.noticeRevision(revision);
+      },
+      upstream: new HttpUpstreamCaller(() => this.#findUpstreamUrl()),
+    });
+  }
+
+  /** Parts in the order in which they open. */
+  listParts(): readonly ManagedPart[] {
+    const { settings, clock } = this.#options;
+    const announce = createAnnounceServer(settings.announce, (announcement) => {
+      this.#monitor.announce(announcement, clock.monotonic());
+    });
+    const server = createRpcServer({
+      address: settings.listen,
+      routes: (router) => {
+        this.#member.register(router);
+        this.#attempts.register(router);
+      },
+    });
+    return [
+      {
+        name: 'connections',
+        open: () => undefined,
+        close: () => {
+          this.#clients.close();
+        },
+      },
+      {
+        name: 'ticks',
+        open: () => {
+          this.#start();
+        },
+        close: () => {
+          clearInterval(this.#timer);
+        },
+      },
+      announce,
+      server,
+      this.#attempts,
+      this.#watcher,
+      this.#reports,
+      { name: 'drain', open: () => undefined, close: () => this.#drain() },
+    ];
+  }
+
+  #start(): void {
+    this.#member.start();
+    this.#watcher.subscribe((state) => {
+      this.#reconcile(state);
+    });
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, tickInterval);
+  }
+
+  #reconcile(state: WatchedState): void {
+    this.#leader.reconcile(state);
+    this.#tick();
+    this.#reports.notify();
+  }
+
+  #tick(): void {
+    const upstream = this.#readUpstream();
+    this.#member.setHealthy(upstream.type === 'present' && upstream.isHealthy);
+    for (const group of this.#listPlacements()) {
+      this.#prepare(group, upstream);
+    }
+    for (const driver of this.#leader.list()) {
+      driver.noteRunning(this.#attempts.countUnfinished(driver.group.name));
+    }
+    this.#reports.notify();
+  }
+
+  /** Placements that this host is a member of; more than one only while an older one runs out. */
+  #listPlacements(): readonly Group[] {
+    const { host } = this.#options.settings;
+    return [...this.#watcher.read().groups.values()]
+      .map(({ group }) => group)
+      .filter((group) => group.members.some((member) => member.host === host));
+  }
+
+  #prepare(group: Group, upstream: UpstreamState): void {
+    const { offer, fencingNumber } = group;
+    if (offer.type === 'model') {
+      this.#orders.want(offer.artifact, fencingNumber, upstream);
+    }
+    this.#member.setReady(group.name, fencingNumber, isOffered(group, upstream));
+  }
+
+  #readUpstream(): UpstreamState {
+    return this.#monitor.read(this.#options.clock.monotonic());
+  }
+
+  #findUpstreamUrl(): string | undefined {
+    const upstream = this.#readUpstream();
+    return upstream.type === 'absent' ? undefined : `http://${upstream.address}`;
+  }
+
+  #readAdmission(name: GroupName): GroupAdmission | undefined {
+    const driver = this.#leader.find(name);
+    if (driver === undefined) {
+      return undefined;
+    }
+    return {
+      group: driver.group,
+      isWhole: (now) => driver.isWhole(now),
+      isDraining: driver.isDraining,
+      concurrency: this.#options.settings.concurrency,
+    };
+  }
+
+  async #confirm(group: Group): Promise<boolean> {
+    const driver = this.#leader.find(group.name);
+    return driver?.group.fencingNumber === group.fencingNumber && (await driver.confirm());
+  }
+
+  #describe(): HostReport & { readonly facts: HostFacts } {
+    const { settings } = this.#options;
+    const upstream = this.#readUpstream();
+    const facts: HostFacts = {
+      host: settings.host,
+      incarnation: this.#incarnation,
+      address: settings.listen,
+      region: settings.region,
+      failureDomain: settings.failureDomain,
+      fabricDomain: settings.fabricDomain,
+      accelerators: settings.accelerators,
+      labels: settings.labels,
+      upstream: upstream.type === 'present' ? upstream.upstream : undefined,
+      isHealthy: upstream.type === 'present' && upstream.isHealthy,
+      isDraining: this.#isDraining,
+    };
+    return {
+      host: settings.host,
+      incarnation: this.#incarnation,
+      facts,
+      configurationRevision: this.#watcher.read().revision,
+      groups: this.#leader.listHealth(),
+      isDraining: this.#isDraining,
+      isLeaving: this.#isLeaving,
+    };
+  }
+
+  /** A planned stop: the groups of this host finish what they have, then every lease is handed back. */
+  async #drain(): Promise<void> {
+    const { clock, settings, logger } = this.#options;
+    this.#isDraining = true;
+    this.#member.requestDrain();
+    this.#reports.notify();
+    const limit = clock.monotonic() + settings.shutdown.hardLimitMilliseconds;
+    while (this.#isBusy() && clock.monotonic() < limit) {
+      await new Promise((resolve) => setTimeout(resolve, drainPollInterval));
+    }
+    const cut = await this.#attempts.drain(0);
+    if (cut.length > 0) {
+      logger.warn({ cut }, 'attempts cut off at the hard limit');
+    }
+    this.#leader.dissolveAll();
+    this.#isLeaving = true;
+    this.#reports.notify();
+  }
+
+  /** As member: some lead still counts on this host. As lead: an attempt is still running. */
+  #isBusy(): boolean {
+    if (this.#attempts.unfinishedCount > 0) {
+      return true;
+    }
+    const isOnlyLead = this.#listPlacements().every((group) => this.#leader.find(group.name));
+    return !isOnlyLead && this.#member.isHeld();
+  }
+}
+
+function isOffered({ offer }: Group, upstream: UpstreamState): boolean {
+  if (upstream.type === 'absent') {
+    return false;
+  }
+  if (offer.type === 'service') {
+    return upstream.upstream.type === 'service' && upstream.upstream.service === offer.service;
+  }
+  const { upstream: engine } = upstream;
+  return engine.type === 'engine' && isArtifactCovered(offer.artifact, engine.loaded);
+}
--- a/src/watch/control-watcher.ts
+++ b/src/watch/control-watcher.ts
@@ -18,6 +18,8 @@
   /** Name shown by `get --in-force`. */
   readonly watcher: string;
   readonly kind: 'gateway' | 'sidecar';
+  /** `ip:port` where the watcher serves processes of the system; empty when it serves none. */
+  readonly address: string;
   /** Addresses of the control hosts. */
   readonly control: readonly string[];
   readonly clients: RpcClientPool;
@@ -31,6 +33,8 @@
   readonly #keeper = new WatchedStateKeeper();
   readonly #listeners = new Set<(state: WatchedState) => void>();
   #turn: number;
+  /** Control host and revision last acknowledged. */
+  #acknowledged = '';
   #stream: AbortController | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #closing = new AbortController();
@@ -117,9 +121,27 @@
         stream.abort();
         return;
       }
+      this.#acknowledge(address);
     }
   }
 
+  /** Best effort: `get --in-force` shows the older revision until the next change or watch. */
+  #acknowledge(control: string): void {
+    const { clients, watcher, kind, address, logger } = this.#options;
+    const { revision } = this.#keeper.read();
+    if (kind !== 'gateway' || this.#acknowledged === `${control}/${revision}`) {
+      return;
+    }
+    this.#acknowledged = `${control}/${revision}`;
+    const state = { watcher, kind, address, configurationRevision: BigInt(revision) };
+    clients
+      .client(ControlService, control)
+      .acknowledge({ watcher: state }, { timeoutMs: silenceLimit })
+      .catch((error: unknown) => {
+        logger.debug({ control, error: String(error) }, 'revision not acknowledged');
+      });
+  }
+
   /** An open connection can go silent for good; without this limit the watch would wait for ever and miss changes. */
   #expectMessage(address: string, stream: AbortController): void {
     clearTimeout(this.#timer);
