--- a/src/bin/pistachiospoke.ts
+++ b/src/bin/pistachiospoke.ts
@@ -1,2 +1,4 @@
 /** The operators' command line. */
-console.log('pistachiospoke');
+import { createProcessEnvironment, runCommandLine } from '../cli/index.js';
+
+process.exitCode = await runCommandLine(process.argv.slice(2), createProcessEnvironment());
--- /dev/null
+++ b/src/cli/commands/drain.ts
@@ -0,0 +1,21 @@
+import type { ControlContext } from '../context.js';
+import type { ExitCode } from '../exit-codes.js';
+import { submitHostChange, type HostChangeFlags } from '../submit-host-change.js';
+
+/** `drain HOST`: takes a host out of work after what is in flight there, or lets it back in. */
+export async function runDrain(
+  context: ControlContext,
+  host: string,
+  isDraining: boolean,
+  flags: HostChangeFlags,
+): Promise<ExitCode> {
+  return submitHostChange(context, {
+    host,
+    content: { type: 'setHostDrain', host, isDraining },
+    flags,
+    typed: `pistachiospoke drain ${host}${isDraining ? '' : ' --undo'}`,
+    done: isDraining
+      ? `host ${host} drains; watch it with: pistachiospoke hosts`
+      : `host ${host} may serve again`,
+  });
+}
--- /dev/null
+++ b/src/cli/context.ts
@@ -0,0 +1,15 @@
+import type { ControlClient } from './control-client.js';
+import type { CommandLineEnvironment } from './environment.js';
+import type { Output } from './output.js';
+
+/** What a command of the command line works with. */
+export interface CommandContext {
+  readonly environment: CommandLineEnvironment;
+  readonly output: Output;
+}
+
+/** What a command that talks to control works with. */
+export interface ControlContext extends CommandContext {
+  readonly client: ControlClient;
+  readonly operator: string;
+}
--- /dev/null
+++ b/src/cli/environment.ts
@@ -0,0 +1,43 @@
+import { readFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { setTimeout as wait } from 'node:timers/promises';
+
+import { createIdentifier, type Milliseconds, type WallTime } from '../common/index.js';
+
+/** What the command line takes from around it; tests put their own in its place. */
+export interface CommandLineEnvironment {
+  readonly write: (text: string) => void;
+  readonly writeError: (text: string) => void;
+  readonly readText: (path: string) => string;
+  readonly variables: Readonly<Record<string, string | undefined>>;
+  /** Name of the person at the terminal. */
+  readonly user: string;
+  readonly wall: () => WallTime;
+  readonly createChangeId: () => string;
+  readonly sleep: (duration: Milliseconds) => Promise<void>;
+}
+
+/** The terminal, files and clock of this process. */
+export function createProcessEnvironment(): CommandLineEnvironment {
+  return {
+    write: (text) => process.stdout.write(text),
+    writeError: (text) => process.stderr.write(text),
+    readText: (path) => readFileSync(path, 'utf8'),
+    variables: process.env,
+    user: readUserName(),
+    wall: () => Date.now(),
+    createChangeId: createIdentifier,
+    sleep: async (duration) => {
+      await wait(duration);
+    },
+  };
+}
+
+/** Accounts without an entry in the system's list have no name; the change then says so. */
+function readUserName(): string {
+  try {
+    return userInfo().username;
+  } catch {
+    return 'unknown';
+  }
+}
--- /dev/null
+++ b/src/cli/exit-codes.ts
@@ -0,0 +1,38 @@
+import { resultCodes, type Failure, type ResultCodeName } from '../common/index.js';
+
+/** Exit codes of the command line; docs/OPERATORS.md lists them. */
+export const exitCodes = {
+  /** Done. */
+  ok: 0,
+  /** Refused, or a fault that none of the others names. */
+  failed: 1,
+  /** Wrong flags or arguments. */
+  usage: 2,
+  /** The file does not pass its checks; nothing was sent. */
+  invalidFile: 3,
+  /** Another change was accepted first, or the change id was used for another change. */
+  conflict: 4,
+  /** No control host could answer, or the answer was lost: resend with the same change id and base. */
+  unavailable: 5,
+  /** No host of this name. */
+  notFound: 6,
+} as const;
+
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+const exitCodesByName: Partial<Readonly<Record<ResultCodeName, ExitCode>>> = {
+  revisionConflict: exitCodes.conflict,
+  changeIdReused: exitCodes.conflict,
+  invalidConfiguration: exitCodes.invalidFile,
+  invalidSettings: exitCodes.invalidFile,
+  unknownHost: exitCodes.notFound,
+};
+
+/** The exit code for a failure; all that may succeed later counts as unavailable. */
+export function findExitCode(failure: Failure): ExitCode {
+  const special = exitCodesByName[failure.code];
+  if (special !== undefined) {
+    return special;
+  }
+  return resultCodes[failure.code].retryable ? exitCodes.unavailable : exitCodes.failed;
+}
