--- a/src/consensus/core/core.ts
+++ b/src/consensus/core/core.ts
@@ -239,9 +239,15 @@
 
   #showView(): void {
     const { view } = this.#state;
-    if (JSON.stringify(view) !== JSON.stringify(this.#shownView)) {
+    if (!isSameView(view, this.#shownView)) {
       this.#shownView = view;
       this.#state.outbox.emit({ type: 'leadershipChanged', view });
     }
   }
 }
+
+function isSameView(left: LeadershipView, right: LeadershipView): boolean {
+  const leaderOf = (view: LeadershipView): string =>
+    view.type === 'follower' ? view.leader : view.type;
+  return left.type === right.type && left.term === right.term && leaderOf(left) === leaderOf(right);
+}
--- a/src/consensus/core/elections.ts
+++ b/src/consensus/core/elections.ts
@@ -49,7 +49,9 @@
     if (term > this.#state.term) {
       this.#state.saveHardState(term, undefined);
     }
-    this.#state.stepRole({ type: 'superseded' });
+    if (this.#state.role !== 'follower') {
+      this.#state.stepRole({ type: 'superseded' });
+    }
     this.#state.setLeader(leader);
     this.#heardLeaderAt = this.#state.now;
     this.#armDeadline();
