Bench: slopes of watches, reports, lease streams and token frames

Cause: docs/CAPACITY.md is to be worked out from measured slopes. Ruled out: all ends in one process (one event loop would carry both costs); guesses from the size of messages. Change: bench/capacity.ts with roles in processes of their own, a relay that counts bytes between them, and a straight line through several sizes. Watches and reports run the code of control, gateway and sidecar; leases and tokens are messages without decisions.

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,82 @@
+/**
+ * Slopes for docs/CAPACITY.md: what one more watcher, report stream, lease stream or token costs.
+ * Stand-alone pieces of the real processes on loopback, at several sizes.
+ */
+import { Command } from 'commander';
+
+import { runReporterRole, runWatcherRole } from './capacity/client-roles.js';
+import { runControlRole } from './capacity/control-role.js';
+import { runLeaseLeadRole, runLeaseMemberRole } from './capacity/lease-roles.js';
+import { measureReports, measureWatches } from './capacity/measure-control.js';
+import { measureLeases, measureTokens } from './capacity/measure-streams.js';
+import type { MeasureOptions } from './capacity/pair.js';
+import { runTokenClientRole, runTokenServerRole } from './capacity/token-roles.js';
+import { findRole } from './support/index.js';
+
+interface Part {
+  readonly name: string;
+  readonly measure: (options: MeasureOptions) => Promise<string>;
+}
+
+const parts: readonly Part[] = [
+  { name: 'watch', measure: measureWatches },
+  { name: 'report', measure: measureReports },
+  { name: 'lease', measure: measureLeases },
+  { name: 'tokens', measure: measureTokens },
+];
+
+const role = findRole();
+if (role === undefined) {
+  await main();
+} else {
+  await runRole(role.name, role.options);
+}
+
+async function main(): Promise<void> {
+  const options = new Command('capacity')
+    .option('--part <name>', `one of ${parts.map(({ name }) => name).join(', ')}; all by default`)
+    .option('--sizes <list>', 'sizes to measure at', parseSizes, [50, 100, 200, 400])
+    .option('--seconds <count>', 'length of each quiet measurement', Number, 10)
+    .parse()
+    .opts<MeasureOptions & { readonly part?: string }>();
+  for (const part of parts) {
+    if (options.part === undefined || options.part === part.name) {
+      console.log(`### ${part.name}\n\n${await part.measure(options)}\n`);
+    }
+  }
+  process.exit();
+}
+
+async function runRole(name: string, options: readonly string[]): Promise<void> {
+  // The second option is a count of connections, or for the token server the tokens in a frame.
+  const [address = '', count = '0'] = options;
+  switch (name) {
+    case 'control':
+      await runControlRole(address);
+      return;
+    case 'watchers':
+      runWatcherRole(address, Number(count));
+      return;
+    case 'reporters':
+      runReporterRole(address, Number(count));
+      return;
+    case 'lease-member':
+      await runLeaseMemberRole(address);
+      return;
+    case 'lease-lead':
+      runLeaseLeadRole(address, Number(count));
+      return;
+    case 'token-server':
+      await runTokenServerRole(address, Number(count));
+      return;
+    case 'token-client':
+      runTokenClientRole(address, Number(count));
+      return;
+    default:
+      throw new Error(`no role ${name}`);
+  }
+}
+
+function parseSizes(text: string): readonly number[] {
+  return text.split(',').map(Number);
+}
--- a/bench/support/roles.ts
+++ b/bench/support/roles.ts
@@ -7,9 +7,24 @@
   readonly pid: number;
   /** What the role said when it was ready, for example its address. */
   readonly ready: string;
+  /** Asks the role something; `usage` is answered for every role. */
+  readonly ask: (question: string) => Promise<string>;
   readonly stop: () => Promise<void>;
 }
 
+/** Usage of a role since its start. */
+export interface RoleUsage {
+  /** User and system time together, in milliseconds. */
+  readonly cpuMilliseconds: number;
+  /** Resident memory after a collection, in megabytes (2^20 bytes). */
+  readonly residentMegabytes: number;
+  /** Live heap after a collection, in megabytes. */
+  readonly heapMegabytes: number;
+}
+
+/** Answers the questions that a role takes besides `usage`. */
+export type RoleAnswerer = (question: string) => string | Promise<string>;
+
 const roleFlag = '--role';
 
 /** The role this process was started for, and its arguments; undefined in the bench itself. */
@@ -27,16 +42,52 @@
   }
   const child = fork(file, [roleFlag, name, ...options], { execArgv: ['--expose-gc'] });
   const ready = await waitForReady(child, name);
-  return { pid: child.pid ?? 0, ready, stop: () => stopChild(child) };
+  return {
+    pid: child.pid ?? 0,
+    ready,
+    ask: (question) => ask(child, question),
+    stop: () => stopChild(child),
+  };
 }
 
-/** Called by a role once it can be used. */
-export function announceReady(text: string): void {
+/** Asks a role for its usage. */
+export async function askUsage(role: RoleProcess): Promise<RoleUsage> {
+  return JSON.parse(await role.ask('usage')) as RoleUsage;
+}
+
+/** Called by a role once it can be used; from then on it answers questions, one at a time. */
+export function announceReady(text: string, answer: RoleAnswerer = () => ''): void {
   process.send?.(text);
+  process.on('message', (question) => {
+    void answerQuestion(String(question), answer);
+  });
   // A role whose bench was killed would otherwise stay for ever.
   process.once('disconnect', () => process.exit(0));
 }
 
+async function answerQuestion(question: string, answer: RoleAnswerer): Promise<void> {
+  process.send?.(question === 'usage' ? JSON.stringify(readOwnUsage()) : await answer(question));
+}
+
+function readOwnUsage(): RoleUsage {
+  const { user, system } = process.cpuUsage();
+  // The collection itself is not counted: the reading comes before it.
+  globalThis.gc?.();
+  const { rss, heapUsed } = process.memoryUsage();
+  return {
+    cpuMilliseconds: (user + system) / 1000,
+    residentMegabytes: rss / 2 ** 20,
+    heapMegabytes: heapUsed / 2 ** 20,
+  };
+}
+
+async function ask(child: ChildProcess, question: string): Promise<string> {
+  const answer = once(child, 'message');
+  child.send(question);
+  const [message] = (await answer) as unknown[];
+  return String(message);
+}
+
 async function waitForReady(child: ChildProcess, name: string): Promise<string> {
   const ready = once(child, 'message').then(([message]: unknown[]) => String(message));
   const failed = once(child, 'exit').then(() => {
