--- a/bench/capacity/client-roles.ts
+++ b/bench/capacity/client-roles.ts
@@ -15,6 +15,7 @@
       {
         watcher: `gateway-${index}`,
         kind: 'gateway',
+        address: '',
         control: [address],
         clients: new RpcClientPool(),
         logger,
--- a/bench/capacity/control-role.ts
+++ b/bench/capacity/control-role.ts
@@ -3,6 +3,7 @@
 import { HostDirectory } from '../../src/control/index.js';
 import { ReportService } from '../../src/control/shell/report-service.js';
 import { WatchHub } from '../../src/control/watch-hub.js';
+import { WatcherDirectory } from '../../src/control/watcher-directory.js';
 import {
   ControlService,
   type WatchRequest,
@@ -42,7 +43,7 @@
       hub.publish(state);
       return String(revision);
     }
-    return String(hub.listWatchers().length);
+    return String(hub.listWatchers('gateway').length);
   });
 }
 
@@ -51,6 +52,7 @@
     name: 'control-1',
     peers: () => [],
     directory: new HostDirectory(),
+    watchers: new WatcherDirectory(),
     clients: new RpcClientPool(),
     clock: systemClock,
     logger: createLogger('bench', 'error'),
--- a/bench/capacity/lease-roles.ts
+++ b/bench/capacity/lease-roles.ts
@@ -21,7 +21,7 @@
   const server = createRpcServer({
     address,
     routes: (router) => {
-      router.service(LeaseService, { hold: answerAll, ask: createAnswer });
+      router.service(LeaseService, { hold: answerAll });
     },
   });
   await server.open();
--- a/src/watch/control-watcher.ts
+++ b/src/watch/control-watcher.ts
@@ -45,21 +45,20 @@
     this.#turn = firstTurn;
   }
 
-  read(): WatchedState {
-    return this.#keeper.read();
-  }
+  /** Bound, because parts take it as a function of its own. */
+  readonly read = (): WatchedState => this.#keeper.read();
 
-  subscribe(listener: (state: WatchedState) => void): () => void {
+  readonly subscribe = (listener: (state: WatchedState) => void): (() => void) => {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
-  }
+  };
 
   /** A newer revision exists and this watch has not brought it: the control host behind it may be cut off. */
-  noticeRevision(revision: Revision): void {
+  readonly noticeRevision = (revision: Revision): void => {
     if (revision > this.#keeper.read().revision) {
       this.#stream?.abort();
     }
-  }
+  };
 
   open(): void {
     this.#running = this.#run();
