Operators' command line

Cause: operators change and read a deployment from a terminal; a lost answer or a race must not change anything twice or take back another's change unseen.

Ruled out: resending by change id alone (a new base would be read, and a change that was never accepted would replace what others did since); reading the base at the time of apply for a file that get wrote (the second of two operators would revert the first): get names the revision in the first line and apply takes it as the base.

--- /dev/null
+++ b/__tests__/cli/fake-control.ts
@@ -0,0 +1,196 @@
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+
+import { Code, ConnectError } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+import { runCommandLine, type ExitCode } from '../../src/cli/index.js';
+import { resultCodes } from '../../src/common/index.js';
+import {
+  ControlStateMachine,
+  encodeCommandAnswer,
+  type ControlView,
+  type GroupsView,
+  type HostsView,
+  type WatchersView,
+} from '../../src/control/state/index.js';
+import { ControlService } from '../../src/generated/pistachiospoke/v1/control_pb.js';
+
+/** What a fake control host does with its next submission, instead of answering it. */
+export type Fault = 'loseAnswer' | 'loseRequest' | 'noQuorum';
+
+/** One replicated state behind any number of fake control hosts. */
+export class FakeLog {
+  readonly machine = new ControlStateMachine();
+  /** Texts of all submissions that arrived, in order. */
+  readonly submissions: string[] = [];
+  #index = 0;
+
+  apply(text: string): string {
+    this.#index += 1;
+    // The leader stamps the time; one minute passes between commands.
+    const command: unknown = JSON.parse(text);
+    const stamped = { ...(command as object), at: Date.UTC(2026, 11, 2, 8, this.#index) };
+    return encodeCommandAnswer(this.machine.apply(this.#index, JSON.stringify(stamped)));
+  }
+}
+
+/** A control host that keeps its promises, but for the faults it was told to show. */
+export class FakeControl {
+  readonly faults: Fault[] = [];
+  readonly #name: string;
+  readonly log: FakeLog;
+  readonly #server: Http2Server;
+  readonly #sessions = new Set<ServerHttp2Session>();
+
+  constructor(name: string, log: FakeLog) {
+    this.#name = name;
+    this.log = log;
+    this.#server = createServer(
+      connectNodeAdapter({
+        routes: (router) =>
+          router.service(ControlService, {
+            submit: ({ command }) => this.#submit(command),
+            get: ({ kind }) => ({ answer: JSON.stringify(this.#view(kind)) }),
+          }),
+      }),
+    );
+    this.#server.on('session', (session) => this.#sessions.add(session));
+  }
+
+  async open(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    this.#sessions.forEach((session) => {
+      session.destroy();
+    });
+    await closed;
+  }
+
+  #submit(command: string): { resultCode?: number; message?: string; answer?: string } {
+    const fault = this.faults.shift();
+    if (fault === 'noQuorum') {
+      return { resultCode: resultCodes.noQuorum.number, message: 'no leader' };
+    }
+    this.log.submissions.push(command);
+    if (fault === 'loseRequest') {
+      throw new ConnectError('connection closed', Code.Unavailable);
+    }
+    const answer = this.log.apply(command);
+    if (fault === 'loseAnswer') {
+      throw new ConnectError('connection closed', Code.Unavailable);
+    }
+    return { answer };
+  }
+
+  #view(kind: string): unknown {
+    const { revision, configuration, history, index } = this.log.machine.read();
+    const views: Readonly<Record<string, unknown>> = {
+      configuration: { revision, configuration, history },
+      hosts: { revision, hosts } satisfies HostsView,
+      groups: { revision, ...groups } satisfies GroupsView,
+      watchers: { revision, watchers } satisfies WatchersView,
+      control: {
+        name: this.#name,
+        role: this.#name === 'control-1' ? 'leader' : 'follower',
+        term: 4,
+        leader: 'control-1',
+        index,
+        revision,
+        stalenessMilliseconds: 80,
+        voters: [],
+      } satisfies ControlView,
+    };
+    return views[kind];
+  }
+}
+
+const hosts: HostsView['hosts'] = [1, 2, 3].map((number) => ({
+  host: `host-${number}`,
+  address: `10.0.0.${number}:8601`,
+  incarnation: 'one',
+  region: 'addis',
+  failureDomain: 'bole',
+  fabricDomain: 'bole-a',
+  accelerators: 8,
+  labels: { pool: 'llm' },
+  upstream: {
+    type: 'engine',
+    loaded: [{ model: 'assist', version: '1', adapters: [] }],
+    checksFencingNumber: false,
+  },
+  isHealthy: number !== 2,
+  isDraining: false,
+  isPresent: number !== 3,
+  group: number === 1 ? 'assist-llm/1' : null,
+  lastReportMilliseconds: number === 3 ? 95_000 : 200,
+}));
+
+const groups: Omit<GroupsView, 'revision'> = {
+  groups: [
+    {
+      name: 'assist-llm/1',
+      declaration: 'assist-llm',
+      fencingNumber: 12,
+      offer: { type: 'model', artifact: { model: 'assist', version: '1', adapters: ['fleet'] } },
+      members: ['host-1'],
+      isServing: true,
+      isDraining: false,
+      missing: [],
+    },
+  ],
+  strandedHosts: ['host-4'],
+};
+
+const watchers: WatchersView['watchers'] = [
+  {
+    watcher: 'gateway-1',
+    kind: 'gateway',
+    revision: 2,
+    control: 'control-1',
+    lastSeenMilliseconds: 300,
+  },
+  { watcher: 'host-1', kind: 'sidecar', revision: 1, control: null, lastSeenMilliseconds: 1500 },
+];
+
+/** What one run of the command line said. */
+export interface Said {
+  readonly exitCode: ExitCode;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** Runs the command line against fake control hosts, with the files given and without waiting. */
+export async function say(
+  controls: readonly FakeControl[],
+  argv: readonly string[],
+  files: Readonly<Record<string, string>> = {},
+): Promise<Said> {
+  let output = '';
+  let errors = '';
+  const flags = controls.flatMap((control) => ['--control', control.address]);
+  const exitCode = await runCommandLine([...flags, ...argv], {
+    write: (text) => (output += text),
+    writeError: (text) => (errors += text),
+    readText: (path) => {
+      const text = files[path];
+      if (text === undefined) {
+        throw new Error('no such file');
+      }
+      return text;
+    },
+    variables: {},
+    user: 'amina',
+    wall: () => 0,
+    createChangeId: () => `made-${(controls[0]?.log.submissions.length ?? 0) + 1}`,
+    sleep: () => Promise.resolve(),
+  });
+  return { exitCode, output, errors };
+}
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -26,7 +26,18 @@
   checked.val.warnings.forEach((warning) => {
     output.note(formatProblems([warning]));
   });
-  return applyChecked(context, file, flags, checked.val);
+  const base = flags.base ?? findWrittenRevision(text.val);
+  return applyChecked(context, file, { ...flags, base }, checked.val);
+}
+
+/**
+ * The revision in the first line that `get` writes.
+ * Two operators get, edit and apply, one after the other: from a base read at the time of `apply` the second would
+ * take back what the first did, and nobody would be told.
+ */
+function findWrittenRevision(text: string): number | undefined {
+  const digits = /^\/\/ revision (\d+)\s*\n/.exec(text)?.[1];
+  return digits === undefined ? undefined : Number(digits);
 }
 
 async function applyChecked(
--- a/src/cli/commands/get.ts
+++ b/src/cli/commands/get.ts
@@ -23,7 +23,7 @@
   return output.succeed(view.val, text);
 }
 
-/** A document that `apply` takes again. */
+/** A document that `apply` takes again; its first line names the revision that the edit is made from. */
 function formatConfiguration(view: View<'configuration'>): string {
   const document = JSON.stringify(view.configuration, undefined, 2);
   return `// revision ${view.revision}\n${document}\n`;
--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -14,6 +14,7 @@
   type Change,
   type ViewKind,
 } from '../control/state/index.js';
+import type { RpcClientPool } from '../wire/index.js';
 import { ControlConnection, type CallOutcome, type RawAnswer } from './control-connection.js';
 
 /** Control as operators see it: any of its hosts, asked in turn until one gives a final answer. */
@@ -30,6 +31,7 @@
 
 export interface ControlClientOptions {
   readonly addresses: readonly string[];
+  readonly clients: RpcClientPool;
   /** For one call to one control host. */
   readonly timeout: Milliseconds;
   readonly sleep: (duration: Milliseconds) => Promise<void>;
@@ -48,7 +50,7 @@
 
   constructor(options: ControlClientOptions) {
     this.#connections = options.addresses.map(
-      (address) => new ControlConnection(address, options.timeout),
+      (address) => new ControlConnection(address, options.clients, options.timeout),
     );
     this.#sleep = options.sleep;
   }
@@ -93,12 +95,6 @@
     );
   }
 
-  close(): void {
-    this.#connections.forEach((connection) => {
-      connection.close();
-    });
-  }
-
   /** The first final answer; without one, whether any of the calls may have been carried out. */
   async #ask(
     call: (connection: ControlConnection) => Promise<CallOutcome<RawAnswer>>,
--- a/src/cli/control-connection.ts
+++ b/src/cli/control-connection.ts
@@ -1,8 +1,8 @@
-import { ConnectError, createClient, type Client } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { ConnectError, type CallOptions, type Client } from '@connectrpc/connect';
 
 import type { Milliseconds } from '../common/index.js';
 import { ControlService } from '../generated/pistachiospoke/v1/control_pb.js';
+import type { RpcClientPool } from '../wire/index.js';
 
 /** One control host, called over Connect. */
 
@@ -19,42 +19,37 @@
   readonly answer: string;
 }
 
-/** A connection to one control host; closed by its owner. */
+type ControlServiceClient = Client<typeof ControlService>;
+
+/** One control host as the command line calls it. */
 export class ControlConnection {
   readonly address: string;
-  readonly #sessions: Http2SessionManager;
-  readonly #client: Client<typeof ControlService>;
+  readonly #clients: RpcClientPool;
   readonly #timeout: Milliseconds;
 
-  constructor(address: string, timeout: Milliseconds) {
-    const baseUrl = `http://${address}`;
+  constructor(address: string, clients: RpcClientPool, timeout: Milliseconds) {
     this.address = address;
+    this.#clients = clients;
     this.#timeout = timeout;
-    this.#sessions = new Http2SessionManager(baseUrl);
-    const transport = createConnectTransport({
-      baseUrl,
-      httpVersion: '2',
-      sessionManager: this.#sessions,
-    });
-    this.#client = createClient(ControlService, transport);
   }
 
   submit(command: string): Promise<CallOutcome<RawAnswer>> {
-    return this.#call(() => this.#client.submit({ command }, { timeoutMs: this.#timeout }));
+    return this.#call((client, options) => client.submit({ command }, options));
   }
 
   get(kind: string): Promise<CallOutcome<RawAnswer>> {
-    return this.#call(() => this.#client.get({ kind }, { timeoutMs: this.#timeout }));
-  }
-
-  close(): void {
-    this.#sessions.abort();
+    return this.#call((client, options) => client.get({ kind }, options));
   }
 
-  async #call<Answer>(call: () => Promise<Answer>): Promise<CallOutcome<Answer>> {
+  async #call<Answer>(
+    call: (client: ControlServiceClient, options: CallOptions) => Promise<Answer>,
+  ): Promise<CallOutcome<Answer>> {
+    const client = this.#clients.client(ControlService, this.address);
     try {
-      return { type: 'answered', answer: await call() };
+      return { type: 'answered', answer: await call(client, { timeoutMs: this.#timeout }) };
     } catch (error) {
+      // A connection that lost an answer may be silent for good; the next call opens a new one.
+      this.#clients.retire(this.address);
       const detail = `${this.address}: ${ConnectError.from(error).rawMessage}`;
       return { type: isUnsent(error) ? 'unsent' : 'lost', detail };
     }
--- a/src/cli/operator-settings.ts
+++ b/src/cli/operator-settings.ts
@@ -10,6 +10,8 @@
 const operatorSettingsSchema = z
   .strictObject({
     control: z.array(z.string()).readonly().default([]),
+    /** Internal addresses of the gateways, for `report burn`. */
+    gateways: z.array(z.string()).readonly().default([]),
     /** Name shown to other operators; the user's name when left out. */
     operator: z.string().min(1).max(200).optional(),
   })
@@ -30,6 +32,8 @@
 export interface OperatorConnection {
   /** `ip:port` of control hosts, asked in this order. */
   readonly control: readonly string[];
+  /** Internal addresses of gateways, from the settings. */
+  readonly gateways: readonly string[];
   readonly operator: string;
 }
 
@@ -50,7 +54,7 @@
       return new Err(`"${wrong}" is no address of a control host, expected ip:port`);
     }
     const operator = flags.operator ?? settings.operator ?? environment.user;
-    return new Ok({ control, operator });
+    return new Ok({ control, gateways: settings.gateways, operator });
   });
 }
 
@@ -60,7 +64,7 @@
 ): Result<OperatorSettings, string> {
   const path = flags.settings ?? environment.variables.PISTACHIOSPOKE_SETTINGS;
   if (path === undefined) {
-    return new Ok({ control: [] });
+    return new Ok({ control: [], gateways: [] });
   }
   const settings = loadSettings(operatorSettingsSchema, path);
   return settings.mapErr((problems) => problems.map(formatProblem).join('\n'));
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -7,6 +7,8 @@
 import { runGroups } from './commands/groups.js';
 import { runHosts } from './commands/hosts.js';
 import { runLabel } from './commands/label.js';
+import { RpcClientPool } from '../wire/index.js';
+import { runReportBurn, type BurnFlags } from './commands/report-burn.js';
 import type { CommandContext, ControlContext } from './context.js';
 import { ControlClient } from './control-client.js';
 import type { CommandLineEnvironment } from './environment.js';
@@ -39,6 +41,7 @@
     this.#program = this.#createProgram();
     this.#addReads();
     this.#addChanges();
+    this.#addReports();
     this.#addCheck();
   }
 
@@ -83,6 +86,16 @@
     );
   }
 
+  #addReports(): void {
+    this.#command('report', 'reports over the deployment')
+      .command('burn')
+      .description('show how fast the service-level objectives are being spent')
+      .option('--gateway <ip:port>', 'internal address of a gateway (repeatable)', collectText)
+      .option('--html <file>', 'write the report as a page too')
+      .addHelpText('after', '\nExample:\n  pistachiospoke report burn --gateway 127.0.0.1:8410')
+      .action((flags: BurnFlags) => this.#withControl((context) => runReportBurn(context, flags)));
+  }
+
   #addChanges(): void {
     this.#change('apply', 'make a configuration document the one in force')
       .argument('<file>', 'configuration, JSON with comments')
@@ -144,13 +157,17 @@
       this.#exitCode = context.output.fail(exitCodes.usage, connection.val);
       return;
     }
-    const { control: addresses, operator } = connection.val;
-    const { sleep } = this.#environment;
-    const client = new ControlClient({ addresses, timeout: flags.timeout, sleep });
+    const clients = new RpcClientPool();
+    const client = new ControlClient({
+      addresses: connection.val.control,
+      clients,
+      timeout: flags.timeout,
+      sleep: this.#environment.sleep,
+    });
     try {
-      this.#exitCode = await command({ ...context, client, operator });
+      this.#exitCode = await command({ ...context, client, clients, connection: connection.val });
     } finally {
-      client.close();
+      clients.close();
     }
   }
 }
--- a/src/cli/submit-change.ts
+++ b/src/cli/submit-change.ts
@@ -59,10 +59,16 @@
   request: ChangeRequest,
   baseRevision: number,
 ): Promise<ExitCode> {
-  const { output, client, operator, environment } = context;
+  const { output, client, connection, environment } = context;
   const changeId = request.flags.changeId ?? environment.createChangeId();
   const at = environment.wall();
-  const change = { ...request.content, changeId, baseRevision, operator, at } as Change;
+  const change = {
+    ...request.content,
+    changeId,
+    baseRevision,
+    operator: connection.operator,
+    at,
+  } as Change;
   const answer = await client.submit(change);
   if (answer.err) {
     const hints = createHints(request, answer.val.failure.code, changeId, baseRevision);
@@ -96,7 +102,9 @@
   base: number,
 ): readonly string[] {
   if (code === 'revisionConflict') {
-    return [`to make it again from what is in force now: ${request.typed}`];
+    return [
+      `to make it again: see what is in force (pistachiospoke get), then ${request.typed} --base REVISION`,
+    ];
   }
   if (code === 'noQuorum' || code === 'changeUncertain') {
     return [`to resend it: ${request.typed} --change-id ${changeId} --base ${base}`];
--- a/src/cli/submit-host-change.ts
+++ b/src/cli/submit-host-change.ts
@@ -36,7 +36,7 @@
   }
   const failure = createFailure(
     'unknownHost',
-    `"${request.host}" is not among ${hosts.length} hosts`,
+    `"${request.host}" is not among the ${hosts.length} known hosts.`,
   );
   return context.output.refuse({ failure, winner: undefined, differences: [] });
 }
--- a/src/control/state/apply-change.ts
+++ b/src/control/state/apply-change.ts
@@ -44,7 +44,7 @@
 
 function repeatAnswer(first: ChangeAnswer, fingerprint: string): CommandAnswer {
   if (first.fingerprint !== fingerprint) {
-    const detail = `change id ${first.changeId} was first answered at revision ${first.revision}`;
+    const detail = `Change id ${first.changeId} was first answered at revision ${first.revision}.`;
     const failure = createFailure('changeIdReused', detail);
     return { type: 'refused', failure, winner: undefined, differences: [] };
   }
@@ -67,7 +67,7 @@
 }
 
 function describeConflict(state: ControlState, change: Change): Failure {
-  const detail = `made from revision ${change.baseRevision}, the present one is ${state.revision}`;
+  const detail = `Made from revision ${change.baseRevision}; the present one is ${state.revision}.`;
   return createFailure('revisionConflict', detail);
 }
 
--- a/src/control/state/apply-claim.ts
+++ b/src/control/state/apply-claim.ts
@@ -99,7 +99,7 @@
 }
 
 function refuse(state: ControlState, code: ResultCodeName, first: Claim): Applied {
-  const detail = `the key was claimed by request ${first.requestId}, which is: ${first.state}`;
+  const detail = `The key was claimed by request ${first.requestId}; state: ${first.state}.`;
   const failure = createFailure(code, detail);
   return { state, answer: { type: 'refused', failure, winner: undefined, differences: [] } };
 }
--- a/src/control/state/apply-placement.ts
+++ b/src/control/state/apply-placement.ts
@@ -12,7 +12,7 @@
 export function applyPlaceGroups(state: ControlState, command: PlaceGroups): Applied {
   // Two leaders, the old one not yet aware of the new, may decide from different states; the later decision is void.
   if (command.basedOn < state.groupsIndex) {
-    const detail = `decided at index ${command.basedOn}, groups changed at ${state.groupsIndex}`;
+    const detail = `Decided at index ${command.basedOn}; groups changed at ${state.groupsIndex}.`;
     return refuse(state, 'stalePlacement', detail);
   }
   const groups = new Map(state.groups);
@@ -29,7 +29,7 @@
   }
   const shared = findSharedHost(groups);
   if (shared !== undefined) {
-    const detail = `${shared.host} would be in ${shared.groups.join(' and ')}`;
+    const detail = `${shared.host} would be in ${shared.groups.join(' and ')}.`;
     return refuse(state, 'hostInTwoGroups', detail);
   }
   const next = { ...state, groups, fencingNumber, groupsIndex: state.index };
