--- a/__tests__/cli/command-line.test.ts
+++ b/__tests__/cli/command-line.test.ts
@@ -40,7 +40,7 @@
   // Sequence: every control host loses the answer; the change may or may not be committed.
   // Cause: a lost answer was reported like a refusal.
   it('says that a change is uncertain, and how to resend it, when every answer is lost', async () => {
-    controls[0]?.faults.push('loseAnswer', 'loseAnswer', 'loseAnswer', 'loseAnswer');
+    controls[0]?.faults.push(...Array<'loseAnswer'>(6).fill('loseAnswer'));
     const said = await say(controls.slice(0, 1), ['apply', 'one.jsonc'], files);
     expect(said.exitCode).toBe(exitCodes.unavailable);
     expect(said.errors).toContain('changeUncertain (4004)');
@@ -51,7 +51,7 @@
   });
 
   it('says that a change was not accepted when no control host took it', async () => {
-    controls.forEach((control) => control.faults.push(...Array<'noQuorum'>(4).fill('noQuorum')));
+    controls.forEach((control) => control.faults.push(...Array<'noQuorum'>(6).fill('noQuorum')));
     const said = await say(controls, ['apply', 'one.jsonc'], files);
     expect(said.exitCode).toBe(exitCodes.unavailable);
     expect(said.errors).toContain('noQuorum (4003)');
--- a/__tests__/cli/fake-control.ts
+++ b/__tests__/cli/fake-control.ts
@@ -155,9 +155,17 @@
     kind: 'gateway',
     revision: 2,
     control: 'control-1',
+    address: null,
     lastSeenMilliseconds: 300,
   },
-  { watcher: 'host-1', kind: 'sidecar', revision: 1, control: null, lastSeenMilliseconds: 1500 },
+  {
+    watcher: 'host-1',
+    kind: 'sidecar',
+    revision: 1,
+    control: null,
+    address: null,
+    lastSeenMilliseconds: 1500,
+  },
 ];
 
 /** What one run of the command line said. */
--- a/src/cli/commands/report-burn.ts
+++ b/src/cli/commands/report-burn.ts
@@ -12,10 +12,11 @@
   type GatewayAnswer,
 } from '../../report/index.js';
 import type { ControlContext } from '../context.js';
-import { exitCodes, type ExitCode } from '../exit-codes.js';
+import type { View } from '../control-client.js';
+import type { ExitCode } from '../exit-codes.js';
 
 export interface BurnFlags {
-  /** Internal addresses; those of the settings where left out. */
+  /** Internal addresses; where left out, those of the gateways that control knows. */
   readonly gateway: readonly string[] | undefined;
   /** File to write the page to. */
   readonly html: string | undefined;
@@ -25,14 +26,12 @@
 
 /** `report burn`: asks every gateway for its counters and shows how fast the objectives are being spent. */
 export async function runReportBurn(context: ControlContext, flags: BurnFlags): Promise<ExitCode> {
-  const { output, client, connection, environment } = context;
-  const addresses = flags.gateway ?? connection.gateways;
-  if (addresses.length === 0) {
-    return output.fail(
-      exitCodes.usage,
-      'name the gateways: --gateway ip:port, or "gateways" in the settings',
-    );
+  const { output, client, environment } = context;
+  const watchers = await client.get('watchers');
+  if (watchers.err) {
+    return output.refuse(watchers.val);
   }
+  const addresses = flags.gateway ?? findGateways(watchers.val);
   const view = await client.get('configuration');
   if (view.err) {
     return output.refuse(view.val);
@@ -46,6 +45,12 @@
   return output.succeed(JSON.parse(formatBurnJson(report)), formatBurnTable(report));
 }
 
+function findGateways(view: View<'watchers'>): readonly string[] {
+  return view.watchers
+    .filter((watcher) => watcher.kind === 'gateway')
+    .flatMap((watcher) => watcher.address ?? []);
+}
+
 async function askGateway(context: ControlContext, address: string): Promise<GatewayAnswer> {
   const client = context.clients.client(GatewayService, address);
   try {
--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -38,7 +38,7 @@
 }
 
 /** How often all control hosts are asked before the command line gives up. */
-const rounds = 4;
+const rounds = 6;
 const firstPause: Milliseconds = 250;
 
 /** Codes after which another control host, or the same one later, may do better. */
--- a/src/cli/operator-settings.ts
+++ b/src/cli/operator-settings.ts
@@ -10,8 +10,6 @@
 const operatorSettingsSchema = z
   .strictObject({
     control: z.array(z.string()).readonly().default([]),
-    /** Internal addresses of the gateways, for `report burn`. */
-    gateways: z.array(z.string()).readonly().default([]),
     /** Name shown to other operators; the user's name when left out. */
     operator: z.string().min(1).max(200).optional(),
   })
@@ -32,8 +30,6 @@
 export interface OperatorConnection {
   /** `ip:port` of control hosts, asked in this order. */
   readonly control: readonly string[];
-  /** Internal addresses of gateways, from the settings. */
-  readonly gateways: readonly string[];
   readonly operator: string;
 }
 
@@ -54,7 +50,7 @@
       return new Err(`"${wrong}" is no address of a control host, expected ip:port`);
     }
     const operator = flags.operator ?? settings.operator ?? environment.user;
-    return new Ok({ control, gateways: settings.gateways, operator });
+    return new Ok({ control, operator });
   });
 }
 
@@ -64,7 +60,7 @@
 ): Result<OperatorSettings, string> {
   const path = flags.settings ?? environment.variables.PISTACHIOSPOKE_SETTINGS;
   if (path === undefined) {
-    return new Ok({ control: [], gateways: [] });
+    return new Ok({ control: [] });
   }
   const settings = loadSettings(operatorSettingsSchema, path);
   return settings.mapErr((problems) => problems.map(formatProblem).join('\n'));
