Requests: follower of attempts, registry with a watermark, property test of the promises

Found by the property test: data that overtakes its head was taken in before it was known that the answer is a stream, and the end then called an empty answer whole. Ruled out: a fault of the fake network (reordering is what it is for). Change: AttemptFollower follows one attempt over its connections; bytes without a head are asked for again; forgetting a tombstone raises a watermark on request times; fair queue with a longer bound for accounts under their share.

--- a/src/common/result-codes.ts
+++ b/src/common/result-codes.ts
@@ -233,7 +233,7 @@
     503,
     'notRun',
     true,
-    'The attempt is older than the sidecar remembers attempts, or a wall clock is wrong.',
+    'The attempt is older than what the sidecar remembers, or a wall clock is wrong.',
     'Send it again; if it stays, compare the clocks of the gateway and the host.',
   ),
   answerLost: row(
--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -41,6 +41,16 @@
     return this.#size;
   }
 
+  /** Whether it is known what kind of answer this is; without that no byte can be taken in. */
+  get hasHead(): boolean {
+    return this.#head !== undefined;
+  }
+
+  /** Whether the answer is a stream of events. */
+  get isStream(): boolean {
+    return this.#head?.isStream === true;
+  }
+
   /** Sets the head; the first one of an attempt stands. */
   setHead(status: number, headers: readonly HeaderField[]): void {
     this.#head ??= { status, headers, isStream: isEventStream(headers) };
@@ -56,7 +66,7 @@
 
   append(bytes: Uint8Array): Assembled {
     this.#size += bytes.length;
-    if (this.#head?.isStream === true) {
+    if (this.isStream) {
       return this.#stream(bytes);
     }
     if (this.#size > this.#maximumBytes) {
@@ -68,7 +78,7 @@
 
   /** The answer is whole. */
   finish(): readonly RequestEffect[] {
-    const rest = this.#head?.isStream === true ? [this.#framer.finish()] : this.#chunks;
+    const rest = this.isStream ? [this.#framer.finish()] : this.#chunks;
     const bytes = rest.filter((chunk) => chunk.length > 0);
     return [
       ...this.#start(),
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export type { ClaimClient, ClaimOutcome, ClaimQuestion, ClaimSettlement } from './claims.js';
+export { defaultRequestLimits, type RequestLimits } from './limits.js';
 export { LoadBook } from './load-book.js';
 export type {
   AttemptTarget,
@@ -8,12 +9,7 @@
   StreamEvent,
 } from './messages.js';
 export { noMetrics, type Metrics, type MetricTags } from './metrics.js';
-export {
-  defaultRequestLimits,
-  RequestController,
-  type RequestLimits,
-  type RequestSurroundings,
-} from './request-controller.js';
+export { RequestController, type RequestSurroundings } from './request-controller.js';
 export { RetryBudget } from './retry-budget.js';
 export { Router, type RouteQuestion, type RouteVerdict } from './router.js';
 export {
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -17,10 +17,10 @@
 import type { Account, Address, RequestId, WatchedStateSource } from '../../model/index.js';
 import { createRequestId } from '../../sidecar/attempts/index.js';
 import type { ClaimClient } from '../claims.js';
+import { defaultRequestLimits, type RequestLimits } from '../limits.js';
 import { LoadBook } from '../load-book.js';
 import type { Metrics } from '../metrics.js';
 import { listModelNames } from '../reach.js';
-import { defaultRequestLimits, type RequestLimits } from '../request-controller.js';
 import { RetryBudget } from '../retry-budget.js';
 import { Router } from '../router.js';
 import { findAccount } from './accounts.js';
@@ -109,6 +109,7 @@
       router: new Router(options.watched.read, this.#loads),
       loads: this.#loads,
       retryBudget: new RetryBudget(),
+      random: options.random,
       limits: { ...limits, maximumAnswerBytes: options.maximumAnswerBytes },
       clock: options.clock,
       logger: options.logger,
--- a/src/sidecar/attempts/admission-controller.ts
+++ b/src/sidecar/attempts/admission-controller.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '../../common/index.js';
 import type { AccountName, Load } from '../../model/index.js';
-import type { AttemptKey } from './messages.js';
 import { DrainRate } from './drain-rate.js';
+import { FairQueue, type Waiting } from './fair-queue.js';
+import type { AttemptKey } from './messages.js';
 
 /** An attempt that wants a slot of the upstream. */
 export interface AdmissionRequest {
@@ -25,38 +26,43 @@
 export interface AdmissionLimits {
   /** An attempt that would wait longer is refused at once. */
   readonly maximumWait: Milliseconds;
+  /** The same for an account that has less than its share of the slots. */
+  readonly maximumWaitUnderShare: Milliseconds;
   /** Memory bound: attempts in the queue, whatever the drain rate. */
   readonly maximumQueued: number;
 }
 
-/** Bounds that suit a first token within 0.7 s with a retry elsewhere. */
-export const defaultAdmissionLimits: AdmissionLimits = { maximumWait: 400, maximumQueued: 2000 };
+/** Half a second leaves room for a first token within 0.7 s. */
+export const defaultAdmissionLimits: AdmissionLimits = {
+  maximumWait: 500,
+  maximumWaitUnderShare: 5000,
+  maximumQueued: 2000,
+};
 
-/** Urgency changes the share of an account by at most these factors, so that no priority starves another. */
-const urgencyBase = 1.25;
-const middlePriority = 5;
+interface Running {
+  readonly account: AccountName;
+  readonly since: Milliseconds;
+}
 
-interface Waiting {
-  readonly request: AdmissionRequest;
-  readonly arrivedAt: Milliseconds;
-  /** Virtual time at which the attempt starts in a perfectly fair upstream. */
-  readonly startTag: number;
+interface AccountUse {
+  weight: number;
+  running: number;
+  waiting: number;
 }
 
 /**
  * Admission to one group's upstream: a bounded number of slots, a queue bounded by time, and weighted fairness.
  *
- * Fairness is start-time fair queueing: each account's attempts are spaced in virtual time by 1 / weight, and the
- * lowest tag goes first. An account that sends ten times its share therefore queues behind itself; a small account's
- * attempt enters near the head, however many gateways either of them uses.
+ * An attempt is refused at once when the measured drain rate says that it would wait too long. An account that has less
+ * than its share of the slots may wait longer: where answers take many seconds, the ordinary bound leaves no queue at
+ * all, and whoever sends most would win every slot that comes free.
  */
 export class AdmissionController {
   readonly #limits: AdmissionLimits;
   readonly #drainRate = new DrainRate();
-  readonly #running = new Map<AttemptKey, Milliseconds>();
-  readonly #finishTags = new Map<AccountName, number>();
-  #waiting: Waiting[] = [];
-  #virtualTime = 0;
+  readonly #running = new Map<AttemptKey, Running>();
+  readonly #uses = new Map<AccountName, AccountUse>();
+  readonly #queue = new FairQueue();
   #capacity = 1;
 
   constructor(limits: AdmissionLimits) {
@@ -65,11 +71,7 @@
 
   /** Load as told to gateways. */
   get load(): Load {
-    return {
-      running: this.#running.size,
-      queued: this.#waiting.length,
-      capacity: this.#capacity,
-    };
+    return { running: this.#running.size, queued: this.#queue.length, capacity: this.#capacity };
   }
 
   /** Sets the number of slots; running attempts stay when it shrinks. */
@@ -79,32 +81,37 @@
 
   /** Decides on an attempt that has just come. */
   request(request: AdmissionRequest, now: Milliseconds): AdmissionVerdict {
-    const startTag = this.#tag(request);
-    if (this.#hasFreeSlot() && this.#waiting.length === 0) {
-      this.#take(request, startTag, now);
+    if (this.#hasFreeSlot() && this.#queue.length === 0) {
+      this.#queue.pass(request);
+      this.#noteUse(request);
+      this.#take(request, now);
       return { type: 'start' };
     }
-    const ahead = this.#countAhead(startTag);
+    const ahead = this.#queue.countAhead(request);
     const wait = this.#drainRate.estimateWait(ahead + 1, this.#capacity);
-    const bound = Math.min(this.#limits.maximumWait, request.remaining);
-    if (wait > bound || this.#waiting.length >= this.#limits.maximumQueued) {
+    const bound = this.#findBound(request);
+    if (wait > bound || this.#queue.length >= this.#limits.maximumQueued) {
       return { type: 'refused', retryAfter: this.estimateRetryAfter() };
     }
-    this.#insert({ request, arrivedAt: now, startTag });
-    this.#advanceTags(request, startTag);
+    this.#noteUse(request).waiting += 1;
+    this.#queue.add(request, now + bound);
     return { type: 'queued' };
   }
 
   /** Frees the slot or the place in the queue; a finished attempt's time feeds the drain rate. */
   release(key: AttemptKey, now: Milliseconds, hasRun: boolean): void {
-    const startedAt = this.#running.get(key);
-    if (startedAt === undefined) {
-      this.#waiting = this.#waiting.filter((waiting) => waiting.request.key !== key);
+    const running = this.#running.get(key);
+    if (running === undefined) {
+      const waiting = this.#queue.remove(key);
+      if (waiting !== undefined) {
+        this.#leaveQueue(waiting);
+      }
       return;
     }
     this.#running.delete(key);
+    this.#changeUse(running.account, -1, 0);
     if (hasRun) {
-      this.#drainRate.recordServiceTime(now - startedAt);
+      this.#drainRate.recordServiceTime(now - running.since);
     }
   }
 
@@ -112,12 +119,12 @@
   startNext(now: Milliseconds): readonly AttemptKey[] {
     const started: AttemptKey[] = [];
     while (this.#hasFreeSlot()) {
-      const next = this.#waiting.shift();
+      const next = this.#queue.takeNext();
       if (next === undefined) {
         break;
       }
-      this.#running.set(next.request.key, now);
-      this.#virtualTime = Math.max(this.#virtualTime, next.startTag);
+      this.#take(next.request, now);
+      this.#leaveQueue(next);
       started.push(next.request.key);
     }
     return started;
@@ -125,76 +132,68 @@
 
   /** Takes out the attempts that have waited as long as they may. */
   expire(now: Milliseconds): readonly AttemptKey[] {
-    const isExpired = (waiting: Waiting): boolean =>
-      now - waiting.arrivedAt >= Math.min(this.#limits.maximumWait, waiting.request.remaining);
-    const expired = this.#waiting.filter(isExpired);
-    if (expired.length > 0) {
-      this.#waiting = this.#waiting.filter((waiting) => !isExpired(waiting));
+    const expired = this.#queue.removeExpired(now);
+    for (const waiting of expired) {
+      this.#leaveQueue(waiting);
     }
     return expired.map((waiting) => waiting.request.key);
   }
 
   /** When a refused caller should come back: once the queue of now has drained. */
   estimateRetryAfter(): Milliseconds {
-    return this.#drainRate.estimateWait(this.#waiting.length + 1, this.#capacity);
+    return this.#drainRate.estimateWait(this.#queue.length + 1, this.#capacity);
   }
 
   #hasFreeSlot(): boolean {
     return this.#running.size < this.#capacity;
   }
 
-  #tag(request: AdmissionRequest): number {
-    return Math.max(this.#virtualTime, this.#finishTags.get(request.account) ?? 0);
-  }
-
-  #take(request: AdmissionRequest, startTag: number, now: Milliseconds): void {
-    this.#running.set(request.key, now);
-    this.#virtualTime = Math.max(this.#virtualTime, startTag);
-    this.#advanceTags(request, startTag);
+  #findBound(request: AdmissionRequest): Milliseconds {
+    const { maximumWait, maximumWaitUnderShare } = this.#limits;
+    const bound = this.#isUnderShare(request) ? maximumWaitUnderShare : maximumWait;
+    return Math.min(bound, request.remaining);
   }
 
-  #advanceTags(request: AdmissionRequest, startTag: number): void {
-    this.#finishTags.set(request.account, startTag + 1 / shareOf(request));
-    if (this.#running.size <= 1 && this.#waiting.length === 0) {
-      this.#forgetPastTags();
+  /** Whether the account holds and waits for less than its share of the slots, with this attempt counted in. */
+  #isUnderShare(request: AdmissionRequest): boolean {
+    const use = this.#uses.get(request.account);
+    let weights = use === undefined ? request.weight : 0;
+    for (const { weight } of this.#uses.values()) {
+      weights += weight;
     }
+    const share = Math.max(1, (this.#capacity * request.weight) / weights);
+    return (use?.running ?? 0) + (use?.waiting ?? 0) < share;
   }
 
-  /** A tag in the past says nothing: without this, each account ever seen would stay in memory. */
-  #forgetPastTags(): void {
-    for (const [account, tag] of this.#finishTags) {
-      if (tag <= this.#virtualTime) {
-        this.#finishTags.delete(account);
-      }
-    }
+  #take(request: AdmissionRequest, now: Milliseconds): void {
+    this.#running.set(request.key, { account: request.account, since: now });
+    this.#changeUse(request.account, 1, 0);
   }
 
-  #countAhead(startTag: number): number {
-    return this.#findPlace(startTag);
+  #leaveQueue(waiting: Waiting): void {
+    this.#changeUse(waiting.request.account, 0, -1);
   }
 
-  #insert(waiting: Waiting): void {
-    this.#waiting.splice(this.#findPlace(waiting.startTag), 0, waiting);
+  #noteUse(request: AdmissionRequest): AccountUse {
+    const known = this.#uses.get(request.account);
+    if (known !== undefined) {
+      known.weight = request.weight;
+      return known;
+    }
+    const created: AccountUse = { weight: request.weight, running: 0, waiting: 0 };
+    this.#uses.set(request.account, created);
+    return created;
   }
 
-  /** Index behind all waiting attempts with the same or a lower tag. */
-  #findPlace(startTag: number): number {
-    let low = 0;
-    let high = this.#waiting.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      const tag = this.#waiting[middle]?.startTag ?? Number.POSITIVE_INFINITY;
-      if (tag <= startTag) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
+  #changeUse(account: AccountName, running: number, waiting: number): void {
+    const use = this.#uses.get(account);
+    if (use === undefined) {
+      return;
+    }
+    use.running += running;
+    use.waiting += waiting;
+    if (use.running === 0 && use.waiting === 0) {
+      this.#uses.delete(account);
     }
-    return low;
   }
 }
-
-function shareOf(request: AdmissionRequest): number {
-  const urgency = urgencyBase ** (middlePriority - request.priority);
-  return Math.max(1, request.weight) * urgency;
-}
--- a/src/sidecar/attempts/attempt-controller.ts
+++ b/src/sidecar/attempts/attempt-controller.ts
@@ -10,49 +10,26 @@
   type Incarnation,
   type Load,
 } from '../../model/index.js';
-import {
-  AdmissionController,
-  defaultAdmissionLimits,
-  type AdmissionLimits,
-} from './admission-controller.js';
+import { AdmissionController } from './admission-controller.js';
+import { checkArrival } from './arrival-check.js';
+import { AttemptOutbox } from './attempt-outbox.js';
 import { AttemptRecord } from './attempt-record.js';
-import { AttemptRegistry, defaultRegistryLimits, type RegistryLimits } from './attempt-registry.js';
+import { AttemptRegistry } from './attempt-registry.js';
+import { defaultAttemptLimits, type AttemptLimits } from './limits.js';
 import type {
   AttemptEffect,
   AttemptEvent,
   AttemptKey,
   AttemptMessage,
+  GroupFacts,
   SubscriberId,
 } from './messages.js';
 
 type EventOf<Type extends AttemptEvent['type']> = Extract<AttemptEvent, { readonly type: Type }>;
 
-/** Times and bounds of the attempts at one sidecar. */
-export interface AttemptLimits {
-  readonly admission: AdmissionLimits;
-  readonly registry: RegistryLimits;
-  /** Bytes of a running answer kept for taking it up again. */
-  readonly resumeBytes: number;
-  /** Silence after which a keep-alive is sent. */
-  readonly keepAliveInterval: Milliseconds;
-  /** How long an attempt goes on when nobody listens to it any more. */
-  readonly detachedGrace: Milliseconds;
-}
-
-/** Keep-alives four times a second let a gateway notice silence within a second. */
-export const defaultAttemptLimits: AttemptLimits = {
-  admission: defaultAdmissionLimits,
-  registry: defaultRegistryLimits,
-  resumeBytes: 1024 * 1024,
-  keepAliveInterval: 250,
-  detachedGrace: 10_000,
-};
-
 /** Retry-After for refusals that another group can make good at once. */
 const shortRetryAfter: Milliseconds = 1000;
 
-const emptyLoad: Load = { running: 0, queued: 0, capacity: 0 };
-
 /**
  * All decisions on the attempts that reach one sidecar: whether they may run, in which order, what a gateway that lost
  * its connection is told, and when the upstream's stream is cancelled.
@@ -61,8 +38,8 @@
   readonly #incarnation: Incarnation;
   readonly #limits: AttemptLimits;
   readonly #registry: AttemptRegistry;
+  readonly #outbox = new AttemptOutbox();
   readonly #admissions = new Map<GroupName, AdmissionController>();
-  readonly #lastSent = new Map<number, Milliseconds>();
   #revision = 0;
   #isDraining = false;
 
@@ -82,14 +59,14 @@
     return this.#registry.size;
   }
 
-  /** Names of the attempts that are queued or running, for the report of a hard limit. */
-  listUnfinished(): readonly string[] {
-    return this.#registry.unfinished.map((record) => record.key);
+  /** Attempts that are queued or running, for the report of a hard limit. */
+  listUnfinished(): readonly AttemptKey[] {
+    return [...this.#registry.unfinished].map((record) => record.key);
   }
 
   /** Unfinished attempts of one group, to tell when its drain is over. */
   countUnfinished(group: GroupName): number {
-    return this.#registry.unfinished.filter((record) => record.order.group === group).length;
+    return [...this.#registry.unfinished].filter((record) => record.order.group === group).length;
   }
 
   /** Whether the attempt is queued or running. */
@@ -103,6 +80,11 @@
     return this.#registry.find(key)?.subscriber;
   }
 
+  /** Load of one group's upstream. */
+  readLoad(group: GroupName): Load {
+    return this.#admissionOf(group).load;
+  }
+
   handle(event: AttemptEvent): readonly AttemptEffect[] {
     switch (event.type) {
       case 'arrived':
@@ -134,12 +116,21 @@
   }
 
   #arrive(event: EventOf<'arrived'>): readonly AttemptEffect[] {
-    const { order, group, now, subscriber } = event;
     this.#revision = Math.max(this.#revision, event.revision);
-    const code = this.#findRefusal(event);
-    if (code !== undefined || group === undefined) {
-      return this.#refuseArrival(event, code ?? 'unknownGroup', shortRetryAfter);
-    }
+    const check = checkArrival(event.order, event.group, {
+      incarnation: this.#incarnation,
+      registry: this.#registry,
+      revision: this.#revision,
+      isDraining: this.#isDraining,
+      wallNow: event.wallNow,
+    });
+    return check.type === 'refused'
+      ? this.#refuseArrival(event, check.code, shortRetryAfter)
+      : this.#admit(event, check.group);
+  }
+
+  #admit(event: EventOf<'arrived'>, group: GroupFacts): readonly AttemptEffect[] {
+    const { order, now, subscriber } = event;
     const admission = this.#admissionOf(order.group);
     admission.setCapacity(group.concurrency);
     const record = new AttemptRecord(order, subscriber, this.#limits.resumeBytes, now);
@@ -158,7 +149,7 @@
         return this.#refuseArrival(event, 'overloaded', verdict.retryAfter);
       case 'queued':
         this.#registry.add(record);
-        return [this.#send(subscriber, { type: 'keepAlive', load: admission.load }, now)];
+        return this.#outbox.tell(record, { type: 'keepAlive', load: admission.load }, now);
       case 'start':
         this.#registry.add(record);
         return this.#beginConfirm(record, now);
@@ -167,48 +158,9 @@
     }
   }
 
-  /** Why the attempt may not even queue; undefined when nothing speaks against it. */
-  #findRefusal(event: EventOf<'arrived'>): ResultCodeName | undefined {
-    const { order, group } = event;
-    if (order.name.incarnation !== this.#incarnation) {
-      return 'staleIncarnation';
-    }
-    const verdict = this.#registry.judge(order.name, event.wallNow);
-    switch (verdict.type) {
-      case 'known':
-        return 'duplicateAttempt';
-      case 'tombstoned':
-        return 'tombstoned';
-      case 'tooOld':
-        return 'attemptTooOld';
-      case 'full':
-        return 'overloaded';
-      case 'new':
-        break;
-      default:
-        return assertNever(verdict);
-    }
-    if (group === undefined) {
-      return 'unknownGroup';
-    }
-    if (group.fencingNumber !== order.fencingNumber) {
-      return 'staleFencingNumber';
-    }
-    if (order.configurationRevision < this.#revision) {
-      return 'staleConfiguration';
-    }
-    if (this.#isDraining || group.isDraining) {
-      return 'draining';
-    }
-    if (order.remaining <= 0) {
-      return 'deadlineBeforeStart';
-    }
-    return group.isWhole ? undefined : 'notWhole';
-  }
-
   /**
-   * A refusal of an arrival is remembered as a tombstone where the attempt was meant for us: the gateway takes it for
-   * "not run", so a second copy of the message, which may meet a free slot, must not run either.
+   * A refusal of an arrival leaves a tombstone: the gateway takes it for "not run", so a second copy of the message,
+   * which may meet a free slot, must not run either. A duplicate leaves none: its first copy may be running.
    */
   #refuseArrival(
     event: EventOf<'arrived'>,
@@ -217,15 +169,10 @@
   ): readonly AttemptEffect[] {
     const { order, subscriber, now } = event;
     if (code !== 'duplicateAttempt') {
-      this.#registry.ask(order.name, now);
+      this.#registry.bury(order.name, now);
     }
-    const load = this.#admissions.get(order.group)?.load ?? emptyLoad;
-    const refusal = { code, load, retryAfter, configurationRevision: this.#revision };
-    this.#lastSent.delete(subscriber);
-    return [
-      { type: 'send', subscriber, message: { type: 'refused', refusal } },
-      { type: 'closeSubscriber', subscriber },
-    ];
+    const load = this.readLoad(order.group);
+    return this.#outbox.tellLast(subscriber, this.#refusalOf(code, load, retryAfter));
   }
 
   #beginConfirm(record: AttemptRecord, now: Milliseconds): readonly AttemptEffect[] {
@@ -243,44 +190,44 @@
       return this.#refuseKnown(record, event.code, shortRetryAfter, event.now);
     }
     record.step('groupConfirmed', event.now);
-    const load = this.#admissionOf(record.order.group).load;
+    const load = this.readLoad(record.order.group);
     return [
       { type: 'startUpstream', key: record.key },
-      ...this.#tell(record, { type: 'accepted', load }, event.now),
+      ...this.#outbox.tell(record, { type: 'accepted', load }, event.now),
     ];
   }
 
   #takeHead(event: EventOf<'upstreamHead'>): readonly AttemptEffect[] {
-    const record = this.#registry.find(event.key);
-    if (record?.stage !== 'running') {
+    const record = this.#findRunning(event.key);
+    if (record === undefined) {
       return [];
     }
     const { status, headers, now } = event;
     record.setHead({ status, headers });
-    return this.#tell(record, { type: 'head', status, headers }, now);
+    return this.#outbox.tell(record, { type: 'head', status, headers }, now);
   }
 
   #takeData(event: EventOf<'upstreamData'>): readonly AttemptEffect[] {
-    const record = this.#registry.find(event.key);
-    if (record?.stage !== 'running') {
+    const record = this.#findRunning(event.key);
+    if (record === undefined) {
       return [];
     }
     const offset = record.buffer.append(event.bytes);
-    return this.#tell(record, { type: 'data', offset, bytes: event.bytes }, event.now);
+    return this.#outbox.tell(record, { type: 'data', offset, bytes: event.bytes }, event.now);
   }
 
   #takeEnd(event: EventOf<'upstreamEnded'>): readonly AttemptEffect[] {
-    const record = this.#registry.find(event.key);
-    if (record?.stage !== 'running') {
-      return [];
-    }
-    const { now, code } = event;
+    const record = this.#findRunning(event.key);
+    return record === undefined ? [] : this.#end(record, event.code, event.now);
+  }
+
+  /** Ends a running attempt, with or without a whole answer. */
+  #end(record: AttemptRecord, code: ResultCodeName, now: Milliseconds): readonly AttemptEffect[] {
     record.step('end', now, code);
     const admission = this.#admissionOf(record.order.group);
     admission.release(record.key, now, code === 'ok');
-    const message = record.describeEnd(admission.estimateRetryAfter());
     return [
-      ...this.#tell(record, message, now),
+      ...this.#outbox.tell(record, record.describeEnd(admission.estimateRetryAfter()), now),
       ...this.#finish(record, now),
       ...this.#startNext(record.order.group, now),
     ];
@@ -296,83 +243,56 @@
     const record = this.#registry.find(formatAttemptName(name));
     const chunks = record?.buffer.readFrom(offset);
     if (record === undefined || chunks === undefined || name.incarnation !== this.#incarnation) {
-      return [{ type: 'closeSubscriber', subscriber }];
-    }
-    const effects: AttemptEffect[] = [];
-    if (record.subscriber !== undefined) {
-      effects.push({ type: 'closeSubscriber', subscriber: record.subscriber });
-      this.#lastSent.delete(record.subscriber);
+      return this.#outbox.close(subscriber);
     }
-    this.#registry.attach(record, subscriber);
-    effects.push(...this.#replay(record, offset, chunks, now));
-    if (record.isOver) {
-      effects.push(...this.#finish(record, now));
-    }
-    return effects;
+    const closed = this.#outbox.close(record.subscriber);
+    this.#registry.attach(record, subscriber, now);
+    const replayed = this.#replay(record, offset, chunks, now);
+    return [...closed, ...replayed, ...(record.isOver ? this.#finish(record, now) : [])];
   }
 
-  /** All that a gateway needs to go on from an offset. */
   #replay(
     record: AttemptRecord,
     offset: number,
     chunks: readonly Uint8Array[],
     now: Milliseconds,
   ): readonly AttemptEffect[] {
-    const load = this.#admissionOf(record.order.group).load;
-    if (record.stage === 'refused') {
-      return this.#tell(record, this.#refusalOf(record.code, load, shortRetryAfter), now);
-    }
-    if (record.stage === 'queued' || record.stage === 'confirming') {
-      return this.#tell(record, { type: 'keepAlive', load }, now);
-    }
-    const effects = [...this.#tell(record, { type: 'accepted', load }, now)];
-    if (record.head !== undefined) {
-      effects.push(...this.#tell(record, { type: 'head', ...record.head }, now));
-    }
-    let position = offset;
-    for (const bytes of chunks) {
-      effects.push(...this.#tell(record, { type: 'data', offset: position, bytes }, now));
-      position += bytes.length;
-    }
-    if (record.stage === 'ended') {
-      effects.push(...this.#tell(record, record.describeEnd(0), now));
+    const load = this.readLoad(record.order.group);
+    switch (record.stage) {
+      case 'refused':
+        return this.#outbox.tell(record, this.#refusalOf(record.code, load, shortRetryAfter), now);
+      case 'queued':
+      case 'confirming':
+        return this.#outbox.tell(record, { type: 'keepAlive', load }, now);
+      case 'running':
+      case 'ended':
+        return this.#outbox.replay(record, offset, chunks, load, now);
     }
-    return effects;
   }
 
+  /** A cancellation that overtakes its attempt leaves a tombstone, so that the attempt does not run for nobody. */
   #cancel(event: EventOf<'cancelled'>): readonly AttemptEffect[] {
     const record = this.#registry.find(formatAttemptName(event.name));
     if (record === undefined) {
-      this.#registry.ask(event.name, event.now);
+      this.#registry.bury(event.name, event.now);
       return [];
     }
-    return this.#stop(record, event.now);
+    return this.#stop(record, 'cancelled', event.now);
   }
 
   /** Ends an attempt that nobody wants or that has no time left, and lets the upstream know. */
-  #stop(
-    record: AttemptRecord,
-    now: Milliseconds,
-    code: ResultCodeName = 'cancelled',
-  ): readonly AttemptEffect[] {
+  #stop(record: AttemptRecord, code: ResultCodeName, now: Milliseconds): readonly AttemptEffect[] {
     if (record.isOver) {
       return [];
     }
     if (record.stage !== 'running') {
       return this.#refuseKnown(record, 'deadlineBeforeStart', 0, now);
     }
-    record.step('end', now, code);
-    this.#admissionOf(record.order.group).release(record.key, now, false);
-    return [
-      { type: 'cancelUpstream', key: record.key },
-      ...this.#tell(record, record.describeEnd(0), now),
-      ...this.#finish(record, now),
-      ...this.#startNext(record.order.group, now),
-    ];
+    return [{ type: 'cancelUpstream', key: record.key }, ...this.#end(record, code, now)];
   }
 
   #loseSubscriber(event: EventOf<'subscriberGone'>): readonly AttemptEffect[] {
-    this.#lastSent.delete(event.subscriber);
+    this.#outbox.forget(event.subscriber);
     const record = this.#registry.findBySubscriber(event.subscriber);
     if (record !== undefined) {
       this.#registry.detach(record, event.now);
@@ -384,7 +304,7 @@
     const effects: AttemptEffect[] = [];
     for (const [group, admission] of this.#admissions) {
       for (const key of admission.expire(now)) {
-        effects.push(...this.#expire(key, admission, now));
+        effects.push(...this.#refuseExpired(key, admission, now));
       }
       effects.push(...this.#startNext(group, now));
     }
@@ -395,33 +315,31 @@
     return effects;
   }
 
-  #expire(
-    key: string,
+  #refuseExpired(
+    key: AttemptKey,
     admission: AdmissionController,
     now: Milliseconds,
   ): readonly AttemptEffect[] {
     const record = this.#registry.find(key);
-    return record === undefined
-      ? []
-      : this.#refuseKnown(record, 'overloaded', admission.estimateRetryAfter(), now);
+    const retryAfter = admission.estimateRetryAfter();
+    return record === undefined ? [] : this.#refuseKnown(record, 'overloaded', retryAfter, now);
   }
 
   /** Keep-alive for a listener; an end for an attempt without one, or without time. */
   #watch(record: AttemptRecord, now: Milliseconds): readonly AttemptEffect[] {
     const { subscriber, detachedAt } = record;
     if (now >= record.deadline) {
-      return this.#stop(record, now, 'deadlineAfterStart');
+      return this.#stop(record, 'deadlineAfterStart', now);
     }
     if (subscriber === undefined) {
       const isForgotten = now - (detachedAt ?? now) >= this.#limits.detachedGrace;
-      return isForgotten ? this.#stop(record, now) : [];
+      return isForgotten ? this.#stop(record, 'cancelled', now) : [];
     }
-    const lastSent = this.#lastSent.get(subscriber) ?? 0;
-    if (now - lastSent < this.#limits.keepAliveInterval) {
+    if (!this.#outbox.isQuiet(subscriber, now, this.#limits.keepAliveInterval)) {
       return [];
     }
-    const load = this.#admissionOf(record.order.group).load;
-    return this.#tell(record, { type: 'keepAlive', load }, now);
+    const load = this.readLoad(record.order.group);
+    return this.#outbox.tell(record, { type: 'keepAlive', load }, now);
   }
 
   #startNext(group: GroupName, now: Milliseconds): readonly AttemptEffect[] {
@@ -446,7 +364,7 @@
     admission.release(record.key, now, false);
     return [
       { type: 'dropRequest', key: record.key },
-      ...this.#tell(record, this.#refusalOf(code, admission.load, retryAfter), now),
+      ...this.#outbox.tell(record, this.#refusalOf(code, admission.load, retryAfter), now),
       ...this.#finish(record, now),
       ...this.#startNext(record.order.group, now),
     ];
@@ -458,27 +376,15 @@
   }
 
   #finish(record: AttemptRecord, now: Milliseconds): readonly AttemptEffect[] {
-    const { subscriber } = record;
-    this.#registry.noteOver(record);
+    const closed = this.#outbox.close(record.subscriber);
+    this.#registry.noteOver(record, now);
     this.#registry.detach(record, now);
-    if (subscriber === undefined) {
-      return [];
-    }
-    this.#lastSent.delete(subscriber);
-    return [{ type: 'closeSubscriber', subscriber }];
+    return closed;
   }
 
-  #tell(
-    record: AttemptRecord,
-    message: AttemptMessage,
-    now: Milliseconds,
-  ): readonly AttemptEffect[] {
-    return record.subscriber === undefined ? [] : [this.#send(record.subscriber, message, now)];
-  }
-
-  #send(subscriber: number, message: AttemptMessage, now: Milliseconds): AttemptEffect {
-    this.#lastSent.set(subscriber, now);
-    return { type: 'send', subscriber, message };
+  #findRunning(key: AttemptKey): AttemptRecord | undefined {
+    const record = this.#registry.find(key);
+    return record?.stage === 'running' ? record : undefined;
   }
 
   #admissionOf(group: GroupName): AdmissionController {
--- a/src/sidecar/attempts/attempt-registry.ts
+++ b/src/sidecar/attempts/attempt-registry.ts
@@ -7,46 +7,36 @@
 
 /** Bounds on what a sidecar remembers of attempts. */
 export interface RegistryLimits {
-  /**
-   * An attempt whose request is older than this, by wall clocks, is refused.
-   * It must be longer than the longest time a gateway gives a request.
-   */
-  readonly maximumRequestAge: Milliseconds;
-  /** How far the wall clocks of gateway and sidecar may differ. */
-  readonly maximumClockSkew: Milliseconds;
+  /** How long the outcome of an attempt or a tombstone stays; longer than any request may take. */
+  readonly memory: Milliseconds;
+  /** How far a gateway's wall clock may be ahead. */
+  readonly maximumClockLead: Milliseconds;
   /** How long the bytes of an ended answer can still be taken up again. */
   readonly resumeWindow: Milliseconds;
-  /** Memory bound: attempts and tombstones remembered; new attempts are refused beyond it. */
-  readonly maximumRecords: number;
+  /** Memory bound: outcomes and tombstones remembered; the oldest are forgotten first. */
+  readonly maximumRemembered: number;
   /** Memory bound: bytes of ended answers kept for taking them up again; the oldest go first. */
   readonly maximumEndedBytes: number;
 }
 
-/** Bounds for the sizes of letter 1: 23 attempts a second leave some 18,000 records. */
+/** Bounds for the sizes of letter 1: 23 attempts a second leave some 17,000 outcomes. */
 export const defaultRegistryLimits: RegistryLimits = {
-  maximumRequestAge: 10 * 60_000,
-  maximumClockSkew: 60_000,
+  memory: 12 * 60_000,
+  maximumClockLead: 60_000,
   resumeWindow: 30_000,
-  maximumRecords: 100_000,
+  maximumRemembered: 100_000,
   maximumEndedBytes: 32 * 1024 * 1024,
 };
 
-/**
- * How long the outcome of an attempt or a tombstone stays: longer than any message that is not refused for its age can
- * be under way. The rule: `maximumRequestAge` (the last moment at which the attempt would be let in, by the sidecar's
- * clock) plus twice the clock skew (made early by a slow clock, judged late by a fast one).
- */
-export function memoryDuration(limits: RegistryLimits): Milliseconds {
-  return limits.maximumRequestAge + 2 * limits.maximumClockSkew;
-}
-
 /** What the registry knows of a newly arrived attempt. */
-export type ArrivalVerdict =
-  | { readonly type: 'new' }
-  | { readonly type: 'known' }
-  | { readonly type: 'tombstoned' }
-  | { readonly type: 'tooOld' }
-  | { readonly type: 'full' };
+export type ArrivalVerdict = 'new' | 'known' | 'tombstoned' | 'tooOld';
+
+/** A tombstone, or an attempt that is over. */
+interface Remembered {
+  readonly record: AttemptRecord | undefined;
+  readonly since: Milliseconds;
+  readonly requestTime: WallTime;
+}
 
 /**
  * Which attempts this sidecar has seen, so that none starts twice and none starts that was declared not run.
@@ -54,17 +44,22 @@
  * What goes wrong without it: a gateway's connection goes silent with the attempt still in some buffer; the gateway
  * asks after it, hears "never seen", and sends the request elsewhere; then the buffer drains and the request runs twice.
  * The tombstone left by the question refuses the late copy.
+ *
+ * Expiry: whatever is forgotten, by age or because memory is full, raises a watermark to the wall time at which its
+ * request was made. An unknown attempt whose request is not younger than the watermark is refused, so a message that
+ * comes after its tombstone was forgotten cannot start either, however late it is and whatever the clocks say.
  */
 export class AttemptRegistry {
   readonly #incarnation: Incarnation;
   readonly #limits: RegistryLimits;
-  readonly #records = new Map<AttemptKey, AttemptRecord>();
-  /** Monotonic time of the question that made each tombstone; oldest first. */
-  readonly #tombstones = new Map<AttemptKey, Milliseconds>();
-  /** Records that are over, oldest first. */
-  readonly #over = new Set<AttemptRecord>();
+  readonly #live = new Map<AttemptKey, AttemptRecord>();
+  /** Oldest first. */
+  readonly #remembered = new Map<AttemptKey, Remembered>();
+  /** Ended attempts whose bytes are still held, oldest first. */
+  readonly #resumable = new Set<AttemptRecord>();
   readonly #bySubscriber = new Map<SubscriberId, AttemptRecord>();
   #endedBytes = 0;
+  #watermark: WallTime = Number.NEGATIVE_INFINITY;
 
   constructor(incarnation: Incarnation, limits: RegistryLimits) {
     this.#incarnation = incarnation;
@@ -73,7 +68,7 @@
 
   /** Number of attempts and tombstones remembered. */
   get size(): number {
-    return this.#records.size + this.#tombstones.size;
+    return this.#live.size + this.#remembered.size;
   }
 
   /** Bytes of ended answers held. */
@@ -82,47 +77,50 @@
   }
 
   /** Attempts that are not over. */
-  get unfinished(): readonly AttemptRecord[] {
-    return [...this.#records.values()].filter((record) => !record.isOver);
+  get unfinished(): Iterable<AttemptRecord> {
+    return this.#live.values();
   }
 
   /** Number of attempts that are not over. */
   get unfinishedCount(): number {
-    return this.#records.size - this.#over.size;
+    return this.#live.size;
   }
 
   /** Judges an attempt that has just come. */
   judge(name: AttemptName, wallNow: WallTime): ArrivalVerdict {
     const key = formatAttemptName(name);
-    if (this.#tombstones.has(key)) {
-      return { type: 'tombstoned' };
-    }
-    if (this.#records.has(key)) {
-      return { type: 'known' };
+    const remembered = this.#remembered.get(key);
+    if (remembered !== undefined && remembered.record === undefined) {
+      return 'tombstoned';
     }
-    if (!this.#isYoung(name, wallNow)) {
-      return { type: 'tooOld' };
+    if (remembered !== undefined || this.#live.has(key)) {
+      return 'known';
     }
-    return this.size >= this.#limits.maximumRecords ? { type: 'full' } : { type: 'new' };
+    const madeAt = readRequestTime(name.requestId);
+    const isJudged =
+      madeAt !== undefined &&
+      madeAt > this.#watermark &&
+      madeAt <= wallNow + this.#limits.maximumClockLead;
+    return isJudged ? 'new' : 'tooOld';
   }
 
   add(record: AttemptRecord): void {
-    this.#records.set(record.key, record);
+    this.#live.set(record.key, record);
     if (record.subscriber !== undefined) {
       this.#bySubscriber.set(record.subscriber, record);
     }
   }
 
   find(key: AttemptKey): AttemptRecord | undefined {
-    return this.#records.get(key);
+    return this.#live.get(key) ?? this.#remembered.get(key)?.record;
   }
 
   findBySubscriber(subscriber: SubscriberId): AttemptRecord | undefined {
     return this.#bySubscriber.get(subscriber);
   }
 
-  attach(record: AttemptRecord, subscriber: SubscriberId): void {
-    this.detach(record, 0);
+  attach(record: AttemptRecord, subscriber: SubscriberId, now: Milliseconds): void {
+    this.detach(record, now);
     record.attach(subscriber);
     this.#bySubscriber.set(subscriber, record);
   }
@@ -139,58 +137,76 @@
     if (name.incarnation !== this.#incarnation) {
       return { type: 'otherIncarnation' };
     }
-    const key = formatAttemptName(name);
-    const record = this.#records.get(key);
+    const record = this.find(formatAttemptName(name));
     if (record !== undefined) {
       return record.describe();
     }
-    this.#tombstones.delete(key);
-    this.#tombstones.set(key, now);
+    this.bury(name, now);
     return { type: 'neverSeen' };
   }
 
+  /** Leaves a tombstone: an attempt that is not known now will never run here. */
+  bury(name: AttemptName, now: Milliseconds): void {
+    const key = formatAttemptName(name);
+    if (!this.#live.has(key) && !this.#remembered.has(key)) {
+      this.#remember(key, undefined, name, now);
+    }
+  }
+
   /** Called once for a record that is over. */
-  noteOver(record: AttemptRecord): void {
-    if (!this.#over.has(record)) {
-      this.#over.add(record);
-      this.#endedBytes += record.buffer.size;
-      this.#boundBytes();
+  noteOver(record: AttemptRecord, now: Milliseconds): void {
+    if (!this.#live.delete(record.key)) {
+      return;
     }
+    this.#remember(record.key, record, record.name, now);
+    this.#resumable.add(record);
+    this.#endedBytes += record.buffer.size;
+    this.#boundBytes();
   }
 
-  /** Forgets what is older than the rule says. */
+  /** Forgets what is older than the limits say. */
   expire(now: Milliseconds): void {
-    const duration = memoryDuration(this.#limits);
-    for (const [key, at] of this.#tombstones) {
-      if (now - at < duration) {
+    for (const record of this.#resumable) {
+      if (now - record.changedAt < this.#limits.resumeWindow) {
         break;
       }
-      this.#tombstones.delete(key);
+      this.#dropBytes(record);
     }
-    for (const record of this.#over) {
-      const age = now - record.changedAt;
-      if (age < this.#limits.resumeWindow) {
+    for (const [key, remembered] of this.#remembered) {
+      if (now - remembered.since < this.#limits.memory) {
         break;
       }
-      this.#dropBytes(record);
-      if (age >= duration) {
-        this.#over.delete(record);
-        this.#records.delete(record.key);
-      }
+      this.#forget(key, remembered);
     }
   }
 
-  #isYoung(name: AttemptName, wallNow: WallTime): boolean {
-    const madeAt = readRequestTime(name.requestId);
-    if (madeAt === undefined) {
-      return false;
+  #remember(
+    key: AttemptKey,
+    record: AttemptRecord | undefined,
+    name: AttemptName,
+    now: Milliseconds,
+  ): void {
+    const requestTime = readRequestTime(name.requestId) ?? Number.NEGATIVE_INFINITY;
+    this.#remembered.set(key, { record, since: now, requestTime });
+    if (this.#remembered.size <= this.#limits.maximumRemembered) {
+      return;
+    }
+    for (const [oldestKey, oldest] of this.#remembered) {
+      this.#forget(oldestKey, oldest);
+      return;
+    }
+  }
+
+  #forget(key: AttemptKey, remembered: Remembered): void {
+    this.#remembered.delete(key);
+    this.#watermark = Math.max(this.#watermark, remembered.requestTime);
+    if (remembered.record !== undefined) {
+      this.#dropBytes(remembered.record);
     }
-    const age = wallNow - madeAt;
-    return age >= -this.#limits.maximumClockSkew && age <= this.#limits.maximumRequestAge;
   }
 
   #boundBytes(): void {
-    for (const record of this.#over) {
+    for (const record of this.#resumable) {
       if (this.#endedBytes <= this.#limits.maximumEndedBytes) {
         return;
       }
@@ -199,7 +215,9 @@
   }
 
   #dropBytes(record: AttemptRecord): void {
-    this.#endedBytes -= record.buffer.size;
-    record.buffer.clear();
+    if (this.#resumable.delete(record)) {
+      this.#endedBytes -= record.buffer.size;
+      record.buffer.clear();
+    }
   }
 }
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -26,11 +26,8 @@
   type Incarnation,
   type Revision,
 } from '../../model/index.js';
-import {
-  AttemptController,
-  defaultAttemptLimits,
-  type AttemptLimits,
-} from './attempt-controller.js';
+import { AttemptController } from './attempt-controller.js';
+import { defaultAttemptLimits, type AttemptLimits } from './limits.js';
 import type {
   AttemptEffect,
   AttemptEvent,
--- a/src/sidecar/attempts/index.ts
+++ b/src/sidecar/attempts/index.ts
@@ -1,8 +1,4 @@
-export {
-  AttemptController,
-  defaultAttemptLimits,
-  type AttemptLimits,
-} from './attempt-controller.js';
+export { AttemptController } from './attempt-controller.js';
 export {
   AttemptService,
   createAttemptService,
@@ -19,5 +15,6 @@
   SubscriberId,
   UpstreamRequest,
 } from './messages.js';
+export { defaultAttemptLimits, type AttemptLimits } from './limits.js';
 export { createRequestId, readRequestTime } from './request-identifier.js';
 export { HttpUpstreamCaller, type UpstreamAnswer, type UpstreamCaller } from './upstream-caller.js';
