--- a/__tests__/placement/plan.test.ts
+++ b/__tests__/placement/plan.test.ts
@@ -196,6 +196,20 @@
     expect(decision.place[0]?.members).toHaveLength(4);
   });
 
+  it('places a group anew when its lead has restarted', () => {
+    // Symptom: a group with all its members never serves again. Sequence: the sidecar that leads it restarts. Cause: gateways
+    // name the incarnation that the placement names, and the new start refuses attempts meant for the old one.
+    const lead = listMembers(first)[0] ?? '';
+    const hosts = withFacts(tenAndTen, lead, { incarnation: 'restarted' });
+    const broken = groups.map((placed) =>
+      placed === first ? { group: first.group, health: undefined } : placed,
+    );
+    const decision = planPlacement(createInput({ hosts, groups: broken }));
+    expect(decision.place.map(({ members }) => members[0])).toEqual([
+      { host: lead, address: `${lead}:1`, incarnation: 'restarted' },
+    ]);
+  });
+
   it('repairs a second loss right after a repair', () => {
     // Symptom: a group stays down although a spare is idle. Sequence: a member is lost, a spare takes its place, the spare
     // is lost before the group served again. Cause to keep out: taking the group as under repair and leaving it alone.
--- a/src/placement/host-facts.ts
+++ b/src/placement/host-facts.ts
@@ -1,28 +1,14 @@
-import type { HostOverride } from '../control/state/index.js';
 import {
   isArtifactCovered,
   isSelected,
   type Artifact,
   type GroupDeclaration,
-  type HostFacts,
-  type Labels,
   type Offer,
 } from '../model/index.js';
 import type { PlacementHost } from './types.js';
 
 /** Questions about one host. */
 
-/** Facts of a host with what operators have set on it in control. */
-export function applyOverride(facts: HostFacts, override: HostOverride | undefined): HostFacts {
-  if (override === undefined) {
-    return facts;
-  }
-  const entries = Object.entries({ ...facts.labels, ...override.labels });
-  const kept = entries.filter((entry): entry is [string, string] => entry[1] !== null);
-  const labels: Labels = Object.fromEntries(kept);
-  return { ...facts, labels, isDraining: facts.isDraining || override.isDraining };
-}
-
 /** Whether the host can work now: there, not held back, its upstream well. */
 export function isUsable(host: PlacementHost): boolean {
   return host.availability.type === 'present' && host.facts.isHealthy;
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,5 +1,5 @@
 export { acrossFabricValue } from './cost.js';
-export { applyOverride, isUsable } from './host-facts.js';
+export { isUsable } from './host-facts.js';
 export { planPlacement } from './plan.js';
 export type {
   HostAvailability,
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -1,4 +1,9 @@
-import type { DeclarationName, Group, GroupDeclaration } from '../model/index.js';
+import {
+  findLead,
+  type DeclarationName,
+  type Group,
+  type GroupDeclaration,
+} from '../model/index.js';
 import { formGroups, type Demand } from './forming.js';
 import { inspectGroup, type GroupCondition } from './inspection.js';
 import { mergeGroups, repairGroups, swapLoadingMembers, type BrokenGroup } from './repair.js';
@@ -54,7 +59,10 @@
   return condition.type === 'kept';
 }
 
-/** A group on its way to serve takes loaded spares for members that still load, and the new addresses of members that moved. */
+/**
+ * A group on its way to serve takes loaded spares for members that still load, and what its members are now:
+ * a member reached at an old address, or a lead named by an earlier start, would never serve.
+ */
 function refreshKept(plan: WorkingPlan, { placed, declaration }: InspectedGroup): void {
   const { group, health } = placed;
   if (health?.isServing === true || declaration === undefined) {
@@ -64,7 +72,8 @@
   const hasMoved = group.members.some(
     (member, index) => hosts[index]?.facts.address !== member.address,
   );
-  if (hasMoved) {
+  const hasNewLead = hosts[0]?.facts.incarnation !== findLead(group).incarnation;
+  if (hasMoved || hasNewLead) {
     const { name, offer } = group;
     plan.place({ name, declaration: declaration.name, members: hosts.map(toMember), offer }, hosts);
     return;
--- a/src/placement/services.ts
+++ b/src/placement/services.ts
@@ -1,4 +1,4 @@
-import { isSelected, type ServiceDeclaration } from '../model/index.js';
+import { findLead, isSelected, type Group, type ServiceDeclaration } from '../model/index.js';
 import { isUsable } from './host-facts.js';
 import type { PlacementHost } from './types.js';
 import { toMember, type WorkingPlan } from './working-plan.js';
@@ -45,7 +45,7 @@
       plan.dissolve(group.name);
     } else if (!group.isDraining && (declaration === undefined || !isOffering(host, declaration))) {
       plan.drain(group);
-    } else if (host.facts.address !== group.members[0]?.address && isUsable(host)) {
+    } else if (hasMoved(host, group) && isUsable(host)) {
       const { name, declaration: declarationName, offer } = group;
       plan.place({ name, declaration: declarationName, members: [toMember(host)], offer }, [host]);
     }
@@ -57,3 +57,9 @@
   const isOffered = upstream?.type === 'service' && upstream.service === declaration.name;
   return isOffered && !isDraining && isSelected(labels, declaration.hosts);
 }
+
+/** A restarted sidecar leads under its new incarnation only. */
+function hasMoved({ facts }: PlacementHost, group: Group): boolean {
+  const lead = findLead(group);
+  return facts.address !== lead.address || facts.incarnation !== lead.incarnation;
+}
--- /dev/null
+++ b/src/sidecar/drain/index.ts
@@ -0,0 +1,2 @@
+export { DrainController, type DrainEffect, type DrainEvent } from './drain-controller.js';
+export type { DrainState } from './drain-machine.js';
