Property tests of the leases over random histories, with mutants

Cause: the two invariants (whole only with every member's standing lease, no host in two groups) must hold in every order of loss, doubling, reordering, freezes, restarts and drifting clocks. Ruled out: a check of the member's answers alone (it would not see a lead that counts too long); checking only that no two groups overlap (it leaves the drift margin untested).

--- /dev/null
+++ b/__tests__/lease/world.ts
@@ -0,0 +1,424 @@
+import {
+  LeaseLead,
+  LeaseMember,
+  type LeaseAnswer,
+  type LeaseLeadEffect,
+  type LeaseLeadOptions,
+  type LeaseMemberOptions,
+  type LeaseQuestion,
+} from '../../src/lease/index.js';
+import { findLead, type Group } from '../../src/model/index.js';
+
+/** A few hosts with clocks of their own and a bag of messages between them: all that can go wrong is a step. */
+
+export const duration = 1000;
+
+/** Makes the classes under test; mutants come in here. */
+export interface LeaseClasses {
+  readonly createMember: (options: LeaseMemberOptions) => LeaseMember;
+  readonly createLead: (options: LeaseLeadOptions) => LeaseLead;
+}
+
+export const realClasses: LeaseClasses = {
+  createMember: (options) => new LeaseMember(options),
+  createLead: (options) => new LeaseLead(options),
+};
+
+/** A step of a history. */
+export type Step =
+  | { readonly type: 'pass'; readonly milliseconds: number }
+  | { readonly type: 'deliver' | 'double' | 'lose'; readonly index: number }
+  | { readonly type: 'deliverAll' }
+  | {
+      readonly type: 'restart' | 'freeze' | 'thaw' | 'learn' | 'sicken' | 'cure' | 'drain' | 'cut';
+      readonly host: number;
+    }
+  | { readonly type: 'place'; readonly members: readonly number[] };
+
+type Message =
+  | { readonly type: 'question'; readonly to: number; readonly question: LeaseQuestion }
+  | {
+      readonly type: 'answer';
+      readonly to: number;
+      readonly lead: LeaseLead;
+      readonly answer: LeaseAnswer;
+    };
+
+interface Host {
+  readonly index: number;
+  readonly rate: number;
+  start: number;
+  member: LeaseMember;
+  /** By fencing number. */
+  readonly leads: Map<number, { readonly group: Group; readonly lead: LeaseLead; wakeAt: number }>;
+  isFrozen: boolean;
+  isDraining: boolean;
+}
+
+/** Steps real members and leads through a history; `check` says what is wrong with the present moment. */
+export class LeaseWorld {
+  readonly #classes: LeaseClasses;
+  readonly #hosts: readonly Host[];
+  #now = 0;
+  #messages: readonly Message[] = [];
+  #groups: readonly Group[] = [];
+  #fencingNumber = 0;
+  /** When, and in which start, a member last granted a placement: `member/fencing number`. */
+  readonly #grants = new Map<string, { readonly at: number; readonly start: number }>();
+
+  /** `rates` are how fast the hosts' clocks run against true time. */
+  constructor(rates: readonly number[], classes: LeaseClasses = realClasses) {
+    this.#classes = classes;
+    this.#hosts = rates.map((rate, index) => ({
+      index,
+      rate,
+      start: 1,
+      member: this.#createMember(index, 1),
+      leads: new Map(),
+      isFrozen: false,
+      isDraining: false,
+    }));
+    for (const host of this.#hosts) {
+      this.#startMember(host);
+    }
+  }
+
+  get newestFencingNumber(): number {
+    return this.#fencingNumber;
+  }
+
+  step(step: Step): void {
+    switch (step.type) {
+      case 'pass':
+        this.#pass(step.milliseconds);
+        return;
+      case 'deliver':
+      case 'double':
+      case 'lose':
+        this.#moveMessage(step.type, step.index);
+        return;
+      case 'deliverAll':
+        this.#deliverAll();
+        return;
+      case 'place':
+        this.#place(step.members);
+        return;
+      case 'restart':
+      case 'freeze':
+      case 'thaw':
+      case 'learn':
+      case 'sicken':
+      case 'cure':
+      case 'drain':
+      case 'cut':
+        this.#stepHost(step.type, this.#host(step.host));
+    }
+  }
+
+  /** Ends all faults and lets three leases pass; the newest placement must then be whole. */
+  heal(): void {
+    for (const host of this.#hosts) {
+      host.isFrozen = false;
+      if (host.isDraining) {
+        this.#restart(host);
+      }
+    }
+    for (let time = 0; time < 3 * duration; time += duration / 8) {
+      this.#hosts.forEach((host) => {
+        this.#learn(host);
+        this.#setHealth(host, true);
+      });
+      this.#pass(duration / 8);
+      this.#deliverAll();
+    }
+  }
+
+  /** Fencing numbers of the placements that would admit an attempt at this moment. */
+  listWhole(): readonly number[] {
+    return this.#listLeads()
+      .filter(({ host, lead }) => lead.isWhole(this.#clock(host)))
+      .map(({ group }) => group.fencingNumber);
+  }
+
+  /** What must never be: undefined when all is well. */
+  check(): string | undefined {
+    const holders = new Map<string, number>();
+    for (const { host, group, lead } of this.#listLeads()) {
+      if (!lead.isWhole(this.#clock(host))) {
+        continue;
+      }
+      for (const { host: name } of group.members) {
+        const other = holders.get(name);
+        if (other !== undefined && other !== group.fencingNumber) {
+          return `${name} serves in ${other} and ${group.fencingNumber}`;
+        }
+        holders.set(name, group.fencingNumber);
+        const fault = this.#checkMember(name, group);
+        if (fault !== undefined) {
+          return fault;
+        }
+      }
+    }
+    return undefined;
+  }
+
+  /** On the member's own clock its lease still stands; or it restarted within one lease, waits, and vouches for nobody. */
+  #checkMember(name: string, group: Group): string | undefined {
+    const host = this.#host(Number(name));
+    const holder = host.member.holder(this.#clock(host));
+    if (holder?.fencingNumber === group.fencingNumber) {
+      return undefined;
+    }
+    const grant = this.#grants.get(`${name}/${group.fencingNumber}`);
+    const isWaiting = grant !== undefined && grant.start < host.start && holder === undefined;
+    if (isWaiting && this.#now - grant.at < duration) {
+      return undefined;
+    }
+    return `${group.fencingNumber} is whole without ${name}, held by ${holder?.fencingNumber ?? 'none'}`;
+  }
+
+  #stepHost(type: Extract<Step, { readonly host: number }>['type'], host: Host): void {
+    switch (type) {
+      case 'restart':
+        this.#restart(host);
+        return;
+      case 'freeze':
+        host.isFrozen = true;
+        return;
+      case 'thaw':
+        host.isFrozen = false;
+        this.#tick(host);
+        return;
+      case 'learn':
+        this.#learn(host);
+        return;
+      case 'sicken':
+      case 'cure':
+        this.#setHealth(host, type === 'cure');
+        return;
+      case 'drain':
+        this.#drain(host);
+        return;
+      case 'cut':
+        this.#cut(host);
+    }
+  }
+
+  #pass(milliseconds: number): void {
+    this.#now += milliseconds;
+    for (const host of this.#hosts) {
+      this.#tick(host);
+    }
+  }
+
+  #tick(host: Host): void {
+    if (host.isFrozen) {
+      return;
+    }
+    for (const held of host.leads.values()) {
+      if (held.wakeAt <= this.#clock(host)) {
+        this.#carryOut(held, held.lead.handle({ type: 'ticked', now: this.#clock(host) }));
+      }
+    }
+  }
+
+  #deliverAll(): void {
+    for (let round = 0; round < 4; round += 1) {
+      const waiting = this.#messages;
+      this.#messages = [];
+      for (const message of waiting) {
+        this.#deliver(message);
+      }
+    }
+  }
+
+  #moveMessage(type: 'deliver' | 'double' | 'lose', index: number): void {
+    const message = this.#messages[index % Math.max(1, this.#messages.length)];
+    if (message === undefined) {
+      return;
+    }
+    if (type !== 'double') {
+      this.#messages = this.#messages.filter((other) => other !== message);
+    }
+    if (type !== 'lose') {
+      this.#deliver(message);
+    }
+  }
+
+  /** A message to a frozen host waits; an answer to a lead that is no more has no connection to come in on. */
+  #deliver(message: Message): void {
+    const host = this.#host(message.to);
+    if (host.isFrozen) {
+      this.#messages = [...this.#messages, message];
+      return;
+    }
+    const now = this.#clock(host);
+    if (message.type === 'question') {
+      for (const { answer } of host.member.handle({
+        type: 'asked',
+        now,
+        question: message.question,
+      })) {
+        this.#send(host, answer, Number(message.question.lead));
+      }
+      return;
+    }
+    const held = host.leads.get(message.answer.fencingNumber);
+    if (held?.lead === message.lead) {
+      const event = { type: 'answered', now, answer: message.answer } as const;
+      this.#carryOut(held, held.lead.handle(event));
+    }
+  }
+
+  #send(host: Host, answer: LeaseAnswer, to: number): void {
+    const lead = this.#host(to).leads.get(answer.fencingNumber)?.lead;
+    if (answer.verdict.type === 'granted' && answer.verdict.duration > 0) {
+      const grant = { at: this.#now, start: host.start };
+      this.#grants.set(`${host.index}/${answer.fencingNumber}`, grant);
+    }
+    if (lead !== undefined) {
+      this.#messages = [...this.#messages, { type: 'answer', to, lead, answer }];
+    }
+  }
+
+  #carryOut(held: { wakeAt: number }, effects: readonly LeaseLeadEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'ask') {
+        const { question, member } = effect;
+        const to = Number(member.host);
+        this.#messages = [...this.#messages, { type: 'question', to, question }];
+      } else if (effect.type === 'wake') {
+        held.wakeAt = effect.at;
+      }
+    }
+  }
+
+  #place(members: readonly number[]): void {
+    this.#fencingNumber += 1;
+    const names = [...new Set(members.map((member) => this.#host(member).index))];
+    this.#groups = [
+      ...this.#groups.filter(
+        (group) => !group.members.some(({ host }) => names.includes(Number(host))),
+      ),
+      createGroup(this.#fencingNumber, names),
+    ];
+  }
+
+  /** A host hears of control's present placements; one that hears nothing goes on with what it knew. */
+  #learn(host: Host): void {
+    const now = this.#clock(host);
+    for (const [fencingNumber, held] of host.leads) {
+      if (!this.#groups.includes(held.group)) {
+        this.#carryOut(held, held.lead.handle({ type: 'dissolved', now }));
+        host.leads.delete(fencingNumber);
+      }
+    }
+    for (const group of this.#groups) {
+      const { name, fencingNumber } = group;
+      if (group.members.some((member) => member.host === String(host.index))) {
+        const event = {
+          type: 'readinessChanged',
+          now,
+          group: name,
+          fencingNumber,
+          isReady: true,
+        } as const;
+        host.member.handle(event);
+      }
+      if (findLead(group).host === String(host.index) && !host.leads.has(fencingNumber)) {
+        this.#lead(host, group);
+      }
+    }
+  }
+
+  #lead(host: Host, group: Group): void {
+    const incarnation = `${host.index}/${host.start}`;
+    const timing = { duration, confirmBatch: 3, confirmTimeout: 50 };
+    const lead = this.#classes.createLead({ group, incarnation, ...timing });
+    const held = { group, lead, wakeAt: Infinity };
+    host.leads.set(group.fencingNumber, held);
+    this.#carryOut(held, lead.handle({ type: 'started', now: this.#clock(host) }));
+  }
+
+  #restart(host: Host): void {
+    host.start += 1;
+    host.leads.clear();
+    host.isFrozen = false;
+    host.isDraining = false;
+    host.member = this.#createMember(host.index, host.start);
+    this.#startMember(host);
+  }
+
+  #startMember(host: Host): void {
+    host.member.handle({ type: 'started', now: this.#clock(host) });
+    this.#setHealth(host, true);
+  }
+
+  #setHealth(host: Host, isHealthy: boolean): void {
+    const now = this.#clock(host);
+    for (const { to, answer } of host.member.handle({ type: 'healthChanged', now, isHealthy })) {
+      this.#send(host, answer, Number(to));
+    }
+  }
+
+  #drain(host: Host): void {
+    host.isDraining = true;
+    const now = this.#clock(host);
+    for (const { to, answer } of host.member.handle({ type: 'drainRequested', now })) {
+      this.#send(host, answer, Number(to));
+    }
+  }
+
+  /** All connections of leads to this host close. */
+  #cut(host: Host): void {
+    for (const { host: other, lead, held } of this.#listLeads()) {
+      const event = {
+        type: 'connectionClosed',
+        now: this.#clock(other),
+        member: String(host.index),
+      } as const;
+      if (!other.isFrozen) {
+        this.#carryOut(held, lead.handle(event));
+      }
+    }
+  }
+
+  #listLeads() {
+    return this.#hosts.flatMap((host) =>
+      [...host.leads.values()].map((held) => ({ host, group: held.group, lead: held.lead, held })),
+    );
+  }
+
+  #createMember(index: number, start: number): LeaseMember {
+    const incarnation = `${index}/${start}`;
+    return this.#classes.createMember({ host: String(index), incarnation, longestLease: duration });
+  }
+
+  /** Each clock started at another moment and runs at its own rate. */
+  #clock(host: Host): number {
+    return 100_000 * host.index + this.#now * host.rate;
+  }
+
+  #host(index: number): Host {
+    const host = this.#hosts[index % this.#hosts.length];
+    if (host === undefined) {
+      throw new Error('a world without hosts');
+    }
+    return host;
+  }
+}
+
+function createGroup(fencingNumber: number, members: readonly number[]): Group {
+  return {
+    name: `assist/${fencingNumber}`,
+    declaration: 'assist',
+    fencingNumber,
+    members: members.map((member) => ({
+      host: String(member),
+      address: `${member}`,
+      incarnation: '',
+    })),
+    offer: { type: 'service', service: 'assist' },
+    isDraining: false,
+  };
+}
--- a/src/lease/held-lease.ts
+++ b/src/lease/held-lease.ts
@@ -37,14 +37,18 @@
     return this.#retryAt;
   }
 
-  /** Records a question that leaves now and returns its sequence. */
+  /**
+   * Records a question that leaves now and returns its sequence.
+   * Sequences start at the clock's milliseconds, which grow faster than questions are asked: a lead that is set up
+   * again within one start of the sidecar must not be taken for one that its former self released.
+   */
   noteAsked(now: Milliseconds, duration: Milliseconds): number {
     for (const [sequence, sentAt] of this.#pending) {
       if (sentAt + duration <= now) {
         this.#pending.delete(sequence);
       }
     }
-    this.#sequence += 1;
+    this.#sequence = Math.max(this.#sequence + 1, Math.floor(now));
     this.#pending.set(this.#sequence, now);
     this.#retryAt = Infinity;
     return this.#sequence;
--- a/src/lease/member.ts
+++ b/src/lease/member.ts
@@ -199,7 +199,9 @@
   /** A question sent before the release and delivered after it: granting it would block the host for nothing. */
   #isAfterRelease(question: LeaseQuestion): boolean {
     const release = this.#lastRelease;
-    return release !== undefined && isSameLead(release, question);
+    return (
+      release !== undefined && isSameLead(release, question) && question.sequence < release.sequence
+    );
   }
 
   #changeReadiness(
