Proofs of the data folder, golden sessions, and a differential test

Cause: storage had no test, and the core none that a person can read or that compares answers. A first probe carries the leader's first entry, and followers hear of a commit with the next tick (50 ms) instead of the next heartbeat (250 ms): both seen in the golden sessions.

--- a/__tests__/consensus/simulation/simulated-cluster.ts
+++ b/__tests__/consensus/simulation/simulated-cluster.ts
@@ -15,7 +15,18 @@
   readonly mutation: Mutation;
 }
 
-interface Envelope {
+/** Told what happens, for the transcripts of golden sessions. */
+export interface ClusterWatch {
+  readonly arrived: (now: number, envelope: Envelope) => void;
+  readonly carriedOut: (now: number, host: string, effect: ConsensusEffect) => void;
+}
+
+const noWatch: ClusterWatch = {
+  arrived: () => undefined,
+  carriedOut: () => undefined,
+};
+
+export interface Envelope {
   readonly from: string;
   readonly to: string;
   readonly message: ConsensusMessage;
@@ -36,7 +47,9 @@
 export class SimulatedCluster {
   readonly history = new History();
   readonly hosts: readonly SimulatedHost[];
+  readonly confirmedReads = new Map<number, readonly number[]>();
   readonly #mutation: Mutation;
+  readonly #watch: ClusterWatch;
   #network: Envelope[] = [];
   #now = 0;
   #lastValue = 0;
@@ -44,8 +57,9 @@
   /** Snapshots that a follower took in place of its log. */
   restoreCount = 0;
 
-  constructor({ size, seed, mutation }: ClusterOptions) {
+  constructor({ size, seed, mutation }: ClusterOptions, watch: ClusterWatch = noWatch) {
     this.#mutation = mutation;
+    this.#watch = watch;
     const names = ['a', 'b', 'c', 'd', 'e'].slice(0, size);
     this.hosts = names.map((name, position) => {
       const peers = names.filter((peer) => peer !== name);
@@ -150,9 +164,8 @@
     }
   }
 
-  propose(host: SimulatedHost): number {
-    this.#lastValue += 1;
-    const value = this.#lastValue;
+  /** Proposes a new value, or one that was proposed before. */
+  propose(host: SimulatedHost, value = this.#createValue()): number {
     const wasLeading = host.isLeading && host.condition === 'running';
     const proposals = [{ proposalId: value, command: String(value) }];
     this.handle(host, { type: 'proposed', proposals });
@@ -162,10 +175,13 @@
     return value;
   }
 
-  read(host: SimulatedHost): void {
+  /** Asks for a read; its values are in `confirmedReads` once it is known not to be stale. */
+  read(host: SimulatedHost): number {
     this.#lastReadId += 1;
-    this.history.observeReadRequest(this.#lastReadId);
-    this.handle(host, { type: 'readRequested', readId: this.#lastReadId });
+    const readId = this.#lastReadId;
+    this.history.observeReadRequest(readId);
+    this.handle(host, { type: 'readRequested', readId });
+    return readId;
   }
 
   takeSnapshot(host: SimulatedHost): void {
@@ -228,10 +244,17 @@
       this.#network.push({ from, to, message });
       return;
     }
+    this.#watch.arrived(this.#now, { from, to, message });
     this.handle(host, { type: 'received', from, message });
   }
 
+  #createValue(): number {
+    this.#lastValue += 1;
+    return this.#lastValue;
+  }
+
   #carryOut(host: SimulatedHost, effect: ConsensusEffect): void {
+    this.#watch.carriedOut(this.#now, host.name, effect);
     switch (effect.type) {
       case 'send':
         this.#network.push({ from: host.name, to: effect.to, message: effect.message });
@@ -259,6 +282,7 @@
         return;
       case 'readConfirmed':
         this.history.observeRead(effect.readId, host.machine.values);
+        this.confirmedReads.set(effect.readId, host.machine.values);
         return;
       case 'readFailed':
       case 'membershipAnswered':
--- /dev/null
+++ b/__tests__/storage/memory-file-system.ts
@@ -0,0 +1,115 @@
+import { basename, dirname } from 'node:path';
+
+import type { AppendFile, FileSystem } from '../../src/storage/index.js';
+
+interface MemoryFile {
+  content: Buffer;
+  synced: Buffer;
+}
+
+/** Files in memory; content counts once its file is synced, a name once its folder is. */
+export class MemoryFileSystem implements FileSystem {
+  #names = new Map<string, MemoryFile>();
+  #syncedNames = new Map<string, MemoryFile>();
+  /** Operations until the disk refuses everything. */
+  remainingOperations = Number.POSITIVE_INFINITY;
+  syncCount = 0;
+
+  /** Loses what was not synced, but for the first bytes of what was appended last. */
+  crash(keptBytes: number): void {
+    this.remainingOperations = Number.POSITIVE_INFINITY;
+    for (const file of this.#syncedNames.values()) {
+      const isAppended = file.content.subarray(0, file.synced.length).equals(file.synced);
+      const length = file.synced.length + keptBytes;
+      file.content = isAppended ? file.content.subarray(0, length) : file.synced;
+      file.synced = file.content;
+    }
+    this.#names = new Map(this.#syncedNames);
+  }
+
+  /** Changes a file behind the system's back. */
+  tamper(path: string, change: (content: Buffer) => Buffer): void {
+    const file = this.#find(path);
+    file.content = change(Buffer.from(file.content));
+    file.synced = file.content;
+  }
+
+  has(path: string): boolean {
+    return this.#names.has(path);
+  }
+
+  sizeOf(path: string): number {
+    return this.#find(path).content.length;
+  }
+
+  readonly makeFolder = (): Promise<void> => Promise.resolve();
+
+  readonly listFiles = (folder: string): Promise<readonly string[]> => {
+    const paths = [...this.#names.keys()].filter((path) => dirname(path) === folder);
+    return Promise.resolve(paths.map((path) => basename(path)));
+  };
+
+  readonly readFile = (path: string): Promise<Uint8Array | undefined> =>
+    Promise.resolve(this.#names.get(path)?.content);
+
+  readonly writeFile = (path: string, bytes: Uint8Array): Promise<void> =>
+    this.#operate(() => {
+      const content = Buffer.from(bytes);
+      this.#names.set(path, { content, synced: content });
+    });
+
+  readonly openForAppend = (path: string): Promise<AppendFile> => {
+    const file = this.#names.get(path) ?? { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
+    this.#names.set(path, file);
+    return Promise.resolve({
+      append: (bytes: Uint8Array) =>
+        this.#operate(() => {
+          file.content = Buffer.concat([file.content, bytes]);
+        }),
+      sync: () =>
+        this.#operate(() => {
+          this.syncCount += 1;
+          file.synced = file.content;
+        }),
+      close: () => Promise.resolve(),
+    });
+  };
+
+  readonly truncate = (path: string, length: number): Promise<void> =>
+    this.#operate(() => {
+      this.tamper(path, (content) => content.subarray(0, length));
+    });
+
+  readonly rename = (from: string, to: string): Promise<void> =>
+    this.#operate(() => {
+      this.#names.set(to, this.#find(from));
+      this.#names.delete(from);
+    });
+
+  readonly remove = (path: string): Promise<void> =>
+    this.#operate(() => {
+      this.#names.delete(path);
+    });
+
+  readonly syncFolder = (): Promise<void> =>
+    this.#operate(() => {
+      this.#syncedNames = new Map(this.#names);
+    });
+
+  #find(path: string): MemoryFile {
+    const file = this.#names.get(path);
+    if (file === undefined) {
+      throw new Error(`no file ${path}`);
+    }
+    return file;
+  }
+
+  #operate(operation: () => void): Promise<void> {
+    if (this.remainingOperations <= 0) {
+      return Promise.reject(new Error('the disk is gone'));
+    }
+    this.remainingOperations -= 1;
+    operation();
+    return Promise.resolve();
+  }
+}
--- a/src/consensus/core/leadership.ts
+++ b/src/consensus/core/leadership.ts
@@ -15,6 +15,8 @@
   #round = 0;
   #broadcastAt: Milliseconds = 0;
   #startIndex = 0;
+  /** Commit index of the newest broadcast. */
+  #announcedCommit = 0;
 
   constructor(state: CoreState) {
     this.#state = state;
@@ -61,17 +63,19 @@
     return silence >= this.#state.settings.tuning.electionMinimum;
   }
 
+  /** Followers learn of commits with the next entries, with the next tick, or with a heartbeat. */
   tick(): void {
-    if (this.#state.now - this.#broadcastAt >= this.#state.settings.tuning.heartbeat) {
+    const isDue = this.#state.now - this.#broadcastAt >= this.#state.settings.tuning.heartbeat;
+    if (isDue || this.#state.commitIndex > this.#announcedCommit) {
       this.broadcast();
     }
-    this.advanceCommit();
   }
 
   /** Begins a round: every follower hears the leader, and is sent what it lacks. Returns its number. */
   broadcast(): number {
     this.#round += 1;
     this.#broadcastAt = this.#state.now;
+    this.#announcedCommit = this.#state.commitIndex;
     this.#updateFollowers();
     const stamp = this.#stamp();
     for (const follower of this.#followers.values()) {
@@ -198,8 +202,7 @@
     for (const member of members) {
       const isKnown = this.#followers.has(member.storageId);
       if (!isKnown && member.storageId !== this.#state.self.storageId) {
-        const nextIndex = this.#state.log.last.index + 1;
-        const follower = new FollowerProgress(member, nextIndex, this.#state.now);
+        const follower = new FollowerProgress(member, this.#startIndex, this.#state.now);
         this.#followers.set(member.storageId, follower);
       }
     }
