Pace reconnections to control

Cause: clients of control connected again after a fixed 250 ms; with all control hosts behind a lost quorum a thousand clients would ask for the whole state four times a second each, all in the same moment after a restart. Ruled out: one long fixed delay (a single lost control host would then cost each client that long). Change: waits drawn at random below a ceiling that doubles up to 10 s and falls back once a connection proves useful. Conclusion: the decision is a small class without I/O that a test can drive.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -26,3 +26,4 @@
 export { createLogger, type LogLevel } from './logging.js';
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
 export { runProcess } from './process-runner.js';
+export { pause } from './pause.js';
--- a/src/control/control-client.ts
+++ b/src/control/control-client.ts
@@ -5,6 +5,7 @@
   findResultCodeName,
   type Failure,
   type Milliseconds,
+  type RandomSource,
 } from '../common/index.js';
 import { ControlService } from '../generated/pistachiospoke/v1/control_pb.js';
 import type { RpcClientPool } from '../wire/index.js';
@@ -18,15 +19,16 @@
   readonly clients: RpcClientPool;
   /** How long one control host may take. */
   readonly timeout: Milliseconds;
+  readonly random: RandomSource;
 }
 
 export class ControlClient {
   readonly #options: ControlClientOptions;
   #turn: number;
 
-  constructor(options: ControlClientOptions, firstTurn: number) {
+  constructor(options: ControlClientOptions) {
     this.#options = options;
-    this.#turn = firstTurn;
+    this.#turn = options.random.integerBelow(options.control.length);
   }
 
   /**
--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -34,12 +34,16 @@
   const { name, control, internal, limits, shutdown } = settings;
   const clients = new RpcClientPool();
   const metrics = createMetrics(settings.metrics, { gateway: name });
-  const firstTurn = random.integerBelow(control.length);
-  const watched = new ControlWatcher(
-    { watcher: name, kind: 'gateway', address: internal, control, clients, logger },
-    firstTurn,
-  );
-  const controlClient = new ControlClient({ control, clients, timeout: claimTimeout }, firstTurn);
+  const watched = new ControlWatcher({
+    watcher: name,
+    kind: 'gateway',
+    address: internal,
+    control,
+    clients,
+    logger,
+    random,
+  });
+  const controlClient = new ControlClient({ control, clients, timeout: claimTimeout, random });
   const levels = new ServiceLevels(name, clock, () => watched.read().configuration);
   const gateway = createGateway({
     name,
--- a/src/sidecar/shell/report-client.ts
+++ b/src/sidecar/shell/report-client.ts
@@ -1,6 +1,12 @@
 import type { Logger } from 'pino';
 
-import type { ManagedPart, Milliseconds } from '../../common/index.js';
+import {
+  pause,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+  type RandomSource,
+} from '../../common/index.js';
 import { encodeReport } from '../../control/index.js';
 import type { HostReport } from '../../control/index.js';
 import {
@@ -8,18 +14,22 @@
   type HostReport as HostReportMessage,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { HostFacts } from '../../model/index.js';
+import { ReconnectPacing } from '../../watch/index.js';
 import { MessageQueue, type RpcClientPool } from '../../wire/index.js';
 
 /** Reports to one control host: facts when they change, otherwise a small heartbeat. */
 
 const heartbeatInterval: Milliseconds = 1000;
-const reconnectDelay: Milliseconds = 250;
+/** A stream that lived this long was useful: the control host behind it works. */
+const usefulAfter: Milliseconds = 5000;
 
 /** Options of the report client. */
 export interface ReportClientOptions {
   readonly control: readonly string[];
   readonly clients: RpcClientPool;
   readonly logger: Logger;
+  readonly clock: Clock;
+  readonly random: RandomSource;
   /** The whole report of this moment; `facts` is always set. */
   readonly describe: () => HostReport & { readonly facts: HostFacts };
 }
@@ -28,6 +38,7 @@
   readonly name = 'report client';
   readonly #options: ReportClientOptions;
   readonly #closing = new AbortController();
+  readonly #pacing: ReconnectPacing;
   #turn: number;
   #queue: MessageQueue<HostReportMessage> | undefined;
   #sentFacts = '';
@@ -35,9 +46,10 @@
   #timer: NodeJS.Timeout | undefined;
   #running: Promise<void> | undefined;
 
-  constructor(options: ReportClientOptions, firstTurn: number) {
+  constructor(options: ReportClientOptions) {
     this.#options = options;
-    this.#turn = firstTurn;
+    this.#turn = options.random.integerBelow(options.control.length);
+    this.#pacing = new ReconnectPacing(options.random);
   }
 
   open(): void {
@@ -62,12 +74,13 @@
 
   async #run(): Promise<void> {
     while (!this.#isClosing()) {
-      const { control, clients, logger } = this.#options;
+      const { control, clients, clock, logger } = this.#options;
       const address = control[this.#turn % control.length] ?? '';
       this.#turn += 1;
       const queue = new MessageQueue<HostReportMessage>();
       this.#queue = queue;
       this.#sentFacts = '';
+      const openedAt = clock.monotonic();
       this.#send(true);
       try {
         await clients.client(ControlService, address).report(queue);
@@ -75,7 +88,10 @@
         logger.info({ address, error: String(error) }, 'report stream ended');
       }
       if (!this.#isClosing()) {
-        await new Promise((resolve) => setTimeout(resolve, reconnectDelay));
+        if (clock.monotonic() - openedAt > usefulAfter) {
+          this.#pacing.reset();
+        }
+        await pause(this.#pacing.next(), this.#closing.signal);
       }
     }
   }
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -59,13 +59,9 @@
     const { settings, clock, random, logger } = options;
     const { host, control } = settings;
     const incarnation = this.#incarnation;
-    const shared = { host, incarnation, control, clients: this.#clients, clock, logger };
-    const firstTurn = random.integerBelow(control.length);
-    this.#watcher = new ControlWatcher(
-      { ...shared, watcher: host, kind: 'sidecar', address: '' },
-      firstTurn,
-    );
-    this.#reports = new ReportClient({ ...shared, describe: () => this.#describe() }, firstTurn);
+    const shared = { host, incarnation, control, clients: this.#clients, clock, logger, random };
+    this.#watcher = new ControlWatcher({ ...shared, watcher: host, kind: 'sidecar', address: '' });
+    this.#reports = new ReportClient({ ...shared, describe: () => this.#describe() });
     this.#member = new LeaseMemberDriver({ ...shared, longestLease: defaultLongestLease });
     const onHealth = () => {
       this.#reports.notify();
--- a/src/watch/control-watcher.ts
+++ b/src/watch/control-watcher.ts
@@ -1,17 +1,23 @@
 import type { Logger } from 'pino';
 
 import { configurationSchema } from '../configuration/index.js';
-import { assertNever, type ManagedPart, type Milliseconds } from '../common/index.js';
+import {
+  assertNever,
+  pause,
+  type ManagedPart,
+  type Milliseconds,
+  type RandomSource,
+} from '../common/index.js';
 import { ControlService, type WatchResponse } from '../generated/pistachiospoke/v1/control_pb.js';
 import type { Revision, WatchedState, WatchedStateSource } from '../model/index.js';
 import { decodeGroup, type RpcClientPool } from '../wire/index.js';
+import { ReconnectPacing } from './reconnect-pacing.js';
 import { WatchedStateKeeper, type WatchEvent } from './watched-state-keeper.js';
 
 /** The watch client of gateways and sidecars: one stream from one control host, another when it fails. */
 
 /** Control sends at least a heartbeat a second; this much silence means the connection is lost. */
 const silenceLimit: Milliseconds = 3500;
-const reconnectDelay: Milliseconds = 250;
 
 /** Options of a watcher. */
 export interface ControlWatcherOptions {
@@ -24,6 +30,7 @@
   readonly control: readonly string[];
   readonly clients: RpcClientPool;
   readonly logger: Logger;
+  readonly random: RandomSource;
 }
 
 /** Keeps a watch open for as long as the process runs. */
@@ -32,6 +39,7 @@
   readonly #options: ControlWatcherOptions;
   readonly #keeper = new WatchedStateKeeper();
   readonly #listeners = new Set<(state: WatchedState) => void>();
+  readonly #pacing: ReconnectPacing;
   #turn: number;
   /** Control host and revision last acknowledged. */
   #acknowledged = '';
@@ -40,9 +48,10 @@
   readonly #closing = new AbortController();
   #running: Promise<void> | undefined;
 
-  constructor(options: ControlWatcherOptions, firstTurn: number) {
+  constructor(options: ControlWatcherOptions) {
     this.#options = options;
-    this.#turn = firstTurn;
+    this.#turn = options.random.integerBelow(options.control.length);
+    this.#pacing = new ReconnectPacing(options.random);
   }
 
   /** Bound, because parts take it as a function of its own. */
@@ -84,7 +93,7 @@
       }
       clearTimeout(this.#timer);
       if (!this.#isClosing()) {
-        await delay(reconnectDelay);
+        await pause(this.#pacing.next(), this.#closing.signal);
       }
     }
   }
@@ -155,6 +164,9 @@
     if (event === undefined) {
       return true;
     }
+    if (event.type === 'heartbeat' && event.isFresh) {
+      this.#pacing.reset();
+    }
     const verdict = this.#keeper.handle(event);
     switch (verdict) {
       case 'unchanged':
@@ -202,7 +214,3 @@
       return assertNever(event);
   }
 }
-
-function delay(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
