Bench: whole sidecars and the real control host in the capacity slopes

Ruled out: hundreds of processes on a busy machine (memory, and start-up would swamp the figure): many sidecars share one process and keep connections and loopback addresses of their own. Change: role 'sidecars' runs SidecarProcess, role 'control' runs ControlProcess; sizes that leave event loops time.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -8,21 +8,32 @@
 import { runControlRole } from './capacity/control-role.js';
 import { runLeaseLeadRole, runLeaseMemberRole } from './capacity/lease-roles.js';
 import { measureReports, measureWatches } from './capacity/measure-control.js';
+import { measureSidecars } from './capacity/measure-sidecars.js';
 import { measureLeases, measureTokens } from './capacity/measure-streams.js';
 import type { MeasureOptions } from './capacity/pair.js';
+import { runEngineRole, runSidecarRole } from './capacity/sidecar-roles.js';
 import { runTokenClientRole, runTokenServerRole } from './capacity/token-roles.js';
 import { findRole } from './support/index.js';
 
 interface Part {
   readonly name: string;
+  /** Sizes at which one event loop still has time to spare; beyond that the figure would be of queues. */
+  readonly sizes: readonly number[];
   readonly measure: (options: MeasureOptions) => Promise<string>;
 }
 
+interface CommandLine {
+  readonly part?: string;
+  readonly sizes?: readonly number[];
+  readonly seconds: number;
+}
+
 const parts: readonly Part[] = [
-  { name: 'watch', measure: measureWatches },
-  { name: 'report', measure: measureReports },
-  { name: 'lease', measure: measureLeases },
-  { name: 'tokens', measure: measureTokens },
+  { name: 'watch', sizes: [50, 100, 200, 400], measure: measureWatches },
+  { name: 'report', sizes: [50, 100, 200, 400], measure: measureReports },
+  { name: 'sidecar', sizes: [16, 32, 64, 96], measure: measureSidecars },
+  { name: 'lease', sizes: [25, 50, 100, 200], measure: measureLeases },
+  { name: 'tokens', sizes: [300], measure: measureTokens },
 ];
 
 const role = findRole();
@@ -35,13 +46,13 @@
 async function main(): Promise<void> {
   const options = new Command('capacity')
     .option('--part <name>', `one of ${parts.map(({ name }) => name).join(', ')}; all by default`)
-    .option('--sizes <list>', 'sizes to measure at', parseSizes, [50, 100, 200, 400])
+    .option('--sizes <list>', 'sizes to measure at, by commas', parseSizes)
     .option('--seconds <count>', 'length of each quiet measurement', Number, 10)
     .parse()
-    .opts<MeasureOptions & { readonly part?: string }>();
+    .opts<CommandLine>();
   for (const part of parts) {
     if (options.part === undefined || options.part === part.name) {
-      console.log(`### ${part.name}\n\n${await part.measure(options)}\n`);
+      console.log(`### ${part.name}\n\n${await part.measure({ sizes: part.sizes, ...options })}\n`);
     }
   }
   process.exit();
@@ -60,6 +71,12 @@
     case 'reporters':
       runReporterRole(address, Number(count));
       return;
+    case 'sidecars':
+      await runSidecarRole(address, Number(count));
+      return;
+    case 'engines':
+      await runEngineRole(Number(count));
+      return;
     case 'lease-member':
       await runLeaseMemberRole(address);
       return;
--- a/bench/capacity/client-roles.ts
+++ b/bench/capacity/client-roles.ts
@@ -15,7 +15,7 @@
       {
         watcher: `gateway-${index}`,
         kind: 'gateway',
-        address: '',
+        address: `10.2.0.1:${index}`,
         control: [address],
         clients: new RpcClientPool(),
         logger,
--- a/bench/capacity/control-role.ts
+++ b/bench/capacity/control-role.ts
@@ -1,77 +1,61 @@
-/** A control host's watches and reports, from the very code that `pistachiospoke-control` runs, without its log. */
-import { createLogger, systemClock } from '../../src/common/index.js';
-import { HostDirectory } from '../../src/control/index.js';
-import { ReportService } from '../../src/control/shell/report-service.js';
-import { WatchHub } from '../../src/control/watch-hub.js';
-import { WatcherDirectory } from '../../src/control/watcher-directory.js';
-import {
-  ControlService,
-  type WatchRequest,
-  type WatchResponse,
-} from '../../src/generated/pistachiospoke/v1/control_pb.js';
-import { createRpcServer, RpcClientPool } from '../../src/wire/index.js';
+/** A control host as `pistachiospoke-control` runs it, alone with its log, in a process that a bench can ask. */
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { createIdentifier, createLogger, systemClock } from '../../src/common/index.js';
+import { ControlClient, ControlProcess } from '../../src/control/index.js';
+import type { Command } from '../../src/control/state/index.js';
+import type { Configuration } from '../../src/model/index.js';
+import { controlSettingsSchema } from '../../src/settings/index.js';
+import { RpcClientPool } from '../../src/wire/index.js';
 import { announceReady } from '../support/index.js';
-import { createPublishedState } from './fixtures.js';
+import { createLargeConfiguration } from './fixtures.js';
 
-const heartbeatMilliseconds = 1000;
+const submitTimeout = 10_000;
 
-/** Serves watches and reports at an address; `publish` brings the next revision of the configuration. */
+/** Serves at an address; `publish` brings the next revision of the configuration into force. */
 export async function runControlRole(address: string): Promise<void> {
-  const hub = new WatchHub(createPublishedState(1));
-  const reports = createReportService();
-  const server = createRpcServer({
-    address,
-    routes: (router) => {
-      router.service(ControlService, {
-        watch: (request, context) => streamWatch(hub, request, context.signal),
-        report: async (messages) => {
-          await reports.takeStream(messages);
-          return {};
-        },
-      });
-    },
-  });
-  await server.open();
-  setInterval(() => {
-    hub.sendHeartbeat(true);
-  }, heartbeatMilliseconds);
-  let state = createPublishedState(1);
-  announceReady(address, (question) => {
-    if (question === 'publish') {
-      const revision = state.revision + 1;
-      state = { ...state, index: revision, revision };
-      hub.publish(state);
-      return String(revision);
-    }
-    return String(hub.listWatchers('gateway').length);
-  });
-}
-
-function createReportService(): ReportService {
-  return new ReportService({
+  const dataFolder = await mkdtemp(join(tmpdir(), 'pistachiospoke-bench-'));
+  const settings = controlSettingsSchema.parse({
     name: 'control-1',
-    peers: () => [],
-    directory: new HostDirectory(),
-    watchers: new WatcherDirectory(),
-    clients: new RpcClientPool(),
-    clock: systemClock,
-    logger: createLogger('bench', 'error'),
-    onReport: () => undefined,
+    region: 'addis',
+    failureDomain: 'bole',
+    listen: address,
+    voters: [{ name: 'control-1', address }],
+    dataFolder,
   });
+  const logger = createLogger('bench', 'error');
+  const control = new ControlProcess({ settings, clock: systemClock, logger });
+  for (const part of control.listParts()) {
+    await part.open();
+  }
+  const clients = new RpcClientPool();
+  const client = new ControlClient({ control: [address], clients, timeout: submitTimeout }, 0);
+  const document = createLargeConfiguration();
+  let revision = 0;
+  const publish = async (): Promise<string> => {
+    const answer = await client.submit(createChange(document, revision));
+    if (answer.err || answer.val.type !== 'changed') {
+      throw new Error(`the change was refused: ${JSON.stringify(answer.val)}`);
+    }
+    revision = answer.val.revision;
+    return String(revision);
+  };
+  announceReady(address, publish);
 }
 
-async function* streamWatch(
-  hub: WatchHub,
-  request: WatchRequest,
-  signal: AbortSignal,
-): AsyncGenerator<WatchResponse> {
-  const queue = hub.subscribe({
-    name: request.watcher,
-    kind: request.kind,
-    revision: Number(request.configurationRevision),
-  });
-  signal.addEventListener('abort', () => {
-    hub.unsubscribe(queue);
-  });
-  yield* queue;
+/** A change of one label at the end, so that each revision differs from the last. */
+function createChange(document: Configuration, baseRevision: number): Command {
+  const [first, ...others] = document.accounts;
+  const accounts =
+    first === undefined ? [] : [...others, { ...first, labels: { change: String(baseRevision) } }];
+  return {
+    type: 'applyConfiguration',
+    changeId: createIdentifier(),
+    baseRevision,
+    operator: 'bench',
+    at: 0,
+    document: { ...document, accounts },
+  };
 }
--- a/bench/capacity/fixtures.ts
+++ b/bench/capacity/fixtures.ts
@@ -1,10 +1,8 @@
-/** State of the size that docs/CAPACITY.md is worked out for: 150 replicas of 4, and a configuration of 100 KB. */
+/** What the benches of docs/CAPACITY.md run with: replicas of 4, and a configuration of 100 KB. */
 import { createRandomSource, type RandomSource } from '../../src/common/index.js';
 import { configurationSchema } from '../../src/configuration/index.js';
-import type { PublishedState } from '../../src/control/watch-hub.js';
-import type { Configuration, HostFacts, WatchedGroup } from '../../src/model/index.js';
+import type { Configuration, HostFacts } from '../../src/model/index.js';
 
-const replicaCount = 150;
 const replicaSize = 4;
 /** About 330 bytes of JSON each; names and digests are random, so that they compress as real ones do. */
 const accountCount = 300;
@@ -32,25 +30,6 @@
   });
 }
 
-/** All groups of the letter's size, serving. */
-export function createGroups(): ReadonlyMap<string, WatchedGroup> {
-  const groups = new Map<string, WatchedGroup>();
-  for (let index = 0; index < replicaCount; index += 1) {
-    const name = `assist-llm/${index}`;
-    groups.set(name, { isServing: true, group: createGroup(name, index) });
-  }
-  return groups;
-}
-
-export function createPublishedState(revision: number): PublishedState {
-  return {
-    index: revision,
-    revision,
-    configuration: createLargeConfiguration(),
-    groups: createGroups(),
-  };
-}
-
 /** Facts of one runner's host. */
 export function createHostFacts(index: number): HostFacts {
   return {
@@ -72,21 +51,6 @@
   };
 }
 
-function createGroup(name: string, index: number): WatchedGroup['group'] {
-  return {
-    name,
-    declaration: 'assist-llm',
-    fencingNumber: index + 1,
-    members: Array.from({ length: replicaSize }, (_, position) => ({
-      host: createHostName(index * replicaSize + position),
-      address: createAddress(index * replicaSize + position),
-      incarnation: '6f1c2a8e-0f5d-4f0a-9b4c-2f1d6e7a8b9c',
-    })),
-    offer: { type: 'model', artifact: { model: 'assist', version: '1', adapters: [] } },
-    isDraining: false,
-  };
-}
-
 function createHostName(index: number): string {
   return `llm-host-${index}`;
 }
--- a/bench/capacity/measure-control.ts
+++ b/bench/capacity/measure-control.ts
@@ -70,7 +70,7 @@
   size: number,
   options: MeasureOptions,
 ): Promise<WatchMeasurement> {
-  await waitForRevision(pair, size, '1');
+  await waitForRevision(pair, size, await pair.server.ask('publish'));
   const quiet = await measureQuietly(pair, options.seconds);
   let slowestChange = 0;
   const changes = await measureAround(pair, async () => {
