--- /dev/null
+++ b/__tests__/settings/pages.test.ts
@@ -0,0 +1,68 @@
+import { readFileSync } from 'node:fs';
+
+import { describe, expect, it } from 'vitest';
+import { z } from 'zod';
+
+import { configurationSchema } from '../../src/configuration/index.js';
+import {
+  controlSettingsSchema,
+  gatewaySettingsSchema,
+  sidecarSettingsSchema,
+} from '../../src/settings/index.js';
+
+/** The parts of a JSON schema that name settings. */
+interface SchemaNode {
+  readonly properties?: Readonly<Record<string, SchemaNode>>;
+  readonly items?: SchemaNode;
+  readonly default?: unknown;
+}
+
+/** A setting and its default as JSON text; undefined for none. */
+interface NamedSetting {
+  readonly path: string;
+  readonly defaultText: string | undefined;
+}
+
+function listSettings(node: SchemaNode, prefix: string): readonly NamedSetting[] {
+  return Object.entries(node.properties ?? {}).flatMap(([name, inner]) => {
+    const path = `${prefix}${name}`;
+    const value = inner.default === undefined ? undefined : JSON.stringify(inner.default);
+    const separator = inner.items?.properties === undefined ? '.' : '[].';
+    const own = inner.properties === undefined ? [{ path, defaultText: value }] : [];
+    return [
+      ...own,
+      ...listSettings(inner.items ?? inner, `${path}${separator}`),
+    ];
+  });
+}
+
+function readSection(page: string, title: string): string {
+  const text = readFileSync(page, 'utf8');
+  const start = text.indexOf(`\n## ${title}\n`);
+  const end = text.indexOf('\n## ', start + 1);
+  return start < 0 ? '' : text.slice(start, end < 0 ? undefined : end);
+}
+
+/** Settings that have no row, or a row with another default. */
+function findUndescribed(schema: z.ZodType, section: string): readonly string[] {
+  const node = z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any' }) as SchemaNode;
+  const rows = section.split('\n').map((line) => line.split('|').map((cell) => cell.trim()));
+  return listSettings(node, '')
+    .filter(({ path, defaultText }) => {
+      const row = rows.find((cells) => cells[1] === `\`${path}\``);
+      const isDefaultRight = defaultText === undefined || row?.[2] === `\`${defaultText}\``;
+      return row === undefined || !isDefaultRight;
+    })
+    .map(({ path, defaultText }) => `${path} ${defaultText ?? ''}`);
+}
+
+describe('pages of settings and configuration', () => {
+  it.each([
+    ['docs/SETTINGS.md', 'pistachiospoke-gateway', gatewaySettingsSchema],
+    ['docs/SETTINGS.md', 'pistachiospoke-sidecar', sidecarSettingsSchema],
+    ['docs/SETTINGS.md', 'pistachiospoke-control', controlSettingsSchema],
+    ['docs/CONFIGURATION.md', 'The document', configurationSchema],
+  ])('%s, "%s", has a row with the right default for each', (page, title, schema) => {
+    expect(findUndescribed(schema, readSection(page, title))).toEqual([]);
+  });
+});
--- a/src/cli/commands/get.ts
+++ b/src/cli/commands/get.ts
@@ -2,7 +2,7 @@
 import type { ControlContext } from '../context.js';
 import type { ExitCode } from '../exit-codes.js';
 import { formatTime } from '../output.js';
-import { formatDuration, formatTable } from '../table.js';
+import { formatDuration, formatTable, sortByName } from '../table.js';
 
 export interface GetFlags {
   readonly inForce: boolean;
@@ -64,7 +64,7 @@
 }
 
 function formatWatchers(view: View<'watchers'>): string {
-  const rows = [...view.watchers]
+  const rows = [...sortByName(view.watchers, ({ watcher }) => watcher)]
     .sort((left, right) => left.revision - right.revision)
     .map((watcher) => [
       watcher.watcher,
--- a/src/cli/commands/groups.ts
+++ b/src/cli/commands/groups.ts
@@ -2,7 +2,7 @@
 import { formatArtifact } from '../../model/index.js';
 import type { ControlContext } from '../context.js';
 import type { ExitCode } from '../exit-codes.js';
-import { formatTable } from '../table.js';
+import { formatTable, sortByName } from '../table.js';
 
 /** `groups`: every placed group, and the healthy hosts that are in none. */
 export async function runGroups(context: ControlContext): Promise<ExitCode> {
@@ -11,8 +11,8 @@
     return context.output.refuse(view.val);
   }
   const { groups, strandedHosts } = view.val;
-  const titles = ['group', 'state', 'fencing', 'carries', 'members'];
-  const rows = groups.map((group) => [
+  const titles = ['group', 'state', 'fencing number', 'carries', 'members'];
+  const rows = sortByName(groups, ({ name }) => name).map((group) => [
     group.name,
     formatState(group),
     String(group.fencingNumber),
@@ -20,7 +20,7 @@
     group.members.join(' '),
   ]);
   const serving = groups.filter((group) => group.isServing).length;
-  const summary = `${serving} of ${groups.length} groups serving; healthy hosts in no group: ${strandedHosts.join(' ') || 'none'}\n`;
+  const summary = `${serving} of ${groups.length} groups serving; healthy hosts in no group: ${[...strandedHosts].sort().join(' ') || 'none'}\n`;
   return context.output.succeed(view.val, `${formatTable(titles, rows)}\n${summary}`);
 }
 
--- a/src/cli/commands/hosts.ts
+++ b/src/cli/commands/hosts.ts
@@ -2,7 +2,7 @@
 import { formatArtifact } from '../../model/index.js';
 import type { ControlContext } from '../context.js';
 import type { ExitCode } from '../exit-codes.js';
-import { formatDuration, formatTable } from '../table.js';
+import { formatDuration, formatTable, sortByName } from '../table.js';
 
 /** `hosts`: every host that has announced itself. */
 export async function runHosts(context: ControlContext): Promise<ExitCode> {
@@ -19,7 +19,7 @@
     'upstream',
     'labels',
   ];
-  const rows = view.val.hosts.map((host) => [
+  const rows = sortByName(view.val.hosts, ({ host }) => host).map((host) => [
     host.host,
     formatState(host),
     host.group ?? '-',
--- a/src/cli/table.ts
+++ b/src/cli/table.ts
@@ -25,3 +25,13 @@
   const step = steps.find(({ limit }) => milliseconds < limit) ?? { divisor: 3_600_000, unit: 'h' };
   return `${Math.round(milliseconds / step.divisor)} ${step.unit}`;
 }
+
+const nameOrder = new Intl.Collator('en', { numeric: true });
+
+/** Sorts by name, `host-2` before `host-10`. */
+export function sortByName<Row>(
+  rows: readonly Row[],
+  nameOf: (row: Row) => string,
+): readonly Row[] {
+  return [...rows].sort((left, right) => nameOrder.compare(nameOf(left), nameOf(right)));
+}
