Follow the merged interfaces in benches and the placement loop

Cause: parts that were written side by side changed a constructor and a type. Ruled out: keeping both forms. Change: callers follow; the placement loop says 0 for the time a group has been incomplete until host health is wired.

--- a/bench/capacity/control-role.ts
+++ b/bench/capacity/control-role.ts
@@ -3,7 +3,12 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import { createIdentifier, createLogger, systemClock } from '../../src/common/index.js';
+import {
+  createEntropySource,
+  createIdentifier,
+  createLogger,
+  systemClock,
+} from '../../src/common/index.js';
 import { ControlClient, ControlProcess } from '../../src/control/index.js';
 import type { Command } from '../../src/control/state/index.js';
 import type { Configuration } from '../../src/model/index.js';
@@ -31,7 +36,12 @@
     await part.open();
   }
   const clients = new RpcClientPool();
-  const client = new ControlClient({ control: [address], clients, timeout: submitTimeout }, 0);
+  const client = new ControlClient({
+    control: [address],
+    clients,
+    timeout: submitTimeout,
+    random: createEntropySource(),
+  });
   const document = createLargeConfiguration();
   let revision = 0;
   const publish = async (): Promise<string> => {
--- a/bench/capacity/measure-sidecars.ts
+++ b/bench/capacity/measure-sidecars.ts
@@ -1,5 +1,5 @@
 /** What one more host costs: a whole sidecar with its leases, its watch and its reports, and control before it. */
-import { createLogger } from '../../src/common/index.js';
+import { createEntropySource, createLogger } from '../../src/common/index.js';
 import { ControlWatcher } from '../../src/watch/index.js';
 import { RpcClientPool } from '../../src/wire/index.js';
 import { waitFor } from '../../__tests__/support/index.js';
@@ -65,17 +65,15 @@
 }
 
 function createWatcher(control: string): ControlWatcher {
-  return new ControlWatcher(
-    {
-      watcher: 'bench',
-      kind: 'gateway',
-      address: '',
-      control: [control],
-      clients: new RpcClientPool(),
-      logger: createLogger('bench', 'error'),
-    },
-    0,
-  );
+  return new ControlWatcher({
+    watcher: 'bench',
+    kind: 'gateway',
+    address: '',
+    control: [control],
+    clients: new RpcClientPool(),
+    logger: createLogger('bench', 'error'),
+    random: createEntropySource(),
+  });
 }
 
 function countServing(watcher: ControlWatcher): number {
--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -81,6 +81,7 @@
     const groups = [...state.groups.values()].map((group) => ({
       group,
       health: directory.findHealth(group),
+      incompleteFor: 0,
     }));
     return {
       configuration: state.configuration,
