Control judges hosts by their health instead of a constant

Cause: the thin path took a host that was silent for 3 s as gone, dissolving its group even for a restart, and trusted its own hearing always. Ruled out: a closed report connection as proof of death (a lead that turns to another control host would lose its group); settling for 3 s only (a new leader would take members that it has not heard of yet for lost). Change: HostObserver feeds HostHealth and GroupWatch on every control host; a closed connection counts at once when the lead misses the host too, otherwise after 1.5 s; placement waits up to 15 s for members a new leader has not heard of.

--- a/__tests__/groups/hosts.test.ts
+++ b/__tests__/groups/hosts.test.ts
@@ -170,6 +170,20 @@
     }
   });
 
+  it('takes a closed connection for a death only when the lead misses the host too', () => {
+    // Symptom: a group that serves is replaced. Sequence: the lead's sidecar turns to another control host, its old connection
+    // closes. Cause to keep out: a closed connection as proof of death.
+    const watch = new Watch();
+    watch.pass(5);
+    watch.health.handle({ type: 'connectionClosed', now: watch.now, host: 'bole-1' });
+    watch.health.handle({ type: 'connectionClosed', now: watch.now, host: 'bole-2' });
+    watch.health.handle({ type: 'missed', now: watch.now, host: 'bole-2' });
+    expect(watch.standing('bole-1')).toBe('present');
+    expect(watch.standing('bole-2')).toBe('suspected');
+    watch.now += defaultHostHealthOptions.reconnectGrace;
+    expect(watch.standing('bole-1')).toBe('suspected');
+  });
+
   it('takes a planned stop as gone at once and without a strike', () => {
     const watch = new Watch();
     watch.pass(5);
--- a/__tests__/groups/session.ts
+++ b/__tests__/groups/session.ts
@@ -242,6 +242,9 @@
       const health = lead.health(this.#clock(host));
       this.#groupHealth.set(health.group, health);
       this.#watch.note(health, this.#now);
+      for (const missing of health.missing) {
+        this.#tellControl(this.#health.handle({ type: 'missed', now: this.#now, host: missing }));
+      }
     }
   }
 
--- a/src/control/hosts/host-health.ts
+++ b/src/control/hosts/host-health.ts
@@ -46,14 +46,22 @@
     return host === undefined ? { type: 'gone' } : this.#availability(host, now);
   }
 
+  /** Whether the host is there, whatever its upstream does and however it is held back. */
+  isHeard(name: HostName, now: Milliseconds): boolean {
+    const host = this.#hosts.get(name);
+    return host !== undefined && !host.hasLeft && !host.isSilent(now);
+  }
+
   handle(event: HostHealthEvent): readonly HostHealthEffect[] {
     this.#noticePause(event.now);
     switch (event.type) {
       case 'reported':
         return this.#noteSign(event.sign, event.via, event.now);
       case 'connectionClosed':
-        this.#hosts.get(event.host)?.noteSilent(event.now);
+        this.#hosts.get(event.host)?.noteClosed(event.now);
         return this.#review(event.now);
+      case 'missed':
+        return this.#noteMissed(event.host, event.now);
       case 'ticked':
         return this.#review(event.now);
       case 'leadershipTaken':
@@ -66,6 +74,15 @@
     }
   }
 
+  #noteMissed(name: HostName, now: Milliseconds): readonly HostHealthEffect[] {
+    const host = this.#hosts.get(name);
+    if (host === undefined) {
+      return [];
+    }
+    host.noteMissed();
+    return this.#reviewHost(host, now);
+  }
+
   /** A control host that stood still finds everybody late; that says nothing of the hosts. */
   #noticePause(now: Milliseconds): void {
     if (now - this.#lastEventAt > this.#options.suspectAfter / 2) {
--- a/src/control/hosts/types.ts
+++ b/src/control/hosts/types.ts
@@ -24,6 +24,8 @@
     }
   /** The connection of a host's reports closed: its process ended, or something between the two did. */
   | { readonly type: 'connectionClosed'; readonly now: Milliseconds; readonly host: HostName }
+  /** The lead of the host's group says that it holds no lease of it. */
+  | { readonly type: 'missed'; readonly now: Milliseconds; readonly host: HostName }
   | { readonly type: 'ticked'; readonly now: Milliseconds }
   /** This control host took over or gave up the lead; what it knew of silences before says nothing. */
   | { readonly type: 'leadershipTaken'; readonly now: Milliseconds }
@@ -48,6 +50,8 @@
 export interface HostHealthOptions {
   /** A host heard from in this time is present. Sidecars send a heartbeat several times within it. */
   readonly suspectAfter: Milliseconds;
+  /** A host whose connection closed reports through another control host within this time, if it is well. */
+  readonly reconnectGrace: Milliseconds;
   /** A host silent for so long is not waited for any more. */
   readonly goneAfter: Milliseconds;
   /** How long a suspicion of this control host itself holds back the loss of many hosts. */
@@ -71,6 +75,7 @@
 /** Defaults: 340 restarts and 14 failures a day are the size this was designed for. */
 export const defaultHostHealthOptions: HostHealthOptions = {
   suspectAfter: 3 * second,
+  reconnectGrace: 1.5 * second,
   goneAfter: 15 * minute,
   watcherGrace: 60 * second,
   restartDuration: 20 * second,
--- a/src/control/hosts/watched-host.ts
+++ b/src/control/hosts/watched-host.ts
@@ -16,8 +16,10 @@
   #via = '';
   #hasLeft = false;
   #heardAt: Milliseconds;
-  /** Known to be away since then although the silence is short: its connection closed. */
+  /** The connection of its reports closed then, and it has not been heard since. */
   #closedAt: Milliseconds | undefined;
+  /** Its lead has been missing it since it was heard last. */
+  #isMissed = false;
   /** The last incarnation whose upstream worked. */
   #workedAs: Incarnation | undefined;
   /** Its upstream is not well since then. */
@@ -57,6 +59,7 @@
     this.#via = via;
     this.#heardAt = now;
     this.#closedAt = undefined;
+    this.#isMissed = false;
     this.#relaySuspectedAt = undefined;
     this.#hasLeft = sign.isLeaving;
     if (!sign.isHealthy) {
@@ -69,12 +72,30 @@
     return hasRecovered ? 'recovered' : 'unremarkable';
   }
 
-  noteSilent(now: Milliseconds): void {
+  noteClosed(now: Milliseconds): void {
     this.#closedAt ??= now;
   }
 
+  noteMissed(): void {
+    this.#isMissed = true;
+  }
+
+  /**
+   * Whether the host is to be taken as silent.
+   * A closed connection alone may be a host that turns to another control host; when its lead misses it too, it is not.
+   */
   isSilent(now: Milliseconds): boolean {
-    return this.#closedAt !== undefined || now >= this.#heardAt + this.#options.suspectAfter;
+    return now >= this.#silentFrom();
+  }
+
+  #silentFrom(): Milliseconds {
+    const { suspectAfter, reconnectGrace } = this.#options;
+    const byTime = this.#heardAt + suspectAfter;
+    if (this.#closedAt === undefined) {
+      return byTime;
+    }
+    const byClose = this.#closedAt + (this.#isMissed ? 0 : reconnectGrace);
+    return Math.min(byTime, byClose);
   }
 
   /** How long the host has been unable to work; undefined when it can. */
@@ -110,6 +131,7 @@
   excuse(now: Milliseconds): void {
     this.#heardAt = now;
     this.#closedAt = undefined;
+    this.#isMissed = false;
   }
 
   sight(now: Milliseconds): Sighting {
@@ -124,7 +146,7 @@
     }
     const away = this.awayFor(now);
     const moments = [
-      this.#heardAt + suspectAfter,
+      this.#silentFrom(),
       this.#heldBackUntil,
       (this.#relaySuspectedAt ?? Infinity) + watcherGrace,
       away === undefined ? Infinity : now + (goneAfter - away),
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -10,14 +10,14 @@
   type WatchResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { WatchedGroup } from '../../model/index.js';
-import type { HostAvailability } from '../../placement/index.js';
 import type { ControlSettings } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
-import { HostDirectory, type ReportedHost } from '../host-directory.js';
+import { HostDirectory } from '../host-directory.js';
 import { ControlStateMachine, type CommandAnswer, type WatcherView } from '../state/index.js';
 import { WatchHub, type PublishedState } from '../watch-hub.js';
 import { WatcherDirectory } from '../watcher-directory.js';
 import { CommandSubmitter } from './command-submitter.js';
+import { HostObserver } from './host-observer.js';
 import { OperatorService } from './operator-service.js';
 import { PlacementLoop } from './placement-loop.js';
 import { ReportService } from './report-service.js';
@@ -26,8 +26,6 @@
 
 /** Puts the parts of a control host together. */
 
-/** A host that reported nothing for this long is not present. */
-const presenceLimit: Milliseconds = 3000;
 /** A control host that was not up to date with a quorum for this long tells its watchers so. */
 const freshnessLimit: Milliseconds = 2000;
 
@@ -50,6 +48,7 @@
   readonly #hub = new WatchHub(this.#describeState());
   readonly #submitter: CommandSubmitter;
   readonly #operators: OperatorService;
+  readonly #observer: HostObserver;
   readonly #reports: ReportService;
   readonly #placement: PlacementLoop;
   #heartbeat: NodeJS.Timeout | undefined;
@@ -59,6 +58,8 @@
     const { settings, clock, logger } = options;
     const shared = { log: this.#log, clients: this.#clients, clock, logger };
     const findAddress = (name: string) => this.#findAddress(name);
+    const readPolicy = () => this.#machine.read().configuration.policy;
+    this.#observer = new HostObserver({ clock, logger, readPolicy });
     this.#submitter = new CommandSubmitter({ ...shared, findAddress });
     this.#operators = new OperatorService({
       ...shared,
@@ -72,17 +73,20 @@
       peers: () => this.#listPeers(),
       directory: this.#directory,
       watchers: this.#watchers,
-      onReport: () => {
+      onReport: (report, via) => {
+        this.#observer.noteReport(report, via);
         this.#publish();
       },
+      onClosed: (host) => {
+        this.#observer.noteClosed(host);
+      },
     });
     this.#placement = new PlacementLoop({
       ...shared,
       submitter: this.#submitter,
       directory: this.#directory,
       readState: () => this.#machine.read(),
-      judge: (host, now) => judgeAvailability(host, now),
-      isWatcherSuspected: () => false,
+      observer: this.#observer,
     });
   }
 
@@ -103,6 +107,7 @@
           this.#clients.close();
         },
       },
+      this.#observer,
       this.#reports,
       server,
       this.#placement,
@@ -190,7 +195,7 @@
       staleness: this.#log.staleness(),
       voters: settings.voters,
       now: clock.monotonic(),
-      isPresent,
+      isPresent: ({ facts }) => this.#observer.isHeard(facts.host),
     };
   }
 
@@ -233,11 +238,3 @@
     return voters.filter((voter) => voter.name !== name).map((voter) => voter.address);
   }
 }
-
-function isPresent(host: ReportedHost, now: Milliseconds): boolean {
-  return now - host.lastHeard < presenceLimit;
-}
-
-function judgeAvailability(host: ReportedHost, now: Milliseconds): HostAvailability {
-  return isPresent(host, now) ? { type: 'present' } : { type: 'gone' };
-}
--- /dev/null
+++ b/src/control/shell/host-observer.ts
@@ -0,0 +1,160 @@
+import type { Logger } from 'pino';
+
+import {
+  assertNever,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+} from '../../common/index.js';
+import type { Group, HostName, Policy } from '../../model/index.js';
+import type { HostAvailability } from '../../placement/index.js';
+import type { HostReport } from '../host-directory.js';
+import {
+  defaultHostHealthOptions,
+  GroupWatch,
+  HostHealth,
+  type HostHealthEffect,
+  type HostHealthEvent,
+  type HostSign,
+} from '../hosts/index.js';
+
+/** Feeds host health with what control hears of the hosts, on every control host, so that a new leader knows them. */
+
+/** Without it a wake in the far future would hide a policy that changed. */
+const longestWait: Milliseconds = 1000;
+
+/** Options of the observer. */
+export interface HostObserverOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly readPolicy: () => Policy;
+}
+
+export class HostObserver implements ManagedPart {
+  readonly name = 'host observer';
+  readonly #options: HostObserverOptions;
+  readonly #health: HostHealth;
+  readonly #groups = new GroupWatch();
+  /** What the last report with facts said of each host; heartbeats carry none. */
+  readonly #known = new Map<HostName, HostSign>();
+  #policy: Policy;
+  #timer: NodeJS.Timeout | undefined;
+  #isOpen = false;
+
+  constructor(options: HostObserverOptions) {
+    this.#options = options;
+    this.#policy = options.readPolicy();
+    this.#health = new HostHealth(defaultHostHealthOptions, this.#policy);
+  }
+
+  open(): void {
+    this.#isOpen = true;
+    this.#tick();
+  }
+
+  close(): void {
+    this.#isOpen = false;
+    clearTimeout(this.#timer);
+  }
+
+  get isWatcherSuspected(): boolean {
+    return this.#health.isWatcherSuspected;
+  }
+
+  availabilityOf(host: HostName): HostAvailability {
+    return this.#health.availabilityOf(host, this.#now());
+  }
+
+  /** Whether the host is there, whatever its upstream does. */
+  isHeard(host: HostName): boolean {
+    return this.#health.isHeard(host, this.#now());
+  }
+
+  /** How long the lead of a group has been missing members of this placement. */
+  incompleteFor(group: Group): Milliseconds {
+    return this.#groups.incompleteFor(group, this.#now());
+  }
+
+  /** Takes a report that came in at the control host `via`. */
+  noteReport(report: HostReport, via: string): void {
+    const sign = describeSign(report, this.#known.get(report.host));
+    if (sign === undefined) {
+      return;
+    }
+    this.#known.set(report.host, sign);
+    this.#handle({ type: 'reported', now: this.#now(), sign, via });
+    for (const health of report.groups) {
+      this.#groups.note(health, this.#now());
+      for (const host of health.missing) {
+        this.#handle({ type: 'missed', now: this.#now(), host });
+      }
+    }
+  }
+
+  /** The connection on which a host reported here closed. */
+  noteClosed(host: HostName): void {
+    this.#handle({ type: 'connectionClosed', now: this.#now(), host });
+  }
+
+  #tick(): void {
+    this.#followPolicy();
+    this.#handle({ type: 'ticked', now: this.#now() });
+  }
+
+  #followPolicy(): void {
+    const policy = this.#options.readPolicy();
+    if (policy !== this.#policy) {
+      this.#policy = policy;
+      this.#handle({ type: 'policyChanged', now: this.#now(), policy });
+    }
+  }
+
+  #handle(event: HostHealthEvent): void {
+    for (const effect of this.#health.handle(event)) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: HostHealthEffect): void {
+    const { logger } = this.#options;
+    switch (effect.type) {
+      case 'standingChanged':
+        logger.info({ host: effect.host, standing: effect.standing }, 'host standing changed');
+        return;
+      case 'watcherSuspicionChanged':
+        logger.warn({ isSuspected: effect.isSuspected }, 'suspicion of being cut off changed');
+        return;
+      case 'wake':
+        this.#wakeAt(effect.at);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  #wakeAt(at: Milliseconds): void {
+    clearTimeout(this.#timer);
+    if (!this.#isOpen) {
+      return;
+    }
+    const wait = Math.min(longestWait, Math.max(1, Math.ceil(at - this.#now())));
+    this.#timer = setTimeout(() => {
+      this.#tick();
+    }, wait);
+  }
+
+  #now(): Milliseconds {
+    return this.#options.clock.monotonic();
+  }
+}
+
+/** What host health needs of a report; undefined while the host's facts are not known. */
+function describeSign(report: HostReport, known: HostSign | undefined): HostSign | undefined {
+  const { host, incarnation, facts, isLeaving } = report;
+  const source = facts ?? known;
+  if (source === undefined) {
+    return undefined;
+  }
+  const { region, failureDomain, isHealthy } = source;
+  return { host, incarnation, region, failureDomain, isHealthy, isLeaving };
+}
--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -4,19 +4,21 @@
 import type { ReplicatedLog } from '../../consensus/index.js';
 import {
   planPlacement,
-  type HostAvailability,
   type PlacementDecision,
   type PlacementInput,
 } from '../../placement/index.js';
-import type { HostDirectory, ReportedHost } from '../host-directory.js';
+import type { HostDirectory } from '../host-directory.js';
 import { applyHostOverride, type CommandAnswer, type ControlState } from '../state/index.js';
 import type { CommandSubmitter } from './command-submitter.js';
+import type { HostObserver } from './host-observer.js';
 
 /** On the leader, asks placement what to do whenever something may have changed, and commits the answer. */
 
 const interval: Milliseconds = 250;
 /** A new leader first collects reports this long: hosts it has not heard of yet are not lost. */
 const settleTime: Milliseconds = 3000;
+/** It waits longer while it has not heard of a member; one that is not back by then is lost. */
+const longestSettleTime: Milliseconds = 15_000;
 
 const estimates = { loadDuration: 60_000, handover: 2000, hostUnavailability: 0.01 };
 
@@ -26,8 +28,7 @@
   readonly submitter: CommandSubmitter;
   readonly directory: HostDirectory;
   readonly readState: () => ControlState;
-  readonly judge: (host: ReportedHost, now: Milliseconds) => HostAvailability;
-  readonly isWatcherSuspected: () => boolean;
+  readonly observer: HostObserver;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -61,34 +62,41 @@
       return;
     }
     this.#leadingSince ??= now;
-    if (this.#isSubmitting || now - this.#leadingSince < settleTime) {
+    const state = this.#options.readState();
+    if (this.#isSubmitting || !this.#isSettled(state, now - this.#leadingSince)) {
       return;
     }
-    const state = this.#options.readState();
-    const decision = planPlacement(this.#describe(state, now));
+    const decision = planPlacement(this.#describe(state));
     if (decision.place.length === 0 && decision.dissolve.length === 0) {
       return;
     }
     await this.#commit(decision, state.index);
   }
 
-  #describe(state: ControlState, now: Milliseconds): PlacementInput {
-    const { directory, judge, isWatcherSuspected } = this.#options;
+  #isSettled(state: ControlState, leadingFor: Milliseconds): boolean {
+    const known = this.#options.directory.read();
+    const members = [...state.groups.values()].flatMap((group) => group.members);
+    const isEachKnown = members.every((member) => known.has(member.host));
+    return leadingFor >= (isEachKnown ? settleTime : longestSettleTime);
+  }
+
+  #describe(state: ControlState): PlacementInput {
+    const { directory, observer } = this.#options;
     const hosts = [...directory.read().values()].map((host) => ({
       facts: applyHostOverride(host.facts, state.overrides.get(host.facts.host)),
-      availability: judge(host, now),
+      availability: observer.availabilityOf(host.facts.host),
     }));
     const groups = [...state.groups.values()].map((group) => ({
       group,
       health: directory.findHealth(group),
-      incompleteFor: 0,
+      incompleteFor: observer.incompleteFor(group),
     }));
     return {
       configuration: state.configuration,
       hosts,
       groups,
       estimates,
-      isWatcherSuspected: isWatcherSuspected(),
+      isWatcherSuspected: observer.isWatcherSuspected,
     };
   }
 
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -32,8 +32,10 @@
   readonly clients: RpcClientPool;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Called after each report that may change placement or what watchers see. */
-  readonly onReport: (report: HostReport) => void;
+  /** Called after each report that may change placement or what watchers see, with the control host it came in at. */
+  readonly onReport: (report: HostReport, via: string) => void;
+  /** Called when the stream of a host ended that did not say good-bye. */
+  readonly onClosed: (host: HostName) => void;
 }
 
 /** Reports heard here, waiting to be passed on to one peer. */
@@ -64,13 +66,20 @@
 
   /** Handles one sidecar's stream until it ends. */
   async takeStream(messages: AsyncIterable<HostReportMessage>): Promise<void> {
-    for await (const message of messages) {
-      const report = decodeReport(message);
-      if (!this.#take(report)) {
-        // The sidecar sends its facts first on every stream, so a new stream mends what is missing.
-        throw new ConnectError('facts of this host are not known here', Code.FailedPrecondition);
+    let last: HostReport | undefined;
+    try {
+      for await (const message of messages) {
+        last = decodeReport(message);
+        if (!this.#take(last, this.#options.name)) {
+          // The sidecar sends its facts first on every stream, so a new stream mends what is missing.
+          throw new ConnectError('facts of this host are not known here', Code.FailedPrecondition);
+        }
+        this.#enqueue(last);
+      }
+    } finally {
+      if (last?.isLeaving === false) {
+        this.#options.onClosed(last.host);
       }
-      this.#enqueue(report);
     }
   }
 
@@ -81,7 +90,7 @@
     }
     return request.reports
       .map(decodeReport)
-      .filter((report) => !this.#take(report))
+      .filter((report) => !this.#take(report, request.from))
       .map((report) => report.host);
   }
 
@@ -94,11 +103,11 @@
     return this.#options.clock.monotonic();
   }
 
-  #take(report: HostReport): boolean {
+  #take(report: HostReport, via: string): boolean {
     const { directory, onReport } = this.#options;
     const isTaken = directory.take(report, this.#now());
     if (isTaken) {
-      onReport(report);
+      onReport(report, via);
     }
     return isTaken;
   }
