Sidecar: orders and planned stops by their controllers

Cause: the thin path sent a load order whenever an artifact was missing, whoever still counted on the engine, and a planned stop waited for control to dissolve the groups of other leads. Ruled out: handing leases back when control says drained only (a stop would hang while control has no quorum). Change: OrderRunner and runDrain carry out the effects of OrderController and DrainController; drained leads hand their leases back at once; the stand-in engine takes the orders loadModel, loadAdapters, changeVersion, unload, changeRole; a group that forms again of the same hosts gets a new fencing number (test opens with the symptom). Conclusion: real-process tests next.

--- a/__tests__/placement/plan.test.ts
+++ b/__tests__/placement/plan.test.ts
@@ -285,4 +285,18 @@
     expect(formed.place).toMatchObject([{ name: first?.group.name, isDraining: false }]);
     expect(formed.place[0]?.members.map((member) => member.host)).not.toContain(leaving);
   });
+
+  it('gives a group that drained and forms again of the same hosts a new fencing number', () => {
+    // Symptom: a group stays down although all its hosts are well. Sequence: a label is taken away and set again while the group
+    // drains. Cause: the same members under the same name kept the number of a placement whose lead had handed its leases back.
+    const first = groups[0];
+    const drained = groups.map((placed) =>
+      placed === first
+        ? withHealth({ ...placed.group, isDraining: true }, createHealth(placed.group, false, true))
+        : placed,
+    );
+    const decision = planPlacement(createInput({ hosts: tenAndTen, groups: drained }));
+    expect(decision.dissolve).toEqual([first?.group.name]);
+    expect(decision.place.map(({ name }) => name)).toEqual([first?.group.name]);
+  });
 });
--- a/src/placement/working-plan.ts
+++ b/src/placement/working-plan.ts
@@ -70,14 +70,17 @@
     );
   }
 
-  /** Creates or replaces a group; its members are free no longer, and members it lost may be used elsewhere. */
+  /**
+   * Creates or replaces a group; its members are free no longer, and members it lost may be used elsewhere.
+   * A name that this decision dissolved stays dissolved too: the same hosts under the same name would otherwise keep
+   * the fencing number of the placement that its lead has given up.
+   */
   place(placement: Omit<GroupPlacement, 'isDraining'>, members: readonly PlacementHost[]): void {
     for (const host of members) {
       this.#free.delete(host.facts.host);
       this.#started += isReadyFor(host, placement.offer) ? 0 : 1;
     }
     this.#freeMembers(placement.name, new Set(members.map((host) => host.facts.host)));
-    this.#dissolved.delete(placement.name);
     this.#placed.set(placement.name, { ...placement, isDraining: false });
   }
 
--- a/src/sidecar/shell/group-leader.ts
+++ b/src/sidecar/shell/group-leader.ts
@@ -70,6 +70,18 @@
     return this.list().map((driver) => driver.health());
   }
 
+  /**
+   * Hands the leases of drained groups back, so that members that are to stop need not wait for control to dissolve them.
+   * Only right after the attempts in flight were counted: an older count could miss one that was just admitted.
+   */
+  handBackDrained(): void {
+    for (const driver of this.#drivers.values()) {
+      if (driver.isDraining && driver.health().isDrained) {
+        driver.dissolve();
+      }
+    }
+  }
+
   /** Hands all leases back. */
   dissolveAll(): void {
     for (const driver of this.#drivers.values()) {
--- a/src/sidecar/shell/lease-lead-driver.ts
+++ b/src/sidecar/shell/lease-lead-driver.ts
@@ -53,6 +53,7 @@
   readonly #closedAt = new Map<HostName, Milliseconds>();
   readonly #confirmations = new Map<string, (isWhole: boolean) => void>();
   #timer: NodeJS.Timeout | undefined;
+  #isDissolved = false;
 
   constructor(options: LeaseLeadDriverOptions) {
     this.#options = options;
@@ -70,6 +71,10 @@
 
   /** Hands the leases back; nothing is admitted from here on. */
   dissolve(): void {
+    if (this.#isDissolved) {
+      return;
+    }
+    this.#isDissolved = true;
     this.#handle({ type: 'dissolved', now: this.#now() });
     clearTimeout(this.#timer);
     for (const stream of this.#streams.values()) {
--- a/src/sidecar/shell/lease-member-driver.ts
+++ b/src/sidecar/shell/lease-member-driver.ts
@@ -80,9 +80,9 @@
     this.#handle({ type: 'drainRequested', now: this.#clock.monotonic() });
   }
 
-  /** Whether some lead may still count on this host. */
-  isHeld(): boolean {
-    return this.#member.holder(this.#clock.monotonic()) !== undefined;
+  /** The placement whose lead may still count on this host; undefined when none may. */
+  findHolder(): FencingNumber | undefined {
+    return this.#member.holder(this.#clock.monotonic())?.fencingNumber;
   }
 
   async *#hold(questions: AsyncIterable<LeaseQuestionMessage>): AsyncIterable<LeaseAnswerMessage> {
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -9,27 +9,21 @@
 } from '../../common/index.js';
 import type { HostReport } from '../../control/index.js';
 import { defaultLongestLease } from '../../lease/index.js';
-import {
-  isArtifactCovered,
-  type Group,
-  type GroupName,
-  type HostFacts,
-  type WatchedState,
-} from '../../model/index.js';
+import type { Group, GroupName, HostFacts, ServiceName, WatchedState } from '../../model/index.js';
 import type { SidecarSettings } from '../../settings/index.js';
 import { ControlWatcher } from '../../watch/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { AttemptService, HttpUpstreamCaller, type GroupAdmission } from '../attempts/index.js';
 import { createAnnounceServer, UpstreamMonitor, type UpstreamState } from '../upstream/index.js';
-import { EngineOrders } from './engine-orders.js';
+import { runDrain } from './drain-runner.js';
 import { GroupLeader } from './group-leader.js';
 import { LeaseMemberDriver } from './lease-member-driver.js';
+import { OrderRunner } from './order-runner.js';
 import { ReportClient } from './report-client.js';
 
 /** Puts the parts of a sidecar together. */
 
 const tickInterval: Milliseconds = 100;
-const drainPollInterval: Milliseconds = 50;
 
 /** Options of a sidecar. */
 export interface SidecarProcessOptions {
@@ -48,7 +42,7 @@
   readonly #reports: ReportClient;
   readonly #member: LeaseMemberDriver;
   readonly #leader: GroupLeader;
-  readonly #orders: EngineOrders;
+  readonly #orders: OrderRunner;
   readonly #attempts: AttemptService;
   #timer: NodeJS.Timeout | undefined;
   #isDraining = false;
@@ -67,7 +61,12 @@
       this.#reports.notify();
     };
     this.#leader = new GroupLeader({ ...shared, member: this.#member, onHealth });
-    this.#orders = new EngineOrders(clock, logger);
+    this.#orders = new OrderRunner({
+      ...shared,
+      onReadiness: (group, fencingNumber, isReady) => {
+        this.#member.setReady(group, fencingNumber, isReady);
+      },
+    });
     this.#attempts = new AttemptService({
       ...shared,
       readGroup: (name) => this.#readAdmission(name),
@@ -137,16 +136,24 @@
 
   #tick(): void {
     const upstream = this.#readUpstream();
-    this.#member.setHealthy(upstream.type === 'present' && upstream.isHealthy);
-    for (const group of this.#listPlacements()) {
-      this.#prepare(group, upstream);
+    this.#member.setHealthy(this.#isWell(upstream));
+    const placements = this.#listPlacements();
+    this.#orders.update({ placements, upstream, holder: this.#member.findHolder() });
+    for (const group of placements) {
+      this.#prepareService(group, upstream);
     }
     for (const driver of this.#leader.list()) {
       driver.noteRunning(this.#attempts.countUnfinished(driver.group.name));
     }
+    this.#leader.handBackDrained();
     this.#reports.notify();
   }
 
+  /** There, well by its own word, and not failing its orders. */
+  #isWell(upstream: UpstreamState): boolean {
+    return upstream.type === 'present' && upstream.isHealthy && this.#orders.isFit;
+  }
+
   /** Placements that this host is a member of; more than one only while an older one runs out. */
   #listPlacements(): readonly Group[] {
     const { host } = this.#options.settings;
@@ -155,12 +162,11 @@
       .filter((group) => group.members.some((member) => member.host === host));
   }
 
-  #prepare(group: Group, upstream: UpstreamState): void {
-    const { offer, fencingNumber } = group;
-    if (offer.type === 'model') {
-      this.#orders.want(offer.artifact, fencingNumber, upstream);
+  /** A plain service has nothing to load; an engine's readiness comes from its orders. */
+  #prepareService({ name, fencingNumber, offer }: Group, upstream: UpstreamState): void {
+    if (offer.type === 'service') {
+      this.#member.setReady(name, fencingNumber, isOffering(upstream, offer.service));
     }
-    this.#member.setReady(group.name, fencingNumber, isOffered(group, upstream));
   }
 
   #readUpstream(): UpstreamState {
@@ -203,7 +209,7 @@
       accelerators: settings.accelerators,
       labels: settings.labels,
       upstream: upstream.type === 'present' ? upstream.upstream : undefined,
-      isHealthy: upstream.type === 'present' && upstream.isHealthy,
+      isHealthy: this.#isWell(upstream),
       isDraining: this.#isDraining,
     };
     return {
@@ -218,41 +224,36 @@
   }
 
   /** A planned stop: the groups of this host finish what they have, then every lease is handed back. */
-  async #drain(): Promise<void> {
+  #drain(): Promise<void> {
     const { clock, settings, logger } = this.#options;
-    this.#isDraining = true;
-    this.#member.requestDrain();
-    this.#reports.notify();
-    const limit = clock.monotonic() + settings.shutdown.hardLimitMilliseconds;
-    while (this.#isBusy() && clock.monotonic() < limit) {
-      await new Promise((resolve) => setTimeout(resolve, drainPollInterval));
-    }
-    const cut = await this.#attempts.drain(0);
-    if (cut.length > 0) {
-      logger.warn({ cut }, 'attempts cut off at the hard limit');
-    }
-    this.#leader.dissolveAll();
-    this.#isLeaving = true;
-    this.#reports.notify();
-  }
-
-  /** As member: some lead still counts on this host. As lead: an attempt is still running. */
-  #isBusy(): boolean {
-    if (this.#attempts.unfinishedCount > 0) {
-      return true;
-    }
-    const isOnlyLead = this.#listPlacements().every((group) => this.#leader.find(group.name));
-    return !isOnlyLead && this.#member.isHeld();
+    const target = {
+      countRunning: () => this.#attempts.unfinishedCount,
+      isHeld: () => this.#member.findHolder() !== undefined,
+      refuseNewWork: () => {
+        this.#isDraining = true;
+        this.#attempts.startDrain();
+        this.#member.requestDrain();
+        this.#reports.notify();
+      },
+      dissolveGroups: () => {
+        this.#leader.dissolveAll();
+      },
+      cutOff: async () => {
+        const cut = await this.#attempts.drain(0);
+        logger.warn({ cut }, 'attempts cut off at the hard limit');
+      },
+      leave: () => {
+        this.#isLeaving = true;
+        this.#reports.notify();
+      },
+    };
+    return runDrain(target, settings.shutdown.hardLimitMilliseconds, clock);
   }
 }
 
-function isOffered({ offer }: Group, upstream: UpstreamState): boolean {
-  if (upstream.type === 'absent') {
+function isOffering(upstream: UpstreamState, service: ServiceName): boolean {
+  if (upstream.type === 'absent' || upstream.upstream.type !== 'service') {
     return false;
   }
-  if (offer.type === 'service') {
-    return upstream.upstream.type === 'service' && upstream.upstream.service === offer.service;
-  }
-  const { upstream: engine } = upstream;
-  return engine.type === 'engine' && isArtifactCovered(offer.artifact, engine.loaded);
+  return upstream.upstream.service === service;
 }
--- a/src/stand-in/engine.ts
+++ b/src/stand-in/engine.ts
@@ -18,16 +18,25 @@
 
 /** A stand-in for a model engine: loads by order, streams tokens at a set pace, stops when its caller goes away. */
 
-const orderSchema = z.strictObject({
-  type: z.enum(['load', 'unload']),
-  artifact: z.object({
-    model: z.string(),
-    version: z.string(),
-    adapters: z.array(z.string()).readonly(),
-  }),
-  fencingNumber: z.int(),
+const artifactSchema = z.object({
+  model: z.string(),
+  version: z.string(),
+  adapters: z.array(z.string()).readonly(),
 });
 
+const roleSchema = z.strictObject({ group: z.string(), rank: z.int(), size: z.int() });
+
+const orderNumbers = { fencingNumber: z.int(), sequence: z.int() };
+
+const orderSchema = z.discriminatedUnion('type', [
+  z.strictObject({
+    type: z.enum(['loadModel', 'loadAdapters', 'changeVersion', 'unload']),
+    artifact: artifactSchema,
+    ...orderNumbers,
+  }),
+  z.strictObject({ type: z.literal('changeRole'), role: roleSchema, ...orderNumbers }),
+]);
+
 /** Options of a stand-in engine. */
 export interface StandInEngineOptions {
   readonly listen: string;
@@ -104,6 +113,9 @@
     }
     this.#fencingNumber = Math.max(this.#fencingNumber, order.fencingNumber);
     answerJson(response, 202, { message: 'order taken' });
+    if (order.type === 'changeRole') {
+      return;
+    }
     if (order.type === 'unload') {
       this.#loaded = [];
       return;
