--- /dev/null
+++ b/__tests__/requests/faults.test.ts
@@ -0,0 +1,277 @@
+import { request as sendRequest, type RequestListener, type ServerResponse } from 'node:http';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import {
+  admit,
+  callerKey,
+  chat,
+  Cleanup,
+  FakeClaims,
+  FakeWatched,
+  modelGroup,
+  serviceGroup,
+  startGateway,
+  startSidecar,
+  startUpstream,
+  waitFor,
+  type TestSidecar,
+} from './fixture.js';
+import { Relay } from './relay.js';
+import type { Gateway, GatewayOptions } from '../../src/gateway/index.js';
+
+let cleanup = new Cleanup();
+
+afterEach(async () => {
+  await cleanup.run();
+  cleanup = new Cleanup();
+});
+
+/** An upstream whose answers the test writes by hand. */
+class HandUpstream {
+  readonly answers: ServerResponse[] = [];
+  readonly paths: string[] = [];
+  readonly listener: RequestListener = (request, response) => {
+    request.resume();
+    request.on('end', () => {
+      this.paths.push(request.url ?? '');
+      this.answers.push(response);
+    });
+  };
+
+  async answer(index: number): Promise<ServerResponse> {
+    await waitFor(() => this.answers.length > index);
+    const response = this.answers[index];
+    if (response === undefined) {
+      throw new Error('no answer');
+    }
+    return response;
+  }
+
+  async stream(index: number): Promise<ServerResponse> {
+    const response = await this.answer(index);
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write('data: 1\n\n');
+    return response;
+  }
+}
+
+interface Path {
+  readonly upstream: HandUpstream;
+  readonly sidecar: TestSidecar;
+  readonly gateway: Gateway;
+  readonly url: string;
+  readonly relay: Relay;
+}
+
+async function startPath(
+  group = modelGroup(''),
+  overrides: Partial<GatewayOptions> = {},
+): Promise<Path> {
+  const upstream = new HandUpstream();
+  const upstreamUrl = await startUpstream(upstream.listener, cleanup);
+  const sidecar = await startSidecar(upstreamUrl, admit(group), cleanup);
+  const relay = new Relay(sidecar.address);
+  const address = await relay.open(cleanup);
+  const watched = new FakeWatched();
+  watched.set([{ ...group, members: group.members.map((member) => ({ ...member, address })) }]);
+  const { gateway, url } = await startGateway(watched, cleanup, overrides);
+  return { upstream, sidecar, gateway, url, relay };
+}
+
+/** A streamed answer whose first event is under way. */
+async function openStream(
+  url: string,
+  upstream: HandUpstream,
+  signal?: AbortSignal,
+): Promise<{ readonly response: Response; readonly stream: ServerResponse }> {
+  const response = chat(url, { stream: true }, {}, signal);
+  const stream = await upstream.stream(0);
+  return { response: await response, stream };
+}
+
+async function readUntil(response: Response, text: string): Promise<() => Promise<string>> {
+  const reader = response.body?.pipeThrough(new TextDecoderStream()).getReader();
+  let seen = '';
+  const read = async (): Promise<boolean> => {
+    const part = await reader?.read();
+    seen += part?.value ?? '';
+    return part?.done !== true;
+  };
+  while (!seen.includes(text) && (await read()));
+  return async () => {
+    while (await read());
+    return seen;
+  };
+}
+
+describe('a request whose connections or processes fail', () => {
+  // Symptom: a caller's stream stands still for ever, with every process up.
+  // Sequence: first event arrives; something between gateway and sidecar loses track of the connection.
+  // Cause: TCP says nothing about a peer whose packets vanish; only missing keep-alives show it.
+  it('is resumed when its connection goes silent in mid-stream', async () => {
+    const { upstream, relay, url } = await startPath();
+    const { response, stream } = await openStream(url, upstream);
+    const rest = await readUntil(response, 'data: 1\n\n');
+    relay.silence();
+    stream.end('data: 2\n\ndata: [DONE]\n\n');
+    expect(await rest()).toBe('data: 1\n\ndata: 2\n\ndata: [DONE]\n\n');
+    expect(upstream.answers).toHaveLength(1);
+  });
+
+  // Symptom: a council gets the same submission twice.
+  // Sequence: the connection is already silent when the request is sent; the gateway gives up and sends it again.
+  // Cause: nobody asked whether the first copy arrived, and nothing kept it from running later.
+  it('runs a non-idempotent request once when its connection was silent before it was sent', async () => {
+    const { upstream, relay, url } = await startPath(serviceGroup(''));
+    const send = (): Promise<Response> =>
+      fetch(`${url}/services/rental-desk/quotes?van=7`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${callerKey}` },
+        body: 'quote',
+      });
+    const first = send();
+    (await upstream.answer(0)).end('first');
+    expect(await (await first).text()).toBe('first');
+    relay.silence();
+    const second = send();
+    (await upstream.answer(1)).end('second');
+    expect(await (await second).text()).toBe('second');
+    expect(upstream.paths).toEqual(['/quotes?van=7', '/quotes?van=7']);
+  });
+
+  // Symptom: a caller takes half an answer for a whole one.
+  // Sequence: the sidecar dies after the first event of a stream.
+  // Cause: the end of a connection was taken for the end of the answer.
+  it('ends in an error event when the sidecar dies in mid-stream', async () => {
+    const { upstream, sidecar, url } = await startPath(modelGroup(''), {
+      requestLimits: { ...fastLimits },
+    });
+    const { response } = await openStream(url, upstream);
+    const rest = await readUntil(response, 'data: 1\n\n');
+    sidecar.kill();
+    const text = await rest();
+    expect(text).toContain('event: error\ndata: {"error":{"code":2101');
+    expect(text).not.toContain('[DONE]');
+  });
+
+  // Symptom: a truncated answer is passed off as whole.
+  // Sequence: the upstream closes its connection before the bytes that Content-Length announced.
+  // Cause: the relay between them looked at the close only.
+  it('is not whole when the upstream cuts its answer', async () => {
+    const { upstream, url } = await startPath();
+    const pending = chat(url, {}, { 'pistachiospoke-non-idempotent': 'true' });
+    const answer = await upstream.answer(0);
+    answer.writeHead(200, { 'content-type': 'application/json', 'content-length': 100 });
+    answer.write('{"half":');
+    answer.socket?.end();
+    const response = await pending;
+    const failure = (await response.json()) as { error: { name: string } };
+    expect(response.status).toBe(502);
+    expect(failure.error.name).toBe('answerBroken');
+  });
+
+  // Symptom: engines work for callers that left long ago.
+  // Sequence: the caller closes its connection in mid-stream.
+  // Cause: nobody tells the upstream.
+  it('cancels the stream of the upstream when its caller goes away', async () => {
+    const { upstream, url, gateway } = await startPath();
+    const caller = new AbortController();
+    const { response, stream } = await openStream(url, upstream, caller.signal);
+    let isClosed = false;
+    stream.on('close', () => (isClosed = true));
+    await readUntil(response, 'data: 1\n\n');
+    caller.abort();
+    await waitFor(() => isClosed && gateway.inFlight === 0);
+    expect(stream.writableFinished).toBe(false);
+  });
+
+  // Symptom: the sidecar's memory grows with one caller that reads nothing.
+  // Sequence: a caller stops reading in the middle of a long stream; the connection stays open.
+  // Cause: nothing held the upstream back, and a caller that takes nothing was never taken for gone.
+  it('gives a caller up that takes nothing any more', async () => {
+    const { upstream, url, gateway } = await startPath(modelGroup(''), {
+      callerLimits: { keepAliveInterval: 5000, stallLimit: 300 },
+    });
+    const body = JSON.stringify({ model: 'assist-llm', messages: [{}], stream: true });
+    const caller = sendRequest(`${url}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${callerKey}` },
+    });
+    caller.on('error', () => undefined);
+    caller.on('response', (response) => response.pause());
+    caller.end(body);
+    const answer = await upstream.stream(0);
+    let isClosed = false;
+    answer.on('close', () => (isClosed = true));
+    const event = `data: ${'x'.repeat(64 * 1024)}\n\n`;
+    const hasEnded = (): boolean => isClosed;
+    while (!hasEnded()) {
+      answer.write(event);
+      await new Promise((resolve) => setTimeout(resolve, 2));
+    }
+    await waitFor(() => gateway.inFlight === 0);
+    expect(gateway.inFlight).toBe(0);
+  });
+});
+
+describe('a graceful shutdown', () => {
+  // Symptom: a planned stop of a gateway cuts answers.
+  // Sequence: the gateway is stopped in mid-stream.
+  // Cause: the server was closed before what was in flight had ended.
+  it('of a gateway lets a stream end and refuses new requests', async () => {
+    const { upstream, url, gateway } = await startPath(modelGroup(''), {
+      drain: { unreadyPeriod: 0, hardLimit: 60_000 },
+    });
+    const { response, stream } = await openStream(url, upstream);
+    const rest = await readUntil(response, 'data: 1\n\n');
+    const closed = gateway.close();
+    await waitFor(() => gateway.isStopping);
+    await expect(chat(url, {})).rejects.toThrow();
+    stream.end('data: [DONE]\n\n');
+    expect(await rest()).toBe('data: 1\n\ndata: [DONE]\n\n');
+    await closed;
+  });
+
+  // Symptom: a planned stop of an upstream host cuts answers, or goes on taking new ones.
+  // Sequence: the sidecar is drained with one answer running.
+  // Cause: work in flight and new work were treated alike.
+  it('of a sidecar lets a stream end, refuses new attempts, and reports what a limit would cut', async () => {
+    const { upstream, url, sidecar } = await startPath();
+    const { response, stream } = await openStream(url, upstream);
+    expect(await sidecar.service.drain(0)).toHaveLength(1);
+    const refused = await chat(url, {});
+    expect(((await refused.json()) as { error: { name: string } }).error.name).toBe('draining');
+    const drained = sidecar.service.drain(60_000);
+    stream.end('data: [DONE]\n\n');
+    expect(await response.text()).toBe('data: 1\n\ndata: [DONE]\n\n');
+    expect(await drained).toEqual([]);
+  });
+});
+
+describe('a claimed key', () => {
+  it('is settled with how the request came out', async () => {
+    const claims = new FakeClaims();
+    const { upstream, url } = await startPath(serviceGroup(''), { claims });
+    const response = fetch(`${url}/services/rental-desk/quotes`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${callerKey}`, 'idempotency-key': 'quote-1' },
+      body: 'quote',
+    });
+    (await upstream.answer(0)).end('done');
+    expect((await response).status).toBe(200);
+    await waitFor(() => claims.settled.length > 0);
+    expect(claims.settled).toEqual(['ran']);
+  });
+});
+
+const fastLimits = {
+  silence: 300,
+  askLimit: 600,
+  askInterval: 50,
+  claimLimit: 1500,
+  maximumAttempts: 5,
+  maximumResumes: 8,
+  firstPause: 50,
+  maximumAnswerBytes: 1_000_000,
+};
--- a/src/gateway/request-controller.ts
+++ b/src/gateway/request-controller.ts
@@ -47,6 +47,9 @@
   'unknownGroup',
 ]);
 
+/** Ends of an attempt that say something of a connection only: the group may be tried again, though others go first. */
+const connectionCodes: ReadonlySet<ResultCodeName> = new Set(['tombstoned']);
+
 /**
  * All decisions on one caller's request, from its arrival to its one final answer.
  *
@@ -231,6 +234,9 @@
     }
     this.#answer.reset();
     this.#lifecycle.step('choose');
+    if (connectionCodes.has(code)) {
+      this.#tried.clear();
+    }
     if (code === 'staleConfiguration') {
       return this.#postpone(now);
     }
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -131,6 +131,11 @@
     return this.#runners.size;
   }
 
+  /** Whether new requests are refused because the process is being stopped. */
+  get isStopping(): boolean {
+    return this.#phase === 'stopping';
+  }
+
   async open(): Promise<void> {
     const { host, port } = splitAddress(this.#options.address);
     this.#server.keepAliveTimeout = socketKeepAlive;
--- a/src/sidecar/attempts/attempt-registry.ts
+++ b/src/sidecar/attempts/attempt-registry.ts
@@ -145,10 +145,11 @@
     return { type: 'neverSeen' };
   }
 
-  /** Leaves a tombstone: an attempt that is not known now will never run here. */
+  /** Leaves a tombstone: an attempt that is not known now will never run here. One for another incarnation never would. */
   bury(name: AttemptName, now: Milliseconds): void {
     const key = formatAttemptName(name);
-    if (!this.#live.has(key) && !this.#remembered.has(key)) {
+    const isOurs = name.incarnation === this.#incarnation;
+    if (isOurs && !this.#live.has(key) && !this.#remembered.has(key)) {
       this.#remember(key, undefined, name, now);
     }
   }
