--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -1,3 +1,11 @@
+export { Fleet, type ChatOptions, type FleetMember, type FleetOptions } from './fleet.js';
+export {
+  createFleetConfiguration,
+  fleetKey,
+  fleetModel,
+  fleetService,
+  type FleetAddresses,
+} from './fleet-settings.js';
 export { reservePort } from './ports.js';
 export { ProgramGroup, RunningProgram, type ProgramExit, type ProgramOptions } from './programs.js';
 export { SwallowingRelay, type RelayMode } from './relay.js';
--- a/bench/proxy.ts
+++ b/bench/proxy.ts
@@ -1,10 +1,10 @@
 /**
  * What gateway and sidecar cost against a bare proxy of the same number of hops, in one run.
- * Both paths end at the same stand-in engine; every answer is checked to be whole and the caller's own.
+ * Both paths end at stand-in engines of the same fleet; every answer is checked to be whole and the caller's own.
  */
 import { Command } from 'commander';
 
-import { ProgramGroup, reservePort, type RunningProgram } from '../__tests__/support/index.js';
+import { Fleet, fleetKey, fleetModel } from '../__tests__/support/index.js';
 import {
   announceReady,
   findRole,
@@ -55,10 +55,9 @@
     .option('--requests <count>', 'requests for each workload', Number, 2000)
     .parse()
     .opts<{ readonly requests: number }>();
-  const group = await ProgramGroup.create();
+  const fleet = await Fleet.start({ tokenMilliseconds: 1, serviceHosts: 0 });
   try {
-    const engine = await startEngine(group);
-    const paths = [await openBarePath(engine)];
+    const paths = [await openBarePath(fleet), describeRealPath(fleet)];
     for (const workload of listWorkloads(options.requests)) {
       const measurements: Measurement[] = [];
       for (const path of paths) {
@@ -67,7 +66,7 @@
       console.log(formatWorkload(workload, measurements));
     }
   } finally {
-    await group.stop();
+    await fleet.stop();
   }
   process.exit();
 }
@@ -88,20 +87,8 @@
   ];
 }
 
-async function startEngine(group: ProgramGroup): Promise<string> {
-  const address = `127.0.0.1:${await reservePort()}`;
-  const engine: RunningProgram = group.start('pistachiospoke-stand-in', [
-    'engine',
-    ...['--listen', address],
-    ...['--sidecar', '127.0.0.1:9'],
-    ...['--token-milliseconds', '1'],
-  ]);
-  reportProgress(`engine at ${address}, process ${engine.pid}`);
-  return `http://${address}`;
-}
-
-async function openBarePath(engineOrigin: string): Promise<Path> {
-  const inner = await startRole('proxy', [engineOrigin]);
+async function openBarePath(fleet: Fleet): Promise<Path> {
+  const inner = await startRole('proxy', [`http://${fleet.member('engine-1').address}`]);
   const outer = await startRole('proxy', [inner.ready]);
   return {
     name: 'bare proxy, two hops',
@@ -111,9 +98,20 @@
   };
 }
 
+/** The members' sidecars are counted too: their leases are part of what an answer costs. */
+function describeRealPath(fleet: Fleet): Path {
+  const members = [...fleet.list('gateway'), ...fleet.list('sidecar')];
+  return {
+    name: 'gateway and sidecars',
+    origin: fleet.origin(),
+    headers: { authorization: `Bearer ${fleetKey}` },
+    pids: members.map(({ program }) => program.pid),
+  };
+}
+
 async function measure(path: Path, workload: Workload): Promise<Measurement> {
   reportProgress(`${path.name}: ${workload.name}`);
-  const load = { ...workload, origin: path.origin, headers: path.headers, model: 'assist' };
+  const load = { ...workload, origin: path.origin, headers: path.headers, model: fleetModel };
   await generateLoad({ ...load, requests: Math.min(warmUpRequests, workload.requests) });
   const before = sumProcessUsage(path.pids);
   const result = await generateLoad(load);
@@ -138,24 +136,38 @@
     'CPU ms/request',
     'resident MB',
   ];
-  const table = formatMarkdownTable(header, measurements.map(formatRow));
-  const failure = measurements.find(({ load }) => load.firstFailure !== undefined)?.load;
-  return failure === undefined
-    ? `${table}\n`
-    : `${table}\n\nfirst failure: ${String(failure.firstFailure)}\n`;
+  const rows = measurements.map(formatRow);
+  const table = formatMarkdownTable(header, [...rows, formatRatios(measurements)]);
+  const failure = measurements.flatMap(({ load }) => load.firstFailure ?? [])[0];
+  return failure === undefined ? `${table}\n` : `${table}\n\nfirst failure: ${failure}\n`;
+}
+
+function formatRatios([bare, real]: readonly Measurement[]): readonly string[] {
+  if (bare === undefined || real === undefined) {
+    return [];
+  }
+  const bareFigures = listFigures(bare);
+  const ratios = listFigures(real).map((figure, index) =>
+    formatFigure(figure / (bareFigures[index] ?? NaN)),
+  );
+  return ['ratio', '', '', ...ratios];
 }
 
 function formatRow(measurement: Measurement): readonly (string | number)[] {
-  const { path, load, cpuMilliseconds, residentMegabytes } = measurement;
+  const { path, load } = measurement;
+  const figures = listFigures(measurement).map(formatFigure);
+  return [path.name, load.requests, load.failures, ...figures];
+}
+
+/** In the order of the header. */
+function listFigures(measurement: Measurement): readonly number[] {
+  const { load, cpuMilliseconds, residentMegabytes } = measurement;
   return [
-    path.name,
-    load.requests,
-    load.failures,
-    formatFigure(load.requests / load.seconds),
-    formatFigure(load.firstByte.getValueAtPercentile(50) / 1000),
-    formatFigure(load.latency.getValueAtPercentile(50) / 1000),
-    formatFigure(load.latency.getValueAtPercentile(99) / 1000),
-    formatFigure(cpuMilliseconds / load.requests),
-    formatFigure(residentMegabytes),
+    load.requests / load.seconds,
+    load.firstByte.getValueAtPercentile(50) / 1000,
+    load.latency.getValueAtPercentile(50) / 1000,
+    load.latency.getValueAtPercentile(99) / 1000,
+    cpuMilliseconds / load.requests,
+    residentMegabytes,
   ];
 }
