The control process on the replicated log

Cause: the control process kept its state in memory only. Change: ConsensusNode in place of the stand-in: after the server in the order of opening, so that a second process on the host fails at the address before it touches the data folder; a leader hands over before it stops; a failed disk or a broken promise ends the process with exit code 70. get control shows the voters of the log. A commit that takes longer than the settings allow is called uncertain. A host of the settings that is no member is taken in when it tells of itself: a new control host, one with a new disk, or one that was taken out while it was down.

--- a/__tests__/consensus/consensus-node.test.ts
+++ b/__tests__/consensus/consensus-node.test.ts
@@ -110,6 +110,7 @@
     transport,
     tuning,
     snapshotInterval: 5,
+    commitLimit: 5000,
     clock: systemClock,
     random: createRandomSource(name.charCodeAt(0)),
     observer: {
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -52,6 +52,8 @@
   readonly tuning: CoreTuning;
   /** Entries applied between two snapshots. */
   readonly snapshotInterval: number;
+  /** Longest wait for a commit before the submitter is told that it is uncertain. */
+  readonly commitLimit: Milliseconds;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly observer: ConsensusObserver;
@@ -105,7 +107,7 @@
     this.#core = new ConsensusCore({ name, peers, tuning, random }, stored);
     transport.open();
     this.#timer = setInterval(() => {
-      this.#handle({ type: 'tick', now: this.#now() });
+      this.#tick();
     }, tickInterval);
   }
 
@@ -126,7 +128,7 @@
   }
 
   readonly propose = (command: string): Promise<Result<Answer, Failure>> =>
-    this.#proposals.begin((proposalId) => {
+    this.#proposals.begin(this.#now(), (proposalId) => {
       if (this.#core === undefined) {
         this.#proposals.settle(proposalId, new Err(describeStopped()));
         return;
@@ -141,7 +143,7 @@
     });
 
   readonly confirmRead = (): Promise<Result<number, Failure>> =>
-    this.#reads.begin((readId) => {
+    this.#reads.begin(this.#now(), (readId) => {
       if (this.#core === undefined) {
         this.#reads.settle(readId, new Err(describeStopped()));
         return;
@@ -151,7 +153,7 @@
 
   /** Takes a host into the members or out of them; resolves once that is committed. Leader only. */
   readonly changeMembers = (change: MembershipChange): Promise<Result<undefined, Failure>> =>
-    this.#membershipChanges.begin((requestId) => {
+    this.#membershipChanges.begin(this.#now(), (requestId) => {
       if (this.#core === undefined) {
         this.#membershipChanges.settle(requestId, new Err(describeStopped()));
         return;
@@ -187,6 +189,13 @@
     return this.#options.clock.monotonic();
   }
 
+  #tick(): void {
+    const now = this.#now();
+    this.#handle({ type: 'tick', now });
+    const failure = createFailure('changeUncertain', 'the commit took too long');
+    this.#proposals.failOlder(now - this.#options.commitLimit, failure);
+  }
+
   #submitProposals(): void {
     const proposals = this.#queuedProposals;
     this.#queuedProposals = [];
--- a/src/consensus/core/formation.ts
+++ b/src/consensus/core/formation.ts
@@ -38,9 +38,11 @@
   }
 
   tick(): void {
-    const { log, self, now, settings } = this.#state;
+    const { log, self, leader, now, settings } = this.#state;
     const isDue = now - this.#askedAt >= settings.tuning.heartbeat * 2;
-    if (!isDue || isMember(log.membership, self.storageId)) {
+    // A host that was taken out may not know it, and is told nothing any more; so it speaks up when it hears no leader.
+    const isLed = isMember(log.membership, self.storageId) && leader !== undefined;
+    if (!isDue || isLed) {
       return;
     }
     this.#askedAt = now;
--- a/src/consensus/core/membership-changes.ts
+++ b/src/consensus/core/membership-changes.ts
@@ -43,18 +43,17 @@
   }
 
   /**
-   * A data folder that is no member told of itself. It is taken in when its host is a member by another data folder which
-   * has been silent: the host lost its disk. Any other host needs an operator's change.
+   * A data folder told of itself. It is taken in when it is no member and its host is one of the settings: a new control
+   * host, or one that lost its disk. Of two processes with one name, the one that answers stays.
    */
   handleGreeting(member: Member): void {
-    const { log } = this.#state;
+    const { log, settings } = this.#state;
     const earlier = findMember(log.membership, member.name);
-    const isReplacement = earlier !== undefined && earlier.storageId !== member.storageId;
+    const isWanted =
+      settings.peers.includes(member.name) && earlier?.storageId !== member.storageId;
+    const isFree = earlier === undefined || this.#leadership.isSilent(earlier);
     const change: MembershipChange = { type: 'admit', member };
-    if (!isReplacement || !this.#leadership.isSilent(earlier)) {
-      return;
-    }
-    if (this.#findObstacle(change) === undefined) {
+    if (isWanted && isFree && this.#findObstacle(change) === undefined) {
       this.#append(this.#apply(change));
     }
   }
--- a/src/consensus/create-consensus-node.ts
+++ b/src/consensus/create-consensus-node.ts
@@ -29,6 +29,8 @@
   /** Shortest silence of a leader before an election; the longest is twice that. */
   readonly election: Milliseconds;
   readonly snapshotInterval: number;
+  /** Longest wait for a commit before the submitter is told that it is uncertain. */
+  readonly commitLimit: Milliseconds;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly observer: ConsensusObserver & { readonly notice: StorageNotice };
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -2,7 +2,6 @@
 import type { Logger } from 'pino';
 
 import type { Clock, ManagedPart, Milliseconds } from '../../common/index.js';
-import type { ReplicatedLog } from '../../consensus/index.js';
 import {
   ConsensusService,
   ControlService,
@@ -13,7 +12,7 @@
 import type { ControlSettings } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { HostDirectory } from '../host-directory.js';
-import { ControlStateMachine, type CommandAnswer, type WatcherView } from '../state/index.js';
+import { ControlStateMachine, type WatcherView } from '../state/index.js';
 import { WatchHub, type PublishedState } from '../watch-hub.js';
 import { WatcherDirectory } from '../watcher-directory.js';
 import { CommandSubmitter } from './command-submitter.js';
@@ -21,7 +20,7 @@
 import { OperatorService } from './operator-service.js';
 import { PlacementLoop } from './placement-loop.js';
 import { ReportService } from './report-service.js';
-import { StandaloneLog } from './standalone-log.js';
+import { createControlLog, type ControlLog } from './log.js';
 import type { ViewSource } from './views.js';
 
 /** Puts the parts of a control host together. */
@@ -44,7 +43,7 @@
   readonly #machine = new ControlStateMachine(() => {
     this.#publish();
   });
-  readonly #log: ReplicatedLog<CommandAnswer> = new StandaloneLog(this.#machine);
+  readonly #log: ControlLog;
   readonly #hub = new WatchHub(this.#describeState());
   readonly #submitter: CommandSubmitter;
   readonly #operators: OperatorService;
@@ -56,6 +55,7 @@
   constructor(options: ControlProcessOptions) {
     this.#options = options;
     const { settings, clock, logger } = options;
+    this.#log = createControlLog({ settings, machine: this.#machine, clock, logger });
     const shared = { log: this.#log, clients: this.#clients, clock, logger };
     const findAddress = (name: string) => this.#findAddress(name);
     const readPolicy = () => this.#machine.read().configuration.policy;
@@ -109,7 +109,14 @@
       },
       this.#observer,
       this.#reports,
+      // Before the data folder is touched: a second process on this host fails here, and leaves the folder alone.
       server,
+      this.#log,
+      {
+        name: 'leadership',
+        open: () => undefined,
+        close: () => this.#log.resign(),
+      },
       this.#placement,
       {
         name: 'watches',
@@ -140,6 +147,10 @@
       },
     });
     router.service(ConsensusService, {
+      exchange: async (envelopes) => {
+        await this.#log.takeStream(envelopes);
+        return {};
+      },
       forward: (request) => this.#operators.takeForwarded(request.command),
       forwardReports: (request) => ({
         missingFacts: [...this.#reports.takeForwarded(request)],
@@ -193,7 +204,7 @@
       watchers: this.#listWatchers(),
       leadership: this.#log.view(),
       staleness: this.#log.staleness(),
-      voters: settings.voters,
+      voters: this.#listVoters(),
       now: clock.monotonic(),
       isPresent: ({ facts }) => this.#observer.isHeard(facts.host),
     };
@@ -229,6 +240,15 @@
     }
   }
 
+  /** Those of the log; before a first start has formed one, those of the settings. */
+  #listVoters(): ViewSource['voters'] {
+    const voters = this.#log.status?.membership.voters ?? [];
+    if (voters.length === 0) {
+      return this.#options.settings.voters;
+    }
+    return voters.map(({ name }) => ({ name, address: this.#findAddress(name) ?? 'unknown' }));
+  }
+
   #findAddress(name: string): string | undefined {
     return this.#options.settings.voters.find((voter) => voter.name === name)?.address;
   }
--- /dev/null
+++ b/src/control/shell/log.ts
@@ -0,0 +1,65 @@
+import type { Logger } from 'pino';
+
+import {
+  createEntropySource,
+  findResultCode,
+  formatFailure,
+  type Clock,
+} from '../../common/index.js';
+import {
+  createConsensusNode,
+  defaultSnapshotInterval,
+  type ConsensusNode,
+  type StateMachine,
+} from '../../consensus/index.js';
+import type { ControlSettings } from '../../settings/index.js';
+import type { CommandAnswer } from '../state/index.js';
+
+/** The replicated log of a control host, made from its settings. */
+
+/** Exit code of a process whose log can no longer be trusted. */
+const logFailedExitCode = 70;
+
+export type ControlLog = ConsensusNode<CommandAnswer>;
+
+/** Options of the log. */
+export interface ControlLogOptions {
+  readonly settings: ControlSettings;
+  readonly machine: StateMachine<CommandAnswer>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export function createControlLog({
+  settings,
+  machine,
+  clock,
+  logger,
+}: ControlLogOptions): ControlLog {
+  const { name, voters, dataFolder, timeouts } = settings;
+  return createConsensusNode({
+    name,
+    peers: voters.filter((voter) => voter.name !== name),
+    dataFolder,
+    machine,
+    heartbeat: timeouts.heartbeatMilliseconds,
+    election: timeouts.electionMilliseconds,
+    commitLimit: timeouts.commitMilliseconds,
+    snapshotInterval: defaultSnapshotInterval,
+    clock,
+    random: createEntropySource(),
+    observer: {
+      notice: (message) => {
+        logger.warn(message);
+      },
+      leadershipChanged: (view) => {
+        logger.info({ view }, 'leadership changed');
+      },
+      failed: (failure) => {
+        const { advice } = findResultCode(failure);
+        logger.fatal({ code: failure.code, advice }, formatFailure(failure));
+        process.exit(logFailedExitCode);
+      },
+    },
+  });
+}
