Bench: what each role's process takes while it is quiet

Cause: slopes of many sidecars in one process leave out what each process costs by itself. Ruled out: subtracting the cost at size zero (it shrinks with load, as timers and packets are handled together). Change: capacity part 'process' with a fleet of built programs; the harness shows the output of programs that ended.

--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -77,8 +77,12 @@
       await fleet.apply(createFleetConfiguration(full.replicaSize));
       await waitFor('the model to answer', () => fleet.#isAnswering(full.gateways));
     } catch (error) {
+      const ended = group.programs.filter(({ isRunning }) => !isRunning);
+      const outputs = ended.map(({ label, output }) => `${label} ended: ${output.slice(-2000)}`);
       await group.stop();
-      throw error;
+      throw new Error(`the fleet did not start: ${[String(error), ...outputs].join('\n')}`, {
+        cause: error,
+      });
     }
     return fleet;
   }
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -8,6 +8,7 @@
 import { runControlRole } from './capacity/control-role.js';
 import { runLeaseLeadRole, runLeaseMemberRole } from './capacity/lease-roles.js';
 import { measureReports, measureWatches } from './capacity/measure-control.js';
+import { measureProcesses } from './capacity/measure-processes.js';
 import { measureSidecars } from './capacity/measure-sidecars.js';
 import { measureLeases, measureTokens } from './capacity/measure-streams.js';
 import type { MeasureOptions } from './capacity/pair.js';
@@ -32,6 +33,7 @@
   { name: 'watch', sizes: [50, 100, 200, 400], measure: measureWatches },
   { name: 'report', sizes: [50, 100, 200, 400], measure: measureReports },
   { name: 'sidecar', sizes: [16, 32, 64, 96], measure: measureSidecars },
+  { name: 'process', sizes: [], measure: measureProcesses },
   { name: 'lease', sizes: [25, 50, 100, 200], measure: measureLeases },
   { name: 'tokens', sizes: [300], measure: measureTokens },
 ];
