--- a/__tests__/groups/session.ts
+++ b/__tests__/groups/session.ts
@@ -212,6 +212,14 @@
       }
     }
     for (const led of host.leads.values()) {
+      if (led.lead.isDraining) {
+        const event = {
+          type: 'attemptsChanged',
+          now: this.#clock(host),
+          running: host.running,
+        } as const;
+        this.#runLead(host, led, led.lead.handle(event));
+      }
       if (led.wakeAt <= this.#clock(host)) {
         this.#runLead(host, led, led.lead.handle({ type: 'ticked', now: this.#clock(host) }));
       }
--- a/__tests__/lease/lease.test.ts
+++ b/__tests__/lease/lease.test.ts
@@ -163,6 +163,21 @@
     expect(lead.isWhole(4)).toBe(true);
   });
 
+  it('is drained only once attempts were counted after the drain began', () => {
+    // Symptom: control dissolves a group with an attempt in flight. Sequence: an attempt is admitted, a drain begins before the next
+    // count. Cause: the count from before the drain was taken for the present one.
+    const members = [startMember('a'), startMember('b')];
+    const lead = startLead();
+    carry(lead, lead.handle({ type: 'started', now: 0 }), members, 1);
+    lead.handle({ type: 'attemptsChanged', now: 2, running: 0 });
+    lead.handle({ type: 'drainRequested', now: 3 });
+    expect(lead.health(3).isDrained).toBe(false);
+    lead.handle({ type: 'attemptsChanged', now: 4, running: 1 });
+    expect(lead.health(4).isDrained).toBe(false);
+    lead.handle({ type: 'attemptsChanged', now: 5, running: 0 });
+    expect(lead.health(5).isDrained).toBe(true);
+  });
+
   it('confirms a batch of attempts by one round of questions, and fails it when a member is silent', () => {
     const members = [startMember('a'), startMember('b')];
     const lead = startLead();
--- a/__tests__/settings/pages.test.ts
+++ b/__tests__/settings/pages.test.ts
@@ -29,10 +29,7 @@
     const value = inner.default === undefined ? undefined : JSON.stringify(inner.default);
     const separator = inner.items?.properties === undefined ? '.' : '[].';
     const own = inner.properties === undefined ? [{ path, defaultText: value }] : [];
-    return [
-      ...own,
-      ...listSettings(inner.items ?? inner, `${path}${separator}`),
-    ];
+    return [...own, ...listSettings(inner.items ?? inner, `${path}${separator}`)];
   });
 }
 
--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -38,6 +38,8 @@
   readonly #options: PlacementLoopOptions;
   #timer: NodeJS.Timeout | undefined;
   #leadingSince: Milliseconds | undefined;
+  /** Stays true while this host leads: a member that leaves later is no longer known either. */
+  #hasSettled = false;
   #isSubmitting = false;
 
   constructor(options: PlacementLoopOptions) {
@@ -59,11 +61,13 @@
     const now = clock.monotonic();
     if (log.view().type !== 'leader') {
       this.#leadingSince = undefined;
+      this.#hasSettled = false;
       return;
     }
     this.#leadingSince ??= now;
     const state = this.#options.readState();
-    if (this.#isSubmitting || !this.#isSettled(state, now - this.#leadingSince)) {
+    this.#hasSettled ||= this.#isSettled(state, now - this.#leadingSince);
+    if (this.#isSubmitting || !this.#hasSettled) {
       return;
     }
     const decision = planPlacement(this.#describe(state));
--- a/src/lease/lead.ts
+++ b/src/lease/lead.ts
@@ -75,7 +75,8 @@
   #phase: Phase = 'idle';
   #nextRound: Milliseconds = Infinity;
   #isDraining: boolean;
-  #running = 0;
+  /** Undefined from the start of a drain until attempts are counted again: an older count may miss one just admitted. */
+  #running: number | undefined = 0;
   #health: GroupHealth;
   #drainedBy: HostName | undefined;
 
@@ -162,7 +163,7 @@
       case 'connectionClosed':
         return this.#noteClosed(event.member, event.now);
       case 'drainRequested':
-        this.#isDraining = true;
+        this.#startDrain();
         return [];
       case 'attemptsChanged':
         this.#running = event.running;
@@ -252,10 +253,17 @@
       return [];
     }
     this.#drainedBy = member;
-    this.#isDraining = true;
+    this.#startDrain();
     return [{ type: 'drainNoted', member }];
   }
 
+  #startDrain(): void {
+    if (!this.#isDraining) {
+      this.#isDraining = true;
+      this.#running = undefined;
+    }
+  }
+
   #noteClosed(member: HostName, now: Milliseconds): readonly LeaseLeadEffect[] {
     this.#leases.get(member)?.noteClosed(now, this.#options.duration);
     return [];
--- a/src/sidecar/drain/drain-controller.ts
+++ b/src/sidecar/drain/drain-controller.ts
@@ -33,8 +33,9 @@
 export class DrainController implements Controller<DrainEvent, DrainEffect> {
   readonly #hardLimit: Milliseconds;
   #snapshot: DrainSnapshot = initialTransition(drainMachine)[0];
-  #running = 0;
-  #isHeld = false;
+  /** Undefined until told: a stop that took the unknown for nothing would leave with work in flight. */
+  #running: number | undefined;
+  #isHeld: boolean | undefined;
   #limitAt: Milliseconds = Infinity;
 
   /** `hardLimit` bounds the whole stop; infinite where the operators set none. */
@@ -97,7 +98,7 @@
       case 'cutting':
         return this.#running === 0 ? { type: 'workEnded' } : undefined;
       case 'handingBack':
-        if (!this.#isHeld) {
+        if (this.#isHeld === false) {
           return { type: 'freed' };
         }
         return isOverLimit ? { type: 'limitReached' } : undefined;
