--- /dev/null
+++ b/__tests__/attempts/attempts.test.ts
@@ -0,0 +1,135 @@
+import { describe, expect, it } from 'vitest';
+
+import type { AttemptOrder } from '../../src/model/index.js';
+import {
+  AttemptController,
+  createRequestId,
+  defaultAttemptLimits,
+  type AttemptEffect,
+} from '../../src/sidecar/attempts/index.js';
+import { ResumeBuffer } from '../../src/sidecar/attempts/resume-buffer.js';
+
+const incarnation = 'incarnation-1';
+
+function order(at: number, changes: Partial<AttemptOrder> = {}): AttemptOrder {
+  return {
+    name: { requestId: createRequestId(at, 'unique'), attempt: 1, incarnation },
+    group: 'assist/1',
+    fencingNumber: 7,
+    configurationRevision: 3,
+    remaining: 10_000,
+    account: 'desk',
+    accountWeight: 1,
+    priority: 5,
+    isNonIdempotent: true,
+    ...changes,
+  };
+}
+
+/** Sends an order and returns what the gateway is told first. */
+function arrive(
+  attempts: AttemptController,
+  sent: AttemptOrder,
+  now: number,
+  changes: { isWhole?: boolean; isDraining?: boolean } = {},
+): string {
+  const group = { fencingNumber: 7, isWhole: true, isDraining: false, concurrency: 1, ...changes };
+  const effects = attempts.handle({
+    type: 'arrived',
+    now,
+    wallNow: now,
+    subscriber: now,
+    order: sent,
+    group,
+    revision: 3,
+  });
+  return describeFirst(effects);
+}
+
+function describeFirst(effects: readonly AttemptEffect[]): string {
+  const [first] = effects;
+  if (first?.type !== 'send') {
+    return first?.type ?? 'nothing';
+  }
+  return first.message.type === 'refused' ? first.message.refusal.code : first.message.type;
+}
+
+describe('an arriving attempt', () => {
+  it.each([
+    ['confirm', {}, {}],
+    ['staleIncarnation', { name: { requestId: '1-a', attempt: 1, incarnation: 'old' } }, {}],
+    ['staleFencingNumber', { fencingNumber: 6 }, {}],
+    ['staleConfiguration', { configurationRevision: 2 }, {}],
+    ['deadlineBeforeStart', { remaining: 0 }, {}],
+    ['notWhole', {}, { isWhole: false }],
+    ['draining', {}, { isDraining: true }],
+    ['attemptTooOld', { name: { requestId: '???', attempt: 1, incarnation } }, {}],
+  ] as const)('gets %s', (expected, changes, group) => {
+    expect(arrive(new AttemptController(incarnation), order(100, changes), 100, group)).toBe(
+      expected,
+    );
+  });
+
+  // Symptom: a request runs twice although its first attempt was refused.
+  // Sequence: the message is doubled; its first copy is refused, the gateway goes elsewhere, the second copy meets a
+  // group that is whole again.
+  // Cause: a refusal left no trace.
+  it('stays refused when its second copy could run', () => {
+    const attempts = new AttemptController(incarnation);
+    expect(arrive(attempts, order(100), 100, { isWhole: false })).toBe('notWhole');
+    expect(arrive(attempts, order(100), 101)).toBe('tombstoned');
+  });
+
+  // Symptom: a request runs although the gateway was told "never seen" an hour ago.
+  // Sequence: asked after, tombstone; the tombstone is forgotten, by age or for lack of memory; the frozen message comes.
+  // Cause: memory is bounded, and a message on a silent connection can come after any time.
+  it.each([
+    { name: 'by age', later: 3_600_000, others: 0 },
+    { name: 'for lack of memory', later: 10, others: 5 },
+  ])('is refused after its tombstone was forgotten $name', ({ later, others }) => {
+    const registry = { ...defaultAttemptLimits.registry, maximumRemembered: 3 };
+    const attempts = new AttemptController(incarnation, { ...defaultAttemptLimits, registry });
+    const late = order(100);
+    attempts.handle({ type: 'asked', now: 100, question: 1, name: late.name });
+    for (let index = 0; index < others; index += 1) {
+      const name = order(101 + index).name;
+      attempts.handle({ type: 'asked', now: 101 + index, question: 2, name });
+    }
+    attempts.handle({ type: 'tick', now: 100 + later });
+    expect(arrive(attempts, late, 100 + later)).toBe('attemptTooOld');
+    expect(arrive(attempts, order(100 + later + 1), 100 + later)).toBe('confirm');
+  });
+
+  // Symptom: an engine works for a caller that left before its request arrived.
+  // Sequence: the cancellation overtakes the attempt.
+  // Cause: a cancellation of something unknown was dropped.
+  it('does not run after its cancellation', () => {
+    const attempts = new AttemptController(incarnation);
+    attempts.handle({ type: 'cancelled', now: 99, name: order(100).name });
+    expect(arrive(attempts, order(100), 100)).toBe('tombstoned');
+  });
+
+  it('is ended, and its upstream cancelled, when nobody has listened for a while', () => {
+    const attempts = new AttemptController(incarnation);
+    arrive(attempts, order(100), 100);
+    const { key } = { key: `${order(100).name.requestId}/1` };
+    attempts.handle({ type: 'confirmed', now: 101, key, code: 'ok' });
+    attempts.handle({ type: 'subscriberGone', now: 102, subscriber: 100 });
+    expect(attempts.handle({ type: 'tick', now: 5000 })).toEqual([]);
+    const effects = attempts.handle({ type: 'tick', now: 10_102 });
+    expect(effects).toContainEqual({ type: 'cancelUpstream', key });
+    expect(attempts.unfinishedCount).toBe(0);
+  });
+});
+
+describe('a resume buffer', () => {
+  it('keeps the last bytes and says where they begin', () => {
+    const buffer = new ResumeBuffer(5);
+    ['abc', 'de', 'fg'].forEach((text) => buffer.append(Buffer.from(text)));
+    expect([buffer.firstOffset, buffer.nextOffset]).toEqual([3, 7]);
+    expect(buffer.readFrom(2)).toBeUndefined();
+    expect(Buffer.concat(buffer.readFrom(4) ?? []).toString()).toBe('efg');
+    expect(buffer.readFrom(7)).toEqual([]);
+    expect(buffer.readFrom(8)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/__tests__/gateway/decisions.test.ts
@@ -0,0 +1,204 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { createRandomSource } from '../../src/common/index.js';
+import { EventFramer } from '../../src/gateway/event-framer.js';
+import {
+  defaultRequestLimits,
+  LoadBook,
+  RequestController,
+  RetryBudget,
+  Router,
+  type RequestEffect,
+  type RequestFacts,
+} from '../../src/gateway/index.js';
+import type { WatchedState } from '../../src/model/index.js';
+import { configuration, FakeWatched, modelGroup } from '../requests/fixture.js';
+
+const numbers = [1, 2, 3, 4];
+const state: WatchedState = new FakeWatched().set(
+  numbers.map((number) => modelGroup(`10.0.0.${number}:1`, number)),
+);
+const wanted = {
+  type: 'model',
+  model: 'assist-llm',
+  version: undefined,
+  adapter: undefined,
+} as const;
+const load = { running: 0, queued: 0, capacity: 8 };
+
+function question(affinityKey: string): RequestFacts['route'] {
+  return { wanted, account: 'desk', affinityKey };
+}
+
+/** How many of many keys each group gets. */
+function spread(loads: LoadBook, now = 0): ReadonlyMap<string, number> {
+  const router = new Router(() => state, loads);
+  const counts = new Map<string, number>();
+  for (let key = 0; key < 2000; key += 1) {
+    const verdict = router.choose(question(`key-${key}`), new Set(), now);
+    const name = verdict.type === 'target' ? verdict.target.group : verdict.code;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
+describe('routing', () => {
+  it('spreads keys evenly and gives the same group for the same key', () => {
+    const counts = [...spread(new LoadBook()).values()];
+    expect(counts).toHaveLength(numbers.length);
+    expect(Math.min(...counts)).toBeGreaterThan(400);
+    expect(spread(new LoadBook())).toEqual(spread(new LoadBook()));
+  });
+
+  it('leaves a group that is far above the mean load to others', () => {
+    const loads = new LoadBook();
+    numbers.forEach((number) => {
+      loads.noteReport(`assist/${number}`, { ...load, running: number === 1 ? 8 : 1 }, 0);
+    });
+    expect(spread(loads).get('assist/1')).toBeUndefined();
+    const later = spread(loads, 60_000).get('assist/1') ?? 0;
+    expect(later).toBeGreaterThan(400);
+  });
+
+  it('takes keys from a straggler, but not all', () => {
+    const loads = new LoadBook();
+    numbers.forEach((number) => {
+      loads.noteFirstToken(`assist/${number}`, number === 1 ? 2000 : 200);
+    });
+    const straggler = spread(loads).get('assist/1') ?? 0;
+    expect(straggler).toBeGreaterThan(0);
+    expect(straggler).toBeLessThan(200);
+  });
+
+  it('avoids a group that did not answer for a while, longer each time', () => {
+    const loads = new LoadBook();
+    loads.noteFailure('assist/1', 0);
+    expect(loads.isAvoided('assist/1', 499)).toBe(true);
+    expect(loads.isAvoided('assist/1', 500)).toBe(false);
+    loads.noteFailure('assist/1', 500);
+    expect(loads.isAvoided('assist/1', 1499)).toBe(true);
+    loads.noteAlive('assist/1');
+    expect(loads.isAvoided('assist/1', 1499)).toBe(false);
+  });
+
+  it('has no group for an account that none may be reached by', () => {
+    const router = new Router(() => ({ ...state, configuration }), new LoadBook());
+    const verdict = router.choose({ ...question('key'), account: 'guest' }, new Set(), 0);
+    expect(verdict).toEqual({ type: 'none', code: 'notReachable' });
+  });
+});
+
+describe('a retry budget', () => {
+  it('allows a burst, then a share of the requests', () => {
+    const budget = new RetryBudget({ share: 0.2, burst: 2 });
+    expect([budget.spend(), budget.spend(), budget.spend()]).toEqual([true, true, false]);
+    for (let index = 0; index < 5; index += 1) {
+      budget.noteRequest();
+    }
+    expect([budget.spend(), budget.spend()]).toEqual([true, false]);
+  });
+});
+
+describe('a framer of events', () => {
+  it('passes whole events only, holds [DONE] to the end, and loses no byte', () => {
+    const stream = 'data: {"a":1}\n\n: comment\n\ndata: {"b":2}\r\n\r\ndata: [DONE]\n\n';
+    const cuts = fc.array(fc.integer({ min: 0, max: stream.length }), { maxLength: 12 });
+    fc.assert(
+      fc.property(cuts, (unsorted) => {
+        const framer = new EventFramer();
+        const places = [0, ...unsorted.sort((left, right) => left - right), stream.length];
+        let passed = '';
+        places.forEach((place, index) => {
+          const part = stream.slice(place, places[index + 1] ?? place);
+          passed += Buffer.from(framer.push(Buffer.from(part))).toString();
+          expect(passed === '' || /\n\r?\n$/.test(passed)).toBe(true);
+          expect(passed).not.toContain('[DONE]');
+        });
+        expect(passed + Buffer.from(framer.finish()).toString()).toBe(stream);
+      }),
+      { seed: 20_261_202, numRuns: 2000 },
+    );
+  });
+});
+
+describe('a request', () => {
+  const facts: RequestFacts = {
+    id: '1-a',
+    account: 'desk',
+    accountWeight: 1,
+    priority: 5,
+    isNonIdempotent: false,
+    claim: undefined,
+    deadline: 10_000,
+    route: question('key'),
+  };
+
+  function create(changes: Partial<RequestFacts> = {}): RequestController {
+    const loads = new LoadBook();
+    const random = createRandomSource(1);
+    const router = new Router(() => state, loads);
+    const retryBudget = new RetryBudget();
+    const limits = defaultRequestLimits;
+    const shared = { router, loads, retryBudget, random, limits };
+    return new RequestController({ ...facts, ...changes }, shared);
+  }
+
+  const types = (effects: readonly RequestEffect[]): readonly string[] =>
+    effects.map(({ type }) => type);
+
+  // Symptom: a caller gets an empty answer as a whole one.
+  // Sequence: the bytes of a stream come before its head; the end comes last.
+  // Cause: bytes were held as those of an unstreamed answer, and the late head made the answer a stream without them.
+  it('asks for bytes again that came before the head', () => {
+    const request = create();
+    request.handle({ type: 'arrived', now: 0 });
+    const bytes = Buffer.from('data: 1\n\n');
+    const effects = request.handle({ type: 'data', stream: 1, now: 1, offset: 0, bytes });
+    expect(types(effects)).toEqual(['dropStream', 'ask']);
+  });
+
+  // Symptom: a caller is told "not run", sends again, and the request has run twice.
+  // Sequence: the first attempt is lost, the second is refused.
+  // Cause: the answer to the last attempt was told for the whole request.
+  it('is unknown when an earlier attempt may have run', () => {
+    const request = create();
+    request.handle({ type: 'arrived', now: 0 });
+    request.handle({ type: 'closed', stream: 1, now: 1, wasSent: true });
+    const asked = { type: 'askAnswered', now: 2, attempt: 1 } as const;
+    expect(types(request.handle({ ...asked, state: { type: 'otherIncarnation' } }))).toContain(
+      'run',
+    );
+    const refusal = {
+      code: 'overloaded',
+      load,
+      retryAfter: 100,
+      configurationRevision: 1,
+    } as const;
+    let effects: readonly RequestEffect[] = [];
+    for (let stream = 2; request.stage !== 'done'; stream += 1) {
+      effects = request.handle({ type: 'refused', stream, now: 3, refusal });
+    }
+    const last = effects.at(-1);
+    expect(last?.type === 'answerFailure' && last.failure.code).toBe('answerLost');
+  });
+
+  it('gives its final answer at the deadline and cancels what still runs', () => {
+    const request = create();
+    request.handle({ type: 'arrived', now: 0 });
+    const effects = request.handle({ type: 'tick', now: 10_000 });
+    expect(types(effects)).toEqual(['dropStream', 'cancel', 'answerFailure']);
+  });
+
+  // Symptom: a key stays taken although its request was told "not run".
+  // Sequence: the claim is not answered in time, the caller is told; then the claim is committed.
+  // Cause: nobody looked at an answer that came after the final one.
+  it('frees a key that was claimed after the final answer', () => {
+    const request = create({ isNonIdempotent: true, claim: { key: 'k', fingerprint: 'f' } });
+    request.handle({ type: 'arrived', now: 0 });
+    const failed = request.handle({ type: 'tick', now: 1500 });
+    expect(types(failed)).toEqual(['answerFailure', 'settle']);
+    const late = { type: 'claimAnswered', now: 1600, code: 'ok', retryAfter: undefined } as const;
+    expect(request.handle(late)).toEqual([{ type: 'settle', outcome: 'notRun' }]);
+  });
+});
--- a/__tests__/requests/faults.test.ts
+++ b/__tests__/requests/faults.test.ts
@@ -14,10 +14,9 @@
   startGateway,
   startSidecar,
   startUpstream,
-  waitFor,
   type TestSidecar,
 } from './fixture.js';
-import { Relay } from './relay.js';
+import { SwallowingRelay, waitFor } from '../support/index.js';
 import type { Gateway, GatewayOptions } from '../../src/gateway/index.js';
 
 let cleanup = new Cleanup();
@@ -40,7 +39,7 @@
   };
 
   async answer(index: number): Promise<ServerResponse> {
-    await waitFor(() => this.answers.length > index);
+    await waitFor('the request at the upstream', () => this.answers.length > index);
     const response = this.answers[index];
     if (response === undefined) {
       throw new Error('no answer');
@@ -61,7 +60,7 @@
   readonly sidecar: TestSidecar;
   readonly gateway: Gateway;
   readonly url: string;
-  readonly relay: Relay;
+  readonly relay: SwallowingRelay;
 }
 
 async function startPath(
@@ -71,8 +70,9 @@
   const upstream = new HandUpstream();
   const upstreamUrl = await startUpstream(upstream.listener, cleanup);
   const sidecar = await startSidecar(upstreamUrl, admit(group), cleanup);
-  const relay = new Relay(sidecar.address);
-  const address = await relay.open(cleanup);
+  const relay = await SwallowingRelay.open(sidecar.address);
+  cleanup.add(() => relay.close());
+  const { address } = relay;
   const watched = new FakeWatched();
   watched.set([{ ...group, members: group.members.map((member) => ({ ...member, address })) }]);
   const { gateway, url } = await startGateway(watched, cleanup, overrides);
@@ -113,7 +113,7 @@
     const { upstream, relay, url } = await startPath();
     const { response, stream } = await openStream(url, upstream);
     const rest = await readUntil(response, 'data: 1\n\n');
-    relay.silence();
+    relay.swallowOpenConnections();
     stream.end('data: 2\n\ndata: [DONE]\n\n');
     expect(await rest()).toBe('data: 1\n\ndata: 2\n\ndata: [DONE]\n\n');
     expect(upstream.answers).toHaveLength(1);
@@ -133,7 +133,7 @@
     const first = send();
     (await upstream.answer(0)).end('first');
     expect(await (await first).text()).toBe('first');
-    relay.silence();
+    relay.swallowOpenConnections();
     const second = send();
     (await upstream.answer(1)).end('second');
     expect(await (await second).text()).toBe('second');
@@ -182,7 +182,7 @@
     stream.on('close', () => (isClosed = true));
     await readUntil(response, 'data: 1\n\n');
     caller.abort();
-    await waitFor(() => isClosed && gateway.inFlight === 0);
+    await waitFor('the cancellation', () => isClosed && gateway.inFlight === 0);
     expect(stream.writableFinished).toBe(false);
   });
 
@@ -210,7 +210,7 @@
       answer.write(event);
       await new Promise((resolve) => setTimeout(resolve, 2));
     }
-    await waitFor(() => gateway.inFlight === 0);
+    await waitFor('the end of the request', () => gateway.inFlight === 0);
     expect(gateway.inFlight).toBe(0);
   });
 });
@@ -226,7 +226,7 @@
     const { response, stream } = await openStream(url, upstream);
     const rest = await readUntil(response, 'data: 1\n\n');
     const closed = gateway.close();
-    await waitFor(() => gateway.isStopping);
+    await waitFor('the refusal of new requests', () => gateway.isStopping);
     await expect(chat(url, {})).rejects.toThrow();
     stream.end('data: [DONE]\n\n');
     expect(await rest()).toBe('data: 1\n\ndata: [DONE]\n\n');
@@ -260,7 +260,7 @@
     });
     (await upstream.answer(0)).end('done');
     expect((await response).status).toBe(200);
-    await waitFor(() => claims.settled.length > 0);
+    await waitFor('the settlement', () => claims.settled.length > 0);
     expect(claims.settled).toEqual(['ran']);
   });
 });
--- a/__tests__/requests/fixture.ts
+++ b/__tests__/requests/fixture.ts
@@ -72,9 +72,10 @@
   readonly subscribe = (): (() => void) => () => undefined;
   readonly noticeRevision = (): void => undefined;
 
-  set(groups: readonly Group[]): void {
+  set(groups: readonly Group[]): WatchedState {
     const entries = groups.map((group) => [group.name, { group, isServing: true }] as const);
     this.#state = { ...this.#state, groups: new Map(entries) };
+    return this.#state;
   }
 }
 
@@ -240,14 +241,7 @@
   });
 }
 
-/** Waits until something holds; fails by the test's own timeout. */
-export async function waitFor(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) {
-    await new Promise((resolve) => setTimeout(resolve, 5));
-  }
-}
-
-export function portOf(server: { readonly address: () => unknown }): number {
+function portOf(server: { readonly address: () => unknown }): number {
   return (server.address() as AddressInfo).port;
 }
 
--- a/__tests__/requests/history.ts
+++ b/__tests__/requests/history.ts
@@ -24,6 +24,7 @@
   'breakEngine',
   'breakGroup',
   'killGateway',
+  'down',
 ] as const;
 
 /** Something that goes wrong for a while. */
@@ -41,6 +42,8 @@
   readonly duplicate: number;
   readonly late: number;
   readonly uncertainClaims: number;
+  /** Attempts that one engine takes at a time. */
+  readonly concurrency: number;
   readonly requests: readonly HistoryRequest[];
   readonly faults: readonly HistoryFault[];
 }
@@ -61,7 +64,7 @@
   );
 
 const request: fc.Arbitrary<HistoryRequest> = fc.record({
-  at: fc.integer({ min: 0, max: 3000 }),
+  at: fc.integer({ min: 0, max: 1500 }),
   gateway: fc.integer({ min: 0, max: 1 }),
   isNonIdempotent: fc.boolean(),
   key: fc.option(fc.integer({ min: 0, max: 1 }), { nil: undefined }),
@@ -72,7 +75,7 @@
 });
 
 const fault: fc.Arbitrary<HistoryFault> = fc.record({
-  at: fc.integer({ min: 0, max: 4000 }),
+  at: fc.integer({ min: 0, max: 3000 }),
   type: fc.constantFrom(...faultTypes),
   target: fc.integer({ min: 0, max: 2 }),
   duration: fc.integer({ min: 50, max: 5000 }),
@@ -85,27 +88,44 @@
   duplicate: share(0.3),
   late: share(0.3),
   uncertainClaims: share(0.3),
-  requests: fc.array(request, { minLength: 1, maxLength: 8 }),
-  faults: fc.array(fault, { maxLength: 3 }),
+  concurrency: fc.integer({ min: 1, max: 2 }),
+  requests: fc.array(request, { minLength: 1, maxLength: 12 }),
+  faults: fc.array(fault, { maxLength: 5 }),
 });
 
 const tickInterval = 100;
 /** Every answer is given, and every late message has come, before this. */
 const end = 36_000;
 
+/** A history that has been run: what the callers that still listen were told, in a world that has come to rest. */
+export interface PlayedHistory {
+  readonly world: World;
+  readonly heard: readonly CallerRecord[];
+}
+
 /** Runs a history and says which promises were broken. */
 export function runHistory(
   past: History,
   createRequest?: CreateRequest,
   createAttempts?: CreateAttempts,
 ): readonly Violation[] {
+  const { world, heard } = playHistory(past, createRequest, createAttempts);
+  return [...heard.flatMap((record) => checkRecord(world, record)), ...checkOnce(world)];
+}
+
+/** Runs a history. */
+export function playHistory(
+  past: History,
+  createRequest?: CreateRequest,
+  createAttempts?: CreateAttempts,
+): PlayedHistory {
   const dead = new Set<number>();
   const faults = { loss: past.loss, duplicate: past.duplicate, late: past.late, lateBy: 3000 };
   const world = new World({
     seed: past.seed,
     gateways: 2,
     sidecars: 3,
-    concurrency: 2,
+    concurrency: past.concurrency,
     faults,
     uncertainClaims: past.uncertainClaims,
     ...(createRequest === undefined ? {} : { createRequest }),
@@ -130,7 +150,7 @@
   world.run(10_500, tickInterval);
   world.run(end, 2000);
   const heard = world.records.filter((record) => !dead.has(gatewayOf.get(record) ?? 0));
-  return [...heard.flatMap((record) => checkRecord(world, record)), ...checkOnce(world)];
+  return { world, heard };
 }
 
 function submit(world: World, planned: HistoryRequest): CallerRecord | undefined {
@@ -177,6 +197,13 @@
         world.loop.after(planned.duration, () => (sidecar.isWhole = true));
       }
       return;
+    case 'down':
+      world.restartSidecar(planned.target);
+      if (sidecar !== undefined) {
+        sidecar.isDead = true;
+        world.loop.after(planned.duration, () => (sidecar.isDead = false));
+      }
+      return;
     case 'killGateway':
       dead.add(gateway);
       world.gateways[gateway]?.kill();
