--- a/bench/capacity/measure-processes.ts
+++ b/bench/capacity/measure-processes.ts
@@ -18,10 +18,10 @@
 
 const settleMilliseconds = 5000;
 
-/** One control host, two gateways, two groups of four, one plain service: each a process of its own. */
+/** Three control hosts, two gateways, two groups of four, one plain service: each a process of its own. */
 export async function measureProcesses(options: MeasureOptions): Promise<string> {
   reportProgress('whole fleet, quiet');
-  const fleet = await Fleet.start({ controls: 1, gateways: 2, engineHosts: 8 });
+  const fleet = await Fleet.start({ controls: 3, gateways: 2, engineHosts: 8 });
   try {
     await sleep(settleMilliseconds);
     const roles = await listRoles(fleet);
