Bench of groups: replayed losses, lease costs, step costs; lease streams name themselves once

Ruled out: unary confirmations (the founder's stream carries them); asking less often (it is what bounds the harm). Change: on a lease stream names go in the first message only; bench/groups replays seeded traces against our placement at both users' weights and a naive one, and measures what leases and steps cost.

--- /dev/null
+++ b/bench/groups.ts
@@ -0,0 +1,138 @@
+/**
+ * Group downtime and stranded accelerators under seeded traces of losses, our placement at both users' weights against a
+ * naive one; and what leases and decisions cost. Figures for docs/measurements/groups.md.
+ */
+import { Command } from 'commander';
+
+import type { Policy } from '../src/model/index.js';
+import { measureLeases, measureSteps } from './groups/costs.js';
+import { loadSeconds, Replay, type ReplayResult } from './groups/replay.js';
+import {
+  NaiveStrategy,
+  OwnStrategy,
+  type Strategy,
+  type StrategyOptions,
+} from './groups/strategies.js';
+import { createLargeFleet, createTodaysFleet, createTrace, type Fleet } from './groups/trace.js';
+import { formatFigure, formatMarkdownTable, reportProgress } from './support/index.js';
+
+interface CommandLine {
+  readonly part?: string;
+  readonly seeds: number;
+}
+
+interface Contender {
+  readonly label: string;
+  readonly policy: Partial<Policy>;
+  readonly create: (options: StrategyOptions) => Strategy;
+}
+
+const own = (options: StrategyOptions) => new OwnStrategy(options);
+const naive = (options: StrategyOptions) => new NaiveStrategy(options);
+
+/** Berhane weighs downtime, the Guild stranded accelerators; both with and without groups across fabric domains. */
+const contenders: readonly Contender[] = [
+  { label: 'naive', policy: {}, create: naive },
+  { label: 'Berhane 10:1', policy: weigh(10, 1, false), create: own },
+  { label: 'Guild 1:10', policy: weigh(1, 10, false), create: own },
+  { label: 'Berhane 10:1, across fabrics', policy: weigh(10, 1, true), create: own },
+  { label: 'Guild 1:10, across fabrics', policy: weigh(1, 10, true), create: own },
+];
+
+const firstSeed = 20_261_202;
+
+const options = new Command('groups')
+  .option('--part <name>', 'one of today, large, leases, steps; all by default')
+  .option('--seeds <count>', 'traces of each fleet', Number, 3)
+  .parse()
+  .opts<CommandLine>();
+
+runPart('today', () => replayFleet(createTodaysFleet('30 runners')));
+runPart('large', () => replayFleet(createLargeFleet()));
+runPart('leases', measureLeases);
+runPart('steps', measureSteps);
+
+function runPart(name: string, measure: () => string): void {
+  if (options.part === undefined || options.part === name) {
+    console.log(`### ${name}\n\n${measure()}\n`);
+  }
+}
+
+function weigh(
+  groupDowntimeWeight: number,
+  strandedAcceleratorWeight: number,
+  allowAcrossFabricDomains: boolean,
+): Partial<Policy> {
+  return { groupDowntimeWeight, strandedAcceleratorWeight, allowAcrossFabricDomains };
+}
+
+function replayFleet(fleet: Fleet): string {
+  const rows = contenders.map((contender) => {
+    const results = Array.from({ length: options.seeds }, (_, index) => {
+      reportProgress(`${fleet.label}, ${contender.label}, trace ${index + 1}`);
+      return replay(fleet, contender, firstSeed + index);
+    });
+    const wanted = countWanted(fleet, contender.policy.allowAcrossFabricDomains === true);
+    return [contender.label, String(wanted), ...describe(results, fleet)];
+  });
+  return formatMarkdownTable(
+    [
+      `${fleet.label}, ${fleet.days} d`,
+      'groups wanted',
+      'group downtime, group-h a day',
+      'without any group, s a day',
+      'stranded, host-h a day',
+      'across fabrics, group-h a day',
+      'loss to whole: median, s',
+      '95 in 100, s',
+      'loads a day',
+      'placements a day',
+      'ms a decision',
+    ],
+    rows,
+  );
+}
+
+function replay(fleet: Fleet, contender: Contender, seed: number): ReplayResult {
+  const policy = { ...contender.policy, concurrentLoads: fleet.concurrentLoads };
+  const strategy = contender.create({
+    policy,
+    replicaSize: fleet.replicaSize,
+    loadDuration: loadSeconds * 1000,
+  });
+  const wanted = countWanted(fleet, policy.allowAcrossFabricDomains === true);
+  return new Replay(fleet, createTrace(fleet, seed), strategy, wanted).run();
+}
+
+/** As many groups as all hosts together allow, within fabric domains or across them. */
+function countWanted(fleet: Fleet, isAcross: boolean): number {
+  const sizes = new Map<string, number>();
+  for (const { fabricDomain, region } of fleet.hosts) {
+    const domain = isAcross ? region : fabricDomain;
+    sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  }
+  return [...sizes.values()].reduce((sum, hosts) => sum + Math.floor(hosts / fleet.replicaSize), 0);
+}
+
+function describe(results: readonly ReplayResult[], fleet: Fleet): readonly string[] {
+  const days = fleet.days * results.length;
+  const sum = (read: (result: ReplayResult) => number) =>
+    results.reduce((total, result) => total + read(result), 0);
+  const repairs = results.flatMap((result) => result.repairs).sort((left, right) => left - right);
+  const figures = [
+    sum((result) => result.groupDowntime) / 3600 / days,
+    sum((result) => result.noGroup) / days,
+    sum((result) => result.strandedHosts) / 3600 / days,
+    sum((result) => result.acrossFabric) / 3600 / days,
+    pick(repairs, 0.5),
+    pick(repairs, 0.95),
+    sum((result) => result.loads) / days,
+    sum((result) => result.placements) / days,
+    sum((result) => result.millisecondsPerDecision) / results.length,
+  ];
+  return figures.map(formatFigure);
+}
+
+function pick(sorted: readonly number[], share: number): number {
+  return sorted[Math.floor((sorted.length - 1) * share)] ?? NaN;
+}
--- a/src/lease/index.ts
+++ b/src/lease/index.ts
@@ -20,3 +20,9 @@
   type LeaseMemberOptions,
 } from './member.js';
 export { driftMargin, type LeaseAnswer, type LeaseQuestion } from './messages.js';
+export {
+  LeaseAnswerReader,
+  LeaseAnswerWriter,
+  LeaseQuestionReader,
+  LeaseQuestionWriter,
+} from './stream-codecs.js';
--- a/src/sidecar/shell/lease-lead-driver.ts
+++ b/src/sidecar/shell/lease-lead-driver.ts
@@ -11,9 +11,9 @@
   type LeaseQuestion as LeaseQuestionMessage,
 } from '../../generated/pistachiospoke/v1/lease_pb.js';
 import {
-  decodeLeaseAnswer,
-  encodeLeaseQuestion,
+  LeaseAnswerReader,
   LeaseLead,
+  LeaseQuestionWriter,
   type LeaseLeadEffect,
   type LeaseLeadEvent,
   type LeaseQuestion,
@@ -44,10 +44,16 @@
   readonly onHealth: (health: GroupHealth) => void;
 }
 
+/** The questions to one member. */
+interface QuestionStream {
+  readonly queue: MessageQueue<LeaseQuestionMessage>;
+  readonly writer: LeaseQuestionWriter;
+}
+
 export class LeaseLeadDriver {
   readonly #options: LeaseLeadDriverOptions;
   readonly #lead: LeaseLead;
-  readonly #streams = new Map<HostName, MessageQueue<LeaseQuestionMessage>>();
+  readonly #streams = new Map<HostName, QuestionStream>();
   /** When each member last answered, or its stream was opened. */
   readonly #heardAt = new Map<HostName, Milliseconds>();
   readonly #closedAt = new Map<HostName, Milliseconds>();
@@ -77,8 +83,8 @@
     this.#isDissolved = true;
     this.#handle({ type: 'dissolved', now: this.#now() });
     clearTimeout(this.#timer);
-    for (const stream of this.#streams.values()) {
-      stream.close();
+    for (const { queue } of this.#streams.values()) {
+      queue.close();
     }
   }
 
@@ -171,11 +177,12 @@
       });
       return;
     }
-    this.#openStream(member)?.push(encodeLeaseQuestion(question));
+    const stream = this.#openStream(member);
+    stream?.queue.push(stream.writer.write(question));
   }
 
   /** Undefined shortly after a stream closed: the question counts as lost and the next round asks again. */
-  #openStream(member: GroupMember): MessageQueue<LeaseQuestionMessage> | undefined {
+  #openStream(member: GroupMember): QuestionStream | undefined {
     const open = this.#streams.get(member.host);
     if (open !== undefined) {
       this.#retireIfSilent(member);
@@ -185,10 +192,11 @@
     if (this.#now() - closedAt < reopenDelay) {
       return undefined;
     }
-    const stream = new MessageQueue<LeaseQuestionMessage>();
+    const queue = new MessageQueue<LeaseQuestionMessage>();
+    const stream = { queue, writer: new LeaseQuestionWriter() };
     this.#streams.set(member.host, stream);
     this.#heardAt.set(member.host, this.#now());
-    void this.#readAnswers(member, stream);
+    void this.#readAnswers(member, queue);
     return stream;
   }
 
@@ -209,11 +217,12 @@
     stream: MessageQueue<LeaseQuestionMessage>,
   ): Promise<void> {
     const { clients, logger, group } = this.#options;
+    const reader = new LeaseAnswerReader();
     try {
       for await (const answer of clients.client(LeaseService, member.address).hold(stream)) {
         const now = this.#now();
         this.#heardAt.set(member.host, now);
-        this.#handle({ type: 'answered', now, answer: decodeLeaseAnswer(answer) });
+        this.#handle({ type: 'answered', now, answer: reader.read(answer) });
       }
     } catch (error) {
       const place = { group: group.name, member: member.host };
--- a/src/sidecar/shell/lease-member-driver.ts
+++ b/src/sidecar/shell/lease-member-driver.ts
@@ -7,9 +7,9 @@
   type LeaseQuestion as LeaseQuestionMessage,
 } from '../../generated/pistachiospoke/v1/lease_pb.js';
 import {
-  decodeLeaseQuestion,
-  encodeLeaseAnswer,
+  LeaseAnswerWriter,
   LeaseMember,
+  LeaseQuestionReader,
   type LeaseAnswer,
   type LeaseMemberEvent,
   type LeaseQuestion,
@@ -87,8 +87,9 @@
 
   async *#hold(questions: AsyncIterable<LeaseQuestionMessage>): AsyncIterable<LeaseAnswerMessage> {
     const answers = new MessageQueue<LeaseAnswerMessage>();
+    const writer = new LeaseAnswerWriter();
     const sink: AnswerSink = (answer) => {
-      answers.push(encodeLeaseAnswer(answer));
+      answers.push(writer.write(answer));
     };
     void this.#readQuestions(questions, sink, answers);
     yield* answers;
@@ -99,9 +100,10 @@
     sink: AnswerSink,
     answers: MessageQueue<LeaseAnswerMessage>,
   ): Promise<void> {
+    const reader = new LeaseQuestionReader();
     try {
       for await (const message of questions) {
-        this.#ask(decodeLeaseQuestion(message), sink);
+        this.#ask(reader.read(message), sink);
       }
     } catch {
       // The lead's connection broke; what it was granted runs out by itself.
