Groups outlive a frozen member and a restarted lead

Cause, from a run with real processes under load (SIGSTOP of a member for 6 s; kill -9 of a lead's sidecar): a host held back counted as lost for good, so its group was dissolved; a host that reports before its upstream has announced itself counted as no longer wanted, so its group drained; a draining group waited for the word of a start of its lead that had ended. Ruled out: the leases (both groups were refused work at once and no answer was wrong); a shorter hold-back (the group would still be dissolved for it). Change: a host held back is expected back at the end of its hold-back; an upstream that is not known changes nothing; a drain ends with the start of the lead that ran it.

--- a/__tests__/placement/plan.test.ts
+++ b/__tests__/placement/plan.test.ts
@@ -174,6 +174,21 @@
     expect([decision.place, decision.dissolve]).toEqual([[], []]);
   });
 
+  // Symptom: four healthy hosts serve nobody for half a minute after one of them froze for six seconds.
+  // Sequence: a member freezes, is missed, comes back and is held back; there is no spare in its fabric domain.
+  // Cause: a member held back counted as lost for good, and a group with a member lost for good is dissolved.
+  it('keeps a group whose member is held back when no spare can take its place', () => {
+    const four = createHosts('bole', 4);
+    const groups = settle(createInput({ hosts: four }));
+    const broken = groups.map(({ group }) => withHealth(group, createHealth(group, false)));
+    const heldBack = { type: 'quarantined', expectedReturn: 30_000 } as const;
+    const hosts = withAvailability(four, 'bole-2', heldBack);
+    expect(planPlacement(createInput({ hosts, groups: broken })).dissolve).toEqual([]);
+    const spared = [...hosts, createHost('bole-5')];
+    const [repaired] = planPlacement(createInput({ hosts: spared, groups: broken })).place;
+    expect(repaired?.members.map((member) => member.host)).toContain('bole-5');
+  });
+
   it('merges broken groups of a fabric domain when no spare is left', () => {
     const hosts = createHosts('bole', 12);
     const placed = settle(createInput({ hosts }));
@@ -225,6 +240,54 @@
   });
 });
 
+describe('a host that comes back', () => {
+  const groups = settle(createInput({ hosts: tenAndTen }));
+  const lead = groups[0]?.group.members[0]?.host ?? '';
+  const silent = groups.map(({ group }) => withHealth(group, createHealth(group, false)));
+
+  // Symptom: a group drains although no operator changed anything. Sequence: a sidecar restarts, or comes back from a
+  // freeze, and reports before the engine beside it has announced itself again. Cause: a host whose upstream is not known
+  // was taken as one that operators no longer want in the group.
+  it('is not taken out of its group before its upstream has announced itself', () => {
+    const unwell = { type: 'suspected', expectedReturn: 1000 } as const;
+    const restarted = withFacts(tenAndTen, lead, { upstream: undefined, isHealthy: false });
+    const hosts = withAvailability(restarted, lead, unwell);
+    expect(planPlacement(createInput({ hosts, groups: silent })).place).toEqual([]);
+    const desk = createHost('desk-1', { upstream: { type: 'service', service: 'desk' } });
+    const configuration = {
+      ...configure([]),
+      services: [
+        {
+          name: 'desk',
+          hosts: {},
+          reachableBy: { accounts: {}, services: [] },
+          nonIdempotentByDefault: false,
+          concurrency: 1,
+        },
+      ],
+    };
+    const services = settle(createInput({ hosts: [desk], configuration }));
+    const silentDesk = withFacts([desk], 'desk-1', { upstream: undefined, isHealthy: false });
+    const unknown = withAvailability(silentDesk, 'desk-1', unwell);
+    const decision = planPlacement(
+      createInput({ hosts: unknown, groups: services, configuration }),
+    );
+    expect([services.length, decision.place]).toEqual([1, []]);
+  });
+
+  // Symptom: a group stays in draining for ever and its hosts are stranded. Sequence: the lead of a draining group
+  // restarts. Cause: only the lead's former start could say that the drain is over.
+  it('ends the drain of a group that it led before it restarted', () => {
+    const configuration = configure([declare({ replicas: 0 })]);
+    const draining = silent.map(({ group }) =>
+      withHealth({ ...group, isDraining: true }, undefined),
+    );
+    const hosts = withFacts(tenAndTen, lead, { incarnation: 'a later start' });
+    const decision = planPlacement(createInput({ hosts, groups: draining, configuration }));
+    expect(decision.dissolve).toEqual([groups[0]?.group.name]);
+  });
+});
+
 describe('changes by operators', () => {
   const groups = settle(createInput({ hosts: tenAndTen }));
   const newer = { ...artifact, version: '2' };
--- a/src/control/hosts/host-health.ts
+++ b/src/control/hosts/host-health.ts
@@ -169,7 +169,8 @@
     }
     const away = host.awayFor(now);
     if (away === undefined) {
-      return host.isHeldBack(now) ? { type: 'quarantined' } : { type: 'present' };
+      const heldBack = host.heldBackFor(now);
+      return heldBack > 0 ? { type: 'quarantined', expectedReturn: heldBack } : { type: 'present' };
     }
     if (this.#isWatcherSuspected || host.isBehindSuspectedRelay(now)) {
       return { type: 'suspected', expectedReturn: 0 };
--- a/src/control/hosts/watched-host.ts
+++ b/src/control/hosts/watched-host.ts
@@ -111,8 +111,9 @@
     this.#heldBackUntil = Math.max(this.#heldBackUntil, now + duration);
   }
 
-  isHeldBack(now: Milliseconds): boolean {
-    return now < this.#heldBackUntil;
+  /** How much longer the host is held back; 0 when it is not. */
+  heldBackFor(now: Milliseconds): Milliseconds {
+    return Math.max(0, this.#heldBackUntil - now);
   }
 
   /** All hosts behind its control host went silent together. */
--- a/src/placement/host-facts.ts
+++ b/src/placement/host-facts.ts
@@ -23,6 +23,17 @@
   );
 }
 
+/**
+ * Whether operators still want a host in the group that it is placed in.
+ * A sidecar that restarted reports before its upstream has announced itself again; taking that for another kind of
+ * upstream would drain a group that nobody wants changed.
+ */
+export function isStillMeantFor(host: PlacementHost, declaration: GroupDeclaration): boolean {
+  const { upstream, isDraining, labels } = host.facts;
+  const isEngine = upstream === undefined || upstream.type === 'engine';
+  return isEngine && !isDraining && isSelected(labels, declaration.hosts);
+}
+
 /** Whether the host's engine has loaded the artifact. */
 export function hasLoaded(host: PlacementHost, artifact: Artifact): boolean {
   const { upstream } = host.facts;
--- a/src/placement/inspection.ts
+++ b/src/placement/inspection.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '../common/index.js';
+import { assertNever, type Milliseconds } from '../common/index.js';
 import {
   findLead,
   isSameArtifact,
@@ -6,7 +6,7 @@
   type GroupDeclaration,
   type HostName,
 } from '../model/index.js';
-import { hasLoaded, isMeantFor, isUsable } from './host-facts.js';
+import { hasLoaded, isStillMeantFor, isUsable } from './host-facts.js';
 import type { PlacedGroup, PlacementHost } from './types.js';
 
 /** What a placed group is in, before anything is decided about it. */
@@ -44,7 +44,7 @@
     return { type: 'over' };
   }
   if (group.isDraining) {
-    return isLost(lead) ? { type: 'over' } : { type: 'draining' };
+    return isLost(lead) || hasRestarted(lead, group) ? { type: 'over' } : { type: 'draining' };
   }
   if (declaration === undefined || !isWanted(group, declaration, members)) {
     return { type: 'unwanted', hasDeclaration: declaration !== undefined };
@@ -66,7 +66,7 @@
   const isArtifactWanted =
     group.offer.type === 'model' && isSameArtifact(group.offer.artifact, declaration.carries);
   const areMembersMeant = members.every(
-    (host) => host === undefined || isMeantFor(host, declaration),
+    (host) => host === undefined || isStillMeantFor(host, declaration),
   );
   return isArtifactWanted && group.members.length === declaration.replicaSize && areMembersMeant;
 }
@@ -115,16 +115,30 @@
     return Infinity;
   }
   const { availability } = host;
-  if (availability.type === 'suspected') {
-    return availability.expectedReturn;
+  switch (availability.type) {
+    case 'suspected':
+      return availability.expectedReturn;
+    case 'quarantined':
+      // The host works: dissolving its group for it would strand the others for the whole hold-back.
+      return availability.expectedReturn;
+    case 'present':
+      return isUsable(host) ? 0 : Infinity;
+    case 'gone':
+      return Infinity;
+    default:
+      return assertNever(availability);
   }
-  return isUsable(host) ? 0 : Infinity;
 }
 
 function isHeard(host: PlacementHost): boolean {
   return host.availability.type === 'present' || host.availability.type === 'quarantined';
 }
 
+/** What a former start of the lead had in flight ended with it, and no later start will say that the drain is over. */
+function hasRestarted(lead: PlacementHost | undefined, group: Group): boolean {
+  return lead !== undefined && lead.facts.incarnation !== findLead(group).incarnation;
+}
+
 function isLost(host: PlacementHost | undefined): boolean {
   return host === undefined || host.availability.type === 'gone';
 }
--- a/src/placement/services.ts
+++ b/src/placement/services.ts
@@ -43,7 +43,12 @@
     const declaration = declarations.get(group.offer.service);
     if (host === undefined || host.availability.type === 'gone' || health?.isDrained === true) {
       plan.dissolve(group.name);
-    } else if (!group.isDraining && (declaration === undefined || !isOffering(host, declaration))) {
+    } else if (group.isDraining) {
+      // What a former start had in flight ended with it, and no later start will say that the drain is over.
+      if (hasMoved(host, group)) {
+        plan.dissolve(group.name);
+      }
+    } else if (declaration === undefined || !isStillOffering(host, declaration)) {
       plan.drain(group);
     } else if (hasMoved(host, group) && isUsable(host)) {
       const { name, declaration: declarationName, offer } = group;
@@ -59,6 +64,15 @@
   return isOffered && !isDraining && isSelected(labels, declaration.hosts);
 }
 
+/** A sidecar that restarted reports before its upstream has announced itself again; that is no change of what it offers. */
+function isStillOffering(host: PlacementHost, declaration: ServiceDeclaration): boolean {
+  const { upstream, isDraining, labels } = host.facts;
+  if (upstream !== undefined) {
+    return isOffering(host, declaration);
+  }
+  return !isDraining && isSelected(labels, declaration.hosts);
+}
+
 /** A restarted sidecar leads under its new incarnation only. */
 function hasMoved({ facts }: PlacementHost, group: Group): boolean {
   const lead = findLead(group);
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -15,8 +15,11 @@
   /** Silent, or there without a working upstream; may be back after the time expected. */
   | { readonly type: 'suspected'; readonly expectedReturn: Milliseconds }
   | { readonly type: 'gone' }
-  /** There, but held back because it comes and goes or lags behind. */
-  | { readonly type: 'quarantined' };
+  /**
+   * There, but held back because it comes and goes or lags behind: not taken into a group until the time expected.
+   * A group it already belongs to may go on with it.
+   */
+  | { readonly type: 'quarantined'; readonly expectedReturn: Milliseconds };
 
 /** A host as placement sees it. */
 export interface PlacementHost {
