--- a/__tests__/cli/command-line.test.ts
+++ b/__tests__/cli/command-line.test.ts
@@ -90,6 +90,19 @@
   });
 });
 
+describe('a read without a quorum', () => {
+  // Symptom: control has lost its quorum, and the command that shows control hosts shows nothing.
+  // Sequence: two of three control hosts die; the operator asks where each of them stands.
+  // Cause: the table of control hosts waited for an answer that only a leader gives.
+  it('still shows where each control host stands', async () => {
+    controls.forEach((control) => (control.isLeaderless = true));
+    const said = await say(controls, ['get', '--in-force']);
+    expect(said.exitCode).toBe(exitCodes.unavailable);
+    expect(said.errors).toContain('notFresh (4007)');
+    expect(said.errors).toMatch(/control-2 +127\.0\.0\.1:\d+ +follower +yes/);
+  });
+});
+
 describe('exit codes', () => {
   it.each([
     [exitCodes.ok, ['get']],
--- a/__tests__/cli/fake-control.ts
+++ b/__tests__/cli/fake-control.ts
@@ -38,6 +38,8 @@
 /** A control host that keeps its promises, but for the faults it was told to show. */
 export class FakeControl {
   readonly faults: Fault[] = [];
+  /** Refuses every read but that of itself. */
+  isLeaderless = false;
   readonly #name: string;
   readonly log: FakeLog;
   readonly #server: Http2Server;
@@ -51,7 +53,7 @@
         routes: (router) =>
           router.service(ControlService, {
             submit: ({ command }) => this.#submit(command),
-            get: ({ kind }) => ({ answer: JSON.stringify(this.#view(kind)) }),
+            get: ({ kind }) => this.#get(kind),
           }),
       }),
     );
@@ -90,6 +92,13 @@
     return { answer };
   }
 
+  #get(kind: string): { resultCode?: number; message?: string; answer?: string } {
+    if (this.isLeaderless && kind !== 'control') {
+      return { resultCode: resultCodes.notFresh.number, message: 'no leader' };
+    }
+    return { answer: JSON.stringify(this.#view(kind)) };
+  }
+
   #view(kind: string): unknown {
     const { revision, configuration, history, index } = this.log.machine.read();
     const views: Readonly<Record<string, unknown>> = {
@@ -105,7 +114,7 @@
         index,
         revision,
         stalenessMilliseconds: 80,
-        voters: [],
+        voters: ['control-1', 'control-2'].map((name) => ({ name, address: 'unused' })),
       } satisfies ControlView,
     };
     return views[kind];
--- a/src/cli/commands/get.ts
+++ b/src/cli/commands/get.ts
@@ -40,27 +40,22 @@
   return formatTable(['revision', 'at', 'operator', 'change id', 'summary'], rows);
 }
 
+/** Control hosts are shown also when none of them can answer for all: that is when operators need to see them. */
 async function showInForce(context: ControlContext): Promise<ExitCode> {
   const { output, client } = context;
-  const watchers = await client.get('watchers');
+  const [watchers, hosts] = await Promise.all([
+    client.get('watchers'),
+    client.getFromEach('control'),
+  ]);
+  const table = formatControlHosts(hosts);
   if (watchers.err) {
-    return output.refuse(watchers.val);
+    return output.refuse(watchers.val, { control: hosts }, ['', table.trimEnd()]);
   }
-  const hosts = await client.getFromEach('control');
   const { revision } = watchers.val;
-  const behind = watchers.val.watchers.filter((watcher) => watcher.revision < revision);
-  const value = {
-    revision,
-    behind: behind.length,
-    watchers: watchers.val.watchers,
-    control: hosts,
-  };
-  const text = [
-    `revision ${revision} is in force; ${behind.length} of ${watchers.val.watchers.length} are behind\n`,
-    formatWatchers(watchers.val),
-    formatControlHosts(hosts),
-  ].join('\n');
-  return output.succeed(value, text);
+  const behind = watchers.val.watchers.filter((watcher) => watcher.revision < revision).length;
+  const value = { revision, behind, watchers: watchers.val.watchers, control: hosts };
+  const summary = `revision ${revision} is in force; ${behind} of ${watchers.val.watchers.length} are behind\n`;
+  return output.succeed(value, [summary, formatWatchers(watchers.val), table].join('\n'));
 }
 
 function formatWatchers(view: View<'watchers'>): string {
@@ -82,6 +77,7 @@
 }[];
 
 function formatControlHosts(hosts: ControlHosts): string {
+  const voters = findVoters(hosts);
   const rows = hosts.map(({ address, view }) =>
     view === undefined
       ? ['-', address, 'no answer']
@@ -89,12 +85,30 @@
           view.name,
           address,
           view.role,
+          voters.includes(view.name) ? 'yes' : 'no',
           String(view.term),
           String(view.revision),
           String(view.index),
           formatDuration(view.stalenessMilliseconds),
         ],
   );
-  const titles = ['control host', 'address', 'role', 'term', 'revision', 'index', 'staleness'];
+  const titles = [
+    'control host',
+    'address',
+    'role',
+    'votes',
+    'term',
+    'revision',
+    'index',
+    'staleness',
+  ];
   return formatTable(titles, rows);
 }
+
+/** The voters as the leader of the newest term has them. */
+function findVoters(hosts: ControlHosts): readonly string[] {
+  const views = hosts.flatMap(({ view }) => view ?? []);
+  const newest = [...views].sort((left, right) => right.term - left.term);
+  const known = newest.find((view) => view.role === 'leader') ?? newest[0];
+  return known?.voters.map(({ name }) => name) ?? [];
+}
--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -100,7 +100,7 @@
     call: (connection: ControlConnection) => Promise<CallOutcome<RawAnswer>>,
   ): Promise<CallOutcome<RawAnswer>> {
     let isUncertain = false;
-    let detail = '';
+    const details = new Map<string, string>();
     for (let round = 0; round < rounds; round += 1) {
       await this.#sleep(round === 0 ? 0 : firstPause * 2 ** (round - 1));
       for (const connection of this.#connections) {
@@ -109,10 +109,10 @@
           return outcome;
         }
         isUncertain ||= mayHaveRun(outcome);
-        detail = describeOutcome(connection, outcome);
+        details.set(connection.address, describeOutcome(connection, outcome));
       }
     }
-    return { type: isUncertain ? 'lost' : 'unsent', detail };
+    return { type: isUncertain ? 'lost' : 'unsent', detail: [...details.values()].join('; ') };
   }
 }
 
