--- a/__tests__/settings/pages.test.ts
+++ b/__tests__/settings/pages.test.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
 
 import { describe, expect, it } from 'vitest';
 import { z } from 'zod';
@@ -63,3 +63,38 @@
     expect(findUndescribed(schema, readSection(page, title))).toEqual([]);
   });
 });
+
+function listMetrics(): readonly string[] {
+  const files = readdirSync('src', { recursive: true }).map((name) => `src/${String(name)}`);
+  const names = files
+    .filter((file) => file.endsWith('.ts'))
+    .flatMap((file) => [
+      ...readFileSync(file, 'utf8').matchAll(/metrics\.(?:increment|timing|gauge)\(\s*'([^']+)'/g),
+    ])
+    .flatMap((match) => match[1] ?? []);
+  return [...new Set(names)].sort();
+}
+
+describe('docs/METRICS.md', () => {
+  it('lists the metrics that the source sends, and no others', () => {
+    const rows = readFileSync('docs/METRICS.md', 'utf8').matchAll(/^\| `([^`]+)`/gm);
+    expect([...rows].map((match) => match[1]).sort()).toEqual(listMetrics());
+  });
+});
+
+const pages = [
+  'README.md',
+  ...['CONFIGURATION', 'GLOSSARY', 'METRICS', 'OPERATORS', 'RESULT-CODES', 'SETTINGS'].map(
+    (name) => `docs/${name}.md`,
+  ),
+];
+
+describe('links', () => {
+  it.each(pages)('of %s lead to files', (page) => {
+    const folder = page.includes('/') ? 'docs/' : '';
+    const links = [...readFileSync(page, 'utf8').matchAll(/\]\(([^)#]+)/g)].map(
+      (match) => match[1],
+    );
+    expect(links.filter((link) => !existsSync(`${folder}${link ?? ''}`))).toEqual([]);
+  });
+});
