--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -9,6 +9,7 @@
 import { runLeaseLeadRole, runLeaseMemberRole } from './capacity/lease-roles.js';
 import { measureReports, measureWatches } from './capacity/measure-control.js';
 import { measureProcesses } from './capacity/measure-processes.js';
+import { measureRestarts } from './capacity/measure-restarts.js';
 import { measureSidecars } from './capacity/measure-sidecars.js';
 import { measureLeases, measureTokens } from './capacity/measure-streams.js';
 import type { MeasureOptions } from './capacity/pair.js';
@@ -33,6 +34,7 @@
   { name: 'watch', sizes: [50, 100, 200, 400], measure: measureWatches },
   { name: 'report', sizes: [50, 100, 200, 400], measure: measureReports },
   { name: 'sidecar', sizes: [16, 32, 64, 96], measure: measureSidecars },
+  { name: 'restart', sizes: [100, 200, 400, 800], measure: measureRestarts },
   { name: 'process', sizes: [], measure: measureProcesses },
   { name: 'lease', sizes: [25, 50, 100, 200], measure: measureLeases },
   { name: 'tokens', sizes: [300], measure: measureTokens },
@@ -65,7 +67,7 @@
   const [address = '', count = '0'] = options;
   switch (name) {
     case 'control':
-      await runControlRole(address);
+      await runControlRole(address, options[1]);
       return;
     case 'watchers':
       runWatcherRole(address, Number(count));
--- a/bench/capacity/control-role.ts
+++ b/bench/capacity/control-role.ts
@@ -10,18 +10,28 @@
   systemClock,
 } from '../../src/common/index.js';
 import { ControlClient, ControlProcess } from '../../src/control/index.js';
-import type { Command } from '../../src/control/state/index.js';
+import { viewSchemas, type Command } from '../../src/control/state/index.js';
+import { ControlService } from '../../src/generated/pistachiospoke/v1/control_pb.js';
 import type { Configuration } from '../../src/model/index.js';
 import { controlSettingsSchema } from '../../src/settings/index.js';
 import { RpcClientPool } from '../../src/wire/index.js';
+import { waitFor } from '../../__tests__/support/index.js';
 import { announceReady } from '../support/index.js';
 import { createLargeConfiguration } from './fixtures.js';
 
 const submitTimeout = 10_000;
 
-/** Serves at an address; `publish` brings the next revision of the configuration into force. */
-export async function runControlRole(address: string): Promise<void> {
-  const dataFolder = await mkdtemp(join(tmpdir(), 'pistachiospoke-bench-'));
+/** A folder for the log of a control host under measurement. */
+export function createDataFolder(): Promise<string> {
+  return mkdtemp(join(tmpdir(), 'pistachiospoke-bench-'));
+}
+
+/**
+ * Serves at an address; `publish` brings the next revision of the configuration into force.
+ * With a data folder of an earlier start it goes on from there.
+ */
+export async function runControlRole(address: string, folder?: string): Promise<void> {
+  const dataFolder = folder ?? (await createDataFolder());
   const settings = controlSettingsSchema.parse({
     name: 'control-1',
     region: 'addis',
@@ -43,7 +53,7 @@
     random: createEntropySource(),
   });
   const document = createLargeConfiguration();
-  let revision = 0;
+  let revision = await readRevision(clients, address);
   const publish = async (): Promise<string> => {
     const answer = await client.submit(createChange(document, revision));
     if (answer.err || answer.val.type !== 'changed') {
@@ -55,6 +65,16 @@
   announceReady(address, publish);
 }
 
+/** Waits until this host leads and knows its own state. */
+function readRevision(clients: RpcClientPool, address: string): Promise<number> {
+  return waitFor('a leader', async () => {
+    const { answer } = await clients
+      .client(ControlService, address)
+      .get({ kind: 'configuration' }, { timeoutMs: submitTimeout });
+    return viewSchemas.configuration.parse(JSON.parse(answer)).revision;
+  });
+}
+
 /** A change of one label at the end, so that each revision differs from the last. */
 function createChange(document: Configuration, baseRevision: number): Command {
   const [first, ...others] = document.accounts;
