--- a/bench/steps.ts
+++ b/bench/steps.ts
@@ -5,6 +5,7 @@
   measureStateMachineSteps,
   measureWatchSteps,
 } from './steps/control-steps.js';
+import { measureClaimMemory } from './steps/claim-memory.js';
 import { measureConsensusSteps } from './steps/consensus-steps.js';
 import { measureLeaseSteps } from './steps/lease-steps.js';
 import { measureRequestSteps, measureRouterStep } from './steps/request-steps.js';
@@ -24,3 +25,4 @@
     ...measureWatchSteps(),
   ]),
 );
+console.log(`\n${measureClaimMemory()}`);
--- a/bench/steps/control-steps.ts
+++ b/bench/steps/control-steps.ts
@@ -154,13 +154,14 @@
   return { ...input, groups };
 }
 
-function createClaim(turn: number): Command {
+/** A claim as gateways submit it; each turn has a key of its own. */
+export function createClaim(turn: number): Command {
   return {
     type: 'claimKey',
     at: claimTime,
     account: 'branch-desk',
     key: `quote-${turn}-2026-12-02`,
-    fingerprint: 'f'.repeat(64),
-    requestId: `request-${turn}`,
+    fingerprint: String(turn).padStart(64, 'f'),
+    requestId: `19ae3f0c2b1-${turn}-6f1c2a8e0f5d4f0a`,
   };
 }
