Old reports do not overtake newer ones

Cause: after a freeze of 6 s a healthy host stayed unhealthy at the leader for good and its group was not placed again. The sidecar had reported 'unhealthy' to one control host and, on its next connection, 'healthy' to the leader; the first one's batch came last, and heartbeats leave the facts out. Ruled out: the sidecar (another control host had the right facts); the hold-back (it had ended).

--- a/src/control/report-codec.ts
+++ b/src/control/report-codec.ts
@@ -27,6 +27,8 @@
     groups: message.groups.map(decodeGroupHealth),
     isDraining: draining,
     isLeaving: message.leaving,
+    sequence: Number(message.sequence),
+    factsSequence: Number(message.factsSequence),
   };
 }
 
@@ -38,6 +40,8 @@
     groups: report.groups.map(encodeGroupHealth),
     draining: report.isDraining,
     leaving: report.isLeaving,
+    sequence: BigInt(report.sequence),
+    factsSequence: BigInt(report.factsSequence),
     ...(report.facts === undefined ? {} : { facts: encodeHostFacts(report.facts) }),
   });
 }
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -10,7 +10,7 @@
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { HostName } from '../../model/index.js';
 import type { RpcClientPool } from '../../wire/index.js';
-import type { HostDirectory, HostReport } from '../host-directory.js';
+import type { HostDirectory, HostReport, ReportVerdict } from '../host-directory.js';
 import { decodeWatcher, encodeWatcher, type WatcherDirectory } from '../watcher-directory.js';
 import { decodeReport, encodeReport } from '../report-codec.js';
 
@@ -70,11 +70,14 @@
     try {
       for await (const message of messages) {
         last = decodeReport(message);
-        if (!this.#take(last, this.#options.name)) {
+        const verdict = this.#take(last, this.#options.name);
+        if (verdict === 'factsMissing') {
           // The sidecar sends its facts first on every stream, so a new stream mends what is missing.
           throw new ConnectError('facts of this host are not known here', Code.FailedPrecondition);
         }
-        this.#enqueue(last);
+        if (verdict === 'taken') {
+          this.#enqueue(last);
+        }
       }
     } finally {
       if (last?.isLeaving === false) {
@@ -90,7 +93,7 @@
     }
     return request.reports
       .map(decodeReport)
-      .filter((report) => !this.#take(report, request.from))
+      .filter((report) => this.#take(report, request.from) === 'factsMissing')
       .map((report) => report.host);
   }
 
@@ -103,13 +106,13 @@
     return this.#options.clock.monotonic();
   }
 
-  #take(report: HostReport, via: string): boolean {
+  #take(report: HostReport, via: string): ReportVerdict {
     const { directory, onReport } = this.#options;
-    const isTaken = directory.take(report, this.#now());
-    if (isTaken) {
+    const verdict = directory.take(report, this.#now());
+    if (verdict === 'taken') {
       onReport(report, via);
     }
-    return isTaken;
+    return verdict;
   }
 
   #enqueue(report: HostReport): void {
@@ -174,7 +177,7 @@
       if (known === undefined) {
         continue;
       }
-      const { facts, configurationRevision, groups } = known;
+      const { facts, configurationRevision, groups, sequence, factsSequence } = known;
       const report: HostReport = {
         host,
         incarnation: facts.incarnation,
@@ -183,6 +186,8 @@
         groups,
         isDraining: facts.isDraining,
         isLeaving: false,
+        sequence,
+        factsSequence,
         ...outbox.reports.get(host),
       };
       outbox.reports.set(host, { ...report, facts });
--- a/src/sidecar/shell/report-client.ts
+++ b/src/sidecar/shell/report-client.ts
@@ -23,6 +23,11 @@
 /** A stream that lived this long was useful: the control host behind it works. */
 const usefulAfter: Milliseconds = 5000;
 
+/** What a report says, without its place in the order of reports. */
+export type ReportContent = Omit<HostReport, 'facts' | 'sequence' | 'factsSequence'> & {
+  readonly facts: HostFacts;
+};
+
 /** Options of the report client. */
 export interface ReportClientOptions {
   readonly control: readonly string[];
@@ -31,7 +36,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   /** The whole report of this moment; `facts` is always set. */
-  readonly describe: () => HostReport & { readonly facts: HostFacts };
+  readonly describe: () => ReportContent;
 }
 
 export class ReportClient implements ManagedPart {
@@ -43,6 +48,8 @@
   #queue: MessageQueue<HostReportMessage> | undefined;
   #sentFacts = '';
   #sentRest = '';
+  #sequence = 0;
+  #factsSequence = 0;
   #timer: NodeJS.Timeout | undefined;
   #running: Promise<void> | undefined;
 
@@ -109,7 +116,12 @@
     if (!isHeartbeat && !isChanged && restText === this.#sentRest) {
       return;
     }
-    this.#queue?.push(encodeReport({ ...rest, facts: isChanged ? facts : undefined }));
+    this.#sequence += 1;
+    if (isChanged) {
+      this.#factsSequence = this.#sequence;
+    }
+    const order = { sequence: this.#sequence, factsSequence: this.#factsSequence };
+    this.#queue?.push(encodeReport({ ...rest, ...order, facts: isChanged ? facts : undefined }));
     this.#sentFacts = factsText;
     this.#sentRest = restText;
   }
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -7,7 +7,6 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
-import type { HostReport } from '../../control/index.js';
 import { defaultLongestLease } from '../../lease/index.js';
 import type { Group, GroupName, HostFacts, ServiceName, WatchedState } from '../../model/index.js';
 import type { SidecarSettings } from '../../settings/index.js';
@@ -19,7 +18,7 @@
 import { GroupLeader } from './group-leader.js';
 import { LeaseMemberDriver } from './lease-member-driver.js';
 import { OrderRunner } from './order-runner.js';
-import { ReportClient } from './report-client.js';
+import { ReportClient, type ReportContent } from './report-client.js';
 
 /** Puts the parts of a sidecar together. */
 
@@ -196,7 +195,7 @@
     return driver?.group.fencingNumber === group.fencingNumber && (await driver.confirm());
   }
 
-  #describe(): HostReport & { readonly facts: HostFacts } {
+  #describe(): ReportContent {
     const { settings } = this.#options;
     const upstream = this.#readUpstream();
     const facts: HostFacts = {
