Placement against a naive one: merging across homes, and a replay that reloads

Cause: a differential test with complete groups counted showed two cases in which the naive placement has one more: members of broken groups across fabric domains were never merged into groups of another domain. Ruled out: counting placed groups (waiting ones hid both cases). Change: merges look for donors in the target's fabric domain whatever their own home is; broken groups whose members and spares make up a new group somewhere are dissolved for it; the replay starts the loads that a sidecar would order.

--- a/bench/groups.ts
+++ b/bench/groups.ts
@@ -6,7 +6,7 @@
 
 import type { Policy } from '../src/model/index.js';
 import { measureLeases, measureSteps } from './groups/costs.js';
-import { loadSeconds, Replay, type ReplayResult } from './groups/replay.js';
+import { countPossible, loadSeconds, Replay, type ReplayResult } from './groups/replay.js';
 import {
   NaiveStrategy,
   OwnStrategy,
@@ -35,6 +35,7 @@
   { label: 'naive', policy: {}, create: naive },
   { label: 'Berhane 10:1', policy: weigh(10, 1, false), create: own },
   { label: 'Guild 1:10', policy: weigh(1, 10, false), create: own },
+  { label: 'naive, across fabrics', policy: { allowAcrossFabricDomains: true }, create: naive },
   { label: 'Berhane 10:1, across fabrics', policy: weigh(10, 1, true), create: own },
   { label: 'Guild 1:10, across fabrics', policy: weigh(1, 10, true), create: own },
 ];
@@ -72,7 +73,8 @@
       reportProgress(`${fleet.label}, ${contender.label}, trace ${index + 1}`);
       return replay(fleet, contender, firstSeed + index);
     });
-    const wanted = countWanted(fleet, contender.policy.allowAcrossFabricDomains === true);
+    const isAcross = contender.policy.allowAcrossFabricDomains === true;
+    const wanted = countPossible(fleet.hosts, fleet.replicaSize, isAcross);
     return [contender.label, String(wanted), ...describe(results, fleet)];
   });
   return formatMarkdownTable(
@@ -80,6 +82,7 @@
       `${fleet.label}, ${fleet.days} d`,
       'groups wanted',
       'group downtime, group-h a day',
+      'of it unavoidable',
       'without any group, s a day',
       'stranded, host-h a day',
       'across fabrics, group-h a day',
@@ -100,18 +103,8 @@
     replicaSize: fleet.replicaSize,
     loadDuration: loadSeconds * 1000,
   });
-  const wanted = countWanted(fleet, policy.allowAcrossFabricDomains === true);
-  return new Replay(fleet, createTrace(fleet, seed), strategy, wanted).run();
-}
-
-/** As many groups as all hosts together allow, within fabric domains or across them. */
-function countWanted(fleet: Fleet, isAcross: boolean): number {
-  const sizes = new Map<string, number>();
-  for (const { fabricDomain, region } of fleet.hosts) {
-    const domain = isAcross ? region : fabricDomain;
-    sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
-  }
-  return [...sizes.values()].reduce((sum, hosts) => sum + Math.floor(hosts / fleet.replicaSize), 0);
+  const isAcross = policy.allowAcrossFabricDomains === true;
+  return new Replay(fleet, createTrace(fleet, seed), strategy, isAcross).run();
 }
 
 function describe(results: readonly ReplayResult[], fleet: Fleet): readonly string[] {
@@ -121,6 +114,7 @@
   const repairs = results.flatMap((result) => result.repairs).sort((left, right) => left - right);
   const figures = [
     sum((result) => result.groupDowntime) / 3600 / days,
+    sum((result) => result.unavoidable) / 3600 / days,
     sum((result) => result.noGroup) / days,
     sum((result) => result.strandedHosts) / 3600 / days,
     sum((result) => result.acrossFabric) / 3600 / days,
--- a/bench/groups/replay.ts
+++ b/bench/groups/replay.ts
@@ -1,6 +1,6 @@
 import type { Group, GroupHealth, HostFacts } from '../../src/model/index.js';
 import { artifact, type Decision, type Strategy } from './strategies.js';
-import type { Fleet, Loss, Trace } from './trace.js';
+import type { BenchHost, Fleet, Loss, Trace } from './trace.js';
 
 /**
  * Replays a trace of losses against a strategy in steps of one second: what is up, what is loaded, which groups are whole.
@@ -42,6 +42,8 @@
 export interface ReplayResult {
   /** Sum over time of groups that should serve and do not. */
   readonly groupDowntime: number;
+  /** The part of it in which too few hosts were up for any placement to do better. */
+  readonly unavoidable: number;
   /** Time without any whole group. */
   readonly noGroup: number;
   /** Sum over time of healthy hosts in no whole group. */
@@ -59,6 +61,7 @@
   readonly #fleet: Fleet;
   readonly #trace: Trace;
   readonly #strategy: Strategy;
+  readonly #isAcross: boolean;
   readonly #wanted: number;
   readonly #hosts: readonly HostState[];
   readonly #byName: ReadonlyMap<string, HostState>;
@@ -69,6 +72,7 @@
   #nextLoss = 0;
   #fencingNumber = 0;
   #groupDowntime = 0;
+  #unavoidable = 0;
   #noGroup = 0;
   #stranded = 0;
   #across = 0;
@@ -78,12 +82,13 @@
   #decisions = 0;
   #decisionTime = 0;
 
-  /** `wanted` is the number of groups that should serve. */
-  constructor(fleet: Fleet, trace: Trace, strategy: Strategy, wanted: number) {
+  /** Groups that should serve are as many as all hosts allow, within fabric domains or across them. */
+  constructor(fleet: Fleet, trace: Trace, strategy: Strategy, isAcross: boolean) {
     this.#fleet = fleet;
     this.#trace = trace;
     this.#strategy = strategy;
-    this.#wanted = wanted;
+    this.#isAcross = isAcross;
+    this.#wanted = countPossible(fleet.hosts, fleet.replicaSize, isAcross);
     this.#hosts = fleet.hosts.map((host, index) => createState(host, index));
     this.#byName = new Map(this.#hosts.map((host) => [host.facts.host, host]));
   }
@@ -95,6 +100,7 @@
     }
     return {
       groupDowntime: this.#groupDowntime,
+      unavoidable: this.#unavoidable,
       noGroup: this.#noGroup,
       strandedHosts: this.#stranded,
       acrossFabric: this.#across,
@@ -190,6 +196,7 @@
   #judgeGroups(now: number, isHearing: boolean): boolean {
     let hasChanged = false;
     for (const placed of this.#groups.values()) {
+      this.#reload(placed, now);
       const missing = placed.members.filter((host) => !isVouching(host, now));
       const isWhole = missing.length === 0 && now >= placed.placedAt + handover;
       hasChanged ||= isWhole !== placed.isWhole;
@@ -227,6 +234,15 @@
     }
   }
 
+  /** A member that returned without its weights is ordered to load them by its own sidecar. */
+  #reload({ members }: PlacedState, now: number): void {
+    for (const host of members) {
+      if (!host.isLoaded && host.downUntil <= now) {
+        this.#startLoad(host);
+      }
+    }
+  }
+
   #startLoad(host: HostState): void {
     if (!host.isLoaded && host.toLoad === undefined) {
       host.toLoad = loadSeconds;
@@ -238,6 +254,9 @@
   #measure(now: number): void {
     const whole = [...this.#groups.values()].filter((placed) => placed.isWhole);
     const serving = new Set(whole.flatMap(({ members }) => members));
+    const up = this.#hosts.filter((host) => host.downUntil <= now).map(({ facts }) => facts);
+    const possible = countPossible(up, this.#fleet.replicaSize, this.#isAcross);
+    this.#unavoidable += this.#wanted - possible;
     this.#groupDowntime += Math.max(0, this.#wanted - whole.length);
     this.#noGroup += whole.length === 0 ? 1 : 0;
     this.#stranded += this.#hosts.filter(
@@ -261,6 +280,20 @@
   }
 }
 
+/** As many groups as the hosts allow, within fabric domains or across them within a region. */
+export function countPossible(
+  hosts: readonly BenchHost[],
+  replicaSize: number,
+  isAcross: boolean,
+): number {
+  const sizes = new Map<string, number>();
+  for (const { fabricDomain, region } of hosts) {
+    const domain = isAcross ? region : fabricDomain;
+    sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  }
+  return [...sizes.values()].reduce((sum, size) => sum + Math.floor(size / replicaSize), 0);
+}
+
 function createState(host: Fleet['hosts'][number], index: number): HostState {
   const facts: HostFacts = {
     host: host.name,
--- a/bench/groups/strategies.ts
+++ b/bench/groups/strategies.ts
@@ -139,12 +139,14 @@
  */
 export class NaiveStrategy implements Strategy {
   readonly #replicaSize: number;
+  readonly #isAcross: boolean;
   readonly #heardAt = new Map<string, Milliseconds>();
   readonly #facts = new Map<string, HostFacts>();
   #present = '';
 
-  constructor({ replicaSize }: StrategyOptions) {
+  constructor({ replicaSize, policy }: StrategyOptions) {
     this.#replicaSize = replicaSize;
+    this.#isAcross = policy.allowAcrossFabricDomains === true;
   }
 
   hear(facts: HostFacts, now: Milliseconds): void {
@@ -183,12 +185,25 @@
   }
 
   #formGroups(free: readonly HostFacts[], names: Set<string>): readonly GroupPlacement[] {
+    const within = this.#chunk(free, (facts) => facts.fabricDomain, names);
+    if (!this.#isAcross) {
+      return within;
+    }
+    const taken = new Set(within.flatMap(({ members }) => members.map((member) => member.host)));
+    const left = free.filter((facts) => !taken.has(facts.host));
+    return [...within, ...this.#chunk(left, (facts) => facts.region, names)];
+  }
+
+  #chunk(
+    free: readonly HostFacts[],
+    domainOf: (facts: HostFacts) => string,
+    names: Set<string>,
+  ): readonly GroupPlacement[] {
     const place: GroupPlacement[] = [];
-    for (const fabric of new Set(free.map((facts) => facts.fabricDomain))) {
-      const hosts = free.filter((facts) => facts.fabricDomain === fabric);
+    for (const domain of new Set(free.map(domainOf))) {
+      const hosts = free.filter((facts) => domainOf(facts) === domain);
       for (let start = 0; start + this.#replicaSize <= hosts.length; start += this.#replicaSize) {
-        const members = hosts.slice(start, start + this.#replicaSize);
-        place.push(createPlacement(members, names));
+        place.push(createPlacement(hosts.slice(start, start + this.#replicaSize), names));
       }
     }
     return place;
--- a/bench/groups/trace.ts
+++ b/bench/groups/trace.ts
@@ -3,7 +3,6 @@
 /** Seeded traces of losses, in seconds, from the kinds of failure that the system has to stand. */
 
 export interface BenchHost {
-  readonly name: string;
   readonly failureDomain: string;
   readonly fabricDomain: string;
   readonly region: string;
@@ -12,7 +11,7 @@
 /** A deployment to replay. */
 export interface Fleet {
   readonly label: string;
-  readonly hosts: readonly BenchHost[];
+  readonly hosts: readonly (BenchHost & { readonly name: string })[];
   readonly replicaSize: number;
   readonly days: number;
   /** Loads that the weight store serves at full rate. */
@@ -176,7 +175,7 @@
   domains: number,
   fabricSize: number,
   domainsPerRegion: number,
-): readonly BenchHost[] {
+): Fleet['hosts'] {
   return Array.from({ length: count }, (_, index) => {
     const domain = Math.floor(index / (count / domains));
     return {
--- a/src/placement/repair.ts
+++ b/src/placement/repair.ts
@@ -32,7 +32,7 @@
 }
 
 /**
- * Merges groups that spares cannot repair, within one declaration and fabric domain, and returns what is left.
+ * Merges groups that spares cannot repair, within one declaration and each within a fabric domain, and returns what is left.
  * The groups that lack the most members give theirs to those that lack the fewest.
  */
 export function mergeGroups(
@@ -41,8 +41,8 @@
 ): readonly BrokenGroup[] {
   const pools = new Map<string, BrokenGroup[]>();
   for (const candidate of broken) {
-    const key = `${candidate.declaration.name} ${homeOf(candidate.condition.survivors) ?? ''}`;
-    pools.set(key, [...(pools.get(key) ?? []), candidate]);
+    const { name } = candidate.declaration;
+    pools.set(name, [...(pools.get(name) ?? []), candidate]);
   }
   return [...pools.values()].flatMap((pool) => mergePool(plan, [...pool].sort(compareBroken)));
 }
@@ -111,39 +111,88 @@
     return !isWorthWaiting(condition.expectedReturn, loads, plan.input.estimates);
   });
   const left = pool.filter((candidate) => !able.includes(candidate));
+  for (const { group } of left) {
+    plan.note({ type: 'waitingForReturn', group: group.name });
+  }
   const targets = [...able];
+  const unmerged: BrokenGroup[] = [];
   for (let target = targets.shift(); target !== undefined; target = targets.shift()) {
     if (!mergeInto(plan, target, targets)) {
-      return [...left, target, ...targets];
+      unmerged.push(target);
+    }
+  }
+  return [...left, ...freeForForming(plan, unmerged)];
+}
+
+/**
+ * Dissolves groups whose members, with the spares of some fabric domain, suffice for a new group there.
+ * Groups across fabric domains need it: what is left of one may be worth more in a domain that is not its own.
+ */
+function freeForForming(plan: WorkingPlan, broken: readonly BrokenGroup[]): readonly BrokenGroup[] {
+  let left = broken;
+  const domains = new Set(
+    broken.flatMap(({ condition }) => condition.survivors.map(fabricDomainOf)),
+  );
+  for (const domain of [...domains].sort(compareNames)) {
+    const chosen = chooseContributors(plan, left, domain);
+    for (const { group } of chosen) {
+      plan.dissolve(group.name);
     }
+    left = left.filter((candidate) => !chosen.includes(candidate));
   }
   return left;
 }
 
-/** Completes one group with spares and the members of donors, which are taken from the end of the list. */
-function mergeInto(plan: WorkingPlan, target: BrokenGroup, donors: BrokenGroup[]): boolean {
+/** The fewest groups that make up what the spares of the domain lack; none when all of them are not enough. */
+function chooseContributors(
+  plan: WorkingPlan,
+  broken: readonly BrokenGroup[],
+  domain: string,
+): readonly BrokenGroup[] {
+  const isInDomain = (host: PlacementHost) => fabricDomainOf(host) === domain;
+  const contributors = broken.filter(({ condition }) => condition.survivors.some(isInDomain));
+  const [first] = contributors;
+  if (first === undefined) {
+    return [];
+  }
+  const { declaration } = first;
+  const wanted = declaration.replicaSize;
+  let available = plan.findSpares(declaration).filter(isInDomain).length;
+  const chosen: BrokenGroup[] = [];
+  for (const candidate of contributors) {
+    if (available < wanted) {
+      chosen.push(candidate);
+      available += candidate.condition.survivors.filter(isInDomain).length;
+    }
+  }
+  return available < wanted ? [] : chosen;
+}
+
+/** Completes one group with spares and the members of donors in its fabric domain; donors are taken from the end of the list. */
+function mergeInto(plan: WorkingPlan, target: BrokenGroup, others: BrokenGroup[]): boolean {
   const { declaration, condition } = target;
-  const home = homeOf(condition.survivors);
   const missing = declaration.replicaSize - condition.survivors.length;
-  let available = plan
-    .findSpares(declaration)
-    .filter((host) => fabricDomainOf(host) === home && !condition.survivors.includes(host)).length;
-  const chosen: BrokenGroup[] = [];
-  while (available < missing) {
-    const donor = donors[donors.length - 1 - chosen.length];
-    if (donor === undefined) {
-      return false;
+  const home = homeOf(condition.survivors);
+  const isNear = (host: PlacementHost) =>
+    fabricDomainOf(host) === home && !condition.survivors.includes(host);
+  let available = plan.findSpares(declaration).filter(isNear).length;
+  const donors: BrokenGroup[] = [];
+  for (const candidate of [...others].reverse()) {
+    const given = candidate.condition.survivors.filter(isNear).length;
+    if (available < missing && given > 0) {
+      donors.push(candidate);
+      available += given;
     }
-    chosen.push(donor);
-    available += donor.condition.survivors.length;
   }
-  donors.splice(donors.length - chosen.length);
-  for (const donor of chosen) {
+  if (available < missing) {
+    return false;
+  }
+  for (const donor of donors) {
+    others.splice(others.indexOf(donor), 1);
     plan.dissolve(donor.group.name);
   }
-  const spares = plan.findSpares(declaration).filter((host) => fabricDomainOf(host) === home);
-  const others = spares.filter((host) => !condition.survivors.includes(host)).slice(0, missing);
-  placeMembers(plan, target, [...condition.survivors, ...others]);
+  const joining = plan.findSpares(declaration).filter(isNear).slice(0, missing);
+  placeMembers(plan, target, [...condition.survivors, ...joining]);
   plan.note({ type: 'merged', group: target.group.name });
   return true;
 }
