Differential test follows the type of a host held back

Ruled out: nothing. Change: the test's fixture gives that time; what it asserts is as it was. Conclusion: none.

--- a/__tests__/placement/differential.test.ts
+++ b/__tests__/placement/differential.test.ts
@@ -72,8 +72,9 @@
     case 'present':
       return load({ facts, availability: { type: 'present' } }, [artifact]);
     case 'gone':
+      return { ...host, availability: { type: 'gone' } };
     case 'quarantined':
-      return { ...host, availability: { type: state } };
+      return { ...host, availability: { type: 'quarantined', expectedReturn: 10_000 } };
   }
 }
 
