Retire a connection by its socket

Cause: a process ended with an uncaught 'PING timed out' when a caller retired a connection right after its ping had failed. Aborting the session manager takes its listener away while the error of the session that it just destroyed is still to come. Ruled out: a listener of our own on the session (the manager does not hand it out); leaving the connection (the next call would wait for another ping). Change: the pool makes the sockets and destroys them; the manager sees the session close and keeps its listeners. Conclusion: the pool never aborts a manager.

--- a/src/wire/rpc-client.ts
+++ b/src/wire/rpc-client.ts
@@ -1,8 +1,11 @@
+import { connect, type Socket } from 'node:net';
+
 import type { DescService } from '@bufbuild/protobuf';
 import { createClient, type Client } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 
 import type { Milliseconds } from '../common/index.js';
+import { parseAddress } from './address.js';
 import { smallestCompressed } from './compression.js';
 
 /** Connections to other processes of the system, one HTTP/2 session for each address. */
@@ -13,8 +16,9 @@
 const idleTimeout: Milliseconds = 60_000;
 
 interface Connection {
-  readonly manager: Http2SessionManager;
   readonly transport: ReturnType<typeof createConnectTransport>;
+  /** The open sockets: one, and for a moment the next one. */
+  readonly sockets: ReadonlySet<Socket>;
 }
 
 /** Hands out clients and retires connections that went silent. */
@@ -30,11 +34,16 @@
    * Drops the connection to an address, so that the next call opens a new one.
    * Something between two hosts can lose track of an open connection: bytes then go nowhere, with no error,
    * while new connections work. Calls still open on the old one end with an error.
+   *
+   * The socket is destroyed rather than the session manager aborted: aborting takes the manager's listener away, and the error of a
+   * session that a failed ping has just ended would then come to nobody and end the process.
    */
   retire(address: string): void {
     const connection = this.#connections.get(address);
     this.#connections.delete(address);
-    connection?.manager.abort();
+    for (const socket of connection?.sockets ?? []) {
+      socket.destroy();
+    }
   }
 
   /** Drops all connections. */
@@ -50,19 +59,32 @@
       return known;
     }
     const baseUrl = `http://${address}`;
-    const manager = new Http2SessionManager(baseUrl, {
-      pingIntervalMs: pingInterval,
-      pingTimeoutMs: pingTimeout,
-      idleConnectionTimeoutMs: idleTimeout,
-    });
+    const sockets = new Set<Socket>();
+    const sessionManager = new Http2SessionManager(
+      baseUrl,
+      {
+        pingIntervalMs: pingInterval,
+        pingTimeoutMs: pingTimeout,
+        idleConnectionTimeoutMs: idleTimeout,
+      },
+      { createConnection: () => openSocket(address, sockets) },
+    );
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
-      sessionManager: manager,
+      sessionManager,
       compressMinBytes: smallestCompressed,
     });
-    const connection = { manager, transport };
+    const connection = { transport, sockets };
     this.#connections.set(address, connection);
     return connection;
   }
 }
+
+function openSocket(address: string, sockets: Set<Socket>): Socket {
+  const { host, port } = parseAddress(address);
+  const socket = connect(port, host);
+  sockets.add(socket);
+  socket.once('close', () => sockets.delete(socket));
+  return socket;
+}
