Heartbeat of the log every 250 ms, election from 1000 ms

Ruled out: fewer peers (five to seven voters are to come). Conclusion: a change of leader takes about 1.3 s instead of 1.1 s and stops changes only, not serving.

--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -28,9 +28,9 @@
 const timeouts = z
   .strictObject({
     /** Between two signs of life from the leader. */
-    heartbeatMilliseconds: z.int().min(10).max(10_000).default(100),
+    heartbeatMilliseconds: z.int().min(10).max(10_000).default(250),
     /** Shortest silence of the leader before an election; the longest is twice that. */
-    electionMilliseconds: z.int().min(50).max(60_000).default(800),
+    electionMilliseconds: z.int().min(50).max(60_000).default(1000),
     /** Longest wait for a change to be committed before its submitter is told that it is uncertain. */
     commitMilliseconds: z.int().min(100).max(60_000).default(5000),
     /** Between two signs of life on a quiet watch. */
