--- /dev/null
+++ b/__tests__/groups/session-control.ts
@@ -0,0 +1,124 @@
+import {
+  defaultHostHealthOptions,
+  GroupWatch,
+  HostHealth,
+  type HostHealthEffect,
+  type HostHealthEvent,
+} from '../../src/control/hosts/index.js';
+import {
+  applyCommand,
+  initialControlState,
+  type ControlState,
+} from '../../src/control/state/index.js';
+import type { Configuration, Group, GroupHealth, HostFacts } from '../../src/model/index.js';
+import { planPlacement, type PlacementNote } from '../../src/placement/index.js';
+
+/** The control host of a session: host health, placement and replicated state, for real. */
+
+/** No standing is worth a line before each host has been heard once. */
+const quietUntil = 1000;
+export const loadDuration = 10_000;
+
+export class SessionControl {
+  readonly #health: HostHealth;
+  readonly #watch = new GroupWatch();
+  readonly #reported = new Map<string, HostFacts>();
+  readonly #groupHealth = new Map<string, GroupHealth>();
+  readonly #log: (line: string) => void;
+  #state: ControlState;
+
+  constructor(configuration: Configuration, log: (line: string) => void) {
+    this.#state = { ...initialControlState, configuration };
+    this.#health = new HostHealth(defaultHostHealthOptions, configuration.policy);
+    this.#log = log;
+  }
+
+  get groups(): ReadonlyMap<string, Group> {
+    return this.#state.groups;
+  }
+
+  configure(configuration: Configuration): void {
+    this.#state = { ...this.#state, configuration, revision: this.#state.revision + 1 };
+  }
+
+  /** A report of a host and of the groups it leads. */
+  hear(facts: HostFacts, groups: readonly GroupHealth[], now: number): void {
+    this.#reported.set(facts.host, facts);
+    const { host, incarnation, region, failureDomain, isHealthy } = facts;
+    const sign = { host, incarnation, region, failureDomain, isHealthy, isLeaving: false };
+    this.#tell({ type: 'reported', now, sign, via: 'control' });
+    for (const health of groups) {
+      this.#groupHealth.set(health.group, health);
+      this.#watch.note(health, now);
+      for (const missing of health.missing) {
+        this.#tell({ type: 'missed', now, host: missing });
+      }
+    }
+  }
+
+  noteClosed(host: string, now: number): void {
+    this.#tell({ type: 'connectionClosed', now, host });
+  }
+
+  /** Looks at silences and decides placement. */
+  tick(now: number): void {
+    this.#tell({ type: 'ticked', now });
+    const decision = planPlacement({
+      configuration: this.#state.configuration,
+      hosts: [...this.#reported.values()].map((facts) => ({
+        facts,
+        availability: this.#health.availabilityOf(facts.host, now),
+      })),
+      groups: [...this.#state.groups.values()].map((group) => ({
+        group,
+        health: this.#groupHealth.get(group.name),
+        incompleteFor: this.#watch.incompleteFor(group, now),
+      })),
+      estimates: { loadDuration, handover: 3000, hostUnavailability: 0.01 },
+      isWatcherSuspected: this.#health.isWatcherSuspected,
+    });
+    const { place, dissolve, notes } = decision;
+    if (place.length + dissolve.length === 0) {
+      return;
+    }
+    const basedOn = this.#state.index;
+    const command = { type: 'placeGroups', at: 0, place, dissolve, basedOn } as const;
+    this.#state = applyCommand(this.#state, command).state;
+    this.#log(`control: ${notes.map(describeNote).join(', ')}`);
+    for (const { name } of place) {
+      this.#logGroup(name);
+    }
+  }
+
+  #logGroup(name: string): void {
+    const group = this.#state.groups.get(name);
+    if (group !== undefined) {
+      const members = group.members.map(({ host }) => host).join(' ');
+      const suffix = group.isDraining ? ', draining' : '';
+      this.#log(`control: ${describeGroup(group)} is ${members}${suffix}`);
+    }
+  }
+
+  #tell(event: HostHealthEvent): void {
+    for (const effect of this.#health.handle(event)) {
+      this.#logEffect(effect, event.now);
+    }
+  }
+
+  #logEffect(effect: HostHealthEffect, now: number): void {
+    if (effect.type === 'standingChanged' && now > quietUntil) {
+      this.#log(`control: ${effect.host} ${effect.standing}`);
+    }
+    if (effect.type === 'watcherSuspicionChanged') {
+      this.#log(`control: ${effect.isSuspected ? 'suspects itself' : 'trusts itself again'}`);
+    }
+  }
+}
+
+export function describeGroup({ name, fencingNumber }: Group): string {
+  return `${name}#${fencingNumber}`;
+}
+
+function describeNote(note: PlacementNote): string {
+  return `${note.type} ${'group' in note ? note.group : note.declaration}`;
+}
--- a/__tests__/groups/session.ts
+++ b/__tests__/groups/session.ts
@@ -1,30 +1,20 @@
-import {
-  defaultHostHealthOptions,
-  GroupWatch,
-  HostHealth,
-  type HostHealthEffect,
-} from '../../src/control/hosts/index.js';
-import {
-  applyCommand,
-  initialControlState,
-  type ControlState,
-} from '../../src/control/state/index.js';
-import {
-  LeaseLead,
-  LeaseMember,
-  type LeaseAnswer,
-  type LeaseLeadEffect,
-} from '../../src/lease/index.js';
+import { LeaseLead, type LeaseAnswer, type LeaseLeadEffect } from '../../src/lease/index.js';
 import {
   findLead,
   type Artifact,
   type Configuration,
   type Group,
   type GroupHealth,
-  type HostFacts,
 } from '../../src/model/index.js';
-import { planPlacement, type PlacementNote } from '../../src/placement/index.js';
-import { createHost } from '../placement/fixtures.js';
+import { describeGroup, loadDuration, SessionControl } from './session-control.js';
+import {
+  describeHost,
+  leaseDuration,
+  restartHost,
+  startHost,
+  type LedGroup,
+  type SessionHost,
+} from './session-host.js';
 
 /**
  * A session of a few hosts and one control host for golden files: real decisions, one step every 50 ms, messages that
@@ -34,39 +24,12 @@
 const stepMilliseconds = 50;
 const reportInterval = 1000;
 const placementInterval = 250;
-const leaseDuration = 2000;
-const loadDuration = 10_000;
-
-interface LedGroup {
-  readonly group: Group;
-  readonly lead: LeaseLead;
-  wakeAt: number;
-  health: GroupHealth | undefined;
-}
-
-interface SessionHost {
-  readonly name: string;
-  /** How fast its clock runs against true time. */
-  readonly rate: number;
-  start: number;
-  state: 'running' | 'frozen' | 'down';
-  member: LeaseMember;
-  readonly leads: Map<number, LedGroup>;
-  loaded: Artifact | undefined;
-  loadingUntil: number;
-  isDraining: boolean;
-  running: number;
-}
 
 export class Session {
   readonly #lines: string[] = [];
   readonly #hosts: ReadonlyMap<string, SessionHost>;
-  readonly #health: HostHealth;
-  readonly #watch = new GroupWatch();
-  readonly #reported = new Map<string, HostFacts>();
-  readonly #groupHealth = new Map<string, GroupHealth>();
+  readonly #control: SessionControl;
   readonly #cut = new Set<string>();
-  #state: ControlState;
   /** Messages under way, carried out only after the effects of the step that sent them. */
   readonly #messages: (() => void)[] = [];
   #now = 0;
@@ -76,13 +39,11 @@
     configuration: Configuration,
     options: { readonly loaded?: Artifact; readonly rates?: Readonly<Record<string, number>> } = {},
   ) {
-    this.#state = { ...initialControlState, configuration };
-    this.#health = new HostHealth(defaultHostHealthOptions, configuration.policy);
+    this.#control = new SessionControl(configuration, (line) => {
+      this.#log(line);
+    });
     this.#hosts = new Map(
-      names.map((name) => [
-        name,
-        this.#createHost(name, options.rates?.[name] ?? 1, options.loaded),
-      ]),
+      names.map((name) => [name, startHost(name, options.rates?.[name] ?? 1, options.loaded)]),
     );
   }
 
@@ -114,9 +75,7 @@
         this.#runLead(host, led, led.lead.handle(event));
       }
     }
-    this.#tellControl(
-      this.#health.handle({ type: 'connectionClosed', now: this.#now, host: name }),
-    );
+    this.#control.noteClosed(name, this.#now);
   }
 
   /** The host loses its power: nothing closes, nothing answers. */
@@ -128,12 +87,8 @@
   start(name: string, loaded?: Artifact): void {
     this.note(`${name} starts again`);
     const host = this.#find(name);
-    host.start += 1;
-    host.state = 'running';
-    host.leads.clear();
     host.loaded = loaded ?? host.loaded;
-    host.member = this.#createMember(host);
-    this.#startMember(host);
+    restartHost(host, this.#clock(host));
   }
 
   freeze(name: string): void {
@@ -182,13 +137,13 @@
     const host = this.#find(name);
     for (const { group, lead } of host.leads.values()) {
       this.#log(
-        `${name}: ${describe(group)} answers an attempt: ${lead.admission(this.#clock(host))}`,
+        `${name}: ${describeGroup(group)} answers an attempt: ${lead.admission(this.#clock(host))}`,
       );
     }
   }
 
   configure(configuration: Configuration): void {
-    this.#state = { ...this.#state, configuration, revision: this.#state.revision + 1 };
+    this.#control.configure(configuration);
   }
 
   #step(): void {
@@ -199,8 +154,7 @@
     }
     this.#deliver();
     if (this.#now % placementInterval === 0) {
-      this.#tellControl(this.#health.handle({ type: 'ticked', now: this.#now }));
-      this.#place();
+      this.#control.tick(this.#now);
     }
   }
 
@@ -227,77 +181,14 @@
   }
 
   #report(host: SessionHost): void {
-    const upstream = {
-      type: 'engine',
-      loaded: host.loaded === undefined ? [] : [host.loaded],
-      checksFencingNumber: true,
-    } as const;
-    const incarnation = `${host.name}/${host.start}`;
-    const { facts } = createHost(host.name, { incarnation, upstream, isDraining: host.isDraining });
-    this.#reported.set(host.name, facts);
-    const { region, failureDomain, isHealthy } = facts;
-    const sign = {
-      host: host.name,
-      incarnation,
-      region,
-      failureDomain,
-      isHealthy,
-      isLeaving: false,
-    };
-    const event = { type: 'reported', now: this.#now, sign, via: 'control' } as const;
-    this.#tellControl(this.#health.handle(event));
-    for (const { lead } of host.leads.values()) {
-      const health = lead.health(this.#clock(host));
-      this.#groupHealth.set(health.group, health);
-      this.#watch.note(health, this.#now);
-      for (const missing of health.missing) {
-        this.#tellControl(this.#health.handle({ type: 'missed', now: this.#now, host: missing }));
-      }
-    }
-  }
-
-  #place(): void {
-    const decision = planPlacement({
-      configuration: this.#state.configuration,
-      hosts: [...this.#reported.values()].map((facts) => ({
-        facts,
-        availability: this.#health.availabilityOf(facts.host, this.#now),
-      })),
-      groups: [...this.#state.groups.values()].map((group) => ({
-        group,
-        health: this.#groupHealth.get(group.name),
-        incompleteFor: this.#watch.incompleteFor(group, this.#now),
-      })),
-      estimates: { loadDuration, handover: 3000, hostUnavailability: 0.01 },
-      isWatcherSuspected: this.#health.isWatcherSuspected,
-    });
-    const { place, dissolve, notes } = decision;
-    if (place.length + dissolve.length === 0) {
-      return;
-    }
-    const command = {
-      type: 'placeGroups',
-      at: 0,
-      place,
-      dissolve,
-      basedOn: this.#state.index,
-    } as const;
-    this.#state = applyCommand(this.#state, command).state;
-    this.#log(`control: ${notes.map(describeNote).join(', ')}`);
-    for (const group of place.map(({ name }) => this.#state.groups.get(name))) {
-      if (group !== undefined) {
-        const members = group.members.map(({ host }) => host).join(' ');
-        this.#log(
-          `control: ${describe(group)} is ${members}${group.isDraining ? ', draining' : ''}`,
-        );
-      }
-    }
+    const groups = [...host.leads.values()].map(({ lead }) => lead.health(this.#clock(host)));
+    this.#control.hear(describeHost(host), groups, this.#now);
   }
 
   /** A host hears of the present placements. */
   #learn(host: SessionHost): void {
     for (const [fencingNumber, led] of host.leads) {
-      const present = this.#state.groups.get(led.group.name);
+      const present = this.#control.groups.get(led.group.name);
       if (present?.fencingNumber !== fencingNumber) {
         this.#runLead(host, led, led.lead.handle({ type: 'dissolved', now: this.#clock(host) }));
         host.leads.delete(fencingNumber);
@@ -309,7 +200,7 @@
         );
       }
     }
-    for (const group of this.#state.groups.values()) {
+    for (const group of this.#control.groups.values()) {
       if (group.members.some((member) => member.host === host.name)) {
         this.#prepare(host, group);
       }
@@ -364,10 +255,10 @@
           this.#logHealth(host, led, effect.health);
           break;
         case 'drainNoted':
-          this.#log(`${host.name}: ${describe(led.group)} drains for ${effect.member}`);
+          this.#log(`${host.name}: ${describeGroup(led.group)} drains for ${effect.member}`);
           break;
         case 'superseded':
-          this.#log(`${host.name}: ${describe(led.group)} is superseded at ${effect.member}`);
+          this.#log(`${host.name}: ${describeGroup(led.group)} is superseded at ${effect.member}`);
           break;
         case 'confirmed':
           break;
@@ -420,24 +311,13 @@
       const state = health.isServing
         ? 'serves'
         : `no longer serves, missing ${health.missing.join(' ') || 'none'}`;
-      this.#log(`${host.name}: ${describe(led.group)} ${state}`);
+      this.#log(`${host.name}: ${describeGroup(led.group)} ${state}`);
     }
     if (host.state === 'running' && this.#isLinked(host.name, 'control')) {
       this.#report(host);
     }
     if (health.isDrained && !wasDrained) {
-      this.#log(`${host.name}: ${describe(led.group)} is drained`);
-    }
-  }
-
-  #tellControl(effects: readonly HostHealthEffect[]): void {
-    for (const effect of effects) {
-      if (effect.type === 'standingChanged' && this.#now > reportInterval) {
-        this.#log(`control: ${effect.host} ${effect.standing}`);
-      }
-      if (effect.type === 'watcherSuspicionChanged') {
-        this.#log(`control: ${effect.isSuspected ? 'suspects itself' : 'trusts itself again'}`);
-      }
+      this.#log(`${host.name}: ${describeGroup(led.group)} is drained`);
     }
   }
 
@@ -447,41 +327,6 @@
     host.leads.clear();
   }
 
-  #createHost(name: string, rate: number, loaded: Artifact | undefined): SessionHost {
-    const host = {
-      name,
-      rate,
-      start: 1,
-      state: 'running' as const,
-      member: new LeaseMember({
-        host: name,
-        incarnation: `${name}/1`,
-        longestLease: leaseDuration,
-      }),
-      leads: new Map<number, LedGroup>(),
-      loaded,
-      loadingUntil: Infinity,
-      isDraining: false,
-      running: 0,
-    };
-    this.#startMember(host);
-    return host;
-  }
-
-  #createMember({ name, start }: SessionHost): LeaseMember {
-    return new LeaseMember({
-      host: name,
-      incarnation: `${name}/${start}`,
-      longestLease: leaseDuration,
-    });
-  }
-
-  #startMember(host: SessionHost): void {
-    const now = this.#clock(host);
-    host.member.handle({ type: 'started', now });
-    host.member.handle({ type: 'healthChanged', now, isHealthy: true });
-  }
-
   #isLinked(one: string, other: string): boolean {
     return !this.#cut.has(linkOf(one, other));
   }
@@ -506,11 +351,3 @@
 function linkOf(one: string, other: string): string {
   return [one, other].sort().join(' ');
 }
-
-function describe({ name, fencingNumber }: Group): string {
-  return `${name}#${fencingNumber}`;
-}
-
-function describeNote(note: PlacementNote): string {
-  return `${note.type} ${'group' in note ? note.group : note.declaration}`;
-}
--- a/__tests__/lease/history.test.ts
+++ b/__tests__/lease/history.test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from 'vitest';
 
 import { LeaseLead, LeaseMember } from '../../src/lease/index.js';
-import { LeaseWorld, realClasses, type LeaseClasses, type Step } from './world.js';
+import { LeaseWorld } from './world.js';
+import { realClasses, type LeaseClasses, type Step } from './world-steps.js';
 
 /** Random histories of loss, doubling, reordering, freezes, restarts and drifting clocks. */
 
--- a/__tests__/lease/world.ts
+++ b/__tests__/lease/world.ts
@@ -1,40 +1,15 @@
 import {
-  LeaseLead,
-  LeaseMember,
   type LeaseAnswer,
+  type LeaseLead,
   type LeaseLeadEffect,
-  type LeaseLeadOptions,
-  type LeaseMemberOptions,
+  type LeaseMember,
   type LeaseQuestion,
 } from '../../src/lease/index.js';
 import { findLead, type Group } from '../../src/model/index.js';
+import { createGroup, duration, realClasses, type LeaseClasses, type Step } from './world-steps.js';
 
 /** A few hosts with clocks of their own and a bag of messages between them: all that can go wrong is a step. */
 
-export const duration = 1000;
-
-/** Makes the classes under test; mutants come in here. */
-export interface LeaseClasses {
-  readonly createMember: (options: LeaseMemberOptions) => LeaseMember;
-  readonly createLead: (options: LeaseLeadOptions) => LeaseLead;
-}
-
-export const realClasses: LeaseClasses = {
-  createMember: (options) => new LeaseMember(options),
-  createLead: (options) => new LeaseLead(options),
-};
-
-/** A step of a history. */
-export type Step =
-  | { readonly type: 'pass'; readonly milliseconds: number }
-  | { readonly type: 'deliver' | 'double' | 'lose'; readonly index: number }
-  | { readonly type: 'deliverAll' }
-  | {
-      readonly type: 'restart' | 'freeze' | 'thaw' | 'learn' | 'sicken' | 'cure' | 'drain' | 'cut';
-      readonly host: number;
-    }
-  | { readonly type: 'place'; readonly members: readonly number[] };
-
 type Message =
   | { readonly type: 'question'; readonly to: number; readonly question: LeaseQuestion }
   | {
@@ -407,18 +382,3 @@
     return host;
   }
 }
-
-function createGroup(fencingNumber: number, members: readonly number[]): Group {
-  return {
-    name: `assist/${fencingNumber}`,
-    declaration: 'assist',
-    fencingNumber,
-    members: members.map((member) => ({
-      host: String(member),
-      address: `${member}`,
-      incarnation: '',
-    })),
-    offer: { type: 'service', service: 'assist' },
-    isDraining: false,
-  };
-}
