Servers close while a connection to them is silent

Cause: a process went on for ever after SIGTERM while something on the way had lost track of a connection to it: after session.close() a destroyed HTTP/2 session half-closes its socket and waits for the other end. Ruled out: destroying sessions without closing them first (streams that end by themselves within the grace would be cut). Change: after the grace the sockets themselves are destroyed. Conclusion: a planned stop ends whatever the network does.

--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import type { Socket } from 'node:net';
 
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
@@ -24,6 +25,11 @@
   const server = createServer(
     connectNodeAdapter({ routes: options.routes, compressMinBytes: smallestCompressed }),
   );
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
   server.on('session', (session) => {
     sessions.add(session);
     session.on('close', () => sessions.delete(session));
@@ -34,7 +40,7 @@
   return {
     name: `rpc server ${options.address}`,
     open: () => listen(server, options.address),
-    close: () => closeServer(server, sessions),
+    close: () => closeServer(server, sessions, sockets),
   };
 }
 
@@ -55,6 +61,7 @@
 async function closeServer(
   server: Http2Server,
   sessions: ReadonlySet<ServerHttp2Session>,
+  sockets: ReadonlySet<Socket>,
 ): Promise<void> {
   const closed = new Promise<void>((resolve) => {
     server.close(() => {
@@ -68,6 +75,11 @@
     for (const session of sessions) {
       session.destroy();
     }
+    // A session that was closed and is then destroyed only half-closes its socket. The other end of a connection that
+    // went silent never answers that; one would notice a process that does not end on SIGTERM.
+    for (const socket of sockets) {
+      socket.destroy();
+    }
   }, closeGrace);
   await closed;
   clearTimeout(timer);
