--- a/src/placement/cost.ts
+++ b/src/placement/cost.ts
@@ -10,21 +10,20 @@
 /**
  * Whether spares of several fabric domains are better used as one more, slower group than kept as spares.
  *
- * Gain, per second: the accelerators no longer stranded, and a group's downtime less where the declaration asks for
- * a number of groups that is not met; both at the value of a group across fabric domains.
+ * Gain, per second: the accelerators no longer stranded, and the downtime of the group that should serve and does not;
+ * both at the value of a group across fabric domains. A declaration without a number of groups wants all that its
+ * hosts allow: taking these as optional cost a fifth more group downtime (docs/measurements/groups.md).
  * Loss, per second: the downtime of the groups in those fabric domains that lose a host while no spare is left there.
  */
 export function isWorthForming(
   members: readonly PlacementHost[],
   sparesByDomain: ReadonlyMap<string, readonly PlacementHost[]>,
   groupHostsByDomain: ReadonlyMap<string, number>,
-  isDemanded: boolean,
   policy: Policy,
   estimates: PlacementEstimates,
 ): boolean {
   const strandedGain = policy.strandedAcceleratorWeight * members.length;
-  const downtimeGain = isDemanded ? policy.groupDowntimeWeight : 0;
-  const gain = acrossFabricValue * (strandedGain + downtimeGain);
+  const gain = acrossFabricValue * (strandedGain + policy.groupDowntimeWeight);
   let extraDowntime = 0;
   for (const [domain, taken] of groupByFabricDomain(members)) {
     const spares = sparesByDomain.get(domain)?.length ?? 0;
--- a/src/placement/forming.ts
+++ b/src/placement/forming.ts
@@ -109,9 +109,8 @@
       continue;
     }
     const { policy } = plan.input.configuration;
-    const isDemanded = declaration.replicas !== undefined;
     const hostsInGroups = countGroupHosts(demands);
-    if (isWorthForming(members, domains, hostsInGroups, isDemanded, policy, plan.input.estimates)) {
+    if (isWorthForming(members, domains, hostsInGroups, policy, plan.input.estimates)) {
       return members;
     }
     plan.note({ type: 'heldBackAsSpares', declaration: declaration.name });
