--- a/__tests__/processes/requests-callers.ts
+++ b/__tests__/processes/requests-callers.ts
@@ -59,7 +59,7 @@
 }
 
 /** Sends requests that are not streamed. */
-export function listChats(
+export function sendChats(
   fleet: Fleet,
   count: number,
   tokens: number,
@@ -71,13 +71,19 @@
   });
 }
 
-/** The host that leads the first group that the command line lists. */
+/** What the tests read of a group in the list of the command line. */
+export interface ListedGroup {
+  readonly isServing: boolean;
+  /** The lead first. */
+  readonly members: readonly string[];
+}
+
+export async function listGroups(fleet: Fleet): Promise<readonly ListedGroup[]> {
+  const { output } = await fleet.runCommand(['groups', '--json']);
+  return (JSON.parse(output) as { readonly groups: readonly ListedGroup[] }).groups;
+}
+
+/** The host that leads the first group of the list. */
 export async function findLead(fleet: Fleet): Promise<string> {
-  return waitFor('a group in the list', async () => {
-    const { output } = await fleet.runCommand(['groups', '--json']);
-    const view = JSON.parse(output) as {
-      readonly groups: readonly { readonly members: readonly string[] }[];
-    };
-    return view.groups[0]?.members[0];
-  });
+  return waitFor('a group in the list', async () => (await listGroups(fleet))[0]?.members[0]);
 }
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -286,6 +286,7 @@
     if (request === undefined) {
       throw new ConnectError('an attempt without a request', Code.Internal);
     }
+    this.#options.logger.debug({ attempt: key }, 'handed to the upstream');
     const cancellation = new AbortController();
     this.#cancellations.set(key, cancellation);
     const code = await this.#relay(key, request, cancellation.signal);
