Faults under load, operators' races and a cut-off gateway with real processes; a gateway is not shown behind for good

A gateway that had moved to another control host was still spoken for by the one it had left, and the word passed on last was taken, whichever was older. Ruled out: reports of sidecars (their order is kept since "Old reports do not overtake newer ones"); a gateway that does not get the change (it answered by it). Change: a word passed on counts only if it is not older, a control host speaks only for gateways that watch it now, and a gateway repeats an acknowledgement that was lost, or that a restarted control host cannot know.

--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -23,9 +23,16 @@
   readonly tokenMilliseconds?: number;
   readonly serviceAnswerMilliseconds?: number;
   /** Called with the addresses of the control hosts; returns those that gateways and sidecars use instead, for relays. */
-  readonly relayControl?: (addresses: readonly string[]) => Promise<readonly string[]>;
+  readonly relayControl?: RelayControl;
+  /** The same for the gateways alone; called once for each. */
+  readonly relayGatewayControl?: (
+    gateway: string,
+    addresses: readonly string[],
+  ) => Promise<readonly string[]>;
 }
 
+type RelayControl = (addresses: readonly string[]) => Promise<readonly string[]>;
+
 /** One process of the fleet; `restart` starts it again with the same settings and data folder. */
 export interface FleetMember extends FleetAddresses {
   readonly program: RunningProgram;
@@ -189,7 +196,7 @@
   }
 }
 
-type FullOptions = typeof defaults & Pick<FleetOptions, 'relayControl'>;
+type FullOptions = typeof defaults & Pick<FleetOptions, 'relayControl' | 'relayGatewayControl'>;
 
 async function describeFleet(
   group: ProgramGroup,
@@ -210,9 +217,10 @@
     }),
     ...engines.map((own) => write(own, 'sidecar', createSidecarSettings(own, 'llm', control))),
     ...services.map((own) => write(own, 'sidecar', createSidecarSettings(own, 'desk', control))),
-    ...gateways.map((own, index) =>
-      write(own, 'gateway', createGatewaySettings(own, index, control)),
-    ),
+    ...gateways.map(async (own, index) => {
+      const ownControl = (await options.relayGatewayControl?.(own.name, control)) ?? control;
+      return write(own, 'gateway', createGatewaySettings(own, index, ownControl));
+    }),
     ...engines.map((sidecar, index) =>
       describeUpstream(`engine-${index + 1}`, sidecar, [
         'engine',
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -73,6 +73,7 @@
       peers: () => this.#listPeers(),
       directory: this.#directory,
       watchers: this.#watchers,
+      listWatching: () => this.#hub.listWatchers('gateway'),
       onReport: (report, via) => {
         this.#observer.noteReport(report, via);
         this.#publish();
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -29,6 +29,8 @@
   readonly peers: () => readonly string[];
   readonly directory: HostDirectory;
   readonly watchers: WatcherDirectory;
+  /** Names of the gateways that watch this control host now. */
+  readonly listWatching: () => readonly string[];
   readonly clients: RpcClientPool;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -89,7 +91,7 @@
   /** Takes what another control host passes on; answers the hosts whose facts are missing here. */
   takeForwarded(request: ForwardReportsRequest): readonly HostName[] {
     for (const watcher of request.watchers) {
-      this.#options.watchers.take(decodeWatcher(watcher, request.from), this.#now());
+      this.#options.watchers.takeForwarded(decodeWatcher(watcher, request.from), this.#now());
     }
     return request.reports
       .map(decodeReport)
@@ -143,7 +145,9 @@
     if (outbox.isSending) {
       return;
     }
-    const watchers = this.#options.watchers.listWatchedBy(this.#options.name).map(encodeWatcher);
+    const watchers = this.#options.watchers
+      .listStates(this.#options.listWatching())
+      .map(encodeWatcher);
     if (outbox.reports.size === 0 && watchers.length === 0) {
       return;
     }
--- a/src/control/watcher-directory.ts
+++ b/src/control/watcher-directory.ts
@@ -28,9 +28,24 @@
   readonly heardAt: Milliseconds;
 }
 
+/**
+ * The gateways by name.
+ * A gateway changes the control host that it watches, and the one it left goes on knowing its earlier word. Passed on and
+ * taken, that word would show the gateway behind for good, since a gateway speaks only when it gets a newer revision.
+ * So the gateway's own word is always taken (after a restart it begins at zero), a word passed on only if it is not older.
+ */
 export class WatcherDirectory {
   readonly #watchers = new Map<string, KnownWatcher>();
 
+  /** Takes what another control host passes on. */
+  takeForwarded(state: WatcherState, now: Milliseconds): void {
+    const known = this.#watchers.get(state.name)?.state.revision ?? 0;
+    if (state.revision >= known) {
+      this.take(state, now);
+    }
+  }
+
+  /** Takes a gateway's own word. */
   take(state: WatcherState, now: Milliseconds): void {
     this.#watchers.set(state.name, { state, heardAt: now });
     for (const [name, { heardAt }] of this.#watchers) {
@@ -52,10 +67,9 @@
     return [...this.#watchers.values()];
   }
 
-  listWatchedBy(control: string): readonly WatcherState[] {
-    return this.list()
-      .map(({ state }) => state)
-      .filter((state) => state.control === control);
+  /** Those of these names; only a control host that a gateway watches now may speak for it. */
+  listStates(names: readonly string[]): readonly WatcherState[] {
+    return names.flatMap((name) => this.#watchers.get(name)?.state ?? []);
   }
 }
 
--- a/src/stand-in/index.ts
+++ b/src/stand-in/index.ts
@@ -1,2 +1,2 @@
 export { StandInEngine, type StandInEngineOptions } from './engine.js';
-export { StandInService, type StandInServiceOptions } from './service.js';
+export { callsPath, StandInService, type StandInServiceOptions } from './service.js';
--- a/src/stand-in/service.ts
+++ b/src/stand-in/service.ts
@@ -5,7 +5,13 @@
 import { startAnnouncing } from './announcer.js';
 import { answerJson } from './http.js';
 
-/** A stand-in for a plain service: counts and echoes each call, so that a test can see a repeated one. */
+/**
+ * A stand-in for a plain service: counts and echoes each call, so that a test can see a repeated one.
+ * A GET of {@link callsPath} lists how often each path was called.
+ */
+
+/** Where a test reads the calls; not counted itself. */
+export const callsPath = '/stand-in/calls';
 
 /** Options of a stand-in service. */
 export interface StandInServiceOptions {
@@ -23,6 +29,7 @@
   readonly #server = createServer((request, response) => {
     void this.#handle(request, response);
   });
+  readonly #callsByPath = new Map<string, number>();
   #calls = 0;
   #stopAnnouncing: (() => void) | undefined;
 
@@ -60,14 +67,20 @@
     for await (const chunk of request as AsyncIterable<Buffer>) {
       chunks.push(chunk);
     }
+    const path = request.url ?? '';
+    if (path === callsPath) {
+      answerJson(response, 200, Object.fromEntries(this.#callsByPath));
+      return;
+    }
     this.#calls += 1;
     const call = this.#calls;
+    this.#callsByPath.set(path, (this.#callsByPath.get(path) ?? 0) + 1);
     await new Promise((resolve) => setTimeout(resolve, this.#options.answerMilliseconds));
     answerJson(response, 200, {
       service: this.#options.service,
       upstream: this.#options.listen,
       method: request.method,
-      path: request.url,
+      path,
       body: Buffer.concat(chunks).toString('utf8'),
       call,
     });
--- a/src/watch/control-watcher.ts
+++ b/src/watch/control-watcher.ts
@@ -114,6 +114,8 @@
 
   async #watch(address: string, stream: AbortController): Promise<void> {
     const { clients, watcher, kind } = this.#options;
+    // A control host that was started again knows nothing of what was acknowledged to it before.
+    this.#acknowledged = '';
     this.#expectMessage(address, stream);
     const responses = clients
       .client(ControlService, address)
@@ -133,19 +135,23 @@
     }
   }
 
-  /** Best effort: `get --in-force` shows the older revision until the next change or watch. */
+  /** Sent again with the next message if it is lost; until then `get --in-force` shows the older revision. */
   #acknowledge(control: string): void {
     const { clients, watcher, kind, address, logger } = this.#options;
     const { revision } = this.#keeper.read();
     if (kind !== 'gateway' || this.#acknowledged === `${control}/${revision}`) {
       return;
     }
-    this.#acknowledged = `${control}/${revision}`;
+    const acknowledged = `${control}/${revision}`;
+    this.#acknowledged = acknowledged;
     const state = { watcher, kind, address, configurationRevision: BigInt(revision) };
     clients
       .client(ControlService, control)
       .acknowledge({ watcher: state }, { timeoutMs: silenceLimit })
       .catch((error: unknown) => {
+        if (this.#acknowledged === acknowledged) {
+          this.#acknowledged = '';
+        }
         logger.debug({ control, error: String(error) }, 'revision not acknowledged');
       });
   }
