--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -6,12 +6,17 @@
 
 import { runReporterRole, runWatcherRole } from './capacity/client-roles.js';
 import { runControlRole } from './capacity/control-role.js';
-import { runLeaseLeadRole, runLeaseMemberRole } from './capacity/lease-roles.js';
+import {
+  confirmingInterval,
+  regularInterval,
+  runLeaseLeadRole,
+  runLeaseMemberRole,
+} from './capacity/lease-roles.js';
 import { measureReports, measureWatches } from './capacity/measure-control.js';
 import { measureProcesses } from './capacity/measure-processes.js';
 import { measureRestarts } from './capacity/measure-restarts.js';
 import { measureSidecars } from './capacity/measure-sidecars.js';
-import { measureLeases, measureTokens } from './capacity/measure-streams.js';
+import { measureConfirmations, measureLeases, measureTokens } from './capacity/measure-streams.js';
 import type { MeasureOptions } from './capacity/pair.js';
 import { runEngineRole, runSidecarRole } from './capacity/sidecar-roles.js';
 import { runTokenClientRole, runTokenServerRole } from './capacity/token-roles.js';
@@ -37,6 +42,7 @@
   { name: 'restart', sizes: [100, 200, 400, 800], measure: measureRestarts },
   { name: 'process', sizes: [], measure: measureProcesses },
   { name: 'lease', sizes: [25, 50, 100, 200], measure: measureLeases },
+  { name: 'confirm', sizes: [10, 20, 40, 80], measure: measureConfirmations },
   { name: 'tokens', sizes: [300], measure: measureTokens },
 ];
 
@@ -85,7 +91,10 @@
       await runLeaseMemberRole(address);
       return;
     case 'lease-lead':
-      runLeaseLeadRole(address, Number(count));
+      runLeaseLeadRole(address, Number(count), regularInterval);
+      return;
+    case 'confirming-lead':
+      runLeaseLeadRole(address, Number(count), confirmingInterval);
       return;
     case 'token-server':
       await runTokenServerRole(address, Number(count));
--- a/bench/capacity/lease-roles.ts
+++ b/bench/capacity/lease-roles.ts
@@ -1,18 +1,23 @@
 /** Lease streams between one lead and many members, as messages on the wire without the decisions behind them. */
-import { create } from '@bufbuild/protobuf';
-
+import { LeaseService } from '../../src/generated/pistachiospoke/v1/lease_pb.js';
 import {
-  LeaseAnswerSchema,
-  LeaseQuestionSchema,
-  LeaseService,
+  LeaseAnswerReader,
+  LeaseAnswerWriter,
+  LeaseQuestionReader,
+  LeaseQuestionWriter,
   type LeaseAnswer,
   type LeaseQuestion,
-} from '../../src/generated/pistachiospoke/v1/lease_pb.js';
+} from '../../src/lease/index.js';
 import { createRpcServer, MessageQueue, RpcClientPool } from '../../src/wire/index.js';
 import { announceReady } from '../support/index.js';
 
+type QuestionMessage = ReturnType<LeaseQuestionWriter['write']>;
+type AnswerMessage = ReturnType<LeaseAnswerWriter['write']>;
+
 /** Four questions within a lease of two seconds. */
-const questionInterval = 500;
+export const regularInterval = 500;
+/** A round before each of 23 attempts a second. */
+export const confirmingInterval = 1000 / 23;
 const leaseMilliseconds = 2000;
 const exampleIncarnation = '6f1c2a8e-0f5d-4f0a-9b4c-2f1d6e7a8b9c';
 
@@ -29,10 +34,13 @@
 }
 
 /** Asks on as many streams as told, each on a connection of its own. */
-export function runLeaseLeadRole(address: string, count: number): void {
-  const queues = Array.from({ length: count }, () => new MessageQueue<LeaseQuestion>());
+export function runLeaseLeadRole(address: string, count: number, interval: number): void {
+  const streams = Array.from({ length: count }, () => ({
+    queue: new MessageQueue<QuestionMessage>(),
+    writer: new LeaseQuestionWriter(),
+  }));
   let answers = 0;
-  for (const queue of queues) {
+  for (const { queue } of streams) {
     void readAll(new RpcClientPool().client(LeaseService, address).hold(queue), () => {
       answers += 1;
     });
@@ -40,46 +48,51 @@
   let sequence = 0;
   setInterval(() => {
     sequence += 1;
-    for (const [index, queue] of queues.entries()) {
-      queue.push(createQuestion(sequence, index));
+    for (const [index, { queue, writer }] of streams.entries()) {
+      queue.push(writer.write(createQuestion(sequence, index)));
     }
-  }, questionInterval);
+  }, interval);
   announceReady('asking', () => String(answers));
 }
 
-async function* answerAll(questions: AsyncIterable<LeaseQuestion>): AsyncGenerator<LeaseAnswer> {
+async function* answerAll(
+  questions: AsyncIterable<QuestionMessage>,
+): AsyncGenerator<AnswerMessage> {
+  const reader = new LeaseQuestionReader();
+  const writer = new LeaseAnswerWriter();
   for await (const question of questions) {
-    yield createAnswer(question);
+    yield writer.write(createAnswer(reader.read(question)));
   }
 }
 
 function createQuestion(sequence: number, index: number): LeaseQuestion {
-  return create(LeaseQuestionSchema, {
-    sequence: BigInt(sequence),
+  return {
+    sequence,
     group: `assist-llm/${index}`,
-    fencingNumber: 1000n,
+    fencingNumber: 1000,
     lead: `llm-host-${index}`,
     leadIncarnation: exampleIncarnation,
     member: `llm-host-${index + 1}`,
-    memberIncarnation: exampleIncarnation,
-    durationMilliseconds: leaseMilliseconds,
-  });
+    duration: leaseMilliseconds,
+    isRelease: false,
+  };
 }
 
 function createAnswer(question: LeaseQuestion): LeaseAnswer {
-  return create(LeaseAnswerSchema, {
+  return {
     sequence: question.sequence,
     group: question.group,
     fencingNumber: question.fencingNumber,
     member: question.member,
-    memberIncarnation: question.memberIncarnation,
-    durationMilliseconds: question.durationMilliseconds,
-  });
+    memberIncarnation: exampleIncarnation,
+    verdict: { type: 'granted', duration: leaseMilliseconds, isDraining: false },
+  };
 }
 
-async function readAll(answers: AsyncIterable<LeaseAnswer>, count: () => void): Promise<void> {
+async function readAll(answers: AsyncIterable<AnswerMessage>, count: () => void): Promise<void> {
+  const reader = new LeaseAnswerReader();
   for await (const answer of answers) {
-    if (answer.resultCode === 0) {
+    if (reader.read(answer).verdict.type === 'granted') {
       count();
     }
   }
--- a/bench/capacity/measure-streams.ts
+++ b/bench/capacity/measure-streams.ts
@@ -20,14 +20,27 @@
 const batches = [1, 2, 4, 8, 24] as const;
 
 /** Two questions and two answers a second on each stream. */
-export async function measureLeases(options: MeasureOptions): Promise<string> {
+export function measureLeases(options: MeasureOptions): Promise<string> {
+  return measureLeaseStreams('lease-lead', 'lease streams', options);
+}
+
+/** As many questions a second as a lead asks that confirms its group before each attempt at the peak. */
+export function measureConfirmations(options: MeasureOptions): Promise<string> {
+  return measureLeaseStreams('confirming-lead', 'confirming streams', options);
+}
+
+async function measureLeaseStreams(
+  client: string,
+  unit: string,
+  options: MeasureOptions,
+): Promise<string> {
   const measurements: StreamMeasurement[] = [];
   for (const size of options.sizes) {
-    reportProgress(`${size} lease streams`);
-    const roles = { server: 'lease-member', serverOptions: [], client: 'lease-lead' };
+    reportProgress(`${size} ${unit}`);
+    const roles = { server: 'lease-member', serverOptions: [], client };
     measurements.push(await measureStreams({ ...roles, connections: size }, options.seconds));
   }
-  return formatSlopes('lease streams', measurements, [
+  return formatSlopes(unit, measurements, [
     { name: 'members CPU ms/s', read: ({ interval }) => interval.serverCpu / interval.seconds },
     { name: 'lead CPU ms/s', read: ({ interval }) => interval.clientCpu / interval.seconds },
     { name: 'bytes/s', read: ({ interval }) => interval.bytes / interval.seconds },
