Requests: smaller modules; cost of a token over processes

Change: ClaimedKey, UpstreamRelay, GroupAdmissions and the gateway's options are modules of their own; two unused getters and the second address parser are gone. No decision changed. The bench measures a token over built programs.

--- a/bench/requests.ts
+++ b/bench/requests.ts
@@ -7,6 +7,7 @@
 import { measureCores, measureMemory } from './requests/measure-cores.js';
 import { measureOverload } from './requests/measure-overload.js';
 import { measureSilence } from './requests/measure-silence.js';
+import { measureTokens } from './requests/measure-tokens.js';
 import { measureUpstreams } from './requests/measure-upstreams.js';
 
 interface CommandLine {
@@ -25,6 +26,7 @@
   { name: 'upstreams', measure: ({ seconds }) => measureUpstreams(seconds) },
   { name: 'silence', measure: ({ rounds }) => measureSilence(rounds) },
   { name: 'cores', measure: () => measureCores() },
+  { name: 'tokens', measure: () => measureTokens() },
   { name: 'memory', measure: () => measureMemory() },
 ];
 
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -12,13 +12,12 @@
 export { RequestController, type RequestSurroundings } from './request-controller.js';
 export { RetryBudget } from './retry-budget.js';
 export { Router, type RouteQuestion, type RouteVerdict } from './router.js';
+export { createGateway, Gateway } from './shell/gateway.js';
 export {
-  createGateway,
   defaultCallerLimits,
   defaultDrainLimits,
-  Gateway,
   type DrainLimits,
   type GatewayOptions,
-} from './shell/gateway.js';
+} from './shell/gateway-options.js';
 export { createGatewayParts, type GatewayProcessOptions } from './shell/gateway-process.js';
 export type { CallerLimits, RequestOutcome } from './shell/request-runner.js';
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
-import type { Logger } from 'pino';
 import { Err, Ok, type Result } from 'ts-results';
 
 import {
@@ -8,18 +8,15 @@
   createFailure,
   createIdentifier,
   FailureError,
-  type Clock,
   type Failure,
   type ManagedPart,
   type Milliseconds,
-  type RandomSource,
 } from '../../common/index.js';
-import type { Account, Address, RequestId, WatchedStateSource } from '../../model/index.js';
+import type { Account, RequestId } from '../../model/index.js';
 import { createRequestId } from '../../sidecar/attempts/index.js';
-import type { ClaimClient } from '../claims.js';
-import { defaultRequestLimits, type RequestLimits } from '../limits.js';
+import { parseAddress } from '../../wire/index.js';
+import { defaultRequestLimits } from '../limits.js';
 import { LoadBook } from '../load-book.js';
-import type { Metrics } from '../metrics.js';
 import { listModelNames } from '../reach.js';
 import { RetryBudget } from '../retry-budget.js';
 import { Router } from '../router.js';
@@ -27,6 +24,7 @@
 import { AttemptConnections } from './attempt-connections.js';
 import { readBody } from './body.js';
 import { CallerAnswer } from './caller-answer.js';
+import { defaultCallerLimits, defaultDrainLimits, type GatewayOptions } from './gateway-options.js';
 import { readPath, type PathMeaning } from './paths.js';
 import {
   parseChat,
@@ -34,49 +32,7 @@
   type ParseContext,
   type ParsedRequest,
 } from './request-parser.js';
-import {
-  RequestRunner,
-  type CallerLimits,
-  type RequestOutcome,
-  type RunnerSurroundings,
-} from './request-runner.js';
-
-/** What a gateway needs. */
-export interface GatewayOptions {
-  readonly name: string;
-  /** `ip:port` for callers; port 0 takes a free one. */
-  readonly address: Address;
-  readonly watched: WatchedStateSource;
-  readonly claims: ClaimClient;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly maximumBodyBytes: number;
-  /** Bytes of an answer that is not streamed, held until it is whole. */
-  readonly maximumAnswerBytes: number;
-  /** Time for a request that names none. */
-  readonly defaultTimeout?: Milliseconds;
-  readonly drain?: DrainLimits;
-  readonly requestLimits?: RequestLimits;
-  readonly callerLimits?: CallerLimits;
-  /** Told how each request came out, for service-level counters. */
-  readonly observe?: (outcome: RequestOutcome) => void;
-}
-
-/** Times of a graceful shutdown. */
-export interface DrainLimits {
-  /** How long the gateway says that it is not ready before it refuses new requests. */
-  readonly unreadyPeriod: Milliseconds;
-  /** When what is still in flight is cut, and reported. */
-  readonly hardLimit: Milliseconds;
-}
-
-/** The balancer gets two seconds to notice; answers get five minutes to end. */
-export const defaultDrainLimits: DrainLimits = { unreadyPeriod: 2000, hardLimit: 300_000 };
-
-/** Callers notice a silent stream within seconds; one that takes nothing for half a minute is gone. */
-export const defaultCallerLimits: CallerLimits = { keepAliveInterval: 5000, stallLimit: 30_000 };
+import { RequestRunner, type RequestOutcome, type RunnerSurroundings } from './request-runner.js';
 
 const defaultTimeout: Milliseconds = 300_000;
 const tickInterval: Milliseconds = 50;
@@ -137,7 +93,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.address);
+    const { host, port } = parseAddress(this.#options.address);
     this.#server.keepAliveTimeout = socketKeepAlive;
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', (error) => {
@@ -355,12 +311,3 @@
   response.writeHead(status, { 'content-type': 'text/plain' });
   response.end(text);
 }
-
-function splitAddress(address: Address): { readonly host: string; readonly port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
-function pause(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -12,7 +12,7 @@
 import type { AttemptName, Revision } from '../../model/index.js';
 import type { AttemptMessage } from '../../sidecar/attempts/index.js';
 import { encodeRun } from '../../sidecar/attempts/wire.js';
-import type { ClaimClient, ClaimOutcome } from '../claims.js';
+import type { ClaimClient } from '../claims.js';
 import type {
   AttemptTarget,
   RequestEffect,
@@ -23,6 +23,7 @@
 import { RequestController, type RequestSurroundings } from '../request-controller.js';
 import type { AttemptConnections, StreamHandle } from './attempt-connections.js';
 import { CallerAnswer } from './caller-answer.js';
+import { ClaimedKey } from './claimed-key.js';
 import type { ParsedRequest } from './request-parser.js';
 
 /** What the runners of one gateway share. */
@@ -56,9 +57,6 @@
 
 type EffectOf<Type extends RequestEffect['type']> = Extract<RequestEffect, { readonly type: Type }>;
 
-const settleAttempts = 5;
-const firstSettlePause: Milliseconds = 200;
-
 /** Carries out what the `RequestController` of one request decides. */
 export class RequestRunner {
   readonly #request: ParsedRequest;
@@ -66,6 +64,7 @@
   readonly #controller: RequestController;
   readonly #response: ServerResponse;
   readonly #answer: CallerAnswer;
+  readonly #claimedKey: ClaimedKey;
   readonly #streams = new Map<StreamNumber, StreamHandle>();
   readonly #done: (outcome: RequestOutcome) => void;
   readonly #arrivedAt: Milliseconds;
@@ -87,6 +86,7 @@
     this.#done = done;
     this.#answer = new CallerAnswer(response, request.facts.id);
     this.#controller = new RequestController(request.facts, surroundings);
+    this.#claimedKey = new ClaimedKey(request.facts, surroundings.claims, surroundings.logger);
     this.#arrivedAt = this.#now();
     this.#lastDrain = this.#arrivedAt;
   }
@@ -143,7 +143,7 @@
         void this.#claim();
         return;
       case 'settle':
-        void this.#settle(effect.outcome);
+        void this.#claimedKey.settle(effect.outcome);
         return;
       case 'run':
         this.#run(effect);
@@ -261,37 +261,8 @@
   }
 
   async #claim(): Promise<void> {
-    const { claim, account, id } = this.#request.facts;
-    if (claim === undefined) {
-      return;
-    }
-    const result = await this.#shared.claims.claim({ account, ...claim, requestId: id });
-    const now = this.#now();
-    if (result.err) {
-      const retryAfter = result.val.retryAfterMilliseconds;
-      this.#handle({ type: 'claimAnswered', now, code: 'claimUnavailable', retryAfter });
-      return;
-    }
-    const answer = result.val;
-    const code = answer.type === 'refused' ? answer.failure.code : 'ok';
-    this.#handle({ type: 'claimAnswered', now, code, retryAfter: undefined });
-  }
-
-  /** Tells the log how the request came out; a key that is not settled stays claimed until it expires. */
-  async #settle(outcome: ClaimOutcome): Promise<void> {
-    const { claim, account, id } = this.#request.facts;
-    if (claim === undefined) {
-      return;
-    }
-    const settlement = { account, key: claim.key, requestId: id, outcome };
-    for (let attempt = 0; attempt < settleAttempts; attempt += 1) {
-      const result = await this.#shared.claims.settle(settlement);
-      if (result.ok) {
-        return;
-      }
-      await new Promise((resolve) => setTimeout(resolve, firstSettlePause * 2 ** attempt));
-    }
-    this.#log().warn({ outcome }, 'claim could not be settled');
+    const answer = await this.#claimedKey.claim();
+    this.#handle({ type: 'claimAnswered', now: this.#now(), ...answer });
   }
 
   #fail(failure: Failure): void {
--- a/src/sidecar/attempts/attempt-controller.ts
+++ b/src/sidecar/attempts/attempt-controller.ts
@@ -10,11 +10,12 @@
   type Incarnation,
   type Load,
 } from '../../model/index.js';
-import { AdmissionController } from './admission-controller.js';
+import type { AdmissionController } from './admission-controller.js';
 import { checkArrival } from './arrival-check.js';
 import { AttemptOutbox } from './attempt-outbox.js';
 import { AttemptRecord } from './attempt-record.js';
 import { AttemptRegistry } from './attempt-registry.js';
+import { GroupAdmissions } from './group-admissions.js';
 import { defaultAttemptLimits, type AttemptLimits } from './limits.js';
 import type {
   AttemptEffect,
@@ -39,7 +40,7 @@
   readonly #limits: AttemptLimits;
   readonly #registry: AttemptRegistry;
   readonly #outbox = new AttemptOutbox();
-  readonly #admissions = new Map<GroupName, AdmissionController>();
+  readonly #admissions: GroupAdmissions;
   #revision = 0;
   #isDraining = false;
 
@@ -47,6 +48,7 @@
     this.#incarnation = incarnation;
     this.#limits = limits;
     this.#registry = new AttemptRegistry(incarnation, limits.registry);
+    this.#admissions = new GroupAdmissions(limits.admission);
   }
 
   /** Attempts that are queued or running. */
@@ -54,11 +56,6 @@
     return this.#registry.unfinishedCount;
   }
 
-  /** Attempts and tombstones remembered. */
-  get rememberedCount(): number {
-    return this.#registry.size;
-  }
-
   /** Attempts that are queued or running, for the report of a hard limit. */
   listUnfinished(): readonly AttemptKey[] {
     return [...this.#registry.unfinished].map((record) => record.key);
@@ -80,11 +77,6 @@
     return this.#registry.find(key)?.subscriber;
   }
 
-  /** Load of one group's upstream. */
-  readLoad(group: GroupName): Load {
-    return this.#admissionOf(group).load;
-  }
-
   handle(event: AttemptEvent): readonly AttemptEffect[] {
     switch (event.type) {
       case 'arrived':
@@ -131,7 +123,7 @@
 
   #admit(event: EventOf<'arrived'>, group: GroupFacts): readonly AttemptEffect[] {
     const { order, now, subscriber } = event;
-    const admission = this.#admissionOf(order.group);
+    const admission = this.#admissions.of(order.group);
     admission.setCapacity(group.concurrency);
     const record = new AttemptRecord(order, subscriber, this.#limits.resumeBytes, now);
     const verdict = admission.request(
@@ -171,7 +163,7 @@
     if (code !== 'duplicateAttempt') {
       this.#registry.bury(order.name, now);
     }
-    const load = this.readLoad(order.group);
+    const load = this.#admissions.readLoad(order.group);
     return this.#outbox.tellLast(subscriber, this.#refusalOf(code, load, retryAfter));
   }
 
@@ -190,7 +182,7 @@
       return this.#refuseKnown(record, event.code, shortRetryAfter, event.now);
     }
     record.step('groupConfirmed', event.now);
-    const load = this.readLoad(record.order.group);
+    const load = this.#admissions.readLoad(record.order.group);
     return [
       { type: 'startUpstream', key: record.key },
       ...this.#outbox.tell(record, { type: 'accepted', load }, event.now),
@@ -224,7 +216,7 @@
   /** Ends a running attempt, with or without a whole answer. */
   #end(record: AttemptRecord, code: ResultCodeName, now: Milliseconds): readonly AttemptEffect[] {
     record.step('end', now, code);
-    const admission = this.#admissionOf(record.order.group);
+    const admission = this.#admissions.of(record.order.group);
     admission.release(record.key, now, code === 'ok');
     return [
       ...this.#outbox.tell(record, record.describeEnd(admission.estimateRetryAfter()), now),
@@ -257,7 +249,7 @@
     chunks: readonly Uint8Array[],
     now: Milliseconds,
   ): readonly AttemptEffect[] {
-    const load = this.readLoad(record.order.group);
+    const load = this.#admissions.readLoad(record.order.group);
     switch (record.stage) {
       case 'refused':
         return this.#outbox.tell(record, this.#refusalOf(record.code, load, shortRetryAfter), now);
@@ -338,12 +330,12 @@
     if (!this.#outbox.isQuiet(subscriber, now, this.#limits.keepAliveInterval)) {
       return [];
     }
-    const load = this.readLoad(record.order.group);
+    const load = this.#admissions.readLoad(record.order.group);
     return this.#outbox.tell(record, { type: 'keepAlive', load }, now);
   }
 
   #startNext(group: GroupName, now: Milliseconds): readonly AttemptEffect[] {
-    const started = this.#admissionOf(group).startNext(now);
+    const started = this.#admissions.of(group).startNext(now);
     return started.flatMap((key) => {
       const record = this.#registry.find(key);
       return record === undefined ? [] : this.#beginConfirm(record, now);
@@ -360,7 +352,7 @@
     if (!record.step('refuse', now, code)) {
       return [];
     }
-    const admission = this.#admissionOf(record.order.group);
+    const admission = this.#admissions.of(record.order.group);
     admission.release(record.key, now, false);
     return [
       { type: 'dropRequest', key: record.key },
@@ -386,14 +378,4 @@
     const record = this.#registry.find(key);
     return record?.stage === 'running' ? record : undefined;
   }
-
-  #admissionOf(group: GroupName): AdmissionController {
-    const known = this.#admissions.get(group);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = new AdmissionController(this.#limits.admission);
-    this.#admissions.set(group, created);
-    return created;
-  }
 }
--- a/src/sidecar/attempts/attempt-registry.ts
+++ b/src/sidecar/attempts/attempt-registry.ts
@@ -66,16 +66,6 @@
     this.#limits = limits;
   }
 
-  /** Number of attempts and tombstones remembered. */
-  get size(): number {
-    return this.#live.size + this.#remembered.size;
-  }
-
-  /** Bytes of ended answers held. */
-  get endedBytes(): number {
-    return this.#endedBytes;
-  }
-
   /** Attempts that are not over. */
   get unfinished(): Iterable<AttemptRecord> {
     return this.#live.values();
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -3,7 +3,6 @@
 
 import {
   assertNever,
-  FailureError,
   type Clock,
   type ManagedPart,
   type Milliseconds,
@@ -38,6 +37,7 @@
 } from './messages.js';
 import { MessageOutlet } from './message-outlet.js';
 import type { UpstreamCaller } from './upstream-caller.js';
+import { UpstreamRelay } from './upstream-relay.js';
 import {
   decodeAttemptName,
   decodeOrder,
@@ -85,7 +85,7 @@
   readonly #controller: AttemptController;
   readonly #outlets = new Map<SubscriberId, MessageOutlet>();
   readonly #requests = new Map<AttemptKey, UpstreamRequest>();
-  readonly #cancellations = new Map<AttemptKey, AbortController>();
+  readonly #relay: UpstreamRelay;
   readonly #questions = new Map<number, (state: AttemptState) => void>();
   #nextNumber = 1;
   #timer: NodeJS.Timeout | undefined;
@@ -96,6 +96,15 @@
       options.incarnation,
       options.limits ?? defaultAttemptLimits,
     );
+    this.#relay = new UpstreamRelay({
+      upstream: options.upstream,
+      clock: options.clock,
+      logger: options.logger,
+      handle: (event) => {
+        this.#handle(event);
+      },
+      findWait: (key) => this.#findWait(key),
+    });
   }
 
   /** Attempts that are queued or running. */
@@ -144,9 +153,7 @@
 
   close(): void {
     clearInterval(this.#timer);
-    for (const cancellation of this.#cancellations.values()) {
-      cancellation.abort();
-    }
+    this.#relay.close();
     for (const outlet of this.#outlets.values()) {
       outlet.close();
     }
@@ -242,10 +249,10 @@
         void this.#confirm(effect);
         return;
       case 'startUpstream':
-        void this.#runUpstream(effect.key);
+        this.#startUpstream(effect.key);
         return;
       case 'cancelUpstream':
-        this.#cancellations.get(effect.key)?.abort();
+        this.#relay.cancel(effect.key);
         return;
       case 'dropRequest':
         this.#requests.delete(effect.key);
@@ -279,47 +286,13 @@
     }
   }
 
-  /** Hands the attempt to the upstream once and feeds the answer to the controller. */
-  async #runUpstream(key: AttemptKey): Promise<void> {
+  #startUpstream(key: AttemptKey): void {
     const request = this.#requests.get(key);
     this.#requests.delete(key);
     if (request === undefined) {
       throw new ConnectError('an attempt without a request', Code.Internal);
     }
-    this.#options.logger.debug({ attempt: key }, 'handed to the upstream');
-    const cancellation = new AbortController();
-    this.#cancellations.set(key, cancellation);
-    const code = await this.#relay(key, request, cancellation.signal);
-    this.#cancellations.delete(key);
-    this.#handle({ type: 'upstreamEnded', now: this.#now(), key, code });
-  }
-
-  async #relay(
-    key: AttemptKey,
-    request: UpstreamRequest,
-    signal: AbortSignal,
-  ): Promise<ResultCodeName> {
-    let hasHead = false;
-    try {
-      const answer = await this.#options.upstream.start(request, signal);
-      hasHead = true;
-      const { status, headers } = answer;
-      this.#handle({ type: 'upstreamHead', now: this.#now(), key, status, headers });
-      for await (const bytes of answer.chunks) {
-        this.#handle({ type: 'upstreamData', now: this.#now(), key, bytes });
-        const wait = this.#findWait(key);
-        if (wait !== undefined) {
-          await wait;
-        }
-      }
-      return answer.isFramed ? 'ok' : 'answerBroken';
-    } catch (error) {
-      this.#options.logger.warn({ err: error, attempt: key }, 'upstream broke off');
-      if (hasHead) {
-        return 'answerBroken';
-      }
-      return error instanceof FailureError ? error.failure.code : 'upstreamFailed';
-    }
+    void this.#relay.run(key, request);
   }
 
   /** Reads the upstream no faster than the gateway takes the answer, so that memory stays bounded; undefined: read on. */
