One piece of code for addresses

Cause: `parseAddress` stood twice, in src/wire without checks and in src/settings with them. Ruled out: src/wire taking it from src/settings, which would bring the schemas into every stand-in. Change: src/common/address.ts has `parseAddress` (undefined for what is no address) and `splitAddress` (for addresses that were checked where they came in; throws for others, where the old one gave port NaN).

--- a/__tests__/settings/settings.test.ts
+++ b/__tests__/settings/settings.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
+import { parseAddress } from '../../src/common/index.js';
 import {
   controlSettingsSchema,
   formatProblem,
   gatewaySettingsSchema,
   loadSettings,
-  parseAddress,
   parseOverride,
   parseSettings,
   sidecarSettingsSchema,
--- a/src/cli/operator-settings.ts
+++ b/src/cli/operator-settings.ts
@@ -1,7 +1,8 @@
 import { Err, Ok, type Result } from 'ts-results';
 import { z } from 'zod';
 
-import { formatProblem, loadSettings, parseAddress } from '../settings/index.js';
+import { parseAddress } from '../common/index.js';
+import { formatProblem, loadSettings } from '../settings/index.js';
 import type { CommandLineEnvironment } from './environment.js';
 
 /** Where the command line finds control: flags go before variables, variables before the settings file. */
--- /dev/null
+++ b/src/common/address.ts
@@ -0,0 +1,33 @@
+import { isIP } from 'node:net';
+
+/** Addresses: IP number and port, because hosts of the system find each other without names. */
+
+/** An address taken apart, as sockets want it. */
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+const highestPort = 65_535;
+
+/** Takes `ip:port` or `[ip]:port` apart; undefined for anything else, host names included. */
+export function parseAddress(text: string): SocketAddress | undefined {
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  if (match === null) {
+    return undefined;
+  }
+  const [, version6, version4, portText] = match;
+  const host = version6 ?? version4 ?? '';
+  const port = Number(portText);
+  const isHostValid = isIP(host) === (version6 === undefined ? 4 : 6);
+  return isHostValid && port >= 1 && port <= highestPort ? { host, port } : undefined;
+}
+
+/** The same for an address that was checked where it came in. */
+export function splitAddress(address: string): SocketAddress {
+  const parsed = parseAddress(address);
+  if (parsed === undefined) {
+    throw new TypeError(`not an address: ${address}`);
+  }
+  return parsed;
+}
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,3 +1,4 @@
+export { parseAddress, splitAddress, type SocketAddress } from './address.js';
 export { Blackboard } from './blackboard.js';
 export { assertNever, type Controller } from './controller.js';
 export {
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,4 +1,3 @@
-export { parseAddress, type SocketAddress } from './address.js';
 export { describeIssues, type SchemaFinding } from './check.js';
 export { readProcessFlags, type ProcessFlags } from './command-line.js';
 export { controlSettingsSchema, type ControlSettings } from './control-settings.js';
--- a/src/sidecar/upstream/announce-server.ts
+++ b/src/sidecar/upstream/announce-server.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 
-import type { ManagedPart } from '../../common/index.js';
-import { parseAddress } from '../../wire/index.js';
+import { splitAddress, type ManagedPart } from '../../common/index.js';
 import { announcementSchema, type Announcement } from './announcement.js';
 
 /** Takes announcements of the upstream beside the sidecar over HTTP, on an address of the host itself. */
@@ -17,7 +16,7 @@
   const server = createServer((request, response) => {
     void handleRequest(request, response, take);
   });
-  const { host, port } = parseAddress(address);
+  const { host, port } = splitAddress(address);
   return {
     name: `announce server ${address}`,
     open: () =>
--- a/src/stand-in/engine.ts
+++ b/src/stand-in/engine.ts
@@ -2,9 +2,8 @@
 
 import { z } from 'zod';
 
-import { createIdentifier, type ManagedPart } from '../common/index.js';
+import { createIdentifier, splitAddress, type ManagedPart } from '../common/index.js';
 import { isArtifactCovered, type Artifact } from '../model/index.js';
-import { parseAddress } from '../wire/index.js';
 import { startAnnouncing } from './announcer.js';
 import {
   chatRequestSchema,
@@ -64,7 +63,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = parseAddress(this.#options.listen);
+    const { host, port } = splitAddress(this.#options.listen);
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen(port, host, resolve);
--- a/src/stand-in/service.ts
+++ b/src/stand-in/service.ts
@@ -1,7 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 
-import type { ManagedPart } from '../common/index.js';
-import { parseAddress } from '../wire/index.js';
+import { splitAddress, type ManagedPart } from '../common/index.js';
 import { startAnnouncing } from './announcer.js';
 import { answerJson } from './http.js';
 
@@ -38,7 +37,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = parseAddress(this.#options.listen);
+    const { host, port } = splitAddress(this.#options.listen);
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen(port, host, resolve);
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,4 +1,3 @@
-export { parseAddress } from './address.js';
 export {
   decodeArtifact,
   decodeGroup,
--- a/src/wire/rpc-client.ts
+++ b/src/wire/rpc-client.ts
@@ -4,8 +4,7 @@
 import { createClient, type Client } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 
-import type { Milliseconds } from '../common/index.js';
-import { parseAddress } from './address.js';
+import { splitAddress, type Milliseconds } from '../common/index.js';
 import { smallestCompressed } from './compression.js';
 
 /** Connections to other processes of the system, one HTTP/2 session for each address. */
@@ -82,7 +81,7 @@
 }
 
 function openSocket(address: string, sockets: Set<Socket>): Socket {
-  const { host, port } = parseAddress(address);
+  const { host, port } = splitAddress(address);
   const socket = connect(port, host);
   sockets.add(socket);
   socket.once('close', () => sockets.delete(socket));
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -4,8 +4,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import { createFailure, FailureError, type ManagedPart } from '../common/index.js';
-import { parseAddress } from './address.js';
+import { createFailure, FailureError, splitAddress, type ManagedPart } from '../common/index.js';
 import { smallestCompressed } from './compression.js';
 
 /** The server of the protocols between the system's own processes: Connect over HTTP/2 without TLS. */
@@ -45,7 +44,7 @@
 }
 
 function listen(server: Http2Server, address: string): Promise<void> {
-  const { host, port } = parseAddress(address);
+  const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'EADDRINUSE') {
