Watchers are not told of claims

Cause: every command applied listed all groups again for the watchers, claims included, which are most commands and change nothing for them. Ruled out: leaving the index out as well: a watcher that moves between control hosts compares indexes, and would leave a host that looks older than it is. Change: the control host compares revision and groups (by identity) and only notes the index when neither changed; the published state is described in a module of its own, which the bench uses.

--- a/bench/control-state.ts
+++ b/bench/control-state.ts
@@ -12,6 +12,9 @@
   type Command as StateCommand,
   type ControlState,
 } from '../src/control/state/index.js';
+import { describePublished } from '../src/control/describe-published.js';
+import { HostDirectory } from '../src/control/index.js';
+import { WatchHub } from '../src/control/watch-hub.js';
 import { emptyConfiguration } from '../src/configuration/index.js';
 import { formatFigure, formatMarkdownTable, reportProgress } from './support/index.js';
 
@@ -35,6 +38,8 @@
   'claim (us)',
   'settle (us)',
   'claim as text (us)',
+  'claim published (us)',
+  'claim not published (us)',
   'snapshot (MB)',
   'take (ms)',
   'restore (ms)',
@@ -62,6 +67,7 @@
     claims,
     ...figures.map(formatFigure),
     formatFigure(asText),
+    ...measurePublishing(state).map(formatFigure),
     formatFigure(taken.value.length / 1e6),
     formatFigure(taken.milliseconds),
     formatFigure(restored.milliseconds),
@@ -106,6 +112,28 @@
   return ((performance.now() - begin) * 1000) / options.steps;
 }
 
+/** Microseconds of telling watchers of a command that changed nothing for them: all listed again, and only the index noted. */
+function measurePublishing(state: ControlState): readonly number[] {
+  const directory = new HostDirectory();
+  const hub = new WatchHub(describePublished(state, directory));
+  const ways = [
+    (index: number): void => {
+      hub.publish(describePublished({ ...state, index }, directory));
+    },
+    (index: number): void => {
+      hub.advance(index);
+    },
+  ];
+  return ways.map((tell) => {
+    const { milliseconds } = measureOnce(() => {
+      for (let step = 0; step < options.steps; step += 1) {
+        tell(state.index + step);
+      }
+    });
+    return (milliseconds * 1000) / options.steps;
+  });
+}
+
 interface Timed<Value> {
   readonly value: Value;
   readonly milliseconds: number;
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -8,9 +8,9 @@
   type WatchRequest,
   type WatchResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
-import type { WatchedGroup } from '../../model/index.js';
 import type { ControlSettings } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
+import { describePublished } from '../describe-published.js';
 import { HostDirectory } from '../host-directory.js';
 import { ControlStateMachine, type WatcherView } from '../state/index.js';
 import { WatchHub, type PublishedState } from '../watch-hub.js';
@@ -41,10 +41,11 @@
   readonly #directory = new HostDirectory();
   readonly #watchers = new WatcherDirectory();
   readonly #machine = new ControlStateMachine(() => {
-    this.#publish();
+    this.#publishCommand();
   });
   readonly #log: ControlLog;
   readonly #hub = new WatchHub(this.#describeState());
+  #published = this.#machine.read();
   readonly #submitter: CommandSubmitter;
   readonly #operators: OperatorService;
   readonly #observer: HostObserver;
@@ -183,17 +184,23 @@
     this.#hub.close();
   }
 
+  /** Most commands are claims, which no watcher sees; listing all groups for each would cost more than applying it. */
+  #publishCommand(): void {
+    const { index, revision, groups } = this.#machine.read();
+    if (this.#published.revision === revision && this.#published.groups === groups) {
+      this.#hub.advance(index);
+      return;
+    }
+    this.#publish();
+  }
+
   #publish(): void {
+    this.#published = this.#machine.read();
     this.#hub.publish(this.#describeState());
   }
 
   #describeState(): PublishedState {
-    const { index, revision, configuration, groups } = this.#machine.read();
-    const watched = [...groups.values()].map((group): [string, WatchedGroup] => {
-      const isServing = this.#directory.findHealth(group)?.isServing ?? false;
-      return [group.name, { group, isServing }];
-    });
-    return { index, revision, configuration, groups: new Map(watched) };
+    return describePublished(this.#machine.read(), this.#directory);
   }
 
   #describeView(): ViewSource {
--- a/src/control/watch-hub.ts
+++ b/src/control/watch-hub.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Notes that the log went on and nothing that watchers are told of changed. */
+  advance(index: number): void {
+    this.#published = { ...this.#published, index };
+  }
+
   /** Tells watchers that this control host lives, and whether it is up to date with a quorum. */
   sendHeartbeat(isFresh: boolean): void {
     const message = encodeEvent(this.#published.index, {
