Metrics of sidecars and control hosts; no metrics kept in memory where there is nowhere to send them

Cause: only gateways sent metrics. And without `metrics` in the settings a process kept every one in memory for good: the client's mock mode collects all it is given for tests to read. Ruled out: clearing that buffer by a timer (a client that is not made needs none). Change: attempts by result, lease losses, groups led and serving, orders by outcome; leadership changes, commits, placements, watches, reports by verdict. No client is made without a target. Conclusion: tags are result codes, kinds and outcomes only, so the number of series is bounded.

--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -24,16 +24,34 @@
 
 const metricPrefix = 'pistachiospoke.';
 
-/** Sends to the target by UDP, or nowhere when settings name none. */
+/** Metrics that go nowhere. */
+const noMetrics: Metrics = {
+  increment: () => undefined,
+  timing: () => undefined,
+  gauge: () => undefined,
+  close: () => Promise.resolve(),
+};
+
+/**
+ * Sends to the target by UDP, or nowhere when settings name none.
+ * Nowhere is no client at all: one in its mock mode keeps every metric in memory, and the process grows until it is killed.
+ */
 export function createMetrics(
   target: MetricsTarget | undefined,
   tags: Readonly<Record<string, string>>,
+): Metrics {
+  return target === undefined ? noMetrics : createClient(target, tags);
+}
+
+function createClient(
+  { host, port }: MetricsTarget,
+  tags: Readonly<Record<string, string>>,
 ): Metrics {
   const client = new StatsD({
     prefix: metricPrefix,
     globalTags: { ...tags },
-    mock: target === undefined,
-    ...(target === undefined ? {} : { host: target.host, port: target.port }),
+    host,
+    port,
     // A daemon that is away must not stop a process: an unhandled socket error would.
     errorHandler: () => undefined,
   });
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -1,13 +1,20 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { Logger } from 'pino';
 
-import type { Clock, ManagedPart, Milliseconds } from '../../common/index.js';
+import {
+  createMetrics,
+  type Clock,
+  type ManagedPart,
+  type Metrics,
+  type Milliseconds,
+} from '../../common/index.js';
 import {
   ConsensusService,
   ControlService,
   type WatchRequest,
   type WatchResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { LeadershipView } from '../../consensus/index.js';
 import type { ControlSettings } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { describePublished } from '../describe-published.js';
@@ -16,6 +23,7 @@
 import { WatchHub, type PublishedState } from '../watch-hub.js';
 import { WatcherDirectory } from '../watcher-directory.js';
 import { CommandSubmitter } from './command-submitter.js';
+import { ControlMetrics } from './control-metrics.js';
 import { HostObserver } from './host-observer.js';
 import { OperatorService } from './operator-service.js';
 import { PlacementLoop } from './placement-loop.js';
@@ -41,8 +49,11 @@
   readonly #directory = new HostDirectory();
   readonly #watchers = new WatcherDirectory();
   readonly #machine = new ControlStateMachine(() => {
+    this.#metrics.noteCommit();
     this.#publishCommand();
   });
+  readonly #metricsClient: Metrics;
+  readonly #metrics: ControlMetrics;
   readonly #log: ControlLog;
   readonly #hub = new WatchHub(this.#describeState());
   #published = this.#machine.read();
@@ -56,7 +67,12 @@
   constructor(options: ControlProcessOptions) {
     this.#options = options;
     const { settings, clock, logger } = options;
-    this.#log = createControlLog({ settings, machine: this.#machine, clock, logger });
+    this.#metricsClient = createMetrics(settings.metrics, { control: settings.name });
+    this.#metrics = new ControlMetrics(this.#metricsClient);
+    const onLeadership = (view: LeadershipView): void => {
+      this.#metrics.noteLeadership(view);
+    };
+    this.#log = createControlLog({ settings, machine: this.#machine, clock, logger, onLeadership });
     const shared = { log: this.#log, clients: this.#clients, clock, logger };
     const findAddress = (name: string) => this.#findAddress(name);
     const readPolicy = () => this.#machine.read().configuration.policy;
@@ -79,6 +95,9 @@
         this.#observer.noteReport(report, via);
         this.#publish();
       },
+      onVerdict: (verdict) => {
+        this.#metrics.noteReport(verdict);
+      },
       onClosed: (host) => {
         this.#observer.noteClosed(host);
       },
@@ -89,6 +108,9 @@
       directory: this.#directory,
       readState: () => this.#machine.read(),
       observer: this.#observer,
+      onPlacement: (isCommitted) => {
+        this.#metrics.notePlacement(isCommitted);
+      },
     });
   }
 
@@ -102,6 +124,7 @@
       },
     });
     return [
+      { name: 'metrics', open: () => undefined, close: () => this.#metricsClient.close() },
       {
         name: 'connections',
         open: () => undefined,
@@ -175,6 +198,8 @@
     const { watchHeartbeatMilliseconds } = this.#options.settings.timeouts;
     this.#heartbeat = setInterval(() => {
       this.#refreshWatchers();
+      const count = (kind: string): number => this.#hub.listWatchers(kind).length;
+      this.#metrics.noteWatchers(count('gateway'), count('sidecar'));
       this.#hub.sendHeartbeat(this.#log.staleness() < freshnessLimit);
     }, watchHeartbeatMilliseconds);
   }
--- a/src/control/shell/log.ts
+++ b/src/control/shell/log.ts
@@ -10,6 +10,7 @@
   createConsensusNode,
   defaultSnapshotInterval,
   type ConsensusNode,
+  type LeadershipView,
   type StateMachine,
 } from '../../consensus/index.js';
 import type { ControlSettings } from '../../settings/index.js';
@@ -28,6 +29,7 @@
   readonly machine: StateMachine<CommandAnswer>;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly onLeadership: (view: LeadershipView) => void;
 }
 
 export function createControlLog({
@@ -35,6 +37,7 @@
   machine,
   clock,
   logger,
+  onLeadership,
 }: ControlLogOptions): ControlLog {
   const { name, voters, dataFolder, timeouts } = settings;
   return createConsensusNode({
@@ -54,6 +57,7 @@
       },
       leadershipChanged: (view) => {
         logger.info({ view }, 'leadership changed');
+        onLeadership(view);
       },
       failed: (failure) => {
         const { advice } = findResultCode(failure);
--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -29,6 +29,7 @@
   readonly directory: HostDirectory;
   readonly readState: () => ControlState;
   readonly observer: HostObserver;
+  readonly onPlacement: (isCommitted: boolean) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -117,6 +118,7 @@
         basedOn,
       });
       logger.info({ notes, result: result.val }, 'placement decided');
+      this.#options.onPlacement(result.ok && result.val.type !== 'refused');
     } finally {
       this.#isSubmitting = false;
     }
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -36,6 +36,8 @@
   readonly logger: Logger;
   /** Called after each report that may change placement or what watchers see, with the control host it came in at. */
   readonly onReport: (report: HostReport, via: string) => void;
+  /** Told what became of each report. */
+  readonly onVerdict: (verdict: ReportVerdict) => void;
   /** Called when the stream of a host ended that did not say good-bye. */
   readonly onClosed: (host: HostName) => void;
 }
@@ -109,8 +111,9 @@
   }
 
   #take(report: HostReport, via: string): ReportVerdict {
-    const { directory, onReport } = this.#options;
+    const { directory, onReport, onVerdict } = this.#options;
     const verdict = directory.take(report, this.#now());
+    onVerdict(verdict);
     if (verdict === 'taken') {
       onReport(report, via);
     }
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -70,6 +70,8 @@
   readonly noticeRevision?: (revision: Revision) => void;
   readonly upstream: UpstreamCaller;
   readonly limits?: AttemptLimits;
+  /** Told `ok` of each attempt handed to the upstream, and the code of each that is refused. */
+  readonly observe?: (result: ResultCodeName) => void;
 }
 
 type EffectOf<Type extends AttemptEffect['type']> = Extract<AttemptEffect, { readonly type: Type }>;
@@ -232,6 +234,9 @@
   #carryOut(effect: AttemptEffect): void {
     switch (effect.type) {
       case 'send':
+        if (effect.message.type === 'refused') {
+          this.#options.observe?.(effect.message.refusal.code);
+        }
         this.#outlets.get(effect.subscriber)?.push(effect.message);
         return;
       case 'closeSubscriber':
@@ -242,6 +247,7 @@
         void this.#confirm(effect);
         return;
       case 'startUpstream':
+        this.#options.observe?.('ok');
         void this.#runUpstream(effect.key);
         return;
       case 'cancelUpstream':
--- a/src/sidecar/shell/order-runner.ts
+++ b/src/sidecar/shell/order-runner.ts
@@ -17,6 +17,7 @@
   type OrderEvent,
 } from '../orders/index.js';
 import type { UpstreamState } from '../upstream/index.js';
+import type { OrderOutcome } from './sidecar-metrics.js';
 
 /** Carries the orders of an `OrderController` to the engine beside the sidecar; docs/UPSTREAMS.md describes them. */
 
@@ -28,6 +29,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Told of each order that was sent and how it came out. */
+  readonly onOutcome: (order: EngineOrder['action']['type'], outcome: OrderOutcome) => void;
   readonly onReadiness: (group: GroupName, fencingNumber: FencingNumber, isReady: boolean) => void;
 }
 
@@ -103,11 +106,12 @@
     const { sequence, fencingNumber, action } = order;
     const outcome = await this.#deliver(order);
     logger.info({ order: action.type, fencingNumber, outcome }, 'order sent');
+    this.#options.onOutcome(action.type, outcome);
     const now: Milliseconds = this.#options.clock.monotonic();
     this.#handle({ type: 'orderAnswered', now, sequence, outcome });
   }
 
-  async #deliver(order: EngineOrder): Promise<'accepted' | 'fenced' | 'failed'> {
+  async #deliver(order: EngineOrder): Promise<OrderOutcome> {
     const { sequence, fencingNumber, action } = order;
     // The last look before the bytes leave: an engine that ignores fencing numbers carries out whatever comes.
     if (this.#address === undefined || !this.#controller.isCurrent(order)) {
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -2,8 +2,10 @@
 
 import {
   createIdentifier,
+  createMetrics,
   type Clock,
   type ManagedPart,
+  type Metrics,
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
@@ -19,10 +21,12 @@
 import { LeaseMemberDriver } from './lease-member-driver.js';
 import { OrderRunner } from './order-runner.js';
 import { ReportClient, type ReportContent } from './report-client.js';
+import { SidecarMetrics } from './sidecar-metrics.js';
 
 /** Puts the parts of a sidecar together. */
 
 const tickInterval: Milliseconds = 100;
+const metricsInterval: Milliseconds = 1000;
 
 /** Options of a sidecar. */
 export interface SidecarProcessOptions {
@@ -43,7 +47,10 @@
   readonly #leader: GroupLeader;
   readonly #orders: OrderRunner;
   readonly #attempts: AttemptService;
+  readonly #metricsClient: Metrics;
+  readonly #metrics: SidecarMetrics;
   #timer: NodeJS.Timeout | undefined;
+  #metricsTimer: NodeJS.Timeout | undefined;
   #isDraining = false;
   #isLeaving = false;
 
@@ -52,16 +59,22 @@
     const { settings, clock, random, logger } = options;
     const { host, control } = settings;
     const incarnation = this.#incarnation;
+    this.#metricsClient = createMetrics(settings.metrics, { host });
+    this.#metrics = new SidecarMetrics(this.#metricsClient);
     const shared = { host, incarnation, control, clients: this.#clients, clock, logger, random };
     this.#watcher = new ControlWatcher({ ...shared, watcher: host, kind: 'sidecar', address: '' });
     this.#reports = new ReportClient({ ...shared, describe: () => this.#describe() });
     this.#member = new LeaseMemberDriver({ ...shared, longestLease: defaultLongestLease });
     const onHealth = () => {
+      this.#noteGroups();
       this.#reports.notify();
     };
     this.#leader = new GroupLeader({ ...shared, member: this.#member, onHealth });
     this.#orders = new OrderRunner({
       ...shared,
+      onOutcome: (order, outcome) => {
+        this.#metrics.noteOrder(order, outcome);
+      },
       onReadiness: (group, fencingNumber, isReady) => {
         this.#member.setReady(group, fencingNumber, isReady);
       },
@@ -75,6 +88,9 @@
         this.#watcher.noticeRevision(revision);
       },
       upstream: new HttpUpstreamCaller(() => this.#findUpstreamUrl()),
+      observe: (result) => {
+        this.#metrics.noteAttempt(result);
+      },
     });
   }
 
@@ -92,6 +108,7 @@
       },
     });
     return [
+      { name: 'metrics', open: () => undefined, close: () => this.#metricsClient.close() },
       {
         name: 'connections',
         open: () => undefined,
@@ -106,6 +123,7 @@
         },
         close: () => {
           clearInterval(this.#timer);
+          clearInterval(this.#metricsTimer);
         },
       },
       announce,
@@ -125,6 +143,13 @@
     this.#timer = setInterval(() => {
       this.#tick();
     }, tickInterval);
+    this.#metricsTimer = setInterval(() => {
+      this.#noteGroups();
+    }, metricsInterval);
+  }
+
+  #noteGroups(): void {
+    this.#metrics.noteGroups(this.#leader.listHealth());
   }
 
   #reconcile(state: WatchedState): void {
