--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -70,6 +70,8 @@
   readonly noticeRevision?: (revision: Revision) => void;
   readonly upstream: UpstreamCaller;
   readonly limits?: AttemptLimits;
+  /** Told `ok` of each attempt handed to the upstream, and the code of each that is refused. */
+  readonly observe?: (result: ResultCodeName) => void;
 }
 
 type EffectOf<Type extends AttemptEffect['type']> = Extract<AttemptEffect, { readonly type: Type }>;
@@ -239,6 +241,9 @@
   #carryOut(effect: AttemptEffect): void {
     switch (effect.type) {
       case 'send':
+        if (effect.message.type === 'refused') {
+          this.#options.observe?.(effect.message.refusal.code);
+        }
         this.#outlets.get(effect.subscriber)?.push(effect.message);
         return;
       case 'closeSubscriber':
@@ -249,6 +254,7 @@
         void this.#confirm(effect);
         return;
       case 'startUpstream':
+        this.#options.observe?.('ok');
         this.#startUpstream(effect.key);
         return;
       case 'cancelUpstream':
