Reports are answered, so that a silent connection shows

Ruled out: the watch (the gateway had the new revision); hold-backs (no host was quarantined); the load of the machine (red when run alone). Change: control answers each report; a sidecar that hears no answer for three heartbeats drops the connection and goes on to the next control host, as the watch does.

--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -158,10 +158,7 @@
   #register(router: ConnectRouter): void {
     router.service(ControlService, {
       watch: (request) => this.#watch(request),
-      report: async (messages) => {
-        await this.#reports.takeStream(messages);
-        return {};
-      },
+      report: (messages) => this.#reports.takeStream(messages),
       submit: (request) => this.#operators.submit(request.command),
       get: (request, context) => this.#operators.get(request, context),
       acknowledge: ({ watcher }) => {
--- a/src/control/shell/report-service.ts
+++ b/src/control/shell/report-service.ts
@@ -1,3 +1,4 @@
+import { create } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { Logger } from 'pino';
 
@@ -6,6 +7,8 @@
   ConsensusService,
   type ForwardReportsRequest,
   type HostReport as HostReportMessage,
+  ReportResponseSchema,
+  type ReportResponse,
   type WatcherState,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { HostName } from '../../model/index.js';
@@ -68,8 +71,8 @@
     clearInterval(this.#timer);
   }
 
-  /** Handles one sidecar's stream until it ends. */
-  async takeStream(messages: AsyncIterable<HostReportMessage>): Promise<void> {
+  /** Handles one sidecar's stream until it ends; answers each report that was heard. */
+  async *takeStream(messages: AsyncIterable<HostReportMessage>): AsyncGenerator<ReportResponse> {
     let last: HostReport | undefined;
     try {
       for await (const message of messages) {
@@ -82,6 +85,7 @@
         if (verdict === 'taken') {
           this.#enqueue(last);
         }
+        yield create(ReportResponseSchema);
       }
     } finally {
       if (last?.isLeaving === false) {
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -8,13 +8,13 @@
   createFailure,
   createIdentifier,
   FailureError,
+  splitAddress,
   type Failure,
   type ManagedPart,
   type Milliseconds,
 } from '../../common/index.js';
 import type { Account, RequestId } from '../../model/index.js';
 import { createRequestId } from '../../sidecar/attempts/index.js';
-import { parseAddress } from '../../wire/index.js';
 import { defaultRequestLimits } from '../limits.js';
 import { LoadBook } from '../load-book.js';
 import { listModelNames } from '../reach.js';
@@ -93,7 +93,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = parseAddress(this.#options.address);
+    const { host, port } = splitAddress(this.#options.address);
     this.#server.keepAliveTimeout = socketKeepAlive;
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', (error) => {
--- a/src/sidecar/shell/report-client.ts
+++ b/src/sidecar/shell/report-client.ts
@@ -20,6 +20,8 @@
 /** Reports to one control host: facts when they change, otherwise a small heartbeat. */
 
 const heartbeatInterval: Milliseconds = 1000;
+/** Three heartbeats without an answer. */
+const silenceLimit: Milliseconds = 3500;
 /** A stream that lived this long was useful: the control host behind it works. */
 const usefulAfter: Milliseconds = 5000;
 
@@ -51,6 +53,7 @@
   #sequence = 0;
   #factsSequence = 0;
   #timer: NodeJS.Timeout | undefined;
+  #silence: NodeJS.Timeout | undefined;
   #running: Promise<void> | undefined;
 
   constructor(options: ReportClientOptions) {
@@ -81,7 +84,7 @@
 
   async #run(): Promise<void> {
     while (!this.#isClosing()) {
-      const { control, clients, clock, logger } = this.#options;
+      const { control, clock, logger } = this.#options;
       const address = control[this.#turn % control.length] ?? '';
       this.#turn += 1;
       const queue = new MessageQueue<HostReportMessage>();
@@ -90,10 +93,11 @@
       const openedAt = clock.monotonic();
       this.#send(true);
       try {
-        await clients.client(ControlService, address).report(queue);
+        await this.#report(address, queue);
       } catch (error) {
         logger.info({ address, error: String(error) }, 'report stream ended');
       }
+      clearTimeout(this.#silence);
       if (!this.#isClosing()) {
         if (clock.monotonic() - openedAt > usefulAfter) {
           this.#pacing.reset();
@@ -103,6 +107,28 @@
     }
   }
 
+  async #report(address: string, queue: MessageQueue<HostReportMessage>): Promise<void> {
+    const stream = new AbortController();
+    this.#expectAnswer(address, stream);
+    const client = this.#options.clients.client(ControlService, address);
+    const answers = client.report(queue, { signal: stream.signal })[Symbol.asyncIterator]();
+    while ((await answers.next()).done !== true) {
+      this.#expectAnswer(address, stream);
+    }
+  }
+
+  /**
+   * Reports into a connection that something on the way lost track of go nowhere, without an error: the host would count as lost
+   * for as long as the stream lives. Each report is answered, so a stream without answers is given up.
+   */
+  #expectAnswer(address: string, stream: AbortController): void {
+    clearTimeout(this.#silence);
+    this.#silence = setTimeout(() => {
+      this.#options.clients.retire(address);
+      stream.abort();
+    }, silenceLimit);
+  }
+
   #isClosing(): boolean {
     return this.#closing.signal.aborted;
   }
