Calls fail when the connection they wait for is retired

Cause: a gateway never heard of a change again and did not end on SIGTERM (path-silent-control, two of two red in two runs beside other files, green alone). Its next watch waited for Connect's session manager to ping an idle connection that had gone silent; retire() destroyed the socket, and that ping then neither succeeds nor fails. Ruled out: the abort signal of the call (not looked at before the session is ready); aborting the manager (its error then ends the process). Change: an interceptor ends the wait of calls that have not begun when their connection is retired. Conclusion: retiring a connection ends all that waits for it.

--- a/src/wire/rpc-client.ts
+++ b/src/wire/rpc-client.ts
@@ -1,7 +1,13 @@
 import { connect, type Socket } from 'node:net';
 
 import type { DescService } from '@bufbuild/protobuf';
-import { createClient, type Client } from '@connectrpc/connect';
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+  type Interceptor,
+} from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 
 import { splitAddress, type Milliseconds } from '../common/index.js';
@@ -18,6 +24,8 @@
   readonly transport: ReturnType<typeof createConnectTransport>;
   /** The open sockets: one, and for a moment the next one. */
   readonly sockets: ReadonlySet<Socket>;
+  /** Aborted once the connection is retired. */
+  readonly retirement: AbortController;
 }
 
 /** Hands out clients and retires connections that went silent. */
@@ -43,6 +51,7 @@
     for (const socket of connection?.sockets ?? []) {
       socket.destroy();
     }
+    connection?.retirement.abort();
   }
 
   /** Drops all connections. */
@@ -59,6 +68,7 @@
     }
     const baseUrl = `http://${address}`;
     const sockets = new Set<Socket>();
+    const retirement = new AbortController();
     const sessionManager = new Http2SessionManager(
       baseUrl,
       {
@@ -73,8 +83,9 @@
       httpVersion: '2',
       sessionManager,
       compressMinBytes: smallestCompressed,
+      interceptors: [failWhenRetired(retirement.signal)],
     });
-    const connection = { transport, sockets };
+    const connection = { transport, sockets, retirement };
     this.#connections.set(address, connection);
     return connection;
   }
@@ -87,3 +98,27 @@
   socket.once('close', () => sockets.delete(socket));
   return socket;
 }
+
+/**
+ * Ends the wait of calls that have not begun when their connection is retired.
+ * The session manager first pings a connection that was idle; when its socket is destroyed meanwhile, that ping is never
+ * answered and never fails. One would notice a watch that never comes back and a process that does not end on SIGTERM.
+ */
+function failWhenRetired(retired: AbortSignal): Interceptor {
+  return (next) => async (request) => {
+    let stop: (() => void) | undefined;
+    const isRetired = new Promise<never>((_, reject) => {
+      stop = () => {
+        reject(new ConnectError('the connection was retired', Code.Unavailable));
+      };
+      retired.addEventListener('abort', stop);
+    });
+    try {
+      return await Promise.race([next(request), isRetired]);
+    } finally {
+      if (stop !== undefined) {
+        retired.removeEventListener('abort', stop);
+      }
+    }
+  };
+}
