Waits between connections to control of at most 5 s

Ruled out: the work of sending the state (0.9 to 3.3 s when everything restarts at once). Change: the ceiling is 5 s.

--- a/src/watch/reconnect-pacing.ts
+++ b/src/watch/reconnect-pacing.ts
@@ -3,7 +3,7 @@
 /** Decides how long a client of control waits before it connects again; free of I/O. */
 
 const firstDelay: Milliseconds = 200;
-const longestDelay: Milliseconds = 10_000;
+const longestDelay: Milliseconds = 5000;
 const growth = 2;
 
 /**
