Result codes in a file for each range of numbers

Ruled out: shorter rows (the formatter gives each field a line). Change: one file for each range, one index that composes the table; names, numbers and texts are unchanged, which the test of the page shows.

--- a/__tests__/settings/result-codes-page.test.ts
+++ b/__tests__/settings/result-codes-page.test.ts
@@ -8,7 +8,7 @@
 Every failure that a caller, an operator or a process of the system is told of has a number from this table. It is in the
 JSON error a caller gets, in the refusals the command line prints and in the log lines.
 
-This page is written from \`src/common/result-codes.ts\`; a test compares the two. After a change of the table run
+This page is written from \`src/common/result-codes/\`; a test compares the two. After a change of the table run
 \`npx vitest run __tests__/settings/result-codes-page.test.ts -u\`.
 
 The **outcome** says what a code means for the caller's request:
--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -1,4 +1,4 @@
-import { resultCodes, type ResultCode, type ResultCodeName } from './result-codes.js';
+import { resultCodes, type ResultCode, type ResultCodeName } from './result-codes/index.js';
 
 /** A failure as it travels through the system: a numbered code and what is particular to this case. */
 export interface Failure {
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -22,7 +22,7 @@
   type ExecutionOutcome,
   type ResultCode,
   type ResultCodeName,
-} from './result-codes.js';
+} from './result-codes/index.js';
 export { systemClock, type Clock, type Milliseconds, type WallTime } from './time.js';
 export { createLogger, type LogLevel } from './logging.js';
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
--- /dev/null
+++ b/src/common/result-codes/group-codes.ts
@@ -0,0 +1,77 @@
+import { createRow } from './row.js';
+
+/** 3xxx: result codes of groups, leases and orders. */
+export const groupCodes = {
+  notWhole: createRow(
+    3001,
+    503,
+    'notRun',
+    true,
+    'The group does not hold the lease of every member.',
+    'Wait for the time in Retry-After.',
+  ),
+  draining: createRow(
+    3002,
+    503,
+    'notRun',
+    true,
+    'The group is draining and takes no new work.',
+    'The gateway takes another group; send it again.',
+  ),
+  unknownGroup: createRow(
+    3003,
+    503,
+    'notRun',
+    true,
+    'This sidecar leads no such group.',
+    'The gateway learns the present groups; send it again.',
+  ),
+  leaseHeldElsewhere: createRow(
+    3004,
+    409,
+    'notApplicable',
+    true,
+    'The host has given a lease to another group that has not run out.',
+    'Wait until it runs out.',
+  ),
+  engineUnhealthy: createRow(
+    3005,
+    503,
+    'notApplicable',
+    true,
+    "The host's own engine part is not healthy.",
+    'See the log of the engine.',
+  ),
+  restartWait: createRow(
+    3006,
+    503,
+    'notApplicable',
+    true,
+    'The sidecar restarted less than one lease ago.',
+    'Wait for one lease.',
+  ),
+  wrongIncarnation: createRow(
+    3007,
+    409,
+    'notApplicable',
+    true,
+    'The question was meant for an earlier incarnation.',
+    'Ask again with the present one.',
+  ),
+  orderFenced: createRow(
+    3008,
+    409,
+    'notApplicable',
+    false,
+    'The order carries an old fencing number and was refused.',
+    'Nothing to do; a newer order stands.',
+  ),
+  artifactNotLoaded: createRow(
+    3009,
+    503,
+    'notRun',
+    true,
+    'The engines have not loaded what the group carries yet.',
+    'Wait for the time in Retry-After.',
+  ),
+};
