One piece of code to open and close servers; port 0 is an address for a listener

Cause: five servers had the same listening code, and only two named an address in use by its result code. Bringing the address code together had also refused port 0, which tests use to take a free port: ten tests of the gateway were red. Ruled out: reserving ports in those tests (another process can take one in between). Change: openServer and closeServer in common; splitAddress takes port 0, the check of settings does not. Conclusion: an address in use now ends every process with the same code.

--- a/src/common/address.ts
+++ b/src/common/address.ts
@@ -12,6 +12,20 @@
 
 /** Takes `ip:port` or `[ip]:port` apart; undefined for anything else, host names included. */
 export function parseAddress(text: string): SocketAddress | undefined {
+  const address = readAddress(text);
+  return address === undefined || address.port === 0 ? undefined : address;
+}
+
+/** The same for an address that was checked where it came in; a server that is to take any free port listens at port 0. */
+export function splitAddress(text: string): SocketAddress {
+  const address = readAddress(text);
+  if (address === undefined) {
+    throw new TypeError(`not an address: ${text}`);
+  }
+  return address;
+}
+
+function readAddress(text: string): SocketAddress | undefined {
   const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
   if (match === null) {
     return undefined;
@@ -20,14 +34,5 @@
   const host = version6 ?? version4 ?? '';
   const port = Number(portText);
   const isHostValid = isIP(host) === (version6 === undefined ? 4 : 6);
-  return isHostValid && port >= 1 && port <= highestPort ? { host, port } : undefined;
-}
-
-/** The same for an address that was checked where it came in. */
-export function splitAddress(address: string): SocketAddress {
-  const parsed = parseAddress(address);
-  if (parsed === undefined) {
-    throw new TypeError(`not an address: ${address}`);
-  }
-  return parsed;
+  return isHostValid && port <= highestPort ? { host, port } : undefined;
 }
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -28,3 +28,4 @@
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
 export { runProcess } from './process-runner.js';
 export { pause } from './pause.js';
+export { closeServer, openServer } from './http-server.js';
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -7,8 +7,7 @@
   assertNever,
   createFailure,
   createIdentifier,
-  FailureError,
-  splitAddress,
+  openServer,
   type Failure,
   type ManagedPart,
   type Milliseconds,
@@ -93,14 +92,8 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.address);
     this.#server.keepAliveTimeout = socketKeepAlive;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', (error) => {
-        reject(new FailureError(createFailure('addressInUse', error.message)));
-      });
-      this.#server.listen(port, host, resolve);
-    });
+    await openServer(this.#server, this.#options.address);
     this.#unsubscribe = this.#options.watched.subscribe((state) => {
       this.#loads.retain(new Set(state.groups.keys()));
     });
--- a/src/sidecar/upstream/announce-server.ts
+++ b/src/sidecar/upstream/announce-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 
-import { splitAddress, type ManagedPart } from '../../common/index.js';
+import { closeServer, openServer, type ManagedPart } from '../../common/index.js';
 import { announcementSchema, type Announcement } from './announcement.js';
 
 /** Takes announcements of the upstream beside the sidecar over HTTP, on an address of the host itself. */
@@ -16,21 +16,10 @@
   const server = createServer((request, response) => {
     void handleRequest(request, response, take);
   });
-  const { host, port } = splitAddress(address);
   return {
     name: `announce server ${address}`,
-    open: () =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, host, resolve);
-      }),
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    open: () => openServer(server, address),
+    close: () => closeServer(server),
   };
 }
 
--- a/src/stand-in/engine.ts
+++ b/src/stand-in/engine.ts
@@ -2,7 +2,7 @@
 
 import { z } from 'zod';
 
-import { createIdentifier, splitAddress, type ManagedPart } from '../common/index.js';
+import { createIdentifier, closeServer, openServer, type ManagedPart } from '../common/index.js';
 import { isArtifactCovered, type Artifact } from '../model/index.js';
 import { startAnnouncing } from './announcer.js';
 import {
@@ -63,11 +63,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await openServer(this.#server, this.#options.listen);
     this.#stopAnnouncing = startAnnouncing(this.#options.sidecar, () => ({
       type: 'engine',
       address: this.#options.listen,
@@ -80,12 +76,7 @@
 
   close(): Promise<void> {
     this.#stopAnnouncing?.();
-    return new Promise((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-      this.#server.closeAllConnections();
-    });
+    return closeServer(this.#server);
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/stand-in/service.ts
+++ b/src/stand-in/service.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 
-import { splitAddress, type ManagedPart } from '../common/index.js';
+import { closeServer, openServer, type ManagedPart } from '../common/index.js';
 import { startAnnouncing } from './announcer.js';
 import { answerJson } from './http.js';
 
@@ -37,11 +37,7 @@
   }
 
   async open(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
+    await openServer(this.#server, this.#options.listen);
     this.#stopAnnouncing = startAnnouncing(this.#options.sidecar, () => ({
       type: 'service',
       address: this.#options.listen,
@@ -53,12 +49,7 @@
 
   close(): Promise<void> {
     this.#stopAnnouncing?.();
-    return new Promise((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-      this.#server.closeAllConnections();
-    });
+    return closeServer(this.#server);
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -4,7 +4,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import { createFailure, FailureError, splitAddress, type ManagedPart } from '../common/index.js';
+import { openServer, type ManagedPart } from '../common/index.js';
 import { smallestCompressed } from './compression.js';
 
 /** The server of the protocols between the system's own processes: Connect over HTTP/2 without TLS. */
@@ -38,25 +38,11 @@
   });
   return {
     name: `rpc server ${options.address}`,
-    open: () => listen(server, options.address),
+    open: () => openServer(server, options.address),
     close: () => closeServer(server, sessions, sockets),
   };
 }
 
-function listen(server: Http2Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', (error: NodeJS.ErrnoException) => {
-      if (error.code === 'EADDRINUSE') {
-        reject(new FailureError(createFailure('addressInUse', address)));
-        return;
-      }
-      reject(error);
-    });
-    server.listen(port, host, resolve);
-  });
-}
-
 async function closeServer(
   server: Http2Server,
   sessions: ReadonlySet<ServerHttp2Session>,
