One type for a sidecar's messages; the directory keeps a host once

Cause: read once more, the gateway's stream events wrote out the sidecar's attempt messages again, so a change of one could miss the other; the host directory kept each reported host in two maps. Ruled out: a type of its own for the gateway (both ends speak one protocol, and the gateway decodes with the sidecar's codec). Change: stream events take AttemptMessage; the directory finds known facts in the map that it gives out.

--- a/src/control/host-directory.ts
+++ b/src/control/host-directory.ts
@@ -55,8 +55,6 @@
   readonly factsSequence: number;
   /** Earlier starts, newest first. */
   readonly formerIncarnations: readonly Incarnation[];
-  /** Undefined once it has left. */
-  readonly reported: ReportedHost | undefined;
 }
 
 /**
@@ -75,15 +73,14 @@
     if (known !== undefined && isOld(report, known)) {
       return 'old';
     }
-    const facts = report.facts ?? findFacts(report, known);
+    const facts = report.facts ?? this.#findFacts(report, known);
     if (facts === undefined) {
       return 'factsMissing';
     }
     const reported = report.isLeaving ? undefined : describeHost(report, facts, now);
     const { incarnation, sequence, factsSequence } = report;
     const formerIncarnations = listFormer(report, known);
-    const next = { incarnation, sequence, factsSequence, formerIncarnations, reported };
-    this.#known.set(report.host, next);
+    this.#known.set(report.host, { incarnation, sequence, factsSequence, formerIncarnations });
     if (reported === undefined) {
       this.#reported.delete(report.host);
     } else {
@@ -97,6 +94,12 @@
     return this.#reported;
   }
 
+  #findFacts(report: HostReport, known: KnownHost | undefined): HostFacts | undefined {
+    const isSameStart = known?.incarnation === report.incarnation;
+    const isSameFacts = known?.factsSequence === report.factsSequence;
+    return isSameStart && isSameFacts ? this.#reported.get(report.host)?.facts : undefined;
+  }
+
   /** What the lead of a group last said of it; undefined until it spoke of this very placement. */
   findHealth(group: Group): GroupHealth | undefined {
     const lead = this.#reported.get(findLead(group).host);
@@ -113,12 +116,6 @@
   return known.formerIncarnations.includes(report.incarnation);
 }
 
-function findFacts(report: HostReport, known: KnownHost | undefined): HostFacts | undefined {
-  const isSameStart = known?.incarnation === report.incarnation;
-  const isSameFacts = known?.factsSequence === report.factsSequence;
-  return isSameStart && isSameFacts ? known.reported?.facts : undefined;
-}
-
 function describeHost(report: HostReport, facts: HostFacts, now: Milliseconds): ReportedHost {
   return {
     facts: { ...facts, isDraining: report.isDraining },
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -2,16 +2,14 @@
 import type {
   AccountName,
   Address,
-  AttemptRefusal,
   AttemptState,
   FencingNumber,
   GroupName,
   Incarnation,
-  Load,
   RequestId,
   Revision,
 } from '../model/index.js';
-import type { HeaderField } from '../sidecar/attempts/index.js';
+import type { AttemptMessage, HeaderField } from '../sidecar/attempts/index.js';
 import type { ClaimOutcome } from './claims.js';
 import type { RouteQuestion } from './router.js';
 
@@ -70,17 +68,7 @@
   readonly now: Milliseconds;
   readonly stream: StreamNumber;
 } & (
-  | { readonly type: 'accepted'; readonly load: Load }
-  | { readonly type: 'refused'; readonly refusal: AttemptRefusal }
-  | { readonly type: 'head'; readonly status: number; readonly headers: readonly HeaderField[] }
-  | { readonly type: 'data'; readonly offset: number; readonly bytes: Uint8Array }
-  | { readonly type: 'keepAlive'; readonly load: Load }
-  | {
-      readonly type: 'ended';
-      readonly totalBytes: number;
-      readonly code: ResultCodeName;
-      readonly retryAfter: Milliseconds;
-    }
+  | AttemptMessage
   /** The stream is over without an end; `wasSent` is false when the request never left. */
   | { readonly type: 'closed'; readonly wasSent: boolean }
 );
