--- /dev/null
+++ b/__tests__/control/instance-book.test.ts
@@ -0,0 +1,89 @@
+import { describe, expect, it } from 'vitest';
+
+import { DemandBook, InstanceBook, LoadBudget } from '../../src/control/routing/index.js';
+import { initialRoutingState, type RoutingState } from '../../src/control/state/index.js';
+import type { Announcement, Instance } from '../../src/routing/index.js';
+import { engineProfile } from '../routing/documents.js';
+
+const instance: Instance = {
+  id: 'i-1',
+  service: 'desk',
+  address: '10.0.0.1:80',
+  failureDomain: 'a',
+  isDraining: false,
+};
+
+function announce(sequence: number, changes: Partial<Instance> = {}): Announcement {
+  return { type: 'present', instance: { ...instance, ...changes }, sequence };
+}
+
+function createState(...instances: readonly Instance[]): RoutingState {
+  return { ...initialRoutingState, instances: new Map(instances.map((each) => [each.id, each])) };
+}
+
+describe('announcements of instances', () => {
+  it('are recorded only when they say something new', () => {
+    const book = new InstanceBook();
+    expect(book.take(announce(1), createState(), 0).type).toBe('record');
+    expect(book.take(announce(2), createState(instance), 100).type).toBe('known');
+    expect(book.take(announce(3, { isDraining: true }), createState(instance), 200)).toMatchObject({
+      type: 'record',
+      changes: { present: [{ isDraining: true }] },
+    });
+  });
+
+  /** Symptom: a draining instance gets requests again. An announcement from before arrives late and is taken as news. */
+  it('that come late do not take a drain back', () => {
+    const book = new InstanceBook();
+    const draining = { ...instance, isDraining: true };
+    book.take(announce(5, { isDraining: true }), createState(instance), 0);
+    expect(book.take(announce(4), createState(draining), 100).type).toBe('known');
+    expect(new InstanceBook().take(announce(4), createState(draining), 100).type).toBe('known');
+  });
+
+  it('of retired instances change nothing', () => {
+    const state = { ...createState(), retired: ['i-1'] };
+    expect(new InstanceBook().take(announce(9), state, 0).type).toBe('retired');
+  });
+
+  it('tell which instances are silent; a new leader begins to count anew', () => {
+    const book = new InstanceBook();
+    const state = createState(instance);
+    expect(book.findSilent(state, 100_000, 5000)).toEqual([]);
+    expect(book.findSilent(state, 105_001, 5000)).toEqual(['i-1']);
+    book.take(announce(1), state, 105_002);
+    expect(book.findSilent(state, 106_000, 5000)).toEqual([]);
+  });
+});
+
+describe('demand', () => {
+  it('is evened out over time and summed over gateways', () => {
+    const book = new DemandBook();
+    expect(book.estimate(0).size).toBe(0);
+    book.take('g1', new Map([['small', 10]]), 0);
+    book.take('g2', new Map([['small', 4]]), 0);
+    expect(book.estimate(100).get('small')).toBe(14);
+    book.take('g1', new Map([['small', 0]]), 500);
+    const evened = book.estimate(500).get('small') ?? 0;
+    expect(evened).toBeGreaterThan(4);
+    expect(evened).toBeLessThan(14);
+  });
+
+  it('forgets gateways that are gone', () => {
+    const book = new DemandBook();
+    book.take('g1', new Map([['small', 10]]), 0);
+    expect(book.estimate(10_000).size).toBe(0);
+  });
+});
+
+describe('the budget of loads', () => {
+  it('keeps the rate of the store and the loads that run beside each other', () => {
+    const budget = new LoadBudget();
+    expect(budget.countAllowed(engineProfile, 0)).toBe(6);
+    for (let load = 0; load < 6; load += 1) {
+      budget.note(0);
+    }
+    expect(budget.countAllowed(engineProfile, 1000)).toBe(0);
+    expect(budget.countAllowed(engineProfile, 17_000)).toBe(6);
+  });
+});
--- /dev/null
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -0,0 +1,183 @@
+import { describe, expect, it } from 'vitest';
+
+import {
+  DeliveryController,
+  type DeliveryEffect,
+  type DeliveryFacts,
+  type Target,
+  type TargetChoice,
+} from '../../src/gateway/direct/index.js';
+
+function createTarget(key: string): Target {
+  return { key, service: 'engines', instance: `i-${key}`, address: '10.0.0.1:1', slots: 24 };
+}
+
+/** A controller whose surroundings are changed while it runs. */
+class Session {
+  readonly lost = new Set<string>();
+  targets: string[] = ['a', 'b', 'c'];
+  isFull = false;
+  repeats = 10;
+  readonly controller: DeliveryController;
+
+  constructor(facts: Partial<DeliveryFacts> = {}) {
+    const defaults = { isRepeatable: true, attempts: 2, startedAt: 0, deadline: 6000 };
+    this.controller = new DeliveryController(
+      { ...defaults, ...facts },
+      {
+        choose: (tried) => this.#choose(tried),
+        isThere: ({ key }) => !this.lost.has(key),
+        spendRepeat: () => {
+          this.repeats -= 1;
+          return this.repeats >= 0;
+        },
+      },
+    );
+  }
+
+  #choose(tried: ReadonlySet<string>): TargetChoice {
+    const key = this.targets.find((each) => !tried.has(each) && !this.lost.has(each));
+    if (this.isFull) {
+      return { type: 'full' };
+    }
+    return key === undefined ? { type: 'none' } : { type: 'target', target: createTarget(key) };
+  }
+}
+
+function describeEffects(effects: readonly DeliveryEffect[]): readonly string[] {
+  return effects.map((effect) => {
+    switch (effect.type) {
+      case 'send':
+        return `send ${effect.target.key} ${effect.remaining}`;
+      case 'cut':
+      case 'fail':
+        return `${effect.type} ${effect.failure.code}`;
+      default:
+        return effect.type;
+    }
+  });
+}
+
+describe('delivery of one request', () => {
+  it('goes elsewhere when an upstream did not run it, with the time that is left', () => {
+    const { controller } = new Session({ isRepeatable: false });
+    expect(describeEffects(controller.handle({ type: 'started', now: 0 }))).toEqual([
+      'send a 6000',
+    ]);
+    expect(describeEffects(controller.handle({ type: 'refused', now: 500 }))).toEqual([
+      'send b 5500',
+    ]);
+    expect(describeEffects(controller.handle({ type: 'ended' }))).toEqual(['finish']);
+  });
+
+  it('says "not run" only as long as nothing can have run', () => {
+    const { controller } = new Session();
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'broken', now: 100 });
+    expect(describeEffects(controller.handle({ type: 'refused', now: 200 }))).toEqual([
+      'fail answerLost',
+    ]);
+  });
+
+  it('tells a caller when to come back where nothing ran', () => {
+    const { controller } = new Session();
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'refused', now: 100 });
+    const effects = controller.handle({ type: 'unreachable', now: 200 });
+    expect(describeEffects(effects)).toEqual(['fail overloaded']);
+    expect(effects).toMatchObject([{ failure: { retryAfterMilliseconds: 800 } }]);
+  });
+
+  /** Symptom: a booking stands twice. The connection broke, the request had run, and a second upstream ran it again. */
+  it('never repeats what may have run and must not run twice', () => {
+    const { controller } = new Session({ isRepeatable: false });
+    controller.handle({ type: 'started', now: 0 });
+    expect(describeEffects(controller.handle({ type: 'broken', now: 100 }))).toEqual([
+      'fail answerLost',
+    ]);
+  });
+
+  /**
+   * Symptom: a stream stands still for seconds. A member of its group was lost; the head says nothing of that until it breaks,
+   * and the gateway waits for it.
+   */
+  it('leaves a group that is lost, and goes on elsewhere', () => {
+    const session = new Session();
+    session.controller.handle({ type: 'started', now: 0 });
+    session.controller.handle({ type: 'passedOn' });
+    session.lost.add('a');
+    const effects = session.controller.handle({ type: 'targetsChanged', now: 300 });
+    expect(describeEffects(effects)).toEqual(['cancel', 'send b 5700']);
+  });
+
+  it('does not take a request that must not run twice away from a group that is lost', () => {
+    const session = new Session({ isRepeatable: false });
+    session.controller.handle({ type: 'started', now: 0 });
+    session.lost.add('a');
+    expect(session.controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
+  });
+
+  it('cuts what is passed on in part and cannot go on', () => {
+    const session = new Session();
+    session.controller.handle({ type: 'started', now: 0 });
+    session.controller.handle({ type: 'passedOn' });
+    session.controller.handle({ type: 'broken', now: 100 });
+    expect(describeEffects(session.controller.handle({ type: 'broken', now: 200 }))).toEqual([
+      'cut answerBroken',
+    ]);
+  });
+
+  it('sends no more than the route allows, refusals included', () => {
+    const { controller } = new Session({ attempts: 2 });
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'refused', now: 10 });
+    controller.handle({ type: 'refused', now: 20 });
+    expect(controller.attemptCount).toBe(2);
+    expect(controller.isOver).toBe(true);
+  });
+
+  it('gives up when the budget for repeats is spent', () => {
+    const session = new Session();
+    session.repeats = 0;
+    session.controller.handle({ type: 'started', now: 0 });
+    expect(describeEffects(session.controller.handle({ type: 'refused', now: 10 }))).toEqual([
+      'fail retryBudgetSpent',
+    ]);
+  });
+
+  it('waits for a place, is sent when there is one, and gives up in time', () => {
+    const session = new Session();
+    session.isFull = true;
+    expect(session.controller.handle({ type: 'started', now: 0 })).toEqual([]);
+    session.isFull = false;
+    expect(
+      describeEffects(session.controller.handle({ type: 'targetsChanged', now: 400 })),
+    ).toEqual(['send a 5600']);
+
+    const other = new Session();
+    other.targets = [];
+    other.controller.handle({ type: 'started', now: 0 });
+    const wakeAt = other.controller.wakeAt ?? Number.NaN;
+    expect(describeEffects(other.controller.handle({ type: 'ticked', now: wakeAt }))).toEqual([
+      'fail noServingGroup',
+    ]);
+  });
+
+  it('answers at the deadline whatever the upstream does', () => {
+    const { controller } = new Session({ deadline: 1200 });
+    controller.handle({ type: 'started', now: 0 });
+    expect(controller.wakeAt).toBe(1200);
+    expect(describeEffects(controller.handle({ type: 'ticked', now: 1200 }))).toEqual([
+      'cancel',
+      'fail deadlineAfterStart',
+    ]);
+  });
+
+  it('stops the upstream when the caller is gone, and answers nobody', () => {
+    const { controller } = new Session();
+    controller.handle({ type: 'started', now: 0 });
+    expect(describeEffects(controller.handle({ type: 'callerLeft' }))).toEqual(['cancel']);
+    expect(controller.handle({ type: 'broken', now: 10 })).toEqual([]);
+    expect(controller.wakeAt).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -0,0 +1,326 @@
+import { request as sendRequest, type IncomingMessage, type ServerResponse } from 'node:http';
+
+import { Registry } from 'prom-client';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { createLogger, createRandomSource, systemClock } from '../../src/common/index.js';
+import { DirectGateway, DirectMetrics } from '../../src/gateway/direct/index.js';
+import { RouteTable, type EngineGroup, type Instance } from '../../src/routing/index.js';
+import { routingGatewaySettingsSchema } from '../../src/settings/index.js';
+import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
+import { platformDialect } from '../../platform/wire/requests.js';
+import { createDocument } from '../routing/documents.js';
+import { reservePort, waitFor } from '../support/index.js';
+import { TestUpstream } from './upstream.js';
+
+interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** False where the connection ended before the answer. */
+  readonly isWhole: boolean;
+}
+
+const first = new TestUpstream();
+const second = new TestUpstream();
+let gateway: DirectGateway;
+let view: RoutingView;
+const listeners = new Set<(changed: RoutingView) => void>();
+
+function changeView(changes: Partial<RoutingView>): void {
+  view = { ...view, ...changes };
+  listeners.forEach((listener) => {
+    listener(view);
+  });
+}
+
+function createGroup(name: string, upstream: TestUpstream): [string, EngineGroup] {
+  const members = [{ host: name, instance: `i-${name}`, address: upstream.address }];
+  const group = { name, service: 'engines', model: 'small', members, fencingNumber: 1 };
+  return [name, { ...group, phase: 'open' }];
+}
+
+function createInstance(id: string, upstream: TestUpstream): [string, Instance] {
+  const { address } = upstream;
+  return [id, { id, service: 'desk', address, failureDomain: 'a', isDraining: false }];
+}
+
+function call(
+  method: string,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): { readonly answer: Promise<CallerAnswer>; readonly leave: () => void } {
+  const request = sendRequest({
+    host: '127.0.0.1',
+    port: gateway.port,
+    method,
+    path,
+    agent: false,
+    headers: {
+      host: 'desk.example',
+      authorization: 'Bearer key-1',
+      'x-attempt-id': 'r-1',
+      'x-deadline-ms': '5000',
+      ...headers,
+    },
+  });
+  const answer = new Promise<CallerAnswer>((resolve, reject) => {
+    request.on('error', reject);
+    request.on('response', (response) => {
+      let body = '';
+      response.setEncoding('utf8');
+      response.on('data', (text: string) => {
+        body += text;
+      });
+      response.on('error', () => undefined);
+      response.on('close', () => {
+        const { statusCode, headers: answered, complete } = response;
+        resolve({ status: statusCode ?? 0, headers: answered, body, isWhole: complete });
+      });
+    });
+  });
+  answer.catch(() => undefined);
+  request.end(method === 'POST' ? '{"ask":1}' : undefined);
+  return {
+    answer,
+    leave: () => {
+      request.destroy();
+    },
+  };
+}
+
+beforeEach(async () => {
+  await Promise.all([first.open(), second.open()]);
+  first.received.length = 0;
+  second.received.length = 0;
+  view = {
+    ...emptyRoutingView,
+    table: new RouteTable(createDocument()),
+    isSynchronized: true,
+    vouchedAt: Number.POSITIVE_INFINITY,
+  };
+  const settings = routingGatewaySettingsSchema.parse({
+    name: 'gateway-1',
+    failureDomain: 'a',
+    listen: `127.0.0.1:${await reservePort()}`,
+    readiness: `127.0.0.1:${await reservePort()}`,
+    seeds: { addresses: ['127.0.0.1:1'], port: 1 },
+    bounds: { graceMilliseconds: 100 },
+  });
+  gateway = new DirectGateway({
+    settings,
+    dialect: platformDialect,
+    readView: () => view,
+    subscribe: (listener) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    metrics: new DirectMetrics(new Registry()),
+    clock: systemClock,
+    random: createRandomSource(1),
+    logger: createLogger('test', 'silent'),
+  });
+  await gateway.open();
+});
+
+afterEach(async () => {
+  await gateway.close();
+  await Promise.all([first.close(), second.close()]);
+  listeners.clear();
+});
+
+describe('answers of upstreams', () => {
+  it('are passed on unchanged, failures of the upstream included', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.writeHead(500, { 'X-Response-Seal': 'seal', 'X-Attempt-Id': 'r-1' });
+      response.end('what went wrong');
+    };
+    const answer = await call('POST', '/book/7?x=1').answer;
+    expect(answer).toMatchObject({ status: 500, body: 'what went wrong', isWhole: true });
+    expect(answer.headers['x-response-seal']).toBe('seal');
+    expect(first.received[0]?.url).toBe('/book/7?x=1');
+  });
+
+  it('name the account, never the key', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.end('done');
+    };
+    await call('GET', '/lookup/7', { 'x-tenant': 'forged' }).answer;
+    const headers = first.received[0]?.headers ?? {};
+    expect(headers['x-tenant']).toBe('branch');
+    expect(headers['x-expect-instance']).toBe('i-1');
+    expect(headers.authorization).toBeUndefined();
+    expect(Number(headers['x-deadline-ms'])).toBeLessThanOrEqual(1200);
+  });
+
+  /**
+   * Symptom: a caller gets half an answer that looks whole. The upstream breaks off in the middle of the body; what may be
+   * repeated is repeated elsewhere, and the caller sees nothing of the first.
+   */
+  it('that break off are repeated where that is allowed', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    const broken = (_: IncomingMessage, response: ServerResponse): void => {
+      response.writeHead(200, { 'content-length': '100' });
+      response.write('half');
+      setTimeout(() => response.destroy(), 20);
+    };
+    let isFirst = true;
+    const either = (request: IncomingMessage, response: ServerResponse): void => {
+      if (isFirst) {
+        isFirst = false;
+        broken(request, response);
+        return;
+      }
+      response.end('whole');
+    };
+    first.handle = either;
+    second.handle = either;
+    expect(await call('GET', '/lookup/7').answer).toMatchObject({ status: 200, body: 'whole' });
+    expect(first.received.length + second.received.length).toBe(2);
+  });
+
+  it('that break off are a failure where a repeat is not allowed', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    const broken = (request: IncomingMessage): void => {
+      request.socket.destroy();
+    };
+    first.handle = broken;
+    second.handle = broken;
+    expect((await call('POST', '/book/7').answer).status).toBe(502);
+    expect(first.received.length + second.received.length).toBe(1);
+  });
+
+  /**
+   * Symptom: a caller gets somebody else's answer. An upstream answers one request twice, and the second answer comes where
+   * the answer to the next request on that connection is due.
+   */
+  it('to another request never reach the caller', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.writeHead(200, { 'x-attempt-id': 'r-0' });
+      response.end('of another');
+    };
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('of another');
+  });
+});
+
+describe('refusals', () => {
+  it.each([
+    ['GET', '/nowhere/', {}, 404],
+    ['GET', '/lookup/7', { authorization: 'Bearer unknown' }, 401],
+    ['GET', '/lookup/7', { host: 'other.example' }, 404],
+  ])('%s %s', async (method, path, headers, status) => {
+    expect((await call(method, path, headers).answer).status).toBe(status);
+  });
+
+  it('say "not run" with a time to come back where no document is vouched for', async () => {
+    changeView({ vouchedAt: Number.NEGATIVE_INFINITY });
+    const answer = await call('GET', '/lookup/7').answer;
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(gateway.isReady).toBe(false);
+  });
+
+  it('go on to another upstream when the first did not run the request', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    let isFirst = true;
+    const either = (_: IncomingMessage, response: ServerResponse): void => {
+      if (isFirst) {
+        isFirst = false;
+        response.writeHead(503, { 'x-not-executed': '1' }).end();
+        return;
+      }
+      response.end('done');
+    };
+    first.handle = either;
+    second.handle = either;
+    expect((await call('POST', '/book/7').answer).body).toBe('done');
+  });
+});
+
+describe('streams', () => {
+  const stream = { 'content-type': 'text/event-stream', 'x-response-seal': 'first' };
+
+  function sendEvents(response: ServerResponse, identifiers: readonly number[]): void {
+    for (const id of identifiers) {
+      response.write(`id: ${id}\ndata: token ${id}\n\n`);
+    }
+  }
+
+  /**
+   * Symptom: a stream ends in the middle, or a piece comes twice. The group of the stream lost a member; the stream goes on at
+   * another group after the last event that the caller has whole.
+   */
+  it('go on at another group after the last whole event', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [1, 2]);
+      response.write('id: 3\ndata: tok');
+    };
+    second.handle = (request, response) => {
+      expect(request.headers['last-event-id']).toBe('2');
+      response.writeHead(200, { ...stream, 'x-response-seal': 'second' });
+      sendEvents(response, [3, 4]);
+      response.end();
+    };
+    const { answer } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the request at the upstream', () => first.received.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    changeView({ engineGroups: new Map([createGroup('small/2', second)]) });
+    const { body, headers, isWhole } = await answer;
+    expect(isWhole).toBe(true);
+    expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3', 'id: 4']);
+    expect(headers['x-response-seal']).toBe('first');
+  });
+
+  it('that broke off for good do not look whole', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [1]);
+      setTimeout(() => response.destroy(), 20);
+    };
+    const { isWhole, body } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(isWhole).toBe(false);
+    expect(body).toContain('id: 1');
+  });
+
+  it('stop at the upstream when the caller leaves', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    let isStopped = false;
+    first.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [1]);
+      response.on('close', () => {
+        isStopped = true;
+      });
+    };
+    const { leave } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the request at the upstream', () => first.received.length === 1);
+    leave();
+    await waitFor('the upstream to be left', () => isStopped);
+  });
+
+  it('wait for a group that is being mended', async () => {
+    first.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [1]);
+      response.end();
+    };
+    const { answer } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    expect((await answer).status).toBe(200);
+  });
+});
--- /dev/null
+++ b/__tests__/direct/upstream.ts
@@ -0,0 +1,37 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** An upstream for tests: what it does with a request is set by the test; what it got is kept. */
+export class TestUpstream {
+  readonly received: { readonly url: string; readonly headers: IncomingMessage['headers'] }[] = [];
+  handle: (request: IncomingMessage, response: ServerResponse) => void = () => undefined;
+  readonly #server: Server;
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      this.received.push({ url: request.url ?? '', headers: request.headers });
+      request.resume();
+      this.handle(request, response);
+    });
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  open(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeAllConnections();
+    });
+  }
+}
--- /dev/null
+++ b/__tests__/platform/wire.test.ts
@@ -0,0 +1,232 @@
+import { describe, expect, it } from 'vitest';
+
+import { decodeOrderStatus, decodeReport, encodeOrder } from '../../platform/wire/engine.js';
+import { decodeManifest } from '../../platform/wire/manifest.js';
+import { decodeHeartbeat } from '../../platform/wire/registration.js';
+import { platformDialect } from '../../platform/wire/requests.js';
+import { checkRoutingDocument } from '../../src/routing/index.js';
+
+const manifest = {
+  version: 7,
+  routes: [
+    {
+      name: 'r-1',
+      host: 'desk.example',
+      path_prefix: '/draft/',
+      kind: 'streaming',
+      timeout_ms: 8000,
+      slo_ms: 400,
+      priority: 1,
+      backends: [
+        { service: 'engines', weight: 90 },
+        { service: 'desk', weight: 10 },
+      ],
+      attempts: 2,
+      public: false,
+      sticky: true,
+      resumable: true,
+      gap_slo_ms: 300,
+    },
+    {
+      name: 'r-2',
+      host: 'desk.example',
+      path_prefix: '/book/',
+      kind: 'non_idempotent',
+      timeout_ms: 1200,
+      service: 'desk',
+    },
+  ],
+  services: [
+    {
+      name: 'engines',
+      max_conns: 366,
+      runtime: {
+        capacity: 24,
+        models: [{ name: 'm', size: 4, share: 0.5, pace: 1, load_s: 16, warm_s: 1.6 }],
+        loads_per_s: 3,
+        loads_at_once: 6,
+        keeps: 1,
+        form_ms: 300,
+        unknown_field: true,
+      },
+    },
+    { name: 'desk', max_conns: 130 },
+  ],
+  tenants: [{ name: 'branch', api_keys: ['k'], priority: 1 }],
+};
+
+describe('manifests', () => {
+  it('become routing documents that pass the checks', () => {
+    const text = JSON.stringify(manifest);
+    const document = decodeManifest(text);
+    expect(checkRoutingDocument(document).ok).toBe(true);
+    expect(document).toMatchObject({
+      version: 7,
+      source: text,
+      routes: [
+        { kind: 'streaming', timeout: 8000, objective: 400, longestPause: 300, isResumable: true },
+        {
+          kind: 'nonIdempotent',
+          targets: [{ service: 'desk', weight: 1 }],
+          attempts: 1,
+          isPublic: false,
+        },
+      ],
+      services: [
+        { engine: { models: [{ groupSize: 4, loadDuration: 16_000, stagedJoinDuration: 1600 }] } },
+        { name: 'desk' },
+      ],
+      accounts: [{ name: 'branch', keys: ['k'], priority: 1 }],
+    });
+  });
+
+  it.each([
+    ['cut short', JSON.stringify(manifest).slice(0, 300)],
+    ['empty', ''],
+    ['of another shape', '{"version":"seven"}'],
+  ])('%s are none', (_, text) => {
+    expect(decodeManifest(text)).toBeUndefined();
+  });
+
+  it('without a timeout are refused by the checks', () => {
+    const routes = [{ ...manifest.routes[1], timeout_ms: 0 }];
+    const document = decodeManifest(JSON.stringify({ ...manifest, routes }));
+    expect(checkRoutingDocument(document).err).toBe(true);
+  });
+});
+
+describe('heartbeats', () => {
+  it('say which instance is there and whether it leaves', () => {
+    const body = { service: 'desk', address: '10.0.0.1:80', zone: 'a', state: 'draining' };
+    expect(decodeHeartbeat('i-1', JSON.stringify({ ...body, sequence: 4 }))).toEqual({
+      type: 'present',
+      instance: {
+        id: 'i-1',
+        service: 'desk',
+        address: '10.0.0.1:80',
+        failureDomain: 'a',
+        isDraining: true,
+      },
+      sequence: 4,
+    });
+    expect(decodeHeartbeat('i-1', '{"service":"desk"}')).toBeUndefined();
+  });
+});
+
+describe('engines', () => {
+  it('say their group and what they stage', () => {
+    const text = JSON.stringify({
+      stage: 'mixed',
+      models: [],
+      busy: false,
+      sequence: 2,
+      queued: 1,
+      active: 12,
+      fabric_domain: 'f1',
+      staged: ['m'],
+      group: { name: 'm/1', epoch: 12, rank: 0, state: 'open' },
+    });
+    expect(decodeReport(text)).toMatchObject({
+      orderCount: 2,
+      state: {
+        fabricDomain: 'f1',
+        staged: ['m'],
+        membership: { group: 'm/1', fencingNumber: 12, state: 'open' },
+        running: 12,
+        waiting: 1,
+        slowdown: 1,
+      },
+    });
+    expect(decodeReport('<html>')).toBeUndefined();
+  });
+
+  it('are ordered with the fencing number of the group', () => {
+    const order = {
+      type: 'join' as const,
+      group: 'm/1',
+      fencingNumber: 12,
+      model: 'm',
+      members: ['i-1', 'i-2'],
+    };
+    expect(JSON.parse(encodeOrder(order))).toEqual({
+      op: 'join',
+      group: 'm/1',
+      epoch: 12,
+      model: 'm',
+      peers: ['i-1', 'i-2'],
+    });
+  });
+
+  it.each([
+    [202, 'accepted'],
+    [200, 'accepted'],
+    [409, 'unfit'],
+    [412, 'outdated'],
+    [503, 'unanswered'],
+  ])('answer %i for %s', (status, outcome) => {
+    expect(decodeOrderStatus(status)).toBe(outcome);
+  });
+});
+
+describe('header fields of requests', () => {
+  const instructions = {
+    instance: 'i-1',
+    remaining: 1200.7,
+    account: 'branch',
+    priority: 1,
+    resumeAfter: undefined,
+  };
+
+  it('of the gateway replace those of the caller', () => {
+    const caller = [
+      'Host',
+      'desk.example',
+      'X-Attempt-Id',
+      'r-1',
+      'Authorization',
+      'Bearer key',
+      'X-Tenant',
+      'forged',
+      'X-Expect-Instance',
+      'forged',
+      'X-Request-Priority',
+      '0',
+      'Connection',
+      'keep-alive, X-Hop',
+      'X-Hop',
+      'one connection only',
+      'X-Other',
+      'kept',
+    ];
+    const fields = platformDialect.writeUpstream(caller, instructions);
+    expect(fields).toEqual([
+      'Host',
+      'desk.example',
+      'X-Attempt-Id',
+      'r-1',
+      'X-Other',
+      'kept',
+      'x-expect-instance',
+      'i-1',
+      'x-deadline-ms',
+      '1200',
+      'x-request-priority',
+      '1',
+      'x-tenant',
+      'branch',
+    ]);
+  });
+
+  it('of an answer say whether the request ran', () => {
+    const { readAnswer } = platformDialect;
+    expect(readAnswer(503, { 'x-not-executed': '1' }).isNotRun).toBe(true);
+    expect(readAnswer(503, {}).isNotRun).toBe(false);
+    expect(readAnswer(421, {}).isNotRun).toBe(true);
+    expect(readAnswer(200, { 'x-instance-load': '3,1,8' }).load).toEqual({
+      running: 3,
+      waiting: 1,
+      slots: 8,
+    });
+    expect(readAnswer(200, { 'x-instance-load': 'full' }).load).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/__tests__/sidecar/engine-controller.test.ts
@@ -0,0 +1,106 @@
+import { describe, expect, it } from 'vitest';
+
+import type { EngineGroup, EngineMembership, EngineReading } from '../../src/routing/index.js';
+import { EngineController, type EngineOrder } from '../../src/sidecar/index.js';
+
+const group: EngineGroup = {
+  name: 'small/1',
+  fencingNumber: 3,
+  service: 'engines',
+  model: 'small',
+  members: [
+    { host: 'head', instance: 'i-head', address: '10.0.0.1:80' },
+    { host: 'other', instance: 'i-other', address: '10.0.0.2:80' },
+  ],
+  phase: 'joining',
+};
+
+function read(
+  state?: EngineMembership['state'],
+  changes: Partial<EngineReading> = {},
+  now = 0,
+): { readonly type: 'read'; readonly now: number; readonly reading: EngineReading } {
+  const membership =
+    state === undefined ? {} : { membership: { group: 'small/1', fencingNumber: 3, state } };
+  const reading = {
+    instance: 'i-head',
+    fabricDomain: 'd',
+    staged: [],
+    isBusy: false,
+    running: 0,
+    waiting: 0,
+    slowdown: 1,
+    ...membership,
+    ...changes,
+  };
+  return { type: 'read', now, reading };
+}
+
+function decide(phase: EngineGroup['phase'], event: ReturnType<typeof read>, host = 'head') {
+  const controller = new EngineController(host);
+  controller.handle({ type: 'assigned', group: { ...group, phase } });
+  return controller.handle(event)?.type;
+}
+
+describe('orders to the engine beside a sidecar', () => {
+  it('join with all members, the head first', () => {
+    const controller = new EngineController('head');
+    controller.handle({ type: 'assigned', group });
+    expect(controller.handle(read())).toEqual<EngineOrder>({
+      type: 'join',
+      group: 'small/1',
+      fencingNumber: 3,
+      model: 'small',
+      members: ['i-head', 'i-other'],
+    });
+  });
+
+  it('are repeated only when their effect does not show for a while', () => {
+    const controller = new EngineController('head');
+    controller.handle({ type: 'assigned', group });
+    expect(controller.handle(read())).toBeDefined();
+    expect(controller.handle(read(undefined, {}, 100))).toBeUndefined();
+    expect(controller.handle(read(undefined, {}, 500))).toBeDefined();
+  });
+
+  it('open the head only, and only when it is ready', () => {
+    expect(decide('opening', read('ready'))).toBe('open');
+    expect(decide('opening', read('joining'))).toBeUndefined();
+    expect(decide('opening', read('ready', { instance: 'i-other' }), 'other')).toBeUndefined();
+  });
+
+  /**
+   * Symptom: two groups with one engine. A head that was closed is opened again by an order that was lost on its way seconds
+   * ago, after its members have gone to other groups.
+   */
+  it('close the head and make it leave, so that no late order opens it', () => {
+    expect(decide('closing', read('open'))).toBe('close');
+    expect(decide('closing', read('ready'))).toBe('leave');
+    expect(decide('closing', read('broken'))).toBe('leave');
+    expect(decide('closing', read('ready', { instance: 'i-other' }), 'other')).toBeUndefined();
+  });
+
+  it('are none for a group of an engine that was there before', () => {
+    expect(decide('joining', read(undefined, { instance: 'i-restarted' }))).toBeUndefined();
+    expect(decide('closing', read('open', { instance: 'i-restarted' }))).toBeUndefined();
+  });
+
+  it('stage what the leader wants while the engine is not busy', () => {
+    const controller = new EngineController('head');
+    controller.handle({ type: 'stagingWanted', model: 'large' });
+    expect(controller.handle(read(undefined, { isBusy: true }))).toBeUndefined();
+    expect(controller.handle(read())).toEqual({ type: 'stage', model: 'large' });
+    expect(controller.handle(read(undefined, { staged: ['large'] }, 1000))).toBeUndefined();
+  });
+
+  it('remember the model of the last group until the engine is another one', () => {
+    const controller = new EngineController('head');
+    controller.handle({ type: 'assigned', group });
+    controller.handle(read('joining'));
+    expect(controller.lastModel).toBeUndefined();
+    controller.handle(read('ready'));
+    expect(controller.lastModel).toBe('small');
+    controller.handle(read(undefined, { instance: 'i-restarted' }));
+    expect(controller.lastModel).toBeUndefined();
+  });
+});
--- a/src/control/routing/index.ts
+++ b/src/control/routing/index.ts
@@ -1,3 +1,4 @@
+export { DemandBook } from './demand-book.js';
 export {
   EngineDirectory,
   type EngineReportVerdict,
