--- a/__tests__/engines/give-away.test.ts
+++ b/__tests__/engines/give-away.test.ts
@@ -55,6 +55,7 @@
     draining: new Set(),
     hasTraffic: true,
     loadsAllowed: 0,
+    pendingStaging: new Map(),
     demand,
     nextNumber: 6,
   });
--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -356,6 +356,7 @@
       draining: this.#draining,
       hasTraffic: false,
       loadsAllowed: 5,
+      pendingStaging: new Map(),
       demand: new Map(),
       nextNumber: this.state.fencingNumber + 1,
     });
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -131,6 +131,7 @@
       draining: new Set([...draining.map(({ id }) => id), ...retired]),
       hasTraffic: this.#hasTraffic,
       loadsAllowed: this.#countLoads(profile, now),
+      pendingStaging: this.#staging,
       demand: this.#options.readDemand(),
       nextNumber: state.fencingNumber + 1,
     };
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -5,28 +5,23 @@
 
 /** Chooses which free engines form which groups. */
 
-/** Time to join when the engine's last group had the same model, as engines of the platform take it. */
-const rejoinDuration: Milliseconds = 200;
+/** Time to join when the engine's last group had the same model, as measured at engines. */
+const rejoinDuration: Milliseconds = 220;
 /** Loads take this part of their time before the first request. */
 const earlyLoadShare = 0.1;
 /**
  * How long a group is expected to serve. A group that takes as long to form is worth nothing; one that is there at once is
  * worth its whole gain.
  */
-const expectedLife: Milliseconds = 30_000;
-/** Part of the engines of a fabric domain that is kept free to mend groups at once, while all demand is covered. */
-const spareShare = 0.15;
+const expectedLife: Milliseconds = 20_000;
 
 /** What forming is decided from. */
 export interface FormingInput {
   readonly service: RoutedService;
   readonly profile: EngineProfile;
   readonly free: readonly FreeEngine[];
-  /** Engines of the service that answer, by fabric domain, free or not. */
-  readonly domainSizes: ReadonlyMap<string, number>;
   readonly needs: ModelNeeds;
   readonly hasTraffic: boolean;
-  readonly loadsAllowed: number;
   readonly nextNumber: number;
 }
 
@@ -35,15 +30,13 @@
   readonly model: EngineModel;
   readonly engines: readonly FreeEngine[];
   readonly value: number;
-  /** Members that would have to load the weights from the store. */
-  readonly loads: number;
 }
 
 export function formGroups(input: FormingInput): readonly NewEngineGroup[] {
   const formed: NewEngineGroup[] = [];
-  let { free, loadsAllowed } = input;
+  let { free } = input;
   for (;;) {
-    const best = listCandidates({ ...input, free, loadsAllowed }).reduce<Candidate | undefined>(
+    const best = listCandidates({ ...input, free }).reduce<Candidate | undefined>(
       (winner, each) => (winner === undefined || each.value > winner.value ? each : winner),
       undefined,
     );
@@ -57,56 +50,54 @@
       members: best.engines.map(({ member }) => member),
     });
     input.needs.add(best.model.name);
-    loadsAllowed -= best.loads;
     free = free.filter((engine) => !best.engines.includes(engine));
   }
 }
 
+/** Whether the engine can join a group of the model within a second or two. */
+export function isWarm({ lastModel, reading }: FreeEngine, model: EngineModel): boolean {
+  return lastModel === model.name || reading.staged.includes(model.name);
+}
+
 function listCandidates(input: FormingInput): readonly Candidate[] {
   const domains = new Set(input.free.map(({ reading }) => reading.fabricDomain));
+  const models = listModels(input);
   return [...domains].flatMap((domain) => {
     const engines = input.free.filter(({ reading }) => reading.fabricDomain === domain);
-    return input.profile.models.flatMap((model) => {
-      return createCandidate(input, domain, engines, model) ?? [];
-    });
+    return models.flatMap((model) => createCandidate(input, engines, model) ?? []);
   });
 }
 
+/** While a model lacks groups, engines are not given to one that has enough: they would be missed a moment later. */
+function listModels({ profile, needs }: FormingInput): readonly EngineModel[] {
+  const lacking = profile.models.filter((model) => !needs.isCovered(model));
+  return lacking.length > 0 ? lacking : profile.models;
+}
+
 function createCandidate(
   input: FormingInput,
-  domain: string,
   engines: readonly FreeEngine[],
   model: EngineModel,
 ): Candidate | undefined {
-  const left = engines.length - model.groupSize;
-  const spares = Math.ceil((input.domainSizes.get(domain) ?? 0) * spareShare);
-  if (left < 0 || (left < spares && input.needs.isCovered(model))) {
-    return undefined;
-  }
-  const joinOf = (engine: FreeEngine): Milliseconds =>
-    estimateJoin(engine, model, input.hasTraffic);
-  const chosen = [...engines]
+  const joinOf = (engine: FreeEngine): Milliseconds => estimateJoin(engine, model);
+  // Later, a load takes longer than most groups live; hosts that lack the weights stage them first.
+  const able = input.hasTraffic ? engines.filter((engine) => isWarm(engine, model)) : engines;
+  const chosen = [...able]
     .sort((one, other) => joinOf(one) - joinOf(other))
     .slice(0, model.groupSize);
-  const loads = input.hasTraffic ? chosen.filter((engine) => needsLoad(engine, model)).length : 0;
+  if (chosen.length < model.groupSize) {
+    return undefined;
+  }
   const duration = Math.max(...chosen.map(joinOf)) + input.profile.openDuration;
   const value = input.needs.gainOf(model) * (1 - duration / expectedLife);
-  return loads > input.loadsAllowed || value <= 0
-    ? undefined
-    : { model, engines: chosen, value, loads };
+  return value <= 0 ? undefined : { model, engines: chosen, value };
 }
 
-function needsLoad({ lastModel, reading }: FreeEngine, model: EngineModel): boolean {
-  return lastModel !== model.name && !reading.staged.includes(model.name);
-}
-
-/** Time until an engine is ready in a group of the model. */
-function estimateJoin(engine: FreeEngine, model: EngineModel, hasTraffic: boolean): Milliseconds {
+/** Time until an engine is ready in a group of the model; loads as before the first request. */
+function estimateJoin(engine: FreeEngine, model: EngineModel): Milliseconds {
   if (engine.lastModel === model.name) {
     return rejoinDuration;
   }
-  if (engine.reading.staged.includes(model.name)) {
-    return model.stagedJoinDuration;
-  }
-  return model.stagedJoinDuration + model.loadDuration * (hasTraffic ? 1 : earlyLoadShare);
+  const load = engine.reading.staged.includes(model.name) ? 0 : model.loadDuration;
+  return model.stagedJoinDuration + load * earlyLoadShare;
 }
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -4,17 +4,15 @@
 
 /**
  * Part of the slots of a group that is planned to be taken. A fuller group writes each token more slowly and queues what comes
- * in bursts; at this share a third of the groups of a model can be lost at once and the rest still takes all.
+ * in bursts; at this share a quarter of the groups of a model can be lost at once and the rest still takes all.
  */
-const plannedUse = 0.6;
+const plannedUse = 0.7;
 /** A model gives a group away only when it keeps this much more than is asked for, so that it does not want it back at once. */
 const spareMargin = 1.15;
 /** Worth of capacity beyond the demand, against capacity that is needed: it only decides between equals. */
 const comfortWeight = 0.05;
-/** Slots that are planned for a model that hardly anybody asks for: two groups, so that one can be lost. */
+/** Groups of a model that hardly anybody asks for: one can be lost. */
 const leastGroups = 2;
-/** Part of the engines that is planned for before anything was measured; the others stand by to mend groups. */
-const firstUse = 0.8;
 
 /** Models of a service with the groups they have, as planning adds to them. */
 export class ModelNeeds {
@@ -46,23 +44,19 @@
   gainOf(model: EngineModel): number {
     const count = this.#count(model.name);
     const demand = this.#demandOf(model);
-    const capacity = this.#profile.slots * plannedUse;
-    const served = (groups: number): number => Math.min(demand, groups * capacity);
-    const needed = served(count + 1) - served(count);
+    const needed = this.#served(model, count + 1) - this.#served(model, count);
     const comfort = (comfortWeight * demand) / (count + 1);
     return (needed + comfort) / model.groupSize;
   }
 
   /** Whether the groups there are take all that is asked for. */
   isCovered(model: EngineModel): boolean {
-    const capacity = this.#count(model.name) * this.#profile.slots * plannedUse;
-    return capacity >= this.#demandOf(model);
+    return this.#capacity(this.#count(model.name)) >= this.#demandOf(model);
   }
 
-  /** Whether the groups there would take all that is asked for, and some more, without one of them. */
+  /** Whether the groups there are would take all that is asked for, and some more, without one of them. */
   canSpare(model: EngineModel): boolean {
-    const capacity = (this.#count(model.name) - 1) * this.#profile.slots * plannedUse;
-    return capacity >= this.#demandOf(model) * spareMargin;
+    return this.#capacity(this.#count(model.name) - 1) >= this.#demandOf(model) * spareMargin;
   }
 
   /** The model that one more group of would help most. */
@@ -73,17 +67,25 @@
     }, undefined);
   }
 
+  #served(model: EngineModel, groups: number): number {
+    return Math.min(this.#demandOf(model), this.#capacity(groups));
+  }
+
+  #capacity(groups: number): number {
+    return groups * this.#profile.slots * plannedUse;
+  }
+
   /** What was measured; before that, the declared shares of the work that all engines together could do. */
   #demandOf(model: EngineModel): number {
     if (this.#demand.size > 0) {
-      const least = (leastGroups - 0.5) * this.#profile.slots * plannedUse;
+      const least = this.#capacity(leastGroups - 0.5);
       return Math.max(this.#demand.get(model.name) ?? 0, least);
     }
-    const { models, slots } = this.#profile;
+    const { models } = this.#profile;
     const weightOf = ({ share, pace }: EngineModel): number => share * pace;
     const total = models.reduce((sum, each) => sum + weightOf(each), 0);
     const part = total === 0 ? 1 / models.length : weightOf(model) / total;
-    return (part * this.#engineCount * firstUse * slots * plannedUse) / model.groupSize;
+    return this.#capacity((part * this.#engineCount) / model.groupSize);
   }
 
   #count(model: string): number {
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -65,25 +65,29 @@
     .map(({ group }) => group)
     .filter(({ phase }) => phase === 'joining' || phase === 'opening' || phase === 'open');
   const needs = new ModelNeeds(profile, engines.length, working, input.demand);
-  const place = formGroups({
-    service,
-    profile,
-    free: engines.filter(({ member }) => !placed.has(member.host)),
-    domainSizes: countByDomain(engines),
-    needs,
-    hasTraffic: input.hasTraffic,
-    loadsAllowed: input.loadsAllowed,
-    nextNumber,
-  });
+  const free = engines.filter(({ member }) => !placed.has(member.host));
+  const { hasTraffic, loadsAllowed } = input;
+  const place = formGroups({ service, profile, free, needs, hasTraffic, nextNumber });
   const groupModels = new Map(
     [...working, ...place].flatMap(({ members, model }) =>
       members.map(({ host }): [string, string] => [host, model]),
     ),
   );
-  const { hasTraffic, loadsAllowed } = input;
-  const neediest = needs.findNeediest()?.name;
-  const staging = { profile, engines, groupModels, hasTraffic, loadsAllowed, neediest };
-  const advance = place.length > 0 ? [] : giveAway(profile, groups, needs);
+  const neediest = needs.findNeediest();
+  const staging = {
+    profile,
+    engines,
+    groupModels,
+    hasTraffic,
+    loadsAllowed,
+    pending: input.pendingStaging,
+    neediest,
+  };
+  const domains = new Map(
+    engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
+  );
+  const left = free.filter(({ member }) => !groupModels.has(member.host));
+  const advance = place.length > 0 ? [] : giveAway({ profile, groups, free: left, needs, domains });
   return { place, stage: chooseStaging(staging), advance };
 }
 
@@ -97,11 +101,3 @@
   const member = { host, instance: reading.instance, address };
   return { member, service, reading, lastModel };
 }
-
-function countByDomain(engines: readonly FreeEngine[]): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  for (const { reading } of engines) {
-    counts.set(reading.fabricDomain, (counts.get(reading.fabricDomain) ?? 0) + 1);
-  }
-  return counts;
-}
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -1,4 +1,5 @@
-import type { EngineProfile } from '../routing/index.js';
+import type { EngineModel, EngineProfile } from '../routing/index.js';
+import { isWarm } from './form-groups.js';
 import type { FreeEngine, StagingOrder } from './types.js';
 
 /** Chooses which weights hosts stage beside what they serve. */
@@ -6,46 +7,55 @@
 /** What staging is decided from. */
 export interface StagingInput {
   readonly profile: EngineProfile;
-  /** All engines of the service that answer; those in a group with the model of that group as `lastModel`. */
+  /** All engines of the service that answer. */
   readonly engines: readonly FreeEngine[];
   /** Models of the groups that engines are members of, by host. */
   readonly groupModels: ReadonlyMap<string, string>;
   readonly hasTraffic: boolean;
   readonly loadsAllowed: number;
-  /** Model that engines without any weights load first. */
-  readonly neediest: string | undefined;
+  /** Models that hosts were ordered to stage and do not stage yet; these loads are counted already. */
+  readonly pending: ReadonlyMap<string, string>;
+  /** Model that needs another group most. */
+  readonly neediest: EngineModel | undefined;
 }
 
 /**
  * An engine that was ready in a group keeps that model at hand, and its host keeps another one staged; so a host that stages
  * the model that it does not serve can change to either in about a second.
- * Before the first request this costs nothing, so every host does it. Afterwards only hosts that have nothing stage at all.
+ * Before the first request this costs next to nothing. Afterwards a load takes as long as ten mendings, so hosts that stand idle
+ * come first, and no more begin than the weight store gives at full speed.
  */
 export function chooseStaging(input: StagingInput): readonly StagingOrder[] {
-  const { engines, hasTraffic, loadsAllowed } = input;
-  const orders = engines.flatMap((engine) => {
-    const model = chooseModel(engine, input);
-    return model === undefined ? [] : [{ host: engine.member.host, model }];
-  });
-  return hasTraffic ? orders.slice(0, Math.max(0, loadsAllowed)) : orders;
+  const { engines, hasTraffic, loadsAllowed, pending } = input;
+  const idle = hasTraffic ? engines.flatMap((engine) => chooseForIdle(engine, input)) : [];
+  const serving = engines.flatMap((engine) => chooseOther(engine, input));
+  const orders = [...idle, ...serving];
+  if (!hasTraffic) {
+    return orders;
+  }
+  const isPending = ({ host, model }: StagingOrder): boolean => pending.get(host) === model;
+  const begun = orders.filter(isPending);
+  const others = orders.filter((order) => !isPending(order));
+  return [...begun, ...others.slice(0, Math.max(0, loadsAllowed))];
+}
+
+function chooseForIdle(engine: FreeEngine, input: StagingInput): readonly StagingOrder[] {
+  const { neediest, groupModels } = input;
+  const { host } = engine.member;
+  const isIdle = !groupModels.has(host) && !engine.reading.isBusy;
+  const isWanted = isIdle && neediest !== undefined && !isWarm(engine, neediest);
+  return isWanted ? [{ host, model: neediest.name }] : [];
 }
 
-function chooseModel(engine: FreeEngine, input: StagingInput): string | undefined {
+/** The model that a member of a group does not serve. */
+function chooseOther(engine: FreeEngine, input: StagingInput): readonly StagingOrder[] {
   const { reading, lastModel, member } = engine;
-  const { models } = input.profile;
-  if (reading.isBusy) {
-    return undefined;
-  }
-  const groupModel = input.groupModels.get(member.host);
-  if (groupModel !== undefined && lastModel !== groupModel) {
+  const { host } = member;
+  if (reading.isBusy || lastModel === undefined || lastModel !== input.groupModels.get(host)) {
     // It has yet to join; staging another model now would take the weights away that it needs for that.
-    return undefined;
-  }
-  if (lastModel === undefined) {
-    return reading.staged.length === 0 ? input.neediest : undefined;
+    return [];
   }
-  const others = models.filter(({ name }) => name !== lastModel);
-  const hasOther = others.some(({ name }) => reading.staged.includes(name));
-  const mayStage = !input.hasTraffic || reading.staged.length === 0;
-  return hasOther || !mayStage ? undefined : others[0]?.name;
+  const others = input.profile.models.filter(({ name }) => name !== lastModel);
+  const other = others.some(({ name }) => reading.staged.includes(name)) ? undefined : others[0];
+  return other === undefined ? [] : [{ host, model: other.name }];
 }
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -35,6 +35,8 @@
   readonly hasTraffic: boolean;
   /** Loads from the weight store that may begin now. */
   readonly loadsAllowed: number;
+  /** Models that hosts were ordered to stage and do not stage yet. */
+  readonly pendingStaging: ReadonlyMap<string, string>;
   /** Requests that want to run at one moment, by model; absent while nothing was measured. */
   readonly demand: ReadonlyMap<string, number>;
   /** First number for the names of new groups. */
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -56,6 +56,8 @@
   readonly duration: Milliseconds;
   /** Time to the first byte for the caller; undefined where there was none. */
   readonly firstByte: Milliseconds | undefined;
+  /** Time since the last attempt was sent; undefined where none was. */
+  readonly upstreamDuration: Milliseconds | undefined;
 }
 
 export class Delivery {
@@ -68,6 +70,7 @@
   #target: Target | undefined;
   #timer: NodeJS.Timeout | undefined;
   #firstByte: Milliseconds | undefined;
+  #sentAt: Milliseconds | undefined;
 
   constructor(
     request: ReceivedRequest,
@@ -93,10 +96,6 @@
     );
   }
 
-  get model(): string | undefined {
-    return this.#request.model;
-  }
-
   /** Whether it waits for an upstream that can take it. */
   get isWaiting(): boolean {
     return this.#controller.isWaiting;
@@ -185,6 +184,7 @@
       resumeAfter: this.#answer.lastEventId ?? resumeAfter,
     });
     this.#target = target;
+    this.#sentAt = this.#now();
     loads.noteSent(target);
     const dispatcher = connections.find(target.address, connectionLimit(service));
     const attempt: UpstreamAttempt = new UpstreamAttempt(
@@ -298,11 +298,13 @@
   #conclude(result: string): void {
     clearTimeout(this.#timer);
     this.#releaseTarget();
+    const now = this.#now();
     this.#onOutcome({
       result,
       attempts: this.#controller.attemptCount,
-      duration: this.#now() - this.#request.startedAt,
+      duration: now - this.#request.startedAt,
       firstByte: this.#firstByte,
+      upstreamDuration: this.#sentAt === undefined ? undefined : now - this.#sentAt,
     });
   }
 }
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -6,7 +6,6 @@
 
 /** Tells the leader of control how many requests for each model want to run at one moment. */
 
-const sampleInterval: Milliseconds = 100;
 const reportInterval: Milliseconds = 500;
 const reportTimeout: Milliseconds = 1000;
 
@@ -15,8 +14,8 @@
   readonly gateway: string;
   /** `ip:port` of the leader; empty while none is known. */
   readonly findLeader: () => string;
-  /** Requests under way or waiting now, by model. */
-  readonly count: () => ReadonlyMap<string, number>;
+  /** Requests that want to run at one moment, by model; ends the interval that it measures. */
+  readonly measure: () => ReadonlyMap<string, number>;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
 }
@@ -24,9 +23,6 @@
 export class DemandReporter implements ManagedPart {
   readonly name = 'demand reporter';
   readonly #options: DemandReporterOptions;
-  #sums = new Map<string, number>();
-  #samples = 0;
-  #sampling: NodeJS.Timeout | undefined;
   #reporting: NodeJS.Timeout | undefined;
 
   constructor(options: DemandReporterOptions) {
@@ -34,35 +30,19 @@
   }
 
   open(): void {
-    this.#sampling = setInterval(() => {
-      this.#sample();
-    }, sampleInterval);
     this.#reporting = setInterval(() => {
       void this.#report();
     }, reportInterval);
   }
 
   close(): void {
-    clearInterval(this.#sampling);
     clearInterval(this.#reporting);
   }
 
-  #sample(): void {
-    this.#samples += 1;
-    for (const [model, count] of this.#options.count()) {
-      this.#sums.set(model, (this.#sums.get(model) ?? 0) + count);
-    }
-  }
-
   async #report(): Promise<void> {
-    const { gateway, findLeader, clients, logger } = this.#options;
+    const { gateway, findLeader, measure, clients, logger } = this.#options;
     const leader = findLeader();
-    const requests = Object.fromEntries(
-      [...this.#sums].map(([model, sum]) => [model, sum / this.#samples]),
-    );
-    // A model that was asked for once is reported with 0 from then on, so that its demand can fall.
-    this.#sums = new Map([...this.#sums.keys()].map((model) => [model, 0]));
-    this.#samples = 0;
+    const requests = Object.fromEntries(measure());
     if (leader === '' || Object.keys(requests).length === 0) {
       return;
     }
--- a/src/gateway/direct/direct-gateway-parts.ts
+++ b/src/gateway/direct/direct-gateway-parts.ts
@@ -50,7 +50,7 @@
     ...shared,
     gateway: name,
     findLeader: () => watcher.read().leader,
-    count: () => gateway.countByModel(),
+    measure: () => gateway.measureDemand(),
   });
   const connections: ManagedPart = {
     name: 'connections',
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -24,6 +24,7 @@
 import type { RoutingView } from '../../watch/index.js';
 import { RetryBudget } from '../retry-budget.js';
 import { readBody } from '../shell/body.js';
+import { DemandMeter } from './demand-meter.js';
 import { Delivery, type DeliveryOutcome, type DeliverySurroundingParts } from './delivery.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
@@ -73,6 +74,7 @@
   readonly #budget: RetryBudget;
   readonly #parts: DeliverySurroundingParts;
   readonly #deliveries = new Set<Delivery>();
+  readonly #demand: DemandMeter;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
 
@@ -80,6 +82,7 @@
     this.#options = options;
     const { settings, dialect, readView, clock, random, logger } = options;
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
+    this.#demand = new DemandMeter(clock.monotonic());
     this.#budget = new RetryBudget({ share: repeatShare, burst: repeatBurst / gateways });
     this.#parts = {
       dialect,
@@ -101,15 +104,9 @@
     return !this.#isStopping && this.#isVouched() && this.#readTable() !== undefined;
   }
 
-  /** Requests under way or waiting, by model. */
-  countByModel(): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const { model } of this.#deliveries) {
-      if (model !== undefined) {
-        counts.set(model, (counts.get(model) ?? 0) + 1);
-      }
-    }
-    return counts;
+  /** Requests that want to run at one moment, by model; ends the interval that it measures. */
+  measureDemand(): ReadonlyMap<string, number> {
+    return this.#demand.measure(this.#options.clock.monotonic());
   }
 
   /** The address that callers reach; known once the gateway is open. */
@@ -253,6 +250,9 @@
     const { route, service, account } = admission;
     const facts = dialect.readCaller(request.headers);
     this.#budget.noteRequest(service.name);
+    if (facts.model !== undefined) {
+      this.#demand.noteArrival(facts.model);
+    }
     const delivery: Delivery = new Delivery(
       {
         requestId: facts.requestId,
@@ -271,6 +271,7 @@
       answer,
       this.#parts,
       (outcome) => {
+        this.#noteServed(facts.model, outcome);
         this.#conclude(delivery, facts.requestId, admission, outcome);
       },
     );
@@ -284,6 +285,12 @@
     delivery.start();
   }
 
+  #noteServed(model: string | undefined, { result, upstreamDuration }: DeliveryOutcome): void {
+    if (model !== undefined && result === 'whole' && upstreamDuration !== undefined) {
+      this.#demand.noteServed(model, upstreamDuration);
+    }
+  }
+
   #conclude(
     delivery: Delivery,
     requestId: string | undefined,
