--- a/__tests__/settings/pages.test.ts
+++ b/__tests__/settings/pages.test.ts
@@ -6,7 +6,9 @@
 import { configurationSchema } from '../../src/configuration/index.js';
 import {
   controlSettingsSchema,
+  engineSidecarSettingsSchema,
   gatewaySettingsSchema,
+  routingGatewaySettingsSchema,
   sidecarSettingsSchema,
 } from '../../src/settings/index.js';
 
@@ -58,6 +60,16 @@
     ['docs/SETTINGS.md', 'pistachiospoke-gateway', gatewaySettingsSchema],
     ['docs/SETTINGS.md', 'pistachiospoke-sidecar', sidecarSettingsSchema],
     ['docs/SETTINGS.md', 'pistachiospoke-control', controlSettingsSchema],
+    [
+      'docs/SETTINGS.md',
+      'Gateway that sends requests straight to upstreams',
+      routingGatewaySettingsSchema,
+    ],
+    [
+      'docs/SETTINGS.md',
+      'Sidecar of an engine that holds its own membership',
+      engineSidecarSettingsSchema,
+    ],
     ['docs/CONFIGURATION.md', 'The document', configurationSchema],
   ])('%s, "%s", has a row with the right default for each', (page, title, schema) => {
     expect(findUndescribed(schema, readSection(page, title))).toEqual([]);
