Loads are early until callers ask for models; a needy model gets all the groups that one group of it takes

And one group of two was drained where a group of four needs two of them, so three engines stood idle from 12.2 to 14.3 s. Ruled out: reports (the instances were known at -8.1 s).

--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -158,7 +158,7 @@
 
   #enter(state: EngineGroupState['state'], { group, epoch }: OrderBody): void {
     const present = this.#group;
-    if (present?.name === group && present?.epoch === epoch) {
+    if (present !== undefined && present.name === group && present.epoch === epoch) {
       present.state = state;
     }
   }
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -9,7 +9,7 @@
   type GroupView,
   type PlannerInput,
 } from '../../engines/index.js';
-import type { EngineFacts, EngineProfile } from '../../routing/index.js';
+import type { EngineProfile } from '../../routing/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState } from '../state/index.js';
 import { LoadBudget } from './load-budget.js';
@@ -121,7 +121,9 @@
     }
     const now = this.#options.clock.monotonic();
     const engines = this.#options.readEngines();
-    this.#hasTraffic ||= [...engines.values()].some(({ facts }) => isServing(facts));
+    const demand = this.#options.readDemand();
+    // Not by what runs at engines: a liveness check takes a slot there, long before the first request.
+    this.#hasTraffic ||= demand.size > 0;
     const draining = [...instances.values()].filter(({ isDraining }) => isDraining);
     const profile = document.services.find(({ engine }) => engine !== undefined)?.engine;
     return {
@@ -132,7 +134,7 @@
       hasTraffic: this.#hasTraffic,
       loadsAllowed: this.#countLoads(profile, now),
       pendingStaging: this.#staging,
-      demand: this.#options.readDemand(),
+      demand,
       nextNumber: state.fencingNumber + 1,
     };
   }
@@ -184,7 +186,3 @@
     return isCommitted;
   }
 }
-
-function isServing({ reading }: EngineFacts): boolean {
-  return reading !== undefined && reading.running > 0;
-}
--- a/src/engines/give-away.ts
+++ b/src/engines/give-away.ts
@@ -16,9 +16,9 @@
 }
 
 /**
- * Drains one group, at most, of a model that can spare it.
- * Demand is seldom as declared: without this one model would refuse its callers while groups of another stand idle. One at
- * a time, and none while engines are coming free or a group is on its way, because those change what is needed next.
+ * Drains as many groups of a model that can spare them as one group of a needy model takes, all in one fabric domain.
+ * Demand is seldom as declared: without this one model would refuse its callers while groups of another stand idle. It
+ * waits while engines are coming free or a group is on its way, because those change what is needed next.
  */
 export function giveAway(input: GiveAwayInput): readonly GroupAdvance[] {
   const { profile, groups, needs } = input;
@@ -27,32 +27,33 @@
   if (!isSettled || needy === undefined) {
     return [];
   }
-  const donors = new Set(
-    profile.models
-      .filter((model) => model.name !== needy.name && needs.canSpare(model))
-      .map(({ name }) => name),
-  );
-  const spare = groups.filter(({ group }) => donors.has(group.model));
-  const donor = spare.find((view) => isEnough(input, needy, spare, findDomain(input, view)));
-  if (donor === undefined) {
-    return [];
-  }
-  const reason = `${needy.name} needs its engines more`;
-  return [{ name: donor.group.name, phase: 'draining', reason }];
+  const reason = `${needy.name} needs their engines more`;
+  const donors = profile.models.filter((model) => model !== needy);
+  const given = donors
+    .flatMap((donor) => listOffers(input, needy, donor))
+    .reduce<readonly GroupView[] | undefined>(
+      (least, offer) => (least === undefined || offer.length < least.length ? offer : least),
+      undefined,
+    );
+  return (given ?? []).map(({ group }) => ({ name: group.name, phase: 'draining', reason }));
 }
 
-/** Whether a domain would have the engines for a group, with those of the groups that can be spared there. */
-function isEnough(
+/** For each domain, the groups of a donor that would have to go there; none where that is not enough. */
+function listOffers(
   input: GiveAwayInput,
   needy: EngineModel,
-  spare: readonly GroupView[],
-  domain: string,
-): boolean {
-  const free = input.free.filter(({ reading }) => reading.fabricDomain === domain).length;
-  const given = spare
-    .filter((view) => findDomain(input, view) === domain)
-    .reduce((sum, { group }) => sum + group.members.length, 0);
-  return free + given >= needy.groupSize;
+  donor: EngineModel,
+): readonly (readonly GroupView[])[] {
+  const spare = input.needs.countSpare(donor);
+  return [...new Set(input.domains.values())].flatMap((domain) => {
+    const free = input.free.filter(({ reading }) => reading.fabricDomain === domain).length;
+    const wanted = Math.ceil(Math.max(0, needy.groupSize - free) / donor.groupSize);
+    const there = input.groups.filter(
+      (view) => view.group.model === donor.name && findDomain(input, view) === domain,
+    );
+    const isEnough = wanted > 0 && wanted <= spare && wanted <= there.length;
+    return isEnough ? [there.slice(0, wanted)] : [];
+  });
 }
 
 function findDomain({ domains }: GiveAwayInput, { group }: GroupView): string {
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -54,9 +54,10 @@
     return this.#capacity(this.#count(model.name)) >= this.#demandOf(model);
   }
 
-  /** Whether the groups there are would take all that is asked for, and some more, without one of them. */
-  canSpare(model: EngineModel): boolean {
-    return this.#capacity(this.#count(model.name) - 1) >= this.#demandOf(model) * spareMargin;
+  /** Groups without which the others would still take all that is asked for, and some more. */
+  countSpare(model: EngineModel): number {
+    const needed = (this.#demandOf(model) * spareMargin) / this.#capacity(1);
+    return Math.max(0, this.#count(model.name) - Math.ceil(needed));
   }
 
   /** The model that one more group of would help most. */
