--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -5,7 +5,9 @@
 
 /** The built programs for the platform as processes, with engines of the test beside the sidecars. */
 
-const controlHosts = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
+/** The first three form the log; the last one is started later, in the place of another. */
+const controlHosts = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
+const firstControlCount = 3;
 const host = 'desk.example';
 const key = 'key-1';
 
@@ -140,27 +142,35 @@
   }
 
   get #seeds(): object {
-    const addresses = controlHosts.map((each) => `${each}:${this.#ports.operators}`);
+    const addresses = controlHosts
+      .slice(0, firstControlCount)
+      .map((each) => `${each}:${this.#ports.operators}`);
     return { addresses, port: this.#ports.internal };
   }
 
   async #startControl(): Promise<void> {
-    for (const [index, name] of controlHosts.entries()) {
-      const control = {
-        name,
-        region: 'r',
-        failureDomain: `z${index}`,
-        listen: `${name}:${this.#ports.internal}`,
-        seeds: this.#seeds,
-        dataFolder: join(this.group.folder, name),
-      };
-      const settings = { operators: `${name}:${this.#ports.operators}`, control };
-      const file = await this.group.write(`control-${index}.json`, JSON.stringify(settings));
-      this.#settings.set(name, file);
-      this.restartControl(index);
+    for (let index = 0; index < firstControlCount; index += 1) {
+      await this.startControl(index);
     }
   }
 
+  /** Starts a control host with an empty disk. */
+  async startControl(index: number): Promise<void> {
+    const name = controlHosts[index] ?? '';
+    const control = {
+      name,
+      region: 'r',
+      failureDomain: `z${index}`,
+      listen: `${name}:${this.#ports.internal}`,
+      seeds: this.#seeds,
+      dataFolder: join(this.group.folder, name),
+    };
+    const settings = { operators: `${name}:${this.#ports.operators}`, control };
+    const file = await this.group.write(`control-${index}.json`, JSON.stringify(settings));
+    this.#settings.set(name, file);
+    this.restartControl(index);
+  }
+
   async #startSidecars(): Promise<void> {
     for (const [index, engine] of this.engines.entries()) {
       const settings = {
--- a/__tests__/processes/platform-path.test.ts
+++ b/__tests__/processes/platform-path.test.ts
@@ -94,4 +94,29 @@
       return (await deployment.callControl(leader, 'GET', '/Config.Get')).status === 200;
     });
   });
+
+  /**
+   * Symptom: control refuses changes although two of three hosts are well. One was replaced for good by an empty host at another
+   * address, which nobody took into the log; then one more was lost.
+   */
+  it('take a replaced control host into the log, so that another one can be lost', async () => {
+    deployment.killControl(0);
+    await deployment.startControl(3);
+    await waitFor('the new control host to answer reads', async () => {
+      return (await deployment.callControl(3, 'GET', '/Config.Get')).status === 200;
+    });
+    await waitFor('the silent one to be taken out', () => {
+      return deployment.group.programs.some(({ output }) => {
+        return output.includes('silent control host taken out of the log');
+      });
+    });
+    deployment.killControl(1);
+    await waitFor('a change with the two that are left', async () => {
+      const text = deployment.manifest(13);
+      return (await deployment.callControl(3, 'POST', '/Config.Put', text)).status === 200;
+    });
+    expect((await deployment.callControl(2, 'GET', '/Config.Get')).body).toBe(
+      deployment.manifest(13),
+    );
+  });
 });
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -67,6 +67,8 @@
   readonly lastIndex: number;
   readonly commitIndex: number;
   readonly snapshotIndex: number;
+  /** Members that have not answered this leader for as long as an election takes; empty where this host does not lead. */
+  readonly silentMembers: readonly NodeName[];
 }
 
 /** The replicated log of one control host: the core with its disk, its network and its clock. */
@@ -172,8 +174,8 @@
     if (core === undefined) {
       return undefined;
     }
-    const { self, view, membership, lastIndex, commitIndex, snapshotIndex } = core;
-    return { self, view, membership, lastIndex, commitIndex, snapshotIndex };
+    const { self, view, membership, lastIndex, commitIndex, snapshotIndex, silentMembers } = core;
+    return { self, view, membership, lastIndex, commitIndex, snapshotIndex, silentMembers };
   }
 
   /** A message from another control host. */
--- a/src/consensus/core/core.ts
+++ b/src/consensus/core/core.ts
@@ -5,7 +5,7 @@
 import { FollowerLog } from './follower-log.js';
 import { Formation } from './formation.js';
 import { Leadership } from './leadership.js';
-import type { Member, Membership } from './membership.js';
+import { listMembers, type Member, type Membership, type NodeName } from './membership.js';
 import { MembershipChanges } from './membership-changes.js';
 import type { AcknowledgementMessage, ConsensusMessage, LeaderMessage } from './messages.js';
 import { Reads } from './reads.js';
@@ -57,6 +57,17 @@
   }
 
   /** Index of the newest snapshot; 0 before the first. */
+  /** Members that have not answered this leader for as long as an election takes. */
+  get silentMembers(): readonly NodeName[] {
+    if (this.#state.role !== 'leader') {
+      return [];
+    }
+    const { log, self } = this.#state;
+    return listMembers(log.membership)
+      .filter((member) => member.storageId !== self.storageId && this.#leadership.isSilent(member))
+      .map(({ name }) => name);
+  }
+
   get snapshotIndex(): number {
     return this.#state.log.snapshot?.index ?? 0;
   }
--- a/src/consensus/create-consensus-node.ts
+++ b/src/consensus/create-consensus-node.ts
@@ -23,6 +23,8 @@
   readonly name: NodeName;
   /** The other control hosts. */
   readonly peers: readonly ConsensusPeer[];
+  /** Address of a control host that is taken in later; undefined where it cannot be told. */
+  readonly findAddress?: ((name: NodeName) => string | undefined) | undefined;
   readonly dataFolder: string;
   readonly machine: StateMachine<Answer>;
   readonly heartbeat: Milliseconds;
@@ -51,6 +53,7 @@
   const transport = new StreamTransport({
     self: name,
     peers,
+    findAddress: options.findAddress,
     silenceLimit: election,
     clock,
     random,
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -9,6 +9,7 @@
   defaultSnapshotInterval,
   type CreateConsensusNodeOptions,
 } from './create-consensus-node.js';
+export type { Member, Membership, MembershipChange } from './core/index.js';
 export type { LeadershipView, ReplicatedLog, StateMachine } from './replicated-log.js';
 export {
   StreamTransport,
--- a/src/consensus/stream-transport.ts
+++ b/src/consensus/stream-transport.ts
@@ -17,6 +17,8 @@
 export interface StreamTransportOptions {
   readonly self: NodeName;
   readonly peers: readonly ConsensusPeer[];
+  /** Address of a control host that is none of the peers; undefined where it cannot be told. */
+  readonly findAddress?: ((name: NodeName) => string | undefined) | undefined;
   readonly silenceLimit: Milliseconds;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -24,30 +26,53 @@
 
 /** Messages over one Connect stream in each direction of a pair. */
 export class StreamTransport implements ConsensusTransport {
-  readonly #streams: ReadonlyMap<NodeName, PeerStream>;
+  readonly #options: StreamTransportOptions;
+  readonly #streams: Map<NodeName, PeerStream>;
+  #isOpen = false;
 
-  constructor({ peers, ...options }: StreamTransportOptions) {
+  constructor(options: StreamTransportOptions) {
+    this.#options = options;
     this.#streams = new Map(
-      peers.map(({ name, address }): [NodeName, PeerStream] => [
+      options.peers.map(({ name, address }): [NodeName, PeerStream] => [
         name,
-        new PeerStream({ ...options, peer: name, address }),
+        this.#createStream(name, address),
       ]),
     );
   }
 
   readonly open = (): void => {
+    this.#isOpen = true;
     for (const stream of this.#streams.values()) {
       stream.open();
     }
   };
 
   readonly send = (to: NodeName, message: ConsensusMessage): void => {
-    this.#streams.get(to)?.send(message);
+    const stream = this.#streams.get(to) ?? this.#addStream(to);
+    stream?.send(message);
   };
 
   readonly close = async (): Promise<void> => {
+    this.#isOpen = false;
     await Promise.all([...this.#streams.values()].map((stream) => stream.close()));
   };
+
+  /** A control host that was taken into the log later; the first message opens the stream and is sent anew by the core. */
+  #addStream(to: NodeName): PeerStream | undefined {
+    const address = this.#isOpen ? this.#options.findAddress?.(to) : undefined;
+    if (address === undefined) {
+      return undefined;
+    }
+    const stream = this.#createStream(to, address);
+    this.#streams.set(to, stream);
+    stream.open();
+    return stream;
+  }
+
+  #createStream(peer: NodeName, address: string): PeerStream {
+    const { self, silenceLimit, clock, random } = this.#options;
+    return new PeerStream({ self, silenceLimit, clock, random, peer, address });
+  }
 }
 
 /** Hands on what a peer sends, until its stream ends; a stream that is for another host is refused. */
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -15,7 +15,7 @@
   type WatchResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { LeadershipView } from '../../consensus/index.js';
-import type { ControlSettings } from '../../settings/index.js';
+import { findControlAddress, type ControlSettings } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { describePublished } from '../describe-published.js';
 import { HostDirectory } from '../host-directory.js';
@@ -30,6 +30,7 @@
 import { PlacementLoop } from './placement-loop.js';
 import { ReportService } from './report-service.js';
 import { createControlLog, type ControlLog } from './log.js';
+import { MembershipKeeper } from './membership-keeper.js';
 import type { ViewSource } from './views.js';
 
 /** Puts the parts of a control host together. */
@@ -65,6 +66,7 @@
   readonly #placement: PlacementLoop;
   /** What operators' documents, instances and engines make of routing. */
   readonly routing: RoutingControl;
+  readonly #membership: MembershipKeeper;
   #heartbeat: NodeJS.Timeout | undefined;
 
   constructor(options: ControlProcessOptions) {
@@ -115,6 +117,13 @@
       readState: () => this.#machine.read(),
       instanceSilence: settings.timeouts.instanceSilenceMilliseconds,
     });
+    this.#membership = new MembershipKeeper({
+      ...shared,
+      name: settings.name,
+      voterCount: settings.voters.length,
+      listPeers: () => this.#listPeers(),
+      findAddress,
+    });
     this.#placement = new PlacementLoop({
       ...shared,
       submitter: this.#submitter,
@@ -156,6 +165,7 @@
         close: () => this.#log.resign(),
       },
       this.#placement,
+      this.#membership,
       this.routing,
       {
         name: 'watches',
@@ -188,6 +198,7 @@
         await this.#log.takeStream(envelopes);
         return {};
       },
+      admit: (request) => this.#membership.takeRequest(request),
       forward: (request) => this.#operators.takeForwarded(request.command),
       forwardReports: (request) => ({
         missingFacts: [...this.#reports.takeForwarded(request)],
@@ -296,7 +307,7 @@
   }
 
   #findAddress(name: string): string | undefined {
-    return this.#options.settings.voters.find((voter) => voter.name === name)?.address;
+    return findControlAddress(this.#options.settings, name);
   }
 
   #listPeers(): readonly string[] {
--- a/src/control/shell/log.ts
+++ b/src/control/shell/log.ts
@@ -13,7 +13,7 @@
   type LeadershipView,
   type StateMachine,
 } from '../../consensus/index.js';
-import type { ControlSettings } from '../../settings/index.js';
+import { findControlAddress, type ControlSettings } from '../../settings/index.js';
 import type { CommandAnswer } from '../state/index.js';
 
 /** The replicated log of a control host, made from its settings. */
@@ -43,6 +43,7 @@
   return createConsensusNode({
     name,
     peers: voters.filter((voter) => voter.name !== name),
+    findAddress: (other) => findControlAddress(settings, other),
     dataFolder,
     machine,
     heartbeat: timeouts.heartbeatMilliseconds,
--- /dev/null
+++ b/src/control/shell/membership-keeper.ts
@@ -0,0 +1,166 @@
+import type { Logger } from 'pino';
+
+import {
+  createFailure,
+  findResultCodeName,
+  resultCodes,
+  type Clock,
+  type Failure,
+  type ManagedPart,
+  type Milliseconds,
+} from '../../common/index.js';
+import {
+  ConsensusService,
+  type AdmitRequest,
+} from '../../generated/pistachiospoke/v1/control_pb.js';
+import type { RpcClientPool } from '../../wire/index.js';
+import { MembershipPolicy } from '../membership-policy.js';
+import type { ControlLog } from './log.js';
+
+/** Takes replaced control hosts into the log, and those that are gone out of it. */
+
+const interval: Milliseconds = 500;
+const askTimeout: Milliseconds = 1500;
+
+/** Options of the keeper. */
+export interface MembershipKeeperOptions {
+  readonly name: string;
+  readonly log: ControlLog;
+  readonly clients: RpcClientPool;
+  /** Number of voters that the deployment is to have. */
+  readonly voterCount: number;
+  /** Addresses of the control hosts that may know the leader. */
+  readonly listPeers: () => readonly string[];
+  readonly findAddress: (name: string) => string | undefined;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The answer to a control host that asks to be taken in. */
+export interface AdmitAnswer {
+  readonly resultCode: number;
+  readonly message: string;
+}
+
+export class MembershipKeeper implements ManagedPart {
+  readonly name = 'membership keeper';
+  readonly #options: MembershipKeeperOptions;
+  readonly #policy: MembershipPolicy;
+  #timer: NodeJS.Timeout | undefined;
+  #isBusy = false;
+  #turn = 0;
+
+  constructor(options: MembershipKeeperOptions) {
+    this.#options = options;
+    this.#policy = new MembershipPolicy(options.voterCount);
+  }
+
+  open(): void {
+    this.#timer = setInterval(() => {
+      void this.#step();
+    }, interval);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Another control host asks to be taken in. */
+  async takeRequest({ name, storageId, forwarded }: AdmitRequest): Promise<AdmitAnswer> {
+    const { log, findAddress, clients, logger } = this.#options;
+    const view = log.view();
+    if (view.type === 'leader') {
+      return this.#admit(name, storageId);
+    }
+    const leader = view.type === 'follower' ? findAddress(view.leader) : undefined;
+    if (leader === undefined || forwarded) {
+      return describe(createFailure('noQuorum', 'no leader is known here'));
+    }
+    try {
+      const client = clients.client(ConsensusService, leader);
+      const request = { name, storageId, forwarded: true };
+      return await client.admit(request, { timeoutMs: askTimeout });
+    } catch (error) {
+      logger.info({ leader, error: String(error) }, 'request to be taken in not handed on');
+      return describe(createFailure('noQuorum', String(error)));
+    }
+  }
+
+  async #admit(name: string, storageId: string): Promise<AdmitAnswer> {
+    const { log, logger } = this.#options;
+    const { membership, silentMembers } = log.status ?? {};
+    const members = [...(membership?.voters ?? []), ...(membership?.learners ?? [])];
+    const earlier = members.find((member) => member.name === name);
+    if (earlier?.storageId === storageId) {
+      return describe(undefined);
+    }
+    if (earlier !== undefined && silentMembers?.includes(name) !== true) {
+      // Of two processes with one name, the one that answers stays.
+      return describe(createFailure('invalidCommand', `${name} is a member and answers`));
+    }
+    const result = await log.changeMembers({ type: 'admit', member: { name, storageId } });
+    const failure = result.err ? result.val : undefined;
+    logger.warn({ name, storageId, failure }, 'control host asked to be taken in');
+    return describe(failure);
+  }
+
+  async #step(): Promise<void> {
+    const { log, clock } = this.#options;
+    const { status } = log;
+    if (this.#isBusy || status === undefined) {
+      return;
+    }
+    const step = this.#policy.decide(status, clock.monotonic());
+    this.#isBusy = true;
+    try {
+      switch (step.type) {
+        case 'wait':
+          break;
+        case 'ask':
+          await this.#ask(status.self.storageId);
+          break;
+        case 'remove':
+          await this.#remove(step.name);
+          break;
+      }
+    } finally {
+      this.#isBusy = false;
+    }
+  }
+
+  async #ask(storageId: string): Promise<void> {
+    const { name, clients, listPeers, logger } = this.#options;
+    const peers = listPeers();
+    const address = peers[this.#turn % Math.max(1, peers.length)];
+    this.#turn += 1;
+    if (address === undefined) {
+      return;
+    }
+    try {
+      const client = clients.client(ConsensusService, address);
+      const { resultCode, message } = await client.admit(
+        { name, storageId, forwarded: false },
+        { timeoutMs: askTimeout },
+      );
+      const code = findResultCodeName(resultCode);
+      logger.info({ address, code, message }, 'asked to be taken into the log');
+    } catch (error) {
+      logger.info({ address, error: String(error) }, 'no answer on being taken into the log');
+      clients.retire(address);
+    }
+  }
+
+  async #remove(name: string): Promise<void> {
+    const { log, logger } = this.#options;
+    const result = await log.changeMembers({ type: 'remove', name });
+    const failure = result.err ? result.val : undefined;
+    logger.warn({ name, failure }, 'silent control host taken out of the log');
+  }
+}
+
+function describe(failure: Failure | undefined): AdmitAnswer {
+  return {
+    resultCode: resultCodes[failure?.code ?? 'ok'].number,
+    message: failure?.detail ?? '',
+  };
+}
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -1,5 +1,9 @@
+import { isIP } from 'node:net';
+
 import { z } from 'zod';
 
+import { formatAddress } from '../common/index.js';
+
 import { reachableAddress } from './address.js';
 import {
   listSeeds,
@@ -83,3 +87,15 @@
   }));
 
 export type ControlSettings = z.infer<typeof controlSettingsSchema>;
+
+/**
+ * Where a control host is reached: as the settings name it, or, where control hosts are known by seeds, at its IP number, which is
+ * its name. So hosts that are taken in later are reached as well. Undefined for a name that says no address.
+ */
+export function findControlAddress(settings: ControlSettings, name: string): string | undefined {
+  const voter = settings.voters.find((candidate) => candidate.name === name);
+  if (voter !== undefined || settings.seeds === undefined || isIP(name) === 0) {
+    return voter?.address;
+  }
+  return formatAddress(name, settings.seeds.port);
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,6 +1,10 @@
 export { describeIssues, type SchemaFinding } from './check.js';
 export { readProcessFlags, type ProcessFlags } from './command-line.js';
-export { controlSettingsSchema, type ControlSettings } from './control-settings.js';
+export {
+  controlSettingsSchema,
+  findControlAddress,
+  type ControlSettings,
+} from './control-settings.js';
 export { gatewaySettingsSchema, type GatewaySettings } from './gateway-settings.js';
 export { loadSettings, parseSettings, type SettingsProblem } from './load.js';
 export { parseOverride, type SettingsOverride } from './override.js';
