--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -23,6 +23,8 @@
   readonly needs: ModelNeeds;
   readonly hasTraffic: boolean;
   readonly nextNumber: number;
+  /** Fabric domains in which groups are being given up; their engines are kept together for the model that needs them. */
+  readonly reserved: ReadonlySet<string>;
 }
 
 /** A group that could be formed. */
@@ -61,19 +63,15 @@
 
 function listCandidates(input: FormingInput): readonly Candidate[] {
   const domains = new Set(input.free.map(({ reading }) => reading.fabricDomain));
-  const models = listModels(input);
+  const lacking = input.profile.models.filter((model) => !input.needs.isCovered(model));
   return [...domains].flatMap((domain) => {
     const engines = input.free.filter(({ reading }) => reading.fabricDomain === domain);
+    const isReserved = lacking.length > 0 && input.reserved.has(domain);
+    const models = isReserved ? lacking : input.profile.models;
     return models.flatMap((model) => createCandidate(input, engines, model) ?? []);
   });
 }
 
-/** While a model lacks groups, engines are not given to one that has enough: they would be missed a moment later. */
-function listModels({ profile, needs }: FormingInput): readonly EngineModel[] {
-  const lacking = profile.models.filter((model) => !needs.isCovered(model));
-  return lacking.length > 0 ? lacking : profile.models;
-}
-
 function createCandidate(
   input: FormingInput,
   engines: readonly FreeEngine[],
--- a/src/engines/give-away.ts
+++ b/src/engines/give-away.ts
@@ -1,4 +1,5 @@
 import type { EngineModel, EngineProfile } from '../routing/index.js';
+import { isWarm } from './form-groups.js';
 import type { ModelNeeds } from './model-need.js';
 import type { FreeEngine, GroupAdvance, GroupView } from './types.js';
 
@@ -8,7 +9,9 @@
 export interface GiveAwayInput {
   readonly profile: EngineProfile;
   readonly groups: readonly GroupView[];
-  /** Engines that are in no group after forming. */
+  /** All engines that answer. */
+  readonly engines: readonly FreeEngine[];
+  /** Those that are in no group after forming. */
   readonly free: readonly FreeEngine[];
   readonly needs: ModelNeeds;
   /** Fabric domain of each host that is heard of. */
@@ -38,21 +41,34 @@
   return (given ?? []).map(({ group }) => ({ name: group.name, phase: 'draining', reason }));
 }
 
-/** For each domain, the groups of a donor that would have to go there; none where that is not enough. */
+/**
+ * For each domain, the groups of a donor that would have to go there; none where that is not enough.
+ * Only engines that have the weights of the needy model at hand count: others would stand idle while they load them.
+ */
 function listOffers(
   input: GiveAwayInput,
   needy: EngineModel,
   donor: EngineModel,
 ): readonly (readonly GroupView[])[] {
   const spare = input.needs.countSpare(donor);
+  const warm = new Set(
+    input.engines.filter((engine) => isWarm(engine, needy)).map(({ member }) => member.host),
+  );
+  const countWarm = ({ group }: GroupView): number =>
+    group.members.filter(({ host }) => warm.has(host)).length;
   return [...new Set(input.domains.values())].flatMap((domain) => {
-    const free = input.free.filter(({ reading }) => reading.fabricDomain === domain).length;
-    const wanted = Math.ceil(Math.max(0, needy.groupSize - free) / donor.groupSize);
-    const there = input.groups.filter(
-      (view) => view.group.model === donor.name && findDomain(input, view) === domain,
-    );
-    const isEnough = wanted > 0 && wanted <= spare && wanted <= there.length;
-    return isEnough ? [there.slice(0, wanted)] : [];
+    const free = input.free.filter(
+      ({ reading, member }) => reading.fabricDomain === domain && warm.has(member.host),
+    ).length;
+    const there = input.groups
+      .filter((view) => view.group.model === donor.name && findDomain(input, view) === domain)
+      .sort((one, other) => countWarm(other) - countWarm(one))
+      .slice(0, spare);
+    const wanted = there.findIndex((_, index) => {
+      const given = there.slice(0, index + 1).reduce((sum, view) => sum + countWarm(view), 0);
+      return free + given >= needy.groupSize;
+    });
+    return wanted === -1 ? [] : [there.slice(0, wanted + 1)];
   });
 }
 
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -11,6 +11,10 @@
 const spareMargin = 1.15;
 /** Worth of capacity beyond the demand, against capacity that is needed: it only decides between equals. */
 const comfortWeight = 0.05;
+/** Worth of the reserve, against capacity that is needed now. */
+const reserveWeight = 0.4;
+/** The reserve is one group, or this part of the demand where that is more: a fabric domain is lost as a whole. */
+const reserveShare = 0.25;
 /** Groups of a model that hardly anybody asks for: one can be lost. */
 const leastGroups = 2;
 
@@ -44,7 +48,7 @@
   gainOf(model: EngineModel): number {
     const count = this.#count(model.name);
     const demand = this.#demandOf(model);
-    const needed = this.#served(model, count + 1) - this.#served(model, count);
+    const needed = this.#worthOf(model, count + 1) - this.#worthOf(model, count);
     const comfort = (comfortWeight * demand) / (count + 1);
     return (needed + comfort) / model.groupSize;
   }
@@ -68,8 +72,12 @@
     }, undefined);
   }
 
-  #served(model: EngineModel, groups: number): number {
-    return Math.min(this.#demandOf(model), this.#capacity(groups));
+  #worthOf(model: EngineModel, groups: number): number {
+    const demand = this.#demandOf(model);
+    const capacity = this.#capacity(groups);
+    const reserve = Math.max(this.#capacity(1), demand * reserveShare);
+    const beyond = Math.min(Math.max(0, capacity - demand), reserve);
+    return Math.min(demand, capacity) + beyond * reserveWeight;
   }
 
   #capacity(groups: number): number {
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -67,7 +67,11 @@
   const needs = new ModelNeeds(profile, engines.length, working, input.demand);
   const free = engines.filter(({ member }) => !placed.has(member.host));
   const { hasTraffic, loadsAllowed } = input;
-  const place = formGroups({ service, profile, free, needs, hasTraffic, nextNumber });
+  const domains = new Map(
+    engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
+  );
+  const reserved = listReserved(groups, domains);
+  const place = formGroups({ service, profile, free, needs, hasTraffic, nextNumber, reserved });
   const groupModels = new Map(
     [...working, ...place].flatMap(({ members, model }) =>
       members.map(({ host }): [string, string] => [host, model]),
@@ -83,11 +87,9 @@
     pending: input.pendingStaging,
     neediest,
   };
-  const domains = new Map(
-    engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
-  );
   const left = free.filter(({ member }) => !groupModels.has(member.host));
-  const advance = place.length > 0 ? [] : giveAway({ profile, groups, free: left, needs, domains });
+  const advance =
+    place.length > 0 ? [] : giveAway({ profile, groups, engines, free: left, needs, domains });
   return { place, stage: chooseStaging(staging), advance };
 }
 
@@ -101,3 +103,14 @@
   const member = { host, instance: reading.instance, address };
   return { member, service, reading, lastModel };
 }
+
+/** Fabric domains in which a group is being given up. */
+function listReserved(
+  groups: readonly GroupView[],
+  domains: ReadonlyMap<string, string>,
+): ReadonlySet<string> {
+  const given = groups.filter(
+    ({ group }) => group.phase === 'draining' || group.phase === 'closing',
+  );
+  return new Set(given.flatMap(({ group }) => domains.get(group.members[0]?.host ?? '') ?? []));
+}
