--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -52,7 +52,8 @@
       case 'cut':
       case 'fail':
         return `${effect.type} ${effect.failure.code}`;
-      default:
+      case 'cancel':
+      case 'finish':
         return effect.type;
     }
   });
@@ -163,6 +164,17 @@
     ]);
   });
 
+  /**
+   * Symptom: callers wait until they give up, and never hear that they could come back. A request that was refused before has
+   * little time left, and the gateway holds it as long as any other.
+   */
+  it('does not wait for most of the time that a request has', () => {
+    const session = new Session({ deadline: 600 });
+    session.targets = [];
+    session.controller.handle({ type: 'started', now: 0 });
+    expect(session.controller.wakeAt).toBe(180);
+  });
+
   it('answers at the deadline whatever the upstream does', () => {
     const { controller } = new Session({ deadline: 1200 });
     controller.handle({ type: 'started', now: 0 });
--- /dev/null
+++ b/__tests__/direct/request-log.test.ts
@@ -0,0 +1,41 @@
+import { pino } from 'pino';
+import { describe, expect, it } from 'vitest';
+
+import { RequestLog } from '../../src/gateway/direct/request-log.js';
+
+interface Line {
+  readonly msg: string;
+  readonly requestId: string;
+  readonly leftOut?: number;
+}
+
+function createLog() {
+  const lines: Line[] = [];
+  const logger = pino({}, { write: (text: string) => lines.push(JSON.parse(text) as Line) });
+  const clock = { now: 0 };
+  const log = new RequestLog(logger, { monotonic: () => clock.now, wall: () => 0 });
+  return { lines, clock, log };
+}
+
+describe('lines about requests', () => {
+  it('are bounded, and say how many were left out', () => {
+    const { lines, clock, log } = createLog();
+    for (let index = 0; index < 1000; index += 1) {
+      log.note({ requestId: `r-${index}` }, 'request ended');
+    }
+    expect(lines).toHaveLength(200);
+    clock.now = 1000;
+    log.note({ requestId: 'later' }, 'request ended');
+    expect(lines.at(-1)).toMatchObject({ requestId: 'later', leftOut: 800 });
+  });
+
+  it('are all written while there are few', () => {
+    const { lines, clock, log } = createLog();
+    for (let index = 0; index < 400; index += 1) {
+      clock.now += 20;
+      log.note({ requestId: `r-${index}` }, 'request ended');
+    }
+    expect(lines).toHaveLength(400);
+    expect(lines.every(({ leftOut }) => leftOut === undefined)).toBe(true);
+  });
+});
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -83,7 +83,8 @@
     for await (const chunk of request) {
       body += String(chunk);
     }
-    switch (request.url) {
+    const { url = '' } = request;
+    switch (url) {
       case '/report':
         response.end(JSON.stringify(this.#describe()));
         return;
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -30,3 +30,4 @@
 export { pause } from './pause.js';
 export { closeServer, openServer } from './http-server.js';
 export { createMetricsPage } from './metrics-page.js';
+export { LineBudget, type LineBudgetLimits } from './line-budget.js';
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -14,6 +14,8 @@
  * second, so most that wait this long are served; the others are told to come back while they still have time for that.
  */
 const longestWait: Milliseconds = 1200;
+/** No request waits for more of its time than this: refused sooner, its caller can still come back, or ask somewhere else. */
+const longestWaitShare = 0.3;
 /** A caller that was refused comes back after this time: about as long as it takes to mend a group. */
 const retryAfter: Milliseconds = 800;
 /** With less time than this left nothing useful can run. */
@@ -106,7 +108,7 @@
   get wakeAt(): Milliseconds | undefined {
     switch (this.#phase.type) {
       case 'waiting':
-        return Math.min(this.#facts.deadline, this.#phase.since + longestWait);
+        return Math.min(this.#facts.deadline, this.#phase.since + this.#waitLimit);
       case 'running':
         return this.#facts.deadline;
       case 'over':
@@ -114,6 +116,11 @@
     }
   }
 
+  get #waitLimit(): Milliseconds {
+    const { deadline, startedAt } = this.#facts;
+    return Math.min(longestWait, (deadline - startedAt) * longestWaitShare);
+  }
+
   handle(event: DeliveryEvent): readonly DeliveryEffect[] {
     if (this.#phase.type === 'over') {
       return [];
@@ -178,7 +185,7 @@
       const isSent = phase.type === 'running' || this.#mayHaveRun;
       return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded')];
     }
-    if (phase.type === 'waiting' && now - phase.since >= longestWait) {
+    if (phase.type === 'waiting' && now - phase.since >= this.#waitLimit) {
       return [this.#giveUp(phase.code)];
     }
     return [];
--- /dev/null
+++ b/src/gateway/direct/delivery-types.ts
@@ -0,0 +1,51 @@
+import type { Clock, Milliseconds } from '../../common/index.js';
+import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
+import type { Dialect, RawHeaders } from './dialect.js';
+import type { RequestLog } from './request-log.js';
+import type { TargetChooser, TargetLoads } from './target.js';
+import type { UpstreamConnections } from './upstream-connections.js';
+
+/** What a delivery is made from, and how it ended. */
+
+/** What a caller sent, read whole. */
+export interface ReceivedRequest {
+  readonly requestId: string | undefined;
+  readonly method: string;
+  /** With the query. */
+  readonly path: string;
+  readonly rawHeaders: RawHeaders;
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly account: RoutedAccount | undefined;
+  readonly model: string | undefined;
+  /** Identifier of the last event that the caller has already. */
+  readonly resumeAfter: string | undefined;
+  readonly startedAt: Milliseconds;
+  readonly deadline: Milliseconds;
+}
+
+/** What a delivery shares with all others of a gateway. */
+export interface DeliverySurroundingParts {
+  readonly dialect: Dialect;
+  readonly chooser: TargetChooser;
+  readonly loads: TargetLoads;
+  readonly connections: UpstreamConnections;
+  /** Connections that this gateway may open to one instance of a service. */
+  readonly connectionLimit: (service: RoutedService) => number;
+  readonly spendRepeat: (service: string) => boolean;
+  readonly clock: Clock;
+  readonly log: RequestLog;
+}
+
+/** How a delivery ended, for logs and metrics. */
+export interface DeliveryOutcome {
+  /** `whole`, `left` or the name of a result code. */
+  readonly result: string;
+  readonly attempts: number;
+  readonly duration: Milliseconds;
+  /** Time to the first byte for the caller; undefined where there was none. */
+  readonly firstByte: Milliseconds | undefined;
+  /** Time since the last attempt was sent; undefined where none was. */
+  readonly upstreamDuration: Milliseconds | undefined;
+}
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,65 +1,22 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import type { Logger } from 'pino';
-
-import { assertNever, type Clock, type Milliseconds } from '../../common/index.js';
-import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
+import { assertNever, type Milliseconds } from '../../common/index.js';
 import {
   DeliveryController,
   type DeliveryEffect,
   type DeliveryEvent,
 } from './delivery-controller.js';
-import type { Dialect, RawHeaders } from './dialect.js';
 import type { DirectAnswer } from './direct-answer.js';
-import type { Target, TargetChooser, TargetLoads } from './target.js';
+import type {
+  DeliveryOutcome,
+  DeliverySurroundingParts,
+  ReceivedRequest,
+} from './delivery-types.js';
+import type { Target } from './target.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
-import type { UpstreamConnections } from './upstream-connections.js';
 
 /** Carries one request from its caller to upstreams and the answer back, as the controller decides. */
 
-/** What a caller sent, read whole. */
-export interface ReceivedRequest {
-  readonly requestId: string | undefined;
-  readonly method: string;
-  /** With the query. */
-  readonly path: string;
-  readonly rawHeaders: RawHeaders;
-  readonly body: Buffer;
-  readonly route: Route;
-  readonly service: RoutedService;
-  readonly account: RoutedAccount | undefined;
-  readonly model: string | undefined;
-  /** Identifier of the last event that the caller has already. */
-  readonly resumeAfter: string | undefined;
-  readonly startedAt: Milliseconds;
-  readonly deadline: Milliseconds;
-}
-
-/** What a delivery shares with all others of a gateway. */
-export interface DeliverySurroundingParts {
-  readonly dialect: Dialect;
-  readonly chooser: TargetChooser;
-  readonly loads: TargetLoads;
-  readonly connections: UpstreamConnections;
-  /** Connections that this gateway may open to one instance of a service. */
-  readonly connectionLimit: (service: RoutedService) => number;
-  readonly spendRepeat: (service: string) => boolean;
-  readonly clock: Clock;
-  readonly logger: Logger;
-}
-
-/** How a delivery ended, for logs and metrics. */
-export interface DeliveryOutcome {
-  /** `whole`, `left` or the name of a result code. */
-  readonly result: string;
-  readonly attempts: number;
-  readonly duration: Milliseconds;
-  /** Time to the first byte for the caller; undefined where there was none. */
-  readonly firstByte: Milliseconds | undefined;
-  /** Time since the last attempt was sent; undefined where none was. */
-  readonly upstreamDuration: Milliseconds | undefined;
-}
-
 export class Delivery {
   readonly #request: ReceivedRequest;
   readonly #parts: DeliverySurroundingParts;
@@ -291,8 +248,9 @@
     const { requestId, route } = this.#request;
     const target = this.#target?.key;
     const attempt = this.#controller.attemptCount;
-    const fields = { requestId, route: route.name, target, attempt, ...details };
-    this.#parts.logger.info(fields, message);
+    const after = Math.round(this.#now() - this.#request.startedAt);
+    const fields = { requestId, route: route.name, target, attempt, after, ...details };
+    this.#parts.log.note(fields, message);
   }
 
   #conclude(result: string): void {
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -4,7 +4,6 @@
 
 import {
   closeServer,
-  createFailure,
   openServer,
   pause,
   type Clock,
@@ -13,22 +12,19 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
-import {
-  chooseService,
-  type RoutedAccount,
-  type RoutedService,
-  type Route,
-  type RouteTable,
-} from '../../routing/index.js';
+import type { RouteTable } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { RetryBudget } from '../retry-budget.js';
 import { readBody } from '../shell/body.js';
+import { admitRequest, type Admitted } from './admission.js';
 import { DemandMeter } from './demand-meter.js';
-import { Delivery, type DeliveryOutcome, type DeliverySurroundingParts } from './delivery.js';
+import { Delivery } from './delivery.js';
+import type { DeliveryOutcome, DeliverySurroundingParts } from './delivery-types.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
+import { RequestLog } from './request-log.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
@@ -39,8 +35,6 @@
 /** What is still under way this long before the end of the grace period is cut off. */
 const graceMargin: Milliseconds = 400;
 const drainPollInterval: Milliseconds = 50;
-/** A caller that is refused for want of a document may come back about as soon as a watch is opened anew. */
-const unconfirmedRetryAfter: Milliseconds = 500;
 
 /** Options of the gateway. */
 export interface DirectGatewayOptions {
@@ -54,17 +48,6 @@
   readonly logger: Logger;
 }
 
-/** What a request may do, by the document in force. */
-type Admission =
-  | { readonly type: 'refused'; readonly failure: Failure }
-  | {
-      readonly type: 'admitted';
-      readonly route: Route;
-      readonly service: RoutedService;
-      readonly account: RoutedAccount | undefined;
-      readonly table: RouteTable;
-    };
-
 export class DirectGateway implements ManagedPart {
   readonly name = 'direct gateway';
   readonly #options: DirectGatewayOptions;
@@ -75,19 +58,21 @@
   readonly #parts: DeliverySurroundingParts;
   readonly #deliveries = new Set<Delivery>();
   readonly #demand: DemandMeter;
+  readonly #log: RequestLog;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
 
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
     const { settings, dialect, readView, clock, random, logger } = options;
+    this.#log = new RequestLog(logger, clock);
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
     this.#demand = new DemandMeter(clock.monotonic());
     this.#budget = new RetryBudget({ share: repeatShare, burst: repeatBurst / gateways });
     this.#parts = {
       dialect,
       clock,
-      logger,
+      log: this.#log,
       loads: this.#loads,
       connections: this.#connections,
       chooser: new TargetChooser({ readView, loads: this.#loads, random }),
@@ -187,7 +172,14 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAt = this.#options.clock.monotonic();
     const answer = new DirectAnswer(response, () => this.#isStopping);
-    const admission = this.#admit(request);
+    const admission = admitRequest({
+      table: this.#readTable(),
+      isVouched: this.#isVouched(),
+      host: request.headers.host ?? '',
+      path: request.url ?? '/',
+      authorization: request.headers.authorization ?? '',
+      fraction: this.#options.random.fraction(),
+    });
     if (admission.type === 'refused') {
       this.#refuse(request, answer, admission.failure);
       return;
@@ -205,34 +197,21 @@
     this.#deliver(request, response, answer, admission, body.val, startedAt);
   }
 
-  #admit(request: IncomingMessage): Admission {
-    const table = this.#readTable();
-    const isVouched = this.#isVouched();
-    if (table === undefined) {
-      return refuse('routingUnconfirmed', unconfirmedRetryAfter);
-    }
-    const route = table.findRoute(readHost(request), request.url ?? '/');
-    const isKeyless = route?.isPublic === true || !table.needsKeys;
-    if (!isVouched && !(isKeyless && route !== undefined)) {
-      return refuse('routingUnconfirmed', unconfirmedRetryAfter);
-    }
-    if (route === undefined) {
-      return refuse('unknownRoute');
-    }
-    const account = table.findAccount(readKey(request));
-    if (!isKeyless && account === undefined) {
-      return refuse('unknownAccount');
-    }
-    const service = table.findService(chooseService(route, this.#options.random.fraction()));
-    return service === undefined
-      ? refuse('unknownService')
-      : { type: 'admitted', route, service, account, table };
+  /** What the decision was made from: the document in force, and how old control's word on it is. */
+  #describeView(): object {
+    const { table, vouchedAt } = this.#options.readView();
+    const age = vouchedAt === undefined ? null : this.#options.clock.monotonic() - vouchedAt;
+    return {
+      version: table?.document.version ?? null,
+      vouchedAgo: age === null ? null : Math.round(age),
+    };
   }
 
   #refuse(request: IncomingMessage, answer: DirectAnswer, failure: Failure): void {
-    const { dialect, logger, metrics } = this.#options;
+    const { dialect, metrics } = this.#options;
     const { requestId } = dialect.readCaller(request.headers);
-    logger.info({ requestId, code: failure.code, path: request.url }, 'request refused');
+    const fields = { requestId, code: failure.code, path: request.url, ...this.#describeView() };
+    this.#log.note(fields, 'request refused');
     metrics.noteRefusal(failure.code);
     answer.fail(failure);
     request.resume();
@@ -242,7 +221,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     answer: DirectAnswer,
-    admission: Extract<Admission, { readonly type: 'admitted' }>,
+    admission: Admitted,
     body: Buffer,
     startedAt: Milliseconds,
   ): void {
@@ -294,16 +273,22 @@
   #conclude(
     delivery: Delivery,
     requestId: string | undefined,
-    { route, service }: Extract<Admission, { readonly type: 'admitted' }>,
+    { route, service }: Admitted,
     outcome: DeliveryOutcome,
   ): void {
     this.#deliveries.delete(delivery);
-    const { logger, metrics } = this.#options;
-    metrics.noteOutcome(route.name, outcome);
+    this.#options.metrics.noteOutcome(route.name, outcome);
     if (outcome.result !== 'whole' || outcome.attempts > 1) {
-      const duration = Math.round(outcome.duration);
-      const fields = { requestId, route: route.name, service: service.name, ...outcome, duration };
-      logger.info(fields, 'request ended');
+      const names = { requestId, route: route.name, service: service.name };
+      const times = {
+        duration: Math.round(outcome.duration),
+        firstByte: outcome.firstByte === undefined ? null : Math.round(outcome.firstByte),
+      };
+      const { result, attempts } = outcome;
+      this.#log.note(
+        { ...names, result, attempts, ...times, ...this.#describeView() },
+        'request ended',
+      );
     }
     // A place is free: one that waits for it is sent at once.
     this.#wakeWaiting();
@@ -318,28 +303,11 @@
   }
 }
 
-function refuse(
-  code: 'routingUnconfirmed' | 'unknownRoute' | 'unknownAccount' | 'unknownService',
-  retryAfter?: Milliseconds,
-): Admission {
-  return { type: 'refused', failure: createFailure(code, '', retryAfter) };
-}
-
 function listAddresses({ engineGroups, instances }: RoutingView): ReadonlySet<string> {
   const heads = [...engineGroups.values()].map(({ members }) => members[0]?.address ?? '');
   return new Set([...heads, ...[...instances.values()].map(({ address }) => address)]);
 }
 
-/** The Host field without a port. */
-function readHost(request: IncomingMessage): string {
-  return (request.headers.host ?? '').toLowerCase().replace(/:\d+$/, '');
-}
-
-/** The bearer key; empty for none. */
-function readKey(request: IncomingMessage): string {
-  return /^Bearer +(\S+) *$/i.exec(request.headers.authorization ?? '')?.[1] ?? '';
-}
-
 function readLastEventId(request: IncomingMessage): string | undefined {
   const value = request.headers['last-event-id'];
   return typeof value === 'string' && value !== '' ? value : undefined;
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 
-import type { DeliveryOutcome } from './delivery.js';
+import type { DeliveryOutcome } from './delivery-types.js';
 
 /** What a direct gateway counts; docs/METRICS.md lists the names. */
 
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -1,4 +1,11 @@
-export { Delivery, type DeliveryOutcome, type ReceivedRequest } from './delivery.js';
+export {
+  admitRequest,
+  type Admission,
+  type AdmissionQuestion,
+  type Admitted,
+} from './admission.js';
+export { Delivery } from './delivery.js';
+export type { DeliveryOutcome, ReceivedRequest } from './delivery-types.js';
 export {
   DeliveryController,
   type DeliveryEffect,
