--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -127,6 +127,11 @@
     });
   }
 
+  /** Settings of a control host. */
+  settingsFile(index: number): string {
+    return this.#settings.get(controlHosts[index] ?? '') ?? '';
+  }
+
   killControl(index: number): void {
     this.#control.get(controlHosts[index] ?? '')?.signal('SIGKILL');
   }
--- a/__tests__/processes/platform-path.test.ts
+++ b/__tests__/processes/platform-path.test.ts
@@ -1,3 +1,5 @@
+import { readFile, writeFile } from 'node:fs/promises';
+
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
@@ -74,6 +76,32 @@
     expect(deployment.engines.flatMap(({ splits }) => splits)).toEqual([]);
   });
 
+  /**
+   * Symptom: many requests are cut at once and processes start again. Their settings file changed, which SIGHUP says; a process
+   * that does not handle that signal ends.
+   */
+  it('read their settings again on SIGHUP, and serve on', async () => {
+    for (const program of deployment.group.programs) {
+      program.signal('SIGHUP');
+    }
+    for (const program of deployment.group.programs) {
+      await program.waitForOutput(/"msg":"settings read again"/);
+    }
+    expect(deployment.group.programs.every(({ isRunning }) => isRunning)).toBe(true);
+    expect((await deployment.stream('r-hup')).status).toBe(200);
+  });
+
+  it('keep the settings they have when the file is damaged', async () => {
+    const [program] = deployment.group.programs;
+    const file = deployment.settingsFile(0);
+    const text = await readFile(file, 'utf8');
+    await writeFile(file, text.slice(0, text.length / 2));
+    program?.signal('SIGHUP');
+    await program?.waitForOutput(/"msg":"changed settings are wrong, the earlier ones stay"/);
+    await writeFile(file, text);
+    expect(program?.isRunning).toBe(true);
+  });
+
   it('go on serving and keep what was accepted when the leader of control is killed', async () => {
     const leader = deployment.findLeader();
     expect(leader).toBeGreaterThanOrEqual(0);
--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -33,6 +33,12 @@
       });
     });
   }
+  if (process.listenerCount('SIGHUP') === 0) {
+    // Unhandled, the signal would end the process with everything that it has under way.
+    process.on('SIGHUP', () => {
+      logger.info('SIGHUP: changed settings take effect at the next start');
+    });
+  }
   try {
     await lifecycle.open();
     logger.info('started');
--- a/src/gateway/direct/direct-gateway-parts.ts
+++ b/src/gateway/direct/direct-gateway-parts.ts
@@ -30,10 +30,15 @@
   readonly logger: Logger;
 }
 
-/** Parts in the order in which they open. */
-export function createDirectGatewayParts(
+/** A gateway: its parts in the order in which they open, and what to do with changed settings. */
+export interface DirectGatewayProcess {
+  readonly parts: readonly ManagedPart[];
+  readonly takeSettings: (settings: RoutingGatewaySettings) => void;
+}
+
+export function createDirectGatewayProcess(
   options: DirectGatewayPartsOptions,
-): readonly ManagedPart[] {
+): DirectGatewayProcess {
   const { settings, clock, random, logger } = options;
   const { name, control } = settings;
   const clients = new RpcClientPool();
@@ -59,7 +64,7 @@
       clients.close();
     },
   };
-  return [
+  const parts = [
     connections,
     createMetricsPage(settings.metricsPage, registry),
     createReadinessServer(settings.readiness, () => gateway.isReady),
@@ -67,6 +72,12 @@
     demand,
     gateway,
   ];
+  return {
+    parts,
+    takeSettings: (changed) => {
+      watcher.setControl(changed.control);
+    },
+  };
 }
 
 /** Tells a load balancer whether callers should be sent here; the path does not matter. */
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -24,8 +24,9 @@
 export { DirectAnswer, dropConnectionFields } from './direct-answer.js';
 export { DirectGateway, type DirectGatewayOptions } from './direct-gateway.js';
 export {
-  createDirectGatewayParts,
+  createDirectGatewayProcess,
   type DirectGatewayPartsOptions,
+  type DirectGatewayProcess,
 } from './direct-gateway-parts.js';
 export { DirectMetrics } from './direct-metrics.js';
 export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -22,11 +22,12 @@
 export { createGatewayParts, type GatewayProcessOptions } from './shell/gateway-process.js';
 export type { CallerLimits, RequestOutcome } from './shell/request-runner.js';
 export {
-  createDirectGatewayParts,
+  createDirectGatewayProcess,
   type AnswerFacts,
   type CallerFacts,
   type Dialect,
   type DirectGatewayPartsOptions,
+  type DirectGatewayProcess,
   type RawHeaders,
   type UpstreamInstructions,
   type UpstreamLoad,
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -11,7 +11,12 @@
 export { formatPath, formatProblem, type DocumentProblem, type ProblemPlace } from './problem.js';
 export { sidecarSettingsSchema, type SidecarSettings } from './sidecar-settings.js';
 export { TextDocument } from './text-document.js';
-export { readProcessSettings } from './process-settings.js';
+export {
+  readProcessSettings,
+  readSettingsOfFile,
+  type SettingsOfFile,
+} from './process-settings.js';
+export { SettingsWatch, type SettingsWatchOptions } from './settings-watch.js';
 export {
   engineSidecarSettingsSchema,
   type EngineSidecarSettings,
--- a/src/sidecar/engine/engine-sidecar.ts
+++ b/src/sidecar/engine/engine-sidecar.ts
@@ -25,8 +25,13 @@
   readonly logger: Logger;
 }
 
-/** Parts in the order in which they open. */
-export function createEngineSidecarParts(options: EngineSidecarOptions): readonly ManagedPart[] {
+/** A sidecar: its parts in the order in which they open, and what to do with changed settings. */
+export interface EngineSidecar {
+  readonly parts: readonly ManagedPart[];
+  readonly takeSettings: (settings: EngineSidecarSettings) => void;
+}
+
+export function createEngineSidecar(options: EngineSidecarOptions): EngineSidecar {
   const { settings, port, clock, random, logger } = options;
   const { host } = settings;
   const clients = new RpcClientPool();
@@ -69,7 +74,12 @@
       clients.close();
     },
   };
-  return [connections, driver, watcher, reporter];
+  return {
+    parts: [connections, driver, watcher, reporter],
+    takeSettings: (changed) => {
+      watcher.setControl(changed.control);
+    },
+  };
 }
 
 function findGroup(
--- a/src/sidecar/engine/index.ts
+++ b/src/sidecar/engine/index.ts
@@ -2,4 +2,8 @@
 export { EngineDriver, type EngineDriverOptions } from './engine-driver.js';
 export type { EngineOrder, EnginePort, EngineStatus, OrderOutcome } from './engine-port.js';
 export { EngineReporter, type EngineReporterOptions } from './engine-reporter.js';
-export { createEngineSidecarParts, type EngineSidecarOptions } from './engine-sidecar.js';
+export {
+  createEngineSidecar,
+  type EngineSidecar,
+  type EngineSidecarOptions,
+} from './engine-sidecar.js';
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -1,10 +1,11 @@
 export { SidecarProcess, type SidecarProcessOptions } from './shell/sidecar-process.js';
 export {
-  createEngineSidecarParts,
+  createEngineSidecar,
   EngineController,
   type EngineEvent,
   type EngineOrder,
   type EnginePort,
+  type EngineSidecar,
   type EngineSidecarOptions,
   type EngineStatus,
   type OrderOutcome,
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -45,6 +45,7 @@
   readonly #listeners = new Set<(view: RoutingView) => void>();
   readonly #pacing: ReconnectPacing;
   readonly #closing = new AbortController();
+  #control: readonly string[];
   #turn: number;
   #stream: AbortController | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -52,6 +53,7 @@
 
   constructor(options: RoutingWatcherOptions) {
     this.#options = options;
+    this.#control = options.control;
     this.#turn = options.random.integerBelow(options.control.length);
     this.#pacing = new ReconnectPacing(options.random, longestReconnectDelay);
   }
@@ -65,6 +67,11 @@
     return () => this.#listeners.delete(listener);
   };
 
+  /** Takes other addresses of control hosts from now on; a watch that works is kept. */
+  setControl(control: readonly string[]): void {
+    this.#control = control;
+  }
+
   open(): void {
     this.#running = this.#run();
   }
@@ -102,7 +109,7 @@
 
   /** Those of the settings and those that control named, by turns. */
   #nextAddress(): string {
-    const known = [...new Set([...this.#options.control, ...this.#keeper.read().voters])];
+    const known = [...new Set([...this.#control, ...this.#keeper.read().voters])];
     const address = known[this.#turn % known.length];
     this.#turn += 1;
     if (address === undefined) {
