Refused callers come back later, the newest waiting request goes first, engines get no more than they have slots

Callers were all told 0.8 s, and come back once. Under overload every request waited behind others in the queue of an engine and was late.

--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -16,8 +16,14 @@
 const longestWait: Milliseconds = 1200;
 /** No request waits for more of its time than this: refused sooner, its caller can still come back, or ask somewhere else. */
 const longestWaitShare = 0.3;
-/** A caller that was refused comes back after this time: about as long as it takes to mend a group. */
-const retryAfter: Milliseconds = 800;
+/**
+ * A caller that was refused is told to come back after this part of the time it has left, and within these bounds. It comes
+ * back once; the later, the more likely is it that groups are mended or that the burst is over, and late it is anyway. Callers
+ * do not wait for more than a third of their time.
+ */
+const retryShare = 0.31;
+const shortestRetryAfter: Milliseconds = 200;
+const longestRetryAfter: Milliseconds = 2000;
 /** With less time than this left nothing useful can run. */
 const shortestRun: Milliseconds = 30;
 
@@ -183,10 +189,10 @@
       const cancel: readonly DeliveryEffect[] =
         phase.type === 'running' ? [{ type: 'cancel' }] : [];
       const isSent = phase.type === 'running' || this.#mayHaveRun;
-      return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded')];
+      return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded', now)];
     }
     if (phase.type === 'waiting' && now - phase.since >= this.#waitLimit) {
-      return [this.#giveUp(phase.code)];
+      return [this.#giveUp(phase.code, now)];
     }
     return [];
   }
@@ -194,7 +200,7 @@
   /** The present attempt certainly did not run. */
   #sendElsewhere(now: Milliseconds): readonly DeliveryEffect[] {
     if (!this.#mayTryAgain(now)) {
-      return [this.#giveUp('overloaded')];
+      return [this.#giveUp('overloaded', now)];
     }
     this.#phase = { type: 'waiting', since: now, code: 'overloaded' };
     return this.#tryToSend(now);
@@ -203,7 +209,7 @@
   /** The present attempt may have run. */
   #repeat(now: Milliseconds, code: ResultCodeName): readonly DeliveryEffect[] {
     if (!this.#facts.isRepeatable || !this.#mayTryAgain(now)) {
-      return [this.#giveUp(code)];
+      return [this.#giveUp(code, now)];
     }
     this.#phase = { type: 'waiting', since: now, code };
     return this.#tryToSend(now);
@@ -231,22 +237,27 @@
 
   #send(target: Target, now: Milliseconds): DeliveryEffect {
     if (this.#tried.size > 0 && !this.#surroundings.spendRepeat()) {
-      return this.#giveUp('retryBudgetSpent');
+      return this.#giveUp('retryBudgetSpent', now);
     }
     this.#tried.add(target.key);
     this.#phase = { type: 'running', target };
     return { type: 'send', target, remaining: this.#facts.deadline - now };
   }
 
+  #chooseRetryAfter(now: Milliseconds): Milliseconds {
+    const share = Math.round((this.#facts.deadline - now) * retryShare);
+    return Math.min(longestRetryAfter, Math.max(shortestRetryAfter, share));
+  }
+
   /** The final answer; it says "not run" only where nothing can have run. */
-  #giveUp(code: ResultCodeName): DeliveryEffect {
+  #giveUp(code: ResultCodeName, now: Milliseconds): DeliveryEffect {
     this.#phase = { type: 'over' };
     if (this.#isPassedOn) {
       return { type: 'cut', failure: createFailure(code, '') };
     }
     const isKnownNotRun = !this.#mayHaveRun && isNotRun(code);
     const failure = isKnownNotRun
-      ? createFailure(code, '', retryAfter)
+      ? createFailure(code, '', this.#chooseRetryAfter(now))
       : createFailure(code === 'deadlineAfterStart' ? code : 'answerLost', '');
     return { type: 'fail', failure };
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -311,11 +311,11 @@
     this.#wakeWaiting();
   }
 
+  /** The newest first: it can still be on time, and those that waited long are late in any case. */
   #wakeWaiting(): void {
-    for (const delivery of this.#deliveries) {
-      if (delivery.isWaiting) {
-        delivery.noteTargets();
-      }
+    const waiting = [...this.#deliveries].filter((delivery) => delivery.isWaiting);
+    for (const delivery of waiting.reverse()) {
+      delivery.noteTargets();
     }
   }
 }
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -32,10 +32,12 @@
   | { readonly type: 'none' };
 
 /**
- * Requests that are sent to a target for each of its slots. What is beyond the slots waits at the upstream, where it can
- * be admitted in the moment a slot is free; much more than this would wait longer than its objective.
+ * Requests that are sent to a group of engines for each of its slots. What is beyond waits in the gateway, where the newest goes
+ * first: in the queue of an engine it would wait a few tenths of a second, and every request would be late instead of some.
  */
-const fillFactor = 1.3;
+const engineFill = 1;
+/** Instances of plain services are done with a request in a few hundredths of a second, so one may wait behind each. */
+const instanceFill = 2;
 /** Slots of an upstream that has not said how many it has. */
 const assumedSlots = 8;
 /** What an upstream said of its load is of use for this long: a request takes about as long. */
@@ -141,7 +143,8 @@
     if (best === undefined) {
       return { type: 'none' };
     }
-    return best.use < fillFactor ? { type: 'target', target: best.target } : { type: 'full' };
+    const limit = service.engine === undefined ? instanceFill : engineFill;
+    return best.use < limit ? { type: 'target', target: best.target } : { type: 'full' };
   }
 
   /** Whether the target still serves what it was chosen for; one that drains goes on with what it has. */
