--- a/__tests__/engines/give-away.test.ts
+++ b/__tests__/engines/give-away.test.ts
@@ -54,6 +54,7 @@
     engines: new Map(engines),
     draining: new Set(),
     hasTraffic: true,
+    isSettling: false,
     loadsAllowed: 0,
     pendingStaging: new Map(),
     demand,
--- /dev/null
+++ b/__tests__/engines/settling.test.ts
@@ -0,0 +1,50 @@
+import { describe, expect, it } from 'vitest';
+
+import { Settling, type EngineView } from '../../src/engines/index.js';
+
+function createViews(answering: number, missing: number): ReadonlyMap<string, EngineView> {
+  const reading = {
+    instance: 'i',
+    fabricDomain: 'd',
+    staged: [],
+    isBusy: false,
+    running: 0,
+    waiting: 0,
+    slowdown: 1,
+  };
+  const facts = { failureDomain: 'a', address: '10.0.0.1:1', service: 'engines' };
+  return new Map(
+    Array.from({ length: answering + missing }, (_, index): [string, EngineView] => {
+      const isAnswering = index < answering;
+      const host = `h${index}`;
+      return [host, { host, silence: 0, facts: isAnswering ? { ...facts, reading } : facts }];
+    }),
+  );
+}
+
+describe('the first placement', () => {
+  /**
+   * Symptom: the groups of four open in the very moment of the first request. Engines came up one after the other, the first two
+   * formed a group of two, and so on; then two groups of two were given up for each group of four.
+   */
+  it('waits until all engines that have a sidecar answer', () => {
+    const settling = new Settling();
+    expect(settling.isSettling(createViews(0, 0), 0)).toBe(true);
+    expect(settling.isSettling(createViews(2, 28), 100)).toBe(true);
+    expect(settling.isSettling(createViews(29, 1), 2500)).toBe(true);
+    expect(settling.isSettling(createViews(30, 0), 2600)).toBe(false);
+    expect(settling.isSettling(createViews(29, 1), 2700)).toBe(false);
+  });
+
+  it('does not wait for ever for an engine that does not come', () => {
+    const settling = new Settling();
+    expect(settling.isSettling(createViews(29, 1), 0)).toBe(true);
+    expect(settling.isSettling(createViews(29, 1), 4500)).toBe(false);
+  });
+
+  it('waits for nothing where groups were placed before', () => {
+    const settling = new Settling();
+    settling.end();
+    expect(settling.isSettling(createViews(1, 29), 0)).toBe(false);
+  });
+});
--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -355,6 +355,7 @@
       engines: this.#directory.describe(this.now),
       draining: this.#draining,
       hasTraffic: false,
+      isSettling: false,
       loadsAllowed: 5,
       pendingStaging: new Map(),
       demand: new Map(),
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -4,6 +4,7 @@
 import type { ReplicatedLog } from '../../consensus/index.js';
 import {
   planEngineGroups,
+  Settling,
   type EngineDecision,
   type EngineView,
   type GroupView,
@@ -44,6 +45,7 @@
   readonly #phases = new Map<string, KnownPhase>();
   readonly #loads = new LoadBudget();
   #staging = new Map<string, string>();
+  readonly #settling = new Settling();
   #hasTraffic = false;
   #isDue = false;
   #isCommitting = false;
@@ -64,10 +66,11 @@
     this.#timer = undefined;
   }
 
-  /** Forgets what it knew as leader. */
+  /** Another host leads: forgets what it knew as leader. A host that finds groups placed takes it that there is traffic. */
   restart(): void {
     this.#phases.clear();
     this.#staging = new Map();
+    this.#hasTraffic ||= this.#options.readState().routing.engineGroups.size > 0;
   }
 
   /** Something may have changed; several calls in one turn of the event loop make one step. */
@@ -124,6 +127,9 @@
     const demand = this.#options.readDemand();
     // Not by what runs at engines: a liveness check takes a slot there, long before the first request.
     this.#hasTraffic ||= demand.size > 0;
+    if (this.#hasTraffic) {
+      this.#settling.end();
+    }
     const draining = [...instances.values()].filter(({ isDraining }) => isDraining);
     const profile = document.services.find(({ engine }) => engine !== undefined)?.engine;
     return {
@@ -132,6 +138,7 @@
       engines,
       draining: new Set([...draining.map(({ id }) => id), ...retired]),
       hasTraffic: this.#hasTraffic,
+      isSettling: this.#settling.isSettling(engines, now),
       loadsAllowed: this.#countLoads(profile, now),
       pendingStaging: this.#staging,
       demand,
--- a/src/engines/index.ts
+++ b/src/engines/index.ts
@@ -1,4 +1,5 @@
 export { planEngineGroups } from './plan.js';
+export { Settling } from './settling.js';
 export type {
   EngineDecision,
   EngineView,
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -71,7 +71,9 @@
     engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
   );
   const reserved = listReserved(groups, domains);
-  const place = formGroups({ service, profile, free, needs, hasTraffic, nextNumber, reserved });
+  const place = input.isSettling
+    ? []
+    : formGroups({ service, profile, free, needs, hasTraffic, nextNumber, reserved });
   const groupModels = new Map(
     [...working, ...place].flatMap(({ members, model }) =>
       members.map(({ host }): [string, string] => [host, model]),
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -33,6 +33,8 @@
   readonly draining: ReadonlySet<string>;
   /** Whether a group has served a request: from then on loads are slow, and limited. */
   readonly hasTraffic: boolean;
+  /** Whether engines are still coming up for the first time: what is placed now would be placed from a part of them. */
+  readonly isSettling: boolean;
   /** Loads from the weight store that may begin now. */
   readonly loadsAllowed: number;
   /** Models that hosts were ordered to stage and do not stage yet. */
