--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -31,3 +31,4 @@
 export { closeServer, openServer } from './http-server.js';
 export { createMetricsPage } from './metrics-page.js';
 export { LineBudget, type LineBudgetLimits } from './line-budget.js';
+export { parseJson } from './json.js';
--- /dev/null
+++ b/src/control/routing/leader-calls.ts
@@ -0,0 +1,81 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import {
+  createFailure,
+  findResultCodeName,
+  resultCodes,
+  type Failure,
+  type Milliseconds,
+} from '../../common/index.js';
+import { RoutingService } from '../../generated/pistachiospoke/v1/routing_pb.js';
+import type { Announcement } from '../../routing/index.js';
+import type { RpcClientPool } from '../../wire/index.js';
+
+/** Hands calls of operators and instances on to the leader. */
+
+const callTimeout: Milliseconds = 1500;
+
+/** Options of the calls. */
+export interface LeaderCallsOptions {
+  readonly clients: RpcClientPool;
+  readonly findAddress: (name: string) => string | undefined;
+}
+
+interface CallAnswer {
+  readonly resultCode: number;
+  readonly message: string;
+}
+
+export class LeaderCalls {
+  readonly #options: LeaderCallsOptions;
+
+  constructor(options: LeaderCallsOptions) {
+    this.#options = options;
+  }
+
+  /** The operator's text of the document in force, from the leader. */
+  async read(leader: string | undefined): Promise<Result<string, Failure>> {
+    const client = this.#findClient(leader);
+    if (client === undefined) {
+      return new Err(createFailure('notFresh', 'no leader'));
+    }
+    try {
+      const answer = await client.read({}, { timeoutMs: callTimeout });
+      return describeAnswer(answer).map(() => answer.source);
+    } catch (error) {
+      return new Err(createFailure('notFresh', String(error)));
+    }
+  }
+
+  /** An announcement of an instance, recorded by the leader. */
+  async announce(
+    leader: string | undefined,
+    announcement: Announcement,
+  ): Promise<Result<undefined, Failure>> {
+    const client = this.#findClient(leader);
+    if (client === undefined) {
+      return new Err(createFailure('noQuorum', 'no leader'));
+    }
+    try {
+      const text = JSON.stringify(announcement);
+      return describeAnswer(
+        await client.announce({ announcement: text }, { timeoutMs: callTimeout }),
+      );
+    } catch (error) {
+      // The leader may have recorded it before the connection broke.
+      return new Err(createFailure('changeUncertain', String(error)));
+    }
+  }
+
+  #findClient(leader: string | undefined) {
+    const { clients, findAddress } = this.#options;
+    const address = leader === undefined ? undefined : findAddress(leader);
+    return address === undefined ? undefined : clients.client(RoutingService, address);
+  }
+}
+
+function describeAnswer({ resultCode, message }: CallAnswer): Result<undefined, Failure> {
+  return resultCode === resultCodes.ok.number
+    ? new Ok(undefined)
+    : new Err(createFailure(findResultCodeName(resultCode), message));
+}
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -4,7 +4,7 @@
 
 import {
   createFailure,
-  findResultCodeName,
+  parseJson,
   resultCodes,
   type Clock,
   type Failure,
@@ -30,6 +30,7 @@
 import { EngineLoop } from './engine-loop.js';
 import { EngineReportService } from './engine-report-service.js';
 import { InstanceBook, type InstanceChanges } from './instance-book.js';
+import { LeaderCalls } from './leader-calls.js';
 import { RoutingHub, type ControlSign } from './routing-hub.js';
 
 /** Routing on a control host: documents of operators, announcements of instances, groups of engines, and their watches. */
@@ -38,7 +39,6 @@
 const freshnessLimit: Milliseconds = 1500;
 /** Between two signs of life to watchers; also how often the leader looks for silent instances. */
 const signInterval: Milliseconds = 500;
-const forwardTimeout: Milliseconds = 1500;
 
 /** Options of routing on a control host. */
 export interface RoutingControlOptions {
@@ -62,12 +62,14 @@
   readonly #book = new InstanceBook();
   readonly #demand = new DemandBook();
   readonly #reports: EngineReportService;
+  readonly #calls: LeaderCalls;
   readonly #engines: EngineLoop;
   #timer: NodeJS.Timeout | undefined;
   #leader = '';
 
   constructor(options: RoutingControlOptions) {
     this.#options = options;
+    this.#calls = new LeaderCalls(options);
     this.#engines = new EngineLoop({
       ...options,
       readEngines: () => this.#reports.describe(),
@@ -164,19 +166,7 @@
     if (leader === this.#options.name) {
       return this.#readHere();
     }
-    const address = leader === undefined ? undefined : this.#options.findAddress(leader);
-    if (address === undefined) {
-      return new Err(createFailure('notFresh', 'no leader'));
-    }
-    const client = this.#options.clients.client(RoutingService, address);
-    try {
-      const { resultCode, message, source } = await client.read({}, { timeoutMs: forwardTimeout });
-      return resultCode === 0
-        ? new Ok(source)
-        : new Err(createFailure(findResultCodeName(resultCode), message));
-    } catch (error) {
-      return new Err(createFailure('notFresh', String(error)));
-    }
+    return this.#calls.read(leader);
   }
 
   /** Takes what an instance says of itself; resolves once it is recorded, so that it may be told so. */
@@ -185,22 +175,7 @@
     if (leader === this.#options.name) {
       return this.#announceHere(announcement);
     }
-    const address = leader === undefined ? undefined : this.#options.findAddress(leader);
-    if (address === undefined) {
-      return new Err(createFailure('noQuorum', 'no leader'));
-    }
-    const client = this.#options.clients.client(RoutingService, address);
-    try {
-      const { resultCode, message } = await client.announce(
-        { announcement: JSON.stringify(announcement) },
-        { timeoutMs: forwardTimeout },
-      );
-      return resultCode === 0
-        ? new Ok(undefined)
-        : new Err(createFailure(findResultCodeName(resultCode), message));
-    } catch (error) {
-      return new Err(createFailure('changeUncertain', String(error)));
-    }
+    return this.#calls.announce(leader, announcement);
   }
 
   async *#watch(request: RoutingWatchRequest): AsyncIterable<RoutingWatchResponse> {
@@ -310,11 +285,3 @@
   const { code, detail } = result.val;
   return { resultCode: resultCodes[code].number, message: detail };
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -20,9 +20,10 @@
 import { describePublished } from '../describe-published.js';
 import { HostDirectory } from '../host-directory.js';
 import { RoutingControl } from '../routing/index.js';
-import { ControlStateMachine, type WatcherView } from '../state/index.js';
+import { ControlStateMachine } from '../state/index.js';
 import { WatchHub, type PublishedState } from '../watch-hub.js';
 import { WatcherDirectory } from '../watcher-directory.js';
+import { listWatcherViews } from '../watcher-views.js';
 import { CommandSubmitter } from './command-submitter.js';
 import { ControlMetrics } from './control-metrics.js';
 import { HostObserver } from './host-observer.js';
@@ -258,7 +259,7 @@
       name: settings.name,
       state: this.#machine.read(),
       directory: this.#directory,
-      watchers: this.#listWatchers(),
+      watchers: listWatcherViews(this.#watchers, this.#directory, clock.monotonic()),
       leadership: this.#log.view(),
       staleness: this.#log.staleness(),
       voters: this.#listVoters(),
@@ -267,28 +268,6 @@
     };
   }
 
-  /** Gateways by what they acknowledged, sidecars by their reports. */
-  #listWatchers(): readonly WatcherView[] {
-    const now = this.#options.clock.monotonic();
-    const gateways = this.#watchers.list().map(({ state, heardAt }) => ({
-      watcher: state.name,
-      kind: state.kind,
-      revision: state.revision,
-      control: state.control,
-      lastSeenMilliseconds: Math.round(now - heardAt),
-      address: state.address,
-    }));
-    const sidecars = [...this.#directory.read().values()].map((host) => ({
-      watcher: host.facts.host,
-      kind: 'sidecar',
-      revision: host.configurationRevision,
-      control: null,
-      lastSeenMilliseconds: Math.round(now - host.lastHeard),
-      address: null,
-    }));
-    return [...gateways, ...sidecars];
-  }
-
   /** A gateway that watches here is there now; one whose watch ended grows old in the list. */
   #refreshWatchers(): void {
     const { settings, clock } = this.#options;
--- a/src/control/state/snapshot.ts
+++ b/src/control/state/snapshot.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import { createFailure, FailureError, resultCodeNames } from '../../common/index.js';
+import { createFailure, FailureError, parseJson, resultCodeNames } from '../../common/index.js';
 import { configurationSchema } from '../../configuration/index.js';
 import { ClaimRegister } from './claim-register.js';
 import { groupPlacement } from './commands.js';
@@ -127,14 +127,6 @@
   };
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function nullToUndefined<Value>(value: Value | null): Value | undefined {
   return value ?? undefined;
 }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -12,7 +12,6 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
-import type { RouteTable } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { RetryBudget } from '../retry-budget.js';
@@ -24,6 +23,7 @@
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
+import { DocumentGuard } from './document-guard.js';
 import { RequestLog } from './request-log.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
@@ -34,9 +34,6 @@
 const unreadyPeriod: Milliseconds = 2500;
 /** What is still under way this long before the end of the grace period is cut off. */
 const graceMargin: Milliseconds = 400;
-/** A gateway that has just started has its first document within a few tenths of a second; callers wait that long for it. */
-const longestStart: Milliseconds = 700;
-const startPollInterval: Milliseconds = 20;
 const drainPollInterval: Milliseconds = 50;
 
 /** Options of the gateway. */
@@ -62,16 +59,16 @@
   readonly #deliveries = new Set<Delivery>();
   readonly #demand: DemandMeter;
   readonly #log: RequestLog;
+  readonly #guard: DocumentGuard;
   #isStopping = false;
-  /** Whether there was ever a document that control vouched for. */
-  #hasStarted = false;
-  #startsBy: Milliseconds = 0;
   #unsubscribe: (() => void) | undefined;
 
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
     const { settings, dialect, readView, clock, random, logger } = options;
     this.#log = new RequestLog(logger, clock);
+    const { vouchMilliseconds } = settings.bounds;
+    this.#guard = new DocumentGuard({ readView, clock, longestSilence: vouchMilliseconds });
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
     this.#demand = new DemandMeter(clock.monotonic());
     this.#budget = new RetryBudget({ share: repeatShare, burst: repeatBurst / gateways });
@@ -92,7 +89,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.#isStopping && this.#isVouched() && this.#readTable() !== undefined;
+    return !this.#isStopping && this.#guard.isUsable;
   }
 
   /** Requests that want to run at one moment, by model; ends the interval that it measures. */
@@ -107,7 +104,7 @@
   }
 
   async open(): Promise<void> {
-    this.#startsBy = this.#options.clock.monotonic() + longestStart;
+    this.#guard.start();
     await openServer(this.#server, this.#options.settings.listen);
     this.#unsubscribe = this.#options.subscribe((view) => {
       this.#follow(view);
@@ -140,33 +137,6 @@
     this.#connections.close();
   }
 
-  /** Callers come as soon as a restarted gateway listens; refused for want of a document, they would have used up a retry. */
-  async #waitForStart(): Promise<void> {
-    const { clock } = this.#options;
-    while (!this.#hasStarted && clock.monotonic() < this.#startsBy) {
-      await pause(startPollInterval, new AbortController().signal);
-      this.#hasStarted = this.isReady;
-    }
-  }
-
-  #readTable(): RouteTable | undefined {
-    return this.#options.readView().table;
-  }
-
-  /**
-   * Whether control vouched lately for what this gateway has in force. A gateway that was cut off would go on serving keys
-   * that were taken away since; it refuses until it hears from control again.
-   */
-  #isVouched(): boolean {
-    const { vouchedAt, isSynchronized } = this.#options.readView();
-    const { settings, clock } = this.#options;
-    return (
-      isSynchronized &&
-      vouchedAt !== undefined &&
-      clock.monotonic() - vouchedAt < settings.bounds.vouchMilliseconds
-    );
-  }
-
   #follow(view: RoutingView): void {
     const keys = new Set([...view.engineGroups.keys(), ...view.instances.keys()]);
     this.#loads.retain(keys);
@@ -188,10 +158,10 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAt = this.#options.clock.monotonic();
     const answer = new DirectAnswer(response, () => this.#isStopping);
-    await this.#waitForStart();
+    await this.#guard.waitForStart();
     const admission = admitRequest({
-      table: this.#readTable(),
-      isVouched: this.#isVouched(),
+      table: this.#guard.table,
+      isVouched: this.#guard.isVouched,
       host: request.headers.host ?? '',
       path: request.url ?? '/',
       authorization: request.headers.authorization ?? '',
@@ -214,20 +184,10 @@
     this.#deliver(request, response, answer, admission, body.val, startedAt);
   }
 
-  /** What the decision was made from: the document in force, and how old control's word on it is. */
-  #describeView(): object {
-    const { table, vouchedAt } = this.#options.readView();
-    const age = vouchedAt === undefined ? null : this.#options.clock.monotonic() - vouchedAt;
-    return {
-      version: table?.document.version ?? null,
-      vouchedAgo: age === null ? null : Math.round(age),
-    };
-  }
-
   #refuse(request: IncomingMessage, answer: DirectAnswer, failure: Failure): void {
     const { dialect, metrics } = this.#options;
     const { requestId } = dialect.readCaller(request.headers);
-    const fields = { requestId, code: failure.code, path: request.url, ...this.#describeView() };
+    const fields = { requestId, code: failure.code, path: request.url, ...this.#guard.describe() };
     this.#log.note(fields, 'request refused');
     metrics.noteRefusal(failure.code);
     answer.fail(failure);
@@ -303,7 +263,7 @@
       };
       const { result, attempts } = outcome;
       this.#log.note(
-        { ...names, result, attempts, ...times, ...this.#describeView() },
+        { ...names, result, attempts, ...times, ...this.#guard.describe() },
         'request ended',
       );
     }
