--- /dev/null
+++ b/__tests__/direct/target.test.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from 'vitest';
+
+import { createRandomSource } from '../../src/common/index.js';
+import { TargetChooser, TargetLoads, type Target } from '../../src/gateway/direct/index.js';
+import type { EngineGroup, EnginePhase } from '../../src/routing/index.js';
+import { emptyRoutingView } from '../../src/watch/index.js';
+import { createDocument } from '../routing/documents.js';
+
+const [engines, desk] = createDocument().services;
+
+function createGroup(name: string, phase: EnginePhase = 'open'): [string, EngineGroup] {
+  const members = [{ host: name, instance: `i-${name}`, address: '10.0.0.1:1' }];
+  const group = { name, service: 'engines', model: 'small', members, fencingNumber: 1 };
+  return [name, { ...group, phase }];
+}
+
+function createInstance(id: string, isDraining = false) {
+  const instance = { id, service: 'desk', address: `10.0.0.2:${id.length}`, failureDomain: 'a' };
+  return [id, { ...instance, isDraining }] as const;
+}
+
+function createChooser() {
+  const loads = new TargetLoads();
+  const view = {
+    ...emptyRoutingView,
+    engineGroups: new Map([
+      createGroup('small/1'),
+      createGroup('small/2'),
+      createGroup('small/3', 'draining'),
+      createGroup('small/4', 'closing'),
+    ]),
+    instances: new Map([createInstance('a'), createInstance('bb'), createInstance('ccc', true)]),
+  };
+  const chooser = new TargetChooser({ readView: () => view, loads, random: createRandomSource(1) });
+  const choose = (tried: readonly string[] = [], now = 0): string => {
+    if (engines === undefined) {
+      throw new Error('the document has no service');
+    }
+    const question = { service: engines, model: 'small', tried: new Set(tried) };
+    const choice = chooser.choose(question, now);
+    return choice.type === 'target' ? choice.target.key : choice.type;
+  };
+  return { loads, chooser, choose };
+}
+
+function findTarget(chooser: TargetChooser, key: string): Target {
+  const target = engines && chooser.listTargets(engines, 'small').find((each) => each.key === key);
+  if (target === undefined) {
+    throw new Error(`no target ${key}`);
+  }
+  return target;
+}
+
+describe('the choice of an upstream', () => {
+  it('is among open groups of the model only', () => {
+    const { choose } = createChooser();
+    expect(choose(['small/1'])).toBe('small/2');
+    expect(choose(['small/1', 'small/2'])).toBe('none');
+  });
+
+  it('is the least used, by what this gateway sent and what the upstream says', () => {
+    const { loads, chooser, choose } = createChooser();
+    loads.noteSent(findTarget(chooser, 'small/1'));
+    expect(choose()).toBe('small/2');
+    loads.noteLoad(findTarget(chooser, 'small/2'), { running: 9, waiting: 0, slots: 24 }, 0);
+    expect(choose()).toBe('small/1');
+    expect(choose([], 5000)).toBe('small/2');
+  });
+
+  it('is none of a group that has as much as it has slots', () => {
+    const { loads, chooser, choose } = createChooser();
+    for (const key of ['small/1', 'small/2']) {
+      for (let request = 0; request < 24; request += 1) {
+        loads.noteSent(findTarget(chooser, key));
+      }
+    }
+    expect(choose()).toBe('full');
+    loads.noteDone(findTarget(chooser, 'small/2'));
+    expect(choose()).toBe('small/2');
+  });
+
+  it('passes over an upstream that just failed while there is another', () => {
+    const { loads, chooser, choose } = createChooser();
+    loads.suspect(findTarget(chooser, 'small/1'), 0);
+    expect(choose()).toBe('small/2');
+    expect(choose(['small/2'])).toBe('small/1');
+  });
+
+  it('is none of an instance that drains', () => {
+    const { chooser } = createChooser();
+    const names = desk && chooser.listTargets(desk, undefined).map(({ key }) => key);
+    expect(names).toEqual(['a', 'bb']);
+  });
+
+  it('knows which targets go on with what they have', () => {
+    const { chooser } = createChooser();
+    const target = findTarget(chooser, 'small/1');
+    expect(chooser.isThere({ ...target, key: 'small/3' })).toBe(true);
+    expect(chooser.isThere({ ...target, key: 'small/4' })).toBe(false);
+    expect(chooser.isThere({ ...target, key: 'small/9' })).toBe(false);
+  });
+});
