--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -32,6 +32,8 @@
   readonly model: EngineModel;
   readonly engines: readonly FreeEngine[];
   readonly value: number;
+  /** Whether the model has fewer groups than it needs now; such a group goes before any that is only a reserve. */
+  readonly isNeeded: boolean;
 }
 
 export function formGroups(input: FormingInput): readonly NewEngineGroup[] {
@@ -39,7 +41,7 @@
   let { free } = input;
   for (;;) {
     const best = listCandidates({ ...input, free }).reduce<Candidate | undefined>(
-      (winner, each) => (winner === undefined || each.value > winner.value ? each : winner),
+      (winner, each) => (winner === undefined || isBetter(each, winner) ? each : winner),
       undefined,
     );
     if (best === undefined) {
@@ -88,7 +90,12 @@
   }
   const duration = Math.max(...chosen.map(joinOf)) + input.profile.openDuration;
   const value = input.needs.gainOf(model) * (1 - duration / expectedLife);
-  return value <= 0 ? undefined : { model, engines: chosen, value };
+  const isNeeded = !input.needs.isCovered(model);
+  return value <= 0 ? undefined : { model, engines: chosen, value, isNeeded };
+}
+
+function isBetter(one: Candidate, other: Candidate): boolean {
+  return one.isNeeded === other.isNeeded ? one.value > other.value : one.isNeeded;
 }
 
 /** Time until an engine is ready in a group of the model; loads as before the first request. */
