--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -10,12 +10,14 @@
 /** Decides how one request comes to its one final answer; free of I/O. */
 
 /**
- * Longest time that a request waits for an upstream that can take it. A group that lost a member is whole again in under a
- * second, so most that wait this long are served; the others are told to come back while they still have time for that.
+ * Longest time that a request waits for an upstream that can take it: long enough for a place to come free, or a group to be
+ * mended that has its weights at hand. Refused sooner, its caller still has the time to come back.
  */
-const longestWait: Milliseconds = 1200;
-/** No request waits for more of its time than this: refused sooner, its caller can still come back, or ask somewhere else. */
-const longestWaitShare = 0.3;
+const longestWait: Milliseconds = 500;
+/** No request waits for more of its time than this. */
+const longestWaitShare = 0.15;
+/** A stream of which a part is with the caller waits longer: refused, it would be lost. Callers leave after two seconds' pause. */
+const longestResumeWait: Milliseconds = 1500;
 /**
  * A caller that was refused is told to come back after this part of the time it has left, and within these bounds. It comes
  * back once; the later, the more likely is it that groups are mended or that the burst is over, and late it is anyway. Callers
@@ -124,6 +126,9 @@
 
   get #waitLimit(): Milliseconds {
     const { deadline, startedAt } = this.#facts;
+    if (this.#isPassedOn) {
+      return longestResumeWait;
+    }
     return Math.min(longestWait, (deadline - startedAt) * longestWaitShare);
   }
 
