The test of a failing disk waits until the log is formed

Trace of each: the first leader's disk breaks while the two others have lastIndex 0 and no membership, so it has the only copy of a log that was never replicated; a second log must not be formed. The test now has a change accepted first, so that what it asks for (others go on) is owed; all its assertions stay.

--- a/__tests__/consensus/consensus-node.test.ts
+++ b/__tests__/consensus/consensus-node.test.ts
@@ -217,6 +217,8 @@
   it('ends when its disk fails', async () => {
     const disks = names.map(() => new MemoryFileSystem());
     const { members } = await openInMemory(disks);
+    // Until its first entries are elsewhere, the first leader has the only copy of the log; then nobody can go on without it.
+    await proposeSomewhere(members, 'before the disk breaks');
     const leader = await findLeader(members);
     const disk = disks[names.indexOf(leader.name)];
     if (disk !== undefined) {
