--- a/__tests__/direct/admission.test.ts
+++ b/__tests__/direct/admission.test.ts
@@ -21,6 +21,7 @@
     host: 'desk.example',
     path: '/lookup/7',
     authorization: 'Bearer key-1',
+    timeLimit: undefined,
     fraction: 0,
     ...changes,
   });
@@ -52,4 +53,19 @@
     expect(admit({ isVouched: false, path: '/other/' })).toBe('routingUnconfirmed');
     expect(admit({ isVouched: false, path: '/open/1', authorization: '' })).toBe('open');
   });
+
+  /**
+   * Symptom: while control has no quorum, callers come back only to be refused again. All were told half a second, and the outage
+   * lasts some seconds.
+   */
+  it.each([
+    [6000, 1860],
+    [30_000, 2000],
+    [100, 200],
+    [undefined, 775],
+  ])('tells a caller that waits for %s ms to come back after %i ms', (timeLimit, expected) => {
+    const question = { table: undefined, isVouched: false, host: '', path: '/', fraction: 0 };
+    const admission = admitRequest({ ...question, authorization: '', timeLimit });
+    expect(admission).toMatchObject({ failure: { retryAfterMilliseconds: expected } });
+  });
 });
--- a/src/gateway/direct/admission.ts
+++ b/src/gateway/direct/admission.ts
@@ -6,11 +6,12 @@
   type Route,
   type RouteTable,
 } from '../../routing/index.js';
+import { chooseRetryAfter } from './retry-after.js';
 
 /** Decides what a request may do, by the document in force; free of I/O. */
 
-/** A caller that is refused for want of a document may come back about as soon as a watch is opened anew. */
-const unconfirmedRetryAfter: Milliseconds = 500;
+/** Time that a caller is taken to have that does not say it: about the shortest of those who do. */
+const assumedTimeLimit: Milliseconds = 2500;
 
 /** What is known of a request from its head, and of the document in force. */
 export interface AdmissionQuestion {
@@ -23,6 +24,8 @@
   /** With the query. */
   readonly path: string;
   readonly authorization: string;
+  /** How long the caller waits; undefined where it does not say. */
+  readonly timeLimit: Milliseconds | undefined;
   /** Drawn evenly from 0 up to 1, for routes that are split over services. */
   readonly fraction: number;
 }
@@ -45,11 +48,11 @@
  * ends the caller's request for good. Only public routes are served on.
  */
 export function admitRequest(question: AdmissionQuestion): Admission {
-  const { table, isVouched, host, path, authorization, fraction } = question;
+  const { table, isVouched, host, path, authorization, timeLimit, fraction } = question;
   const route = table?.findRoute(readHostName(host), path);
   const isKeyless = route?.isPublic === true || table?.needsKeys === false;
   if (table === undefined || (!isVouched && (route === undefined || !isKeyless))) {
-    return refuse('routingUnconfirmed', unconfirmedRetryAfter);
+    return refuse('routingUnconfirmed', chooseRetryAfter(timeLimit ?? assumedTimeLimit));
   }
   if (route === undefined) {
     return refuse('unknownRoute');
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -5,6 +5,7 @@
   type Milliseconds,
   type ResultCodeName,
 } from '../../common/index.js';
+import { chooseRetryAfter } from './retry-after.js';
 import type { Target, TargetChoice } from './target.js';
 
 /** Decides how one request comes to its one final answer; free of I/O. */
@@ -18,14 +19,6 @@
 const longestWaitShare = 0.15;
 /** A stream of which a part is with the caller waits longer: refused, it would be lost. Callers leave after two seconds' pause. */
 const longestResumeWait: Milliseconds = 1500;
-/**
- * A caller that was refused is told to come back after this part of the time it has left, and within these bounds. It comes
- * back once; the later, the more likely is it that groups are mended or that the burst is over, and late it is anyway. Callers
- * do not wait for more than a third of their time.
- */
-const retryShare = 0.31;
-const shortestRetryAfter: Milliseconds = 200;
-const longestRetryAfter: Milliseconds = 2000;
 /** With less time than this left nothing useful can run. */
 const shortestRun: Milliseconds = 30;
 
@@ -249,11 +242,6 @@
     return { type: 'send', target, remaining: this.#facts.deadline - now };
   }
 
-  #chooseRetryAfter(now: Milliseconds): Milliseconds {
-    const share = Math.round((this.#facts.deadline - now) * retryShare);
-    return Math.min(longestRetryAfter, Math.max(shortestRetryAfter, share));
-  }
-
   /** The final answer; it says "not run" only where nothing can have run. */
   #giveUp(code: ResultCodeName, now: Milliseconds): DeliveryEffect {
     this.#phase = { type: 'over' };
@@ -262,7 +250,7 @@
     }
     const isKnownNotRun = !this.#mayHaveRun && isNotRun(code);
     const failure = isKnownNotRun
-      ? createFailure(code, '', this.#chooseRetryAfter(now))
+      ? createFailure(code, '', chooseRetryAfter(this.#facts.deadline - now))
       : createFailure(code === 'deadlineAfterStart' ? code : 'answerLost', '');
     return { type: 'fail', failure };
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -165,6 +165,7 @@
       host: request.headers.host ?? '',
       path: request.url ?? '/',
       authorization: request.headers.authorization ?? '',
+      timeLimit: this.#options.dialect.readCaller(request.headers).timeLimit,
       fraction: this.#options.random.fraction(),
     });
     if (admission.type === 'refused') {
