--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -10,7 +10,7 @@
   type GroupView,
   type PlannerInput,
 } from '../../engines/index.js';
-import type { EngineProfile } from '../../routing/index.js';
+import type { EngineGroup, EngineProfile } from '../../routing/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState } from '../state/index.js';
 import { LoadBudget } from './load-budget.js';
@@ -42,7 +42,7 @@
 
 export class EngineLoop {
   readonly #options: EngineLoopOptions;
-  readonly #phases = new Map<string, KnownPhase>();
+  #phases = new Map<string, KnownPhase>();
   readonly #loads = new LoadBudget();
   #staging = new Map<string, string>();
   readonly #settling = new Settling();
@@ -68,7 +68,7 @@
 
   /** Another host leads: forgets what it knew as leader. A host that finds groups placed takes it that there is traffic. */
   restart(): void {
-    this.#phases.clear();
+    this.#phases = new Map();
     this.#staging = new Map();
     this.#hasTraffic ||= this.#options.readState().routing.engineGroups.size > 0;
   }
@@ -150,12 +150,17 @@
     return profile === undefined ? 0 : this.#loads.countAllowed(profile, now);
   }
 
-  #describeGroups(groups: readonly GroupView['group'][], now: Milliseconds): readonly GroupView[] {
+  /** Groups that are gone are forgotten with it. */
+  #describeGroups(groups: readonly EngineGroup[], now: Milliseconds): readonly GroupView[] {
+    const before = this.#phases;
+    this.#phases = new Map(
+      groups.map(({ name, phase }) => {
+        const known = before.get(name);
+        return [name, { phase, since: known?.phase === phase ? known.since : now }];
+      }),
+    );
     return groups.map((group) => {
-      const known = this.#phases.get(group.name);
-      const since = known?.phase === group.phase ? known.since : now;
-      this.#phases.set(group.name, { phase: group.phase, since });
-      return { group, phaseAge: now - since };
+      return { group, phaseAge: now - (this.#phases.get(group.name)?.since ?? now) };
     });
   }
 
--- a/src/control/routing/instance-book.ts
+++ b/src/control/routing/instance-book.ts
@@ -6,6 +6,9 @@
 
 /** Decides what the leader records of the announcements of instances; free of I/O. */
 
+/** Announcements are late by seconds; a minute is far beyond that. */
+const forgetAfter: Milliseconds = 60_000;
+
 /** What to record in the log. */
 export interface InstanceChanges {
   readonly present: readonly Instance[];
@@ -51,6 +54,7 @@
 
   /** Instances in the state that have not been heard of for longer than the limit. */
   findSilent(state: RoutingState, now: Milliseconds, limit: Milliseconds): readonly string[] {
+    this.#forget(state, now);
     return [...state.instances.keys()].filter((id) => {
       const heard = this.#heard.get(id) ?? this.#noteFirst(id, now);
       return now - heard.at > limit;
@@ -62,6 +66,15 @@
     this.#heard.clear();
   }
 
+  /** Of instances that are gone only their last word is kept, for as long as it may be overtaken by an older one. */
+  #forget(state: RoutingState, now: Milliseconds): void {
+    for (const [id, { at }] of this.#heard) {
+      if (!state.instances.has(id) && now - at > forgetAfter) {
+        this.#heard.delete(id);
+      }
+    }
+  }
+
   #noteFirst(id: string, now: Milliseconds): Heard {
     const heard = { sequence: Number.NEGATIVE_INFINITY, at: now };
     this.#heard.set(id, heard);
