One choice of the best use of engines: free ones, those coming free, and those of groups that can be spared

Engines were taken back only once the model lacked what was asked for at that moment, and only while no other group was on its way. Ruled out: too few engines in all (25 of 30 in groups, the small model at half its use). Change: candidates may wait for engines that come free and may drain groups that can be spared; slow engines join nothing, and slow groups give their engines away.

--- /dev/null
+++ b/__tests__/engines/survivors.test.ts
@@ -0,0 +1,104 @@
+import { describe, expect, it } from 'vitest';
+
+import { createGroupView, createMembers, planGroups, type TestEngine } from './fixtures.js';
+
+/** Callers of both models; the large one needs two groups and a reserve, the small one four and a reserve. */
+const demand = new Map([
+  ['large', 25],
+  ['small', 52],
+]);
+
+function createSmallGroups(domain: string, count: number) {
+  return Array.from({ length: count }, (_, index) => {
+    const hosts = [`${domain}-s${index}a`, `${domain}-s${index}b`];
+    return createGroupView(`small/${index + (domain === 'd0' ? 10 : 20)}`, hosts);
+  });
+}
+
+const survivors: readonly TestEngine[] = ['x', 'y', 'z'].map((host) => {
+  return { host, domain: 'd0', lastModel: 'large', staged: 'small' };
+});
+
+describe('what is left of a lost group', () => {
+  const large = [
+    createGroupView('large/1', ['d1-a', 'd1-b', 'd1-c', 'd1-d']),
+    createGroupView('large/2', ['d2-a', 'd2-b', 'd2-c', 'd2-d']),
+  ];
+  const here = createSmallGroups('d0', 3);
+  const there = createSmallGroups('d1', 4);
+  const groups = [...large, ...here, ...there];
+  const engines = [
+    ...survivors,
+    ...large.flatMap((view, index) => createMembers(view, `d${index + 1}`)),
+    ...here.flatMap((view) => createMembers(view, 'd0')),
+    ...there.flatMap((view) => createMembers(view, 'd1')),
+  ];
+
+  /**
+   * Symptom: callers of the model with the large groups wait for seconds, while the small one has a third more groups than it
+   * needs. Each time that a large group loses a member, two of the three survivors form one more small group; the large model
+   * gets no group back until it lacks what is asked for at that moment, and then only while no other group is on its way.
+   */
+  it('gets a group of another model that has more than it needs', () => {
+    const { place, advance } = planGroups(groups, engines, demand);
+    expect(place).toEqual([]);
+    expect(advance).toMatchObject([
+      { phase: 'draining', reason: 'large needs their engines more' },
+    ]);
+    expect(here.map(({ group }) => group.name)).toContain(advance[0]?.name);
+  });
+
+  it('is kept for it while that group drains', () => {
+    const draining = createGroupView('small/10', ['d0-s0a', 'd0-s0b'], 'draining', 500);
+    const later = [...large, draining, ...here.slice(1), ...there];
+    const { place, advance } = planGroups(later, engines, demand);
+    expect({ place, advance }).toEqual({ place: [], advance: [] });
+  });
+
+  it('forms the group once the drained engines are free', () => {
+    const later = [...large, ...here.slice(1), ...there];
+    const { place } = planGroups(later, engines, demand);
+    expect(place).toMatchObject([{ model: 'large' }]);
+    expect(place[0]?.members.slice(0, 3).map(({ host }) => host)).toEqual(['x', 'y', 'z']);
+  });
+
+  it('stands by where no model needs more', () => {
+    const three = [...large, createGroupView('large/3', ['d3-a', 'd3-b', 'd3-c', 'd3-d'])];
+    const enough = [...three, ...here, ...there];
+    const { place, advance } = planGroups(enough, engines, demand);
+    expect({ place, advance }).toEqual({ place: [], advance: [] });
+  });
+});
+
+describe('slow engines', () => {
+  const slow = createGroupView('small/1', ['a', 'b']);
+  const others = [2, 3, 4].map((number) =>
+    createGroupView(`small/${number}`, [`c${number}`, `d${number}`]),
+  );
+  const groups = [slow, ...others];
+  const members = groups.flatMap((view) => createMembers(view, 'd0'));
+  const engines = members.map((engine) =>
+    engine.host === 'a' ? { ...engine, slowdown: 5 } : engine,
+  );
+
+  /**
+   * Symptom: all answers of a group come five times as late for as long as one of its engines is slow. A group works at the pace
+   * of its slowest member, and nothing looked at the pace.
+   */
+  it('leave a group for one that stands by', () => {
+    const spare = { host: 'e', lastModel: 'small', staged: 'large' };
+    const { advance } = planGroups(groups, [...engines, spare], demand);
+    expect(advance).toMatchObject([{ name: 'small/1', phase: 'draining' }]);
+  });
+
+  it('stay where nothing could take their place', () => {
+    const { advance } = planGroups(groups, engines, demand);
+    expect(advance).toEqual([]);
+  });
+
+  it('are taken into no group', () => {
+    const free = { host: 'f', lastModel: 'small', staged: 'large' };
+    const { place } = planGroups([], [free, { ...free, host: 'g', slowdown: 5 }], demand);
+    expect(place).toEqual([]);
+  });
+});
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -1,108 +1,108 @@
-import type { Milliseconds } from '../common/index.js';
-import type { EngineModel, EngineProfile, RoutedService } from '../routing/index.js';
+import type { EngineProfile, RoutedService } from '../routing/index.js';
+import { findBestCandidate, type Candidate } from './candidates.js';
 import type { ModelNeeds } from './model-need.js';
-import type { FreeEngine, NewEngineGroup } from './types.js';
+import type { Recruit } from './recruits.js';
+import type { GroupAdvance, GroupView, NewEngineGroup } from './types.js';
 
-/** Chooses which free engines form which groups. */
-
-/** Time to join when the engine's last group had the same model, as measured at engines. */
-const rejoinDuration: Milliseconds = 220;
-/** Loads take this part of their time before the first request. */
-const earlyLoadShare = 0.1;
-/**
- * How long a group is expected to serve. A group that takes as long to form is worth nothing; one that is there at once is
- * worth its whole gain.
- */
-const expectedLife: Milliseconds = 20_000;
+/** Decides which groups to form now, and which open ones to drain for a better use of their engines. */
 
 /** What forming is decided from. */
 export interface FormingInput {
   readonly service: RoutedService;
   readonly profile: EngineProfile;
-  readonly free: readonly FreeEngine[];
+  readonly recruits: readonly Recruit[];
+  /** Groups that serve or are on their way. */
+  readonly working: readonly GroupView[];
+  readonly slowGroups: ReadonlySet<string>;
   readonly needs: ModelNeeds;
   readonly hasTraffic: boolean;
   readonly nextNumber: number;
-  /** Fabric domains in which groups are being given up; their engines are kept together for the model that needs them. */
-  readonly reserved: ReadonlySet<string>;
+  /** Fabric domain of each host that is heard of. */
+  readonly domains: ReadonlyMap<string, string>;
 }
 
-/** A group that could be formed. */
-interface Candidate {
-  readonly model: EngineModel;
-  readonly engines: readonly FreeEngine[];
-  readonly value: number;
-  /** Whether the model has fewer groups than it needs now; such a group goes before any that is only a reserve. */
-  readonly isNeeded: boolean;
+/** What to form, and what to drain for it. */
+export interface FormingDecision {
+  readonly place: readonly NewEngineGroup[];
+  readonly drain: readonly GroupAdvance[];
 }
 
-export function formGroups(input: FormingInput): readonly NewEngineGroup[] {
-  const formed: NewEngineGroup[] = [];
-  let { free } = input;
+/**
+ * Takes the best group that could be formed, then the best of what is left, and so on.
+ * A group that waits for engines which are still coming free is not placed yet, but what it needs is kept for it. Without that the
+ * survivors of a lost group would be used up by a model that has enough, and the one that lost a group would get no other: a
+ * model whose groups are large went down to one group of four while the other one had a third more than its callers needed.
+ */
+export function formGroups(input: FormingInput): FormingDecision {
+  const { profile, needs, hasTraffic, slowGroups, service } = input;
+  const place: NewEngineGroup[] = [];
+  const drain: GroupAdvance[] = [];
+  const counts = countByDomain(input);
+  const countInDomain = (domain: string, model: string): number =>
+    counts.get(describePlace(domain, model)) ?? 0;
+  let { recruits } = input;
   for (;;) {
-    const best = listCandidates({ ...input, free }).reduce<Candidate | undefined>(
-      (winner, each) => (winner === undefined || isBetter(each, winner) ? each : winner),
-      undefined,
-    );
+    const candidateInput = { profile, recruits, needs, hasTraffic, slowGroups, countInDomain };
+    const best = findBestCandidate(candidateInput);
     if (best === undefined) {
-      return formed;
+      return { place, drain };
     }
-    formed.push({
-      name: `${best.model.name}/${input.nextNumber + formed.length}`,
-      service: input.service.name,
-      model: best.model.name,
-      members: best.engines.map(({ member }) => member),
-    });
-    input.needs.add(best.model.name);
-    free = free.filter((engine) => !best.engines.includes(engine));
+    if (best.recruits.every(({ freeIn }) => freeIn === 0)) {
+      place.push(describeGroup(best, service, input.nextNumber + place.length));
+    }
+    drain.push(...best.donors.map((donor) => describeDrain(donor, best)));
+    needs.add(best.model.name);
+    best.donors
+      .filter(({ group }) => !slowGroups.has(group.name))
+      .forEach(({ group }) => {
+        needs.remove(group.model);
+      });
+    const key = describePlace(best.domain, best.model.name);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+    recruits = releaseDonors(recruits, best);
   }
 }
 
-/** Whether the engine can join a group of the model within a second or two. */
-export function isWarm({ lastModel, reading }: FreeEngine, model: EngineModel): boolean {
-  return lastModel === model.name || reading.staged.includes(model.name);
+function countByDomain({ working, domains }: FormingInput): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { group } of working) {
+    const key = describePlace(domains.get(group.members[0]?.host ?? '') ?? '', group.model);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
 }
 
-function listCandidates(input: FormingInput): readonly Candidate[] {
-  const domains = new Set(input.free.map(({ reading }) => reading.fabricDomain));
-  const lacking = input.profile.models.filter((model) => !input.needs.isCovered(model));
-  return [...domains].flatMap((domain) => {
-    const engines = input.free.filter(({ reading }) => reading.fabricDomain === domain);
-    const isReserved = lacking.length > 0 && input.reserved.has(domain);
-    const models = isReserved ? lacking : input.profile.models;
-    return models.flatMap((model) => createCandidate(input, engines, model) ?? []);
-  });
+function describePlace(domain: string, model: string): string {
+  return `${domain} ${model}`;
 }
 
-function createCandidate(
-  input: FormingInput,
-  engines: readonly FreeEngine[],
-  model: EngineModel,
-): Candidate | undefined {
-  const joinOf = (engine: FreeEngine): Milliseconds => estimateJoin(engine, model);
-  // Later, a load takes longer than most groups live; hosts that lack the weights stage them first.
-  const able = input.hasTraffic ? engines.filter((engine) => isWarm(engine, model)) : engines;
-  const chosen = [...able]
-    .sort((one, other) => joinOf(one) - joinOf(other))
-    .slice(0, model.groupSize);
-  if (chosen.length < model.groupSize) {
-    return undefined;
-  }
-  const duration = Math.max(...chosen.map(joinOf)) + input.profile.openDuration;
-  const value = input.needs.gainOf(model) * (1 - duration / expectedLife);
-  const isNeeded = !input.needs.isCovered(model);
-  return value <= 0 ? undefined : { model, engines: chosen, value, isNeeded };
+/** What is left: those that are not taken, and of drained groups those that are then free for others. */
+function releaseDonors(recruits: readonly Recruit[], best: Candidate): readonly Recruit[] {
+  return recruits
+    .filter((recruit) => !best.recruits.includes(recruit))
+    .map((recruit) => {
+      const isReleased = recruit.donor !== undefined && best.donors.includes(recruit.donor);
+      return isReleased ? { ...recruit, donor: undefined } : recruit;
+    });
 }
 
-function isBetter(one: Candidate, other: Candidate): boolean {
-  return one.isNeeded === other.isNeeded ? one.value > other.value : one.isNeeded;
+function describeGroup(
+  { model, recruits }: Candidate,
+  service: RoutedService,
+  number: number,
+): NewEngineGroup {
+  return {
+    name: `${model.name}/${number}`,
+    service: service.name,
+    model: model.name,
+    members: recruits.map(({ engine }) => engine.member),
+  };
 }
 
-/** Time until an engine is ready in a group of the model; loads as before the first request. */
-function estimateJoin(engine: FreeEngine, model: EngineModel): Milliseconds {
-  if (engine.lastModel === model.name) {
-    return rejoinDuration;
-  }
-  const load = engine.reading.staged.includes(model.name) ? 0 : model.loadDuration;
-  return model.stagedJoinDuration + load * earlyLoadShare;
+function describeDrain({ group }: GroupView, { model }: Candidate): GroupAdvance {
+  return {
+    name: group.name,
+    phase: 'draining',
+    reason: `${model.name} needs their engines more`,
+  };
 }
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -9,8 +9,11 @@
 const plannedUse = 0.7;
 /** A model gives a group away only when it keeps this much more than is asked for, so that it does not want it back at once. */
 const spareMargin = 1.15;
-/** Worth of capacity beyond the demand, against capacity that is needed: it only decides between equals. */
-const comfortWeight = 0.05;
+/**
+ * Worth of groups beyond demand and reserve, against those that are needed: a model with 50 requests at one moment gets a sixth
+ * group of 24 slots and no seventh.
+ */
+const comfortWeight = 0.2;
 /** Worth of the reserve, against capacity that is needed now. */
 const reserveWeight = 0.4;
 /** The reserve is one group, or this part of the demand where that is more: a fabric domain is lost as a whole. */
@@ -44,13 +47,24 @@
     this.#groups.set(model, this.#count(model) + 1);
   }
 
-  /** What one more group of the model brings, in requests at one moment and for each engine that it takes. */
+  /** Counts a group less. */
+  remove(model: string): void {
+    this.#groups.set(model, Math.max(0, this.#count(model) - 1));
+  }
+
+  /** What one more group of the model brings, in requests at one moment. */
   gainOf(model: EngineModel): number {
     const count = this.#count(model.name);
-    const demand = this.#demandOf(model);
-    const needed = this.#worthOf(model, count + 1) - this.#worthOf(model, count);
-    const comfort = (comfortWeight * demand) / (count + 1);
-    return (needed + comfort) / model.groupSize;
+    return this.#worthOf(model, count + 1) - this.#worthOf(model, count);
+  }
+
+  /** What is lost with one group of each of these models; a model may be named several times. */
+  lossOf(models: readonly string[]): number {
+    return this.#profile.models.reduce((sum, model) => {
+      const lost = models.filter((name) => name === model.name).length;
+      const count = this.#count(model.name);
+      return sum + this.#worthOf(model, count) - this.#worthOf(model, count - lost);
+    }, 0);
   }
 
   /** Whether the groups there are take all that is asked for. */
@@ -67,17 +81,23 @@
   /** The model that one more group of would help most. */
   findNeediest(): EngineModel | undefined {
     return this.#profile.models.reduce<EngineModel | undefined>((neediest, model) => {
-      const isNeedier = neediest === undefined || this.gainOf(model) > this.gainOf(neediest);
+      const isNeedier =
+        neediest === undefined || this.#urgencyOf(model) > this.#urgencyOf(neediest);
       return isNeedier ? model : neediest;
     }, undefined);
   }
 
+  #urgencyOf(model: EngineModel): number {
+    return this.gainOf(model) / model.groupSize;
+  }
+
   #worthOf(model: EngineModel, groups: number): number {
     const demand = this.#demandOf(model);
     const capacity = this.#capacity(groups);
     const reserve = Math.max(this.#capacity(1), demand * reserveShare);
     const beyond = Math.min(Math.max(0, capacity - demand), reserve);
-    return Math.min(demand, capacity) + beyond * reserveWeight;
+    const comfort = comfortWeight * demand * (1 - 1 / (1 + groups));
+    return Math.min(demand, capacity) + beyond * reserveWeight + comfort;
   }
 
   #capacity(groups: number): number {
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -1,8 +1,8 @@
-import type { RoutedService } from '../routing/index.js';
+import type { EnginePhase, RoutedService } from '../routing/index.js';
 import { formGroups } from './form-groups.js';
 import { ModelNeeds } from './model-need.js';
 import { longestSilence, reviewGroup } from './review-groups.js';
-import { giveAway } from './give-away.js';
+import { listRecruits, listSlowGroups } from './recruits.js';
 import { chooseStaging } from './staging.js';
 import type {
   EngineDecision,
@@ -29,7 +29,7 @@
         break;
       case 'advance':
         advance.push(verdict.advance);
-        kept.push({ ...view, group: { ...view.group, phase: verdict.advance.phase } });
+        kept.push({ group: { ...view.group, phase: verdict.advance.phase }, phaseAge: 0 });
         break;
       case 'remove':
         remove.push(verdict.removal);
@@ -60,39 +60,43 @@
   const engines = [...input.engines.values()].flatMap((view) => {
     return view.facts.service === service.name ? (describeEngine(view, input) ?? []) : [];
   });
-  const placed = new Set(groups.flatMap(({ group }) => group.members.map(({ host }) => host)));
-  const working = groups
-    .map(({ group }) => group)
-    .filter(({ phase }) => phase === 'joining' || phase === 'opening' || phase === 'open');
-  const needs = new ModelNeeds(profile, engines.length, working, input.demand);
-  const free = engines.filter(({ member }) => !placed.has(member.host));
+  const working = groups.filter(({ group }) => isWorking(group.phase));
+  const slowGroups = listSlowGroups(engines, working);
+  const counted = working.filter(({ group }) => !slowGroups.has(group.name));
+  const needs = new ModelNeeds(
+    profile,
+    engines.length,
+    counted.map(({ group }) => group),
+    input.demand,
+  );
   const { hasTraffic, loadsAllowed } = input;
   const domains = new Map(
     engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
   );
-  const reserved = listReserved(groups, domains);
-  const place = input.isSettling
-    ? []
-    : formGroups({ service, profile, free, needs, hasTraffic, nextNumber, reserved });
+  const recruits = listRecruits(engines, groups);
+  const forming = { service, profile, recruits, working, slowGroups, needs, hasTraffic, domains };
+  const { place, drain } = input.isSettling
+    ? { place: [], drain: [] }
+    : formGroups({ ...forming, nextNumber });
   const groupModels = new Map(
-    [...working, ...place].flatMap(({ members, model }) =>
+    [...working.map(({ group }) => group), ...place].flatMap(({ members, model }) =>
       members.map(({ host }): [string, string] => [host, model]),
     ),
   );
-  const neediest = needs.findNeediest();
-  const staging = {
+  const stage = chooseStaging({
     profile,
     engines,
     groupModels,
     hasTraffic,
     loadsAllowed,
     pending: input.pendingStaging,
-    neediest,
-  };
-  const left = free.filter(({ member }) => !groupModels.has(member.host));
-  const advance =
-    place.length > 0 ? [] : giveAway({ profile, groups, engines, free: left, needs, domains });
-  return { place, stage: chooseStaging(staging), advance };
+    neediest: needs.findNeediest(),
+  });
+  return { place, stage, advance: drain };
+}
+
+function isWorking(phase: EnginePhase): boolean {
+  return phase === 'joining' || phase === 'opening' || phase === 'open';
 }
 
 /** An engine that answers, was heard of lately and stays; undefined for any other. */
@@ -105,14 +109,3 @@
   const member = { host, instance: reading.instance, address };
   return { member, service, reading, lastModel };
 }
-
-/** Fabric domains in which a group is being given up. */
-function listReserved(
-  groups: readonly GroupView[],
-  domains: ReadonlyMap<string, string>,
-): ReadonlySet<string> {
-  const given = groups.filter(
-    ({ group }) => group.phase === 'draining' || group.phase === 'closing',
-  );
-  return new Set(given.flatMap(({ group }) => domains.get(group.members[0]?.host ?? '') ?? []));
-}
