An answer that names no length is passed on without one

Cause: an upstream that names no length ended in the middle of its body; its connection closes as after a whole one, and the gateway gave what it had a Content-Length. Ruled out: an early reset taken for an end (the connection ended in order). Change: such an answer ends with its connection for the caller too; a stream that began with framing does not go on with one.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -183,6 +183,24 @@
     expect(first.received.length + second.received.length).toBe(2);
   });
 
+  /**
+   * Symptom: a caller takes half an answer for a whole one. The upstream names no length, and ends in the middle of the body; its
+   * connection closes as it would after a whole one. The gateway sent what it had with a length, so that it looked whole.
+   */
+  it('that name no length are passed on without one', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { 'X-Response-Seal': 'seal', connection: 'close' });
+      response.end('perhaps a half');
+    };
+    const answer = await call('GET', '/lookup/7').answer;
+    expect(answer).toMatchObject({ status: 200, body: 'perhaps a half' });
+    expect(answer.headers).toMatchObject({ connection: 'close', 'x-response-seal': 'seal' });
+    expect(answer.headers['content-length']).toBeUndefined();
+    expect(answer.headers['transfer-encoding']).toBeUndefined();
+  });
+
   it('that break off are a failure where a repeat is not allowed', async () => {
     changeView({
       instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
--- a/src/gateway/direct/direct-answer.ts
+++ b/src/gateway/direct/direct-answer.ts
@@ -31,6 +31,8 @@
   readonly status: number;
   readonly rawHeaders: RawHeaders;
   readonly isStream: boolean;
+  /** False where only the end of the upstream's connection ends the body. */
+  readonly isFramed: boolean;
 }
 
 export class DirectAnswer {
@@ -71,10 +73,12 @@
     this.#framer = new EventFramer();
     this.#held = [];
     this.#heldBytes = 0;
+    const isFramed = hasFraming(status, rawHeaders);
     if (this.#isHeadWritten) {
-      return isStream && status === this.#head?.status;
+      // What began with framing would end as whole with an answer of which nobody knows whether it is.
+      return isStream && isFramed && status === this.#head?.status;
     }
-    this.#head = { status, rawHeaders, isStream };
+    this.#head = { status, rawHeaders, isStream, isFramed };
     return true;
   }
 
@@ -112,7 +116,7 @@
       return;
     }
     const body = Buffer.concat(this.#held);
-    this.#writeHead(body.length);
+    this.#writeHead(this.#head?.isFramed === true ? body.length : undefined);
     this.#response.end(body);
   }
 
@@ -159,7 +163,10 @@
     if (length !== undefined && head.status !== 204 && head.status !== 304) {
       fields.push('content-length', String(length));
     }
-    if (this.#mayCloseConnection()) {
+    if (!head.isFramed) {
+      this.#response.useChunkedEncodingByDefault = false;
+    }
+    if (this.#mayCloseConnection() || !head.isFramed) {
       fields.push('connection', 'close');
     }
     this.#response.writeHead(head.status, fields);
@@ -187,6 +194,17 @@
   return kept;
 }
 
+/**
+ * Whether the head says where the body ends. A body that ends with its connection may be a part only: the upstream may have
+ * ended in the middle of it. Given a length, or an end of chunks, such a part would look whole to the caller, who would not ask again;
+ * so it is passed on as it came, up to the end of the connection.
+ */
+function hasFraming(status: number, rawHeaders: RawHeaders): boolean {
+  const names = rawHeaders.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
+  const isBodiless = status === 204 || status === 304;
+  return isBodiless || names.includes('content-length') || names.includes('transfer-encoding');
+}
+
 /** The identifier of the last event that has one. */
 function findLastEventId(events: Uint8Array): string | undefined {
   const text = Buffer.from(events.buffer, events.byteOffset, events.byteLength).toString('utf8');
