Requests wait longer where no upstream is there at all, and for the first document of a gateway that has just started

Now 1.8 s, which is what callers of streams wait for an event, and never more than 0.3 of a request's time; where upstreams are full the wait stays 0.5 s.

--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -11,12 +11,19 @@
 /** Decides how one request comes to its one final answer; free of I/O. */
 
 /**
- * Longest time that a request waits for an upstream that can take it: long enough for a place to come free, or a group to be
- * mended that has its weights at hand. Refused sooner, its caller still has the time to come back.
+ * Longest time that a request waits while all upstreams are full: long enough for a place to come free. Refused sooner, its caller
+ * still has the time to come back.
  */
-const longestWait: Milliseconds = 500;
-/** No request waits for more of its time than this. */
-const longestWaitShare = 0.15;
+const longestWaitWhileFull: Milliseconds = 500;
+/** No request waits for more of its time than this while all upstreams are full. */
+const longestShareWhileFull = 0.15;
+/**
+ * Longest time that a request waits while there is no upstream at all: a group that has its weights at hand is mended within it.
+ * Callers of streams leave after two seconds without an event, so a longer wait would serve nobody.
+ */
+const longestWaitWithout: Milliseconds = 1800;
+/** No request waits for more of its time than this while there is no upstream; callers wait as long before they come back. */
+const longestShareWithout = 0.3;
 /** A stream of which a part is with the caller waits longer: refused, it would be lost. Callers leave after two seconds' pause. */
 const longestResumeWait: Milliseconds = 1500;
 /** With less time than this left nothing useful can run. */
@@ -72,10 +79,15 @@
   | { readonly type: 'cut'; readonly failure: Failure }
   | { readonly type: 'fail'; readonly failure: Failure };
 
+interface WaitingPhase {
+  readonly type: 'waiting';
+  readonly since: Milliseconds;
+  /** What it waits for, as the failure that it ends with. */
+  readonly code: ResultCodeName;
+}
+
 type Phase =
-  | { readonly type: 'waiting'; readonly since: Milliseconds; readonly code: ResultCodeName }
-  | { readonly type: 'running'; readonly target: Target }
-  | { readonly type: 'over' };
+  WaitingPhase | { readonly type: 'running'; readonly target: Target } | { readonly type: 'over' };
 
 export class DeliveryController {
   readonly #facts: DeliveryFacts;
@@ -109,7 +121,7 @@
   get wakeAt(): Milliseconds | undefined {
     switch (this.#phase.type) {
       case 'waiting':
-        return Math.min(this.#facts.deadline, this.#phase.since + this.#waitLimit);
+        return Math.min(this.#facts.deadline, this.#findWaitEnd(this.#phase));
       case 'running':
         return this.#facts.deadline;
       case 'over':
@@ -117,12 +129,19 @@
     }
   }
 
-  get #waitLimit(): Milliseconds {
+  /** When a waiting request is given up; one that found the upstreams full after there was none waits no longer in all. */
+  #findWaitEnd({ since, code }: WaitingPhase): Milliseconds {
     const { deadline, startedAt } = this.#facts;
+    const time = deadline - startedAt;
     if (this.#isPassedOn) {
-      return longestResumeWait;
+      return since + longestResumeWait;
+    }
+    const without = Math.min(longestWaitWithout, time * longestShareWithout);
+    if (code === 'noServingGroup') {
+      return since + without;
     }
-    return Math.min(longestWait, (deadline - startedAt) * longestWaitShare);
+    const whileFull = Math.min(longestWaitWhileFull, time * longestShareWhileFull);
+    return Math.min(since + whileFull, Math.max(startedAt + without, since + shortestRun));
   }
 
   handle(event: DeliveryEvent): readonly DeliveryEffect[] {
@@ -189,7 +208,7 @@
       const isSent = phase.type === 'running' || this.#mayHaveRun;
       return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded', now)];
     }
-    if (phase.type === 'waiting' && now - phase.since >= this.#waitLimit) {
+    if (phase.type === 'waiting' && now >= this.#findWaitEnd(phase)) {
       return [this.#giveUp(phase.code, now)];
     }
     return [];
@@ -225,9 +244,11 @@
       case 'none':
         this.#phase = { type: 'waiting', since, code: 'noServingGroup' };
         return [];
-      case 'full':
-        this.#phase = { type: 'waiting', since, code: 'overloaded' };
+      case 'full': {
+        const wasFull = phase.type === 'waiting' && phase.code !== 'noServingGroup';
+        this.#phase = { type: 'waiting', since: wasFull ? since : now, code: 'overloaded' };
         return [];
+      }
       case 'target':
         return [this.#send(choice.target, now)];
     }
--- a/src/gateway/direct/document-guard.ts
+++ b/src/gateway/direct/document-guard.ts
@@ -4,8 +4,11 @@
 
 /** Says whether the routing document of a gateway may be used. */
 
-/** A gateway that has just started has its first document within a few tenths of a second; callers wait that long for it. */
-const longestStart: Milliseconds = 700;
+/**
+ * A gateway that has just started has its first document within a few tenths of a second, and about a second later where control
+ * was started with it. Callers wait for that; those of streams leave after two seconds.
+ */
+const longestStart: Milliseconds = 1800;
 const startPollInterval: Milliseconds = 20;
 
 /** Options of the guard. */
