--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds, RandomSource } from '../../src/common/index.js';
-import { EngineDirectory } from '../../src/control/routing/index.js';
+import { EngineDirectory, LoadBudget } from '../../src/control/routing/index.js';
 import {
   applyCommand,
   initialControlState,
@@ -17,6 +17,8 @@
 
 const rejoinDuration: Milliseconds = 200;
 const stallDuration: Milliseconds = 6000;
+/** Loads take this part of their time before the first request. */
+const earlyLoadShare = 0.1;
 
 interface SimulatedGroup {
   readonly name: string;
@@ -70,6 +72,8 @@
   readonly domainSize: number;
   /** Part of the orders that get no answer and are carried out seconds later. */
   readonly lateOrders: number;
+  /** Requests that want to run at one moment, by model, once there is traffic. */
+  readonly demand?: ReadonlyMap<string, number>;
   /** A fault put into each decision, to show that the checks see it. */
   readonly mutate?: (decision: EngineDecision, groups: readonly EngineGroup[]) => EngineDecision;
 }
@@ -78,6 +82,8 @@
   readonly violations: string[] = [];
   readonly hosts: SimulatedHost[] = [];
   now: Milliseconds = 0;
+  /** From then on loads take their whole time, and are limited. */
+  hasTraffic = false;
   state: ControlState;
   readonly #options: WorldOptions;
   #scheduled: Scheduled[] = [];
@@ -86,6 +92,8 @@
   /** Members that were ready, by group and fencing number. */
   readonly #ready = new Map<string, Set<string>>();
   readonly #draining = new Set<string>();
+  readonly #loads = new LoadBudget();
+  #staging: ReadonlyMap<string, string> = new Map();
 
   constructor(options: WorldOptions) {
     this.#options = options;
@@ -115,6 +123,11 @@
     }
   }
 
+  /** A host with an engine that has no weights. */
+  addHost(domain: string): void {
+    this.hosts.push(new SimulatedHost(`h${this.hosts.length}`, domain));
+  }
+
   killEngine(host: SimulatedHost): void {
     host.engine.isAlive = false;
   }
@@ -254,7 +267,7 @@
         return;
       case 'stage':
         engine.stagingModel = order.model;
-        engine.stagedAt = this.now + 1600;
+        engine.stagedAt = this.now + this.#loadTime(order.model);
     }
   }
 
@@ -272,11 +285,18 @@
     engine.highestFence = fencingNumber;
     const isRejoin = engine.lastModel === model;
     const isStaged = engine.staged.includes(model);
-    const duration = isRejoin ? rejoinDuration : isStaged ? 1600 : 3200;
+    const known = engineProfile.models.find(({ name }) => name === model);
+    const joinTime = known?.stagedJoinDuration ?? 0;
+    const duration = isRejoin ? rejoinDuration : joinTime + (isStaged ? 0 : this.#loadTime(model));
     const changesAt = this.now + duration;
     engine.group = { name: group, fencingNumber, members, model, state: 'joining', changesAt };
   }
 
+  #loadTime(model: string): Milliseconds {
+    const known = engineProfile.models.find(({ name }) => name === model);
+    return (known?.loadDuration ?? 0) * (this.hasTraffic ? 1 : earlyLoadShare);
+  }
+
   /** No engine may go to another group while the head of its own is open, or stands still. */
   #checkNotSplit(engine: SimulatedEngine, order: { group: string; fencingNumber: number }): void {
     const own = engine.group;
@@ -341,6 +361,15 @@
     }
   }
 
+  #noteLoads(staging: ReadonlyMap<string, string>): void {
+    for (const [host, model] of staging) {
+      if (this.hasTraffic && this.#staging.get(host) !== model) {
+        this.#loads.note(this.now);
+      }
+    }
+    this.#staging = staging;
+  }
+
   #plan(): void {
     const { document, engineGroups, engineGroupsIndex } = this.state.routing;
     const groups = [...engineGroups.values()].map((group) => {
@@ -354,15 +383,16 @@
       groups,
       engines: this.#directory.describe(this.now),
       draining: this.#draining,
-      hasTraffic: false,
+      hasTraffic: this.hasTraffic,
       isSettling: false,
-      loadsAllowed: 5,
-      pendingStaging: new Map(),
-      demand: new Map(),
+      loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(engineProfile, this.now) : 5,
+      pendingStaging: this.#staging,
+      demand: this.hasTraffic ? (this.#options.demand ?? new Map()) : new Map(),
       nextNumber: this.state.fencingNumber + 1,
     });
     const decision = this.#options.mutate?.(planned, [...engineGroups.values()]) ?? planned;
     const staging = new Map(decision.stage.map(({ host, model }) => [host, model]));
+    this.#noteLoads(staging);
     for (const { name, controller } of this.hosts) {
       controller.handle({ type: 'stagingWanted', model: staging.get(name) });
     }
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -106,7 +106,7 @@
       return;
     }
     this.#isCommitting = true;
-    const isCommitted = await this.#commit(decision, state.routing.engineGroupsIndex);
+    const isCommitted = await this.#commit(decision, input, state.routing.engineGroupsIndex);
     this.#isCommitting = false;
     if (isCommitted) {
       this.notify();
@@ -178,7 +178,7 @@
     this.#staging = ordered;
   }
 
-  async #commit(decision: EngineDecision, basedOn: number): Promise<boolean> {
+  async #commit(decision: EngineDecision, input: PlannerInput, basedOn: number): Promise<boolean> {
     const { submitter, logger } = this.#options;
     const { place, advance, remove } = decision;
     const result = await submitter.proposeHere({
@@ -194,7 +194,25 @@
       hosts: members.map(({ host }) => host),
     }));
     const isCommitted = result.ok && result.val.type !== 'refused';
-    logger.info({ basedOn, placed, advance, remove, isCommitted }, 'engine groups planned');
+    const inputs = { demand: describeDemand(input), idle: listIdle(input) };
+    logger.info(
+      { basedOn, ...inputs, placed, advance, remove, isCommitted },
+      'engine groups planned',
+    );
     return isCommitted;
   }
 }
+
+/** Requests that want to run at one moment, by model, as a decision took them. */
+function describeDemand({ demand }: PlannerInput): Readonly<Record<string, number>> {
+  return Object.fromEntries([...demand].map(([model, count]) => [model, Math.round(count)]));
+}
+
+/** Engines that answer and stand in no group, with the models that they have at hand. */
+function listIdle({ engines, groups }: PlannerInput): readonly string[] {
+  const placed = new Set(groups.flatMap(({ group }) => group.members.map(({ host }) => host)));
+  return [...engines.values()].flatMap(({ host, facts: { reading, lastModel } }) => {
+    const models = [...new Set([lastModel ?? [], reading?.staged ?? []].flat())];
+    return reading === undefined || placed.has(host) ? [] : [`${host} (${models.join(', ')})`];
+  });
+}
