--- a/__tests__/control/instance-book.test.ts
+++ b/__tests__/control/instance-book.test.ts
@@ -69,6 +69,42 @@
     expect(evened).toBeLessThan(14);
   });
 
+  it('rises at once and falls slowly', () => {
+    const book = new DemandBook();
+    book.take('g1', new Map([['small', 4]]), 0);
+    book.take('g1', new Map([['small', 20]]), 500);
+    expect(book.estimate(500).get('small')).toBeGreaterThan(14);
+    book.take('g1', new Map([['small', 4]]), 1000);
+    expect(book.estimate(1000).get('small')).toBeGreaterThan(12);
+  });
+
+  /**
+   * Symptom: callers of one model wait for seconds after a cut heals. Three of seven gateways were cut off from control; without their
+   * reports the demand was half of what it is, and groups of that model were given to another one.
+   */
+  it('keeps the demand of gateways that are cut off for some seconds', () => {
+    const book = new DemandBook();
+    book.take('g1', new Map([['small', 10]]), 0);
+    book.take('g2', new Map([['small', 10]]), 0);
+    book.take('g2', new Map([['small', 10]]), 7000);
+    expect(book.estimate(7000).get('small')).toBe(20);
+  });
+
+  /**
+   * Symptom: a new leader drains groups of a model that needs them. Only one of the gateways had reported to it, so nobody seemed to
+   * ask for that model.
+   */
+  it('is settled once all gateways have had the time to report', () => {
+    const book = new DemandBook();
+    expect(book.isSettled(5000)).toBe(false);
+    book.take('g1', new Map([['small', 10]]), 5000);
+    expect(book.isSettled(5500)).toBe(false);
+    expect(book.isSettled(6500)).toBe(true);
+    book.clear();
+    expect(book.isSettled(7000)).toBe(false);
+    expect(book.estimate(7000).size).toBe(0);
+  });
+
   it('forgets gateways that are gone', () => {
     const book = new DemandBook();
     book.take('g1', new Map([['small', 10]]), 0);
--- a/__tests__/engines/survivors.test.ts
+++ b/__tests__/engines/survivors.test.ts
@@ -48,6 +48,11 @@
     expect(here.map(({ group }) => group.name)).toContain(advance[0]?.name);
   });
 
+  it('gets none while nothing is known of the demand', () => {
+    const { advance } = planGroups(groups, engines, new Map());
+    expect(advance).toEqual([]);
+  });
+
   it('is kept for it while that group drains', () => {
     const draining = createGroupView('small/10', ['d0-s0a', 'd0-s0b'], 'draining', 500);
     const later = [...large, draining, ...here.slice(1), ...there];
--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -332,8 +332,11 @@
     if (group.state === 'joining') {
       group.state = 'ready';
       group.changesAt = Number.POSITIVE_INFINITY;
+      // Only a load stages a model; one that joins again what it had last keeps the other one staged.
+      if (engine.lastModel !== group.model && !engine.staged.includes(group.model)) {
+        engine.staged = [group.model];
+      }
       engine.lastModel = group.model;
-      engine.staged = engine.staged.includes(group.model) ? engine.staged : [group.model];
       this.#ready.set(key, (this.#ready.get(key) ?? new Set()).add(engine.instance));
     } else if (group.state === 'opening') {
       group.state = 'open';
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -30,6 +30,8 @@
   readonly readEngines: () => ReadonlyMap<string, EngineView>;
   /** Requests that want to run at one moment, by model. */
   readonly readDemand: () => ReadonlyMap<string, number>;
+  /** Whether that is the demand of all gateways, not of the first that reported. */
+  readonly isDemandSettled: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -125,6 +127,7 @@
     const now = this.#options.clock.monotonic();
     const engines = this.#options.readEngines();
     const demand = this.#options.readDemand();
+    const isDemandSettled = this.#options.isDemandSettled();
     // Not by what runs at engines: a liveness check takes a slot there, long before the first request.
     this.#hasTraffic ||= demand.size > 0;
     if (this.#hasTraffic) {
@@ -141,7 +144,7 @@
       isSettling: this.#settling.isSettling(engines, now),
       loadsAllowed: this.#countLoads(profile, now),
       pendingStaging: this.#staging,
-      demand,
+      demand: isDemandSettled ? demand : new Map(),
       nextNumber: state.fencingNumber + 1,
     };
   }
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -74,6 +74,7 @@
       ...options,
       readEngines: () => this.#reports.describe(),
       readDemand: () => this.#demand.estimate(options.clock.monotonic()),
+      isDemandSettled: () => this.#demand.isSettled(options.clock.monotonic()),
     });
     this.#reports = new EngineReportService({
       ...options,
@@ -133,6 +134,7 @@
     this.#leader = sign.leader;
     this.#book.clear();
     this.#reports.clear();
+    this.#demand.clear();
     this.#engines.restart();
     this.#hub.sendSign(sign);
   }
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -16,6 +16,8 @@
   readonly slowGroups: ReadonlySet<string>;
   readonly needs: ModelNeeds;
   readonly hasTraffic: boolean;
+  /** Whether groups may be drained for others: not while the demand is a guess, as after a change of the leader. */
+  readonly mayDrain: boolean;
   readonly nextNumber: number;
   /** Fabric domain of each host that is heard of. */
   readonly domains: ReadonlyMap<string, string>;
@@ -40,7 +42,9 @@
   const counts = countByDomain(input);
   const countInDomain = (domain: string, model: string): number =>
     counts.get(describePlace(domain, model)) ?? 0;
-  let { recruits } = input;
+  let recruits: readonly Recruit[] = input.recruits.filter(
+    ({ donor }) => input.mayDrain || donor === undefined,
+  );
   for (;;) {
     const candidateInput = { profile, recruits, needs, hasTraffic, slowGroups, countInDomain };
     const best = findBestCandidate(candidateInput);
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -74,10 +74,11 @@
     engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
   );
   const recruits = listRecruits(engines, groups);
-  const forming = { service, profile, recruits, working, slowGroups, needs, hasTraffic, domains };
+  const mayDrain = !hasTraffic || input.demand.size > 0;
+  const known = { service, profile, recruits, working, slowGroups, needs, domains };
   const { place, drain } = input.isSettling
     ? { place: [], drain: [] }
-    : formGroups({ ...forming, nextNumber });
+    : formGroups({ ...known, hasTraffic, mayDrain, nextNumber });
   const groupModels = new Map(
     [...working.map(({ group }) => group), ...place].flatMap(({ members, model }) =>
       members.map(({ host }): [string, string] => [host, model]),
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -39,7 +39,7 @@
   readonly loadsAllowed: number;
   /** Models that hosts were ordered to stage and do not stage yet. */
   readonly pendingStaging: ReadonlyMap<string, string>;
-  /** Requests that want to run at one moment, by model; absent while nothing was measured. */
+  /** Requests that want to run at one moment, by model; empty until all gateways have reported what they measured. */
   readonly demand: ReadonlyMap<string, number>;
   /** First number for the names of new groups. */
   readonly nextNumber: number;
--- a/src/gateway/direct/demand-meter.ts
+++ b/src/gateway/direct/demand-meter.ts
@@ -2,8 +2,8 @@
 
 /** Estimates how many requests for each model want to run at one moment; free of I/O. */
 
-/** Rates and durations are evened out over about this time. */
-const memory: Milliseconds = 2000;
+/** Rates and durations are evened out over about this time, which is long enough for some tens of requests at a gateway. */
+const memory: Milliseconds = 1500;
 const millisecondsPerSecond = 1000;
 /** Taken for a model of which no answer was whole yet. */
 const assumedDuration: Milliseconds = 1000;
@@ -11,8 +11,8 @@
 interface ModelRecord {
   /** Requests in the present interval. */
   arrivals: number;
-  /** Requests a second. */
-  rate: number;
+  /** Requests a second; undefined before the end of the first interval. */
+  rate: number | undefined;
   duration: Milliseconds | undefined;
 }
 
@@ -48,7 +48,7 @@
     const demand = new Map<string, number>();
     for (const [model, record] of this.#models) {
       const rate = (record.arrivals / elapsed) * millisecondsPerSecond;
-      record.rate = record.rate * kept + rate * (1 - kept);
+      record.rate = (record.rate ?? rate) * kept + rate * (1 - kept);
       record.arrivals = 0;
       const duration = record.duration ?? assumedDuration;
       demand.set(model, (record.rate * duration) / millisecondsPerSecond);
@@ -61,7 +61,7 @@
     if (known !== undefined) {
       return known;
     }
-    const record = { arrivals: 0, rate: 0, duration: undefined };
+    const record = { arrivals: 0, rate: undefined, duration: undefined };
     this.#models.set(model, record);
     return record;
   }
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -8,7 +8,7 @@
  * An order whose effect does not show is sent again after this time: its answer, or the order itself, may have been lost.
  * Every order names its group and fencing number, so a second copy changes nothing.
  */
-const repeatAfter: Milliseconds = 400;
+const repeatAfter: Milliseconds = 250;
 
 /** What happens to the controller. */
 export type EngineEvent =
