--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -13,6 +13,7 @@
 import type { EngineGroup, EngineProfile } from '../../routing/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState } from '../state/index.js';
+import type { EngineMetrics } from './engine-metrics.js';
 import { LoadBudget } from './load-budget.js';
 
 /** On the leader, asks the planner what to do whenever something changed, and commits the answer. */
@@ -32,6 +33,7 @@
   readonly readDemand: () => ReadonlyMap<string, number>;
   /** Whether that is the demand of all gateways, not of the first that reported. */
   readonly isDemandSettled: () => boolean;
+  readonly metrics: EngineMetrics;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -102,6 +104,7 @@
     if (input === undefined) {
       return;
     }
+    this.#options.metrics.noteInput(input);
     const decision = planEngineGroups(input);
     this.#noteStaging(decision, input);
     if (decision.place.length + decision.advance.length + decision.remove.length === 0) {
@@ -197,6 +200,7 @@
       hosts: members.map(({ host }) => host),
     }));
     const isCommitted = result.ok && result.val.type !== 'refused';
+    this.#options.metrics.noteDecision(decision, input, isCommitted);
     const inputs = { demand: describeDemand(input), idle: listIdle(input) };
     logger.info(
       { basedOn, ...inputs, placed, advance, remove, isCommitted },
--- /dev/null
+++ b/src/control/routing/engine-metrics.ts
@@ -0,0 +1,63 @@
+import { Counter, Gauge, type Registry } from 'prom-client';
+
+import type { EngineDecision, PlannerInput } from '../../engines/index.js';
+
+/** What the leader of control counts of engine groups; docs/METRICS.md lists the names. */
+export class EngineMetrics {
+  readonly #decisions: Counter<'result'>;
+  readonly #lost: Counter<'model'>;
+  readonly #groups: Gauge<'model' | 'phase'>;
+  readonly #demand: Gauge<'model'>;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.#decisions = new Counter({
+      name: 'pistachiospoke_group_decisions_total',
+      help: 'Decisions of this leader on groups of engines, by whether they were committed.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.#lost = new Counter({
+      name: 'pistachiospoke_groups_closing_total',
+      help: 'Groups of engines that were ordered to close, by model.',
+      labelNames: ['model'],
+      registers,
+    });
+    this.#groups = new Gauge({
+      name: 'pistachiospoke_groups',
+      help: 'Groups of engines by model and phase, as this host knows them.',
+      labelNames: ['model', 'phase'],
+      registers,
+    });
+    this.#demand = new Gauge({
+      name: 'pistachiospoke_demand_requests',
+      help: 'Requests that want to run at one moment, by model, as this leader takes it.',
+      labelNames: ['model'],
+      registers,
+    });
+  }
+
+  /** Taken before each decision. */
+  noteInput({ groups, demand }: PlannerInput): void {
+    this.#groups.reset();
+    for (const { group } of groups) {
+      this.#groups.inc({ model: group.model, phase: group.phase });
+    }
+    for (const [model, requests] of demand) {
+      this.#demand.set({ model }, requests);
+    }
+  }
+
+  noteDecision({ advance }: EngineDecision, input: PlannerInput, isCommitted: boolean): void {
+    this.#decisions.inc({ result: isCommitted ? 'committed' : 'failed' });
+    if (!isCommitted) {
+      return;
+    }
+    const closing = new Set(
+      advance.filter(({ phase }) => phase === 'closing').map(({ name }) => name),
+    );
+    for (const { group } of input.groups.filter((view) => closing.has(view.group.name))) {
+      this.#lost.inc({ model: group.model });
+    }
+  }
+}
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -1,6 +1,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Err, Ok, type Result } from 'ts-results';
 import type { Logger } from 'pino';
+import type { Registry } from 'prom-client';
 
 import {
   createFailure,
@@ -28,6 +29,7 @@
 import type { CommandAnswer, ControlState } from '../state/index.js';
 import { DemandBook } from './demand-book.js';
 import { EngineLoop } from './engine-loop.js';
+import { EngineMetrics } from './engine-metrics.js';
 import { EngineReportService } from './engine-report-service.js';
 import { InstanceBook, type InstanceChanges } from './instance-book.js';
 import { LeaderCalls } from './leader-calls.js';
@@ -53,6 +55,8 @@
   readonly readState: () => ControlState;
   /** An instance that is not heard of for this long gets no new requests. */
   readonly instanceSilence: Milliseconds;
+  /** Where it counts what the page of metrics shows. */
+  readonly registry: Registry;
 }
 
 export class RoutingControl implements ManagedPart {
@@ -72,6 +76,7 @@
     this.#calls = new LeaderCalls(options);
     this.#engines = new EngineLoop({
       ...options,
+      metrics: new EngineMetrics(options.registry),
       readEngines: () => this.#reports.describe(),
       readDemand: () => this.#demand.estimate(options.clock.monotonic()),
       isDemandSettled: () => this.#demand.isSettled(options.clock.monotonic()),
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -1,8 +1,10 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { Logger } from 'pino';
+import { Registry } from 'prom-client';
 
 import {
   createMetrics,
+  createMetricsPage,
   type Clock,
   type ManagedPart,
   type Metrics,
@@ -55,6 +57,7 @@
     this.#metrics.noteCommit();
     this.#publishCommand();
   });
+  readonly #registry = new Registry();
   readonly #metricsClient: Metrics;
   readonly #metrics: ControlMetrics;
   readonly #log: ControlLog;
@@ -117,6 +120,7 @@
       listVoters: () => this.#listVoters().map(({ address }) => address),
       readState: () => this.#machine.read(),
       instanceSilence: settings.timeouts.instanceSilenceMilliseconds,
+      registry: this.#registry,
     });
     this.#membership = new MembershipKeeper({
       ...shared,
@@ -148,6 +152,7 @@
     });
     return [
       { name: 'metrics', open: () => undefined, close: () => this.#metricsClient.close() },
+      createMetricsPage(settings.metricsPage, this.#registry),
       {
         name: 'connections',
         open: () => undefined,
--- /dev/null
+++ b/src/sidecar/engine/driver-metrics.ts
@@ -0,0 +1,58 @@
+import { Counter, Histogram, type Registry } from 'prom-client';
+
+import type { Milliseconds } from '../../common/index.js';
+import type { EngineOrder, OrderOutcome } from './engine-port.js';
+
+/** What a sidecar counts of the engine beside it; docs/METRICS.md lists the names. */
+
+const millisecondsPerSecond = 1000;
+/** Bounds in seconds: an order is answered within milliseconds, or not before it is given up. */
+const orderBuckets = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5];
+
+export class DriverMetrics {
+  readonly #orders: Counter<'order' | 'outcome'>;
+  readonly #orderTime: Histogram<'order'>;
+  readonly #instances: Counter;
+  readonly #unanswered: Counter;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.#orders = new Counter({
+      name: 'pistachiospoke_engine_orders_total',
+      help: 'Orders to the engine beside this sidecar, by kind and by what became of them.',
+      labelNames: ['order', 'outcome'],
+      registers,
+    });
+    this.#orderTime = new Histogram({
+      name: 'pistachiospoke_engine_order_seconds',
+      help: 'Time until an order was answered or given up.',
+      labelNames: ['order'],
+      buckets: orderBuckets,
+      registers,
+    });
+    this.#instances = new Counter({
+      name: 'pistachiospoke_engine_instances_total',
+      help: 'Instances of the engine that this sidecar has met.',
+      registers,
+    });
+    this.#unanswered = new Counter({
+      name: 'pistachiospoke_engine_silences_total',
+      help: 'Times that the engine stopped answering.',
+      registers,
+    });
+  }
+
+  noteOrder({ type }: EngineOrder, outcome: OrderOutcome, took: Milliseconds): void {
+    this.#orders.inc({ order: type, outcome });
+    this.#orderTime.observe({ order: type }, took / millisecondsPerSecond);
+  }
+
+  /** Another instance answers now, or none does. */
+  noteInstance(instance: string | undefined): void {
+    if (instance === undefined) {
+      this.#unanswered.inc();
+    } else {
+      this.#instances.inc();
+    }
+  }
+}
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -2,6 +2,7 @@
 
 import { pause, type Clock, type ManagedPart, type Milliseconds } from '../../common/index.js';
 import type { EngineGroup, EngineReading } from '../../routing/index.js';
+import type { DriverMetrics } from './driver-metrics.js';
 import { EngineController, type EngineEvent } from './engine-controller.js';
 import type { EngineOrder, EnginePort, EngineStatus } from './engine-port.js';
 
@@ -21,6 +22,7 @@
   readonly port: EnginePort;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: DriverMetrics;
   /** Called after each answer of the engine, and when it stops answering. */
   readonly onReading: () => void;
 }
@@ -99,8 +101,9 @@
     const before = this.#controller.reading;
     const order = this.#controller.handle(event);
     const after = this.#controller.reading;
-    const { logger } = this.#options;
+    const { logger, metrics } = this.#options;
     if (before?.instance !== after?.instance) {
+      metrics.noteInstance(after?.instance);
       logger.info({ before: before?.instance, now: after?.instance }, 'engine instance changed');
     }
     const describe = (reading: EngineReading | undefined): string =>
@@ -132,10 +135,11 @@
   }
 
   async #order(order: EngineOrder): Promise<void> {
-    const { port, clock, logger } = this.#options;
+    const { port, clock, logger, metrics } = this.#options;
     const startedAt = clock.monotonic();
     const outcome = await port.order(order);
     const took = Math.round(clock.monotonic() - startedAt);
+    metrics.noteOrder(order, outcome, took);
     logger.info({ order, outcome, took }, 'engine ordered');
   }
 }
--- a/src/sidecar/engine/engine-sidecar.ts
+++ b/src/sidecar/engine/engine-sidecar.ts
@@ -1,7 +1,9 @@
 import type { Logger } from 'pino';
+import { Registry } from 'prom-client';
 
 import {
   createIdentifier,
+  createMetricsPage,
   type Clock,
   type ManagedPart,
   type RandomSource,
@@ -10,6 +12,7 @@
 import type { EngineSidecarSettings } from '../../settings/index.js';
 import { RoutingWatcher, type RoutingView } from '../../watch/index.js';
 import { RpcClientPool } from '../../wire/index.js';
+import { DriverMetrics } from './driver-metrics.js';
 import { EngineDriver } from './engine-driver.js';
 import type { EnginePort } from './engine-port.js';
 import { EngineReporter } from './engine-reporter.js';
@@ -35,6 +38,7 @@
   const { settings, port, clock, random, logger } = options;
   const { host } = settings;
   const clients = new RpcClientPool();
+  const registry = new Registry();
   const control = settings.control;
   const shared = { clients, clock, logger, random };
   const watcher = new RoutingWatcher({ ...shared, watcher: host, kind: 'sidecar', control });
@@ -42,6 +46,7 @@
     ...shared,
     host,
     port,
+    metrics: new DriverMetrics(registry),
     onReading: () => {
       reporter.notify();
     },
@@ -75,7 +80,13 @@
     },
   };
   return {
-    parts: [connections, driver, watcher, reporter],
+    parts: [
+      connections,
+      createMetricsPage(settings.metricsPage, registry),
+      driver,
+      watcher,
+      reporter,
+    ],
     takeSettings: (changed) => {
       watcher.setControl(changed.control);
     },
