--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -330,6 +330,29 @@
     await waitFor('the upstream to be left', () => isStopped);
   });
 
+  /**
+   * Symptom: upstreams run requests whose callers left seconds before. A caller leaves while its request waits for the first document of
+   * a gateway that has just started; its connection closed before anybody listened for that.
+   */
+  it('are not sent for a caller that left before there was a document', async () => {
+    const vouchedAt = view.vouchedAt ?? 0;
+    changeView({
+      vouchedAt: Number.NEGATIVE_INFINITY,
+      instances: new Map([createInstance('i-1', first)]),
+    });
+    first.handle = (_, response) => {
+      response.end('done');
+    };
+    const { leave } = call('GET', '/lookup/1');
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    leave();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    changeView({ vouchedAt });
+    const { answer } = call('GET', '/lookup/2');
+    expect((await answer).status).toBe(200);
+    expect(first.received.map(({ url }) => url)).toEqual(['/lookup/2']);
+  });
+
   it('wait for a group that is being mended', async () => {
     first.handle = (_, response) => {
       response.writeHead(200, stream);
