--- a/__tests__/engines/survivors.test.ts
+++ b/__tests__/engines/survivors.test.ts
@@ -75,6 +75,26 @@
   });
 });
 
+describe('engines that are too few for all', () => {
+  /**
+   * Symptom: callers of the model with the large groups find no group for half a minute, while the other model has as many as it can
+   * use. Both had too few; a small group brings as many places as a large one for half of the engines, so each engine that came free went
+   * to the small model.
+   */
+  it('go to the model whose callers find least', () => {
+    const small = createSmallGroups('d1', 4);
+    const engines = [
+      ...small.flatMap((view) => createMembers(view, 'd1')),
+      ...['a', 'b', 'c', 'd'].map((host) => ({ host, lastModel: 'small', staged: 'large' })),
+    ];
+    const asked = new Map([
+      ['large', 25],
+      ['small', 90],
+    ]);
+    expect(planGroups(small, engines, asked).place).toMatchObject([{ model: 'large' }]);
+  });
+});
+
 describe('slow engines', () => {
   const slow = createGroupView('small/1', ['a', 'b']);
   const others = [2, 3, 4].map((number) =>
--- a/src/control/routing/demand-book.ts
+++ b/src/control/routing/demand-book.ts
@@ -4,13 +4,16 @@
 
 /** A gateway that is not heard of for this long has no callers, or they went to others, where they are counted. */
 const forgetAfter: Milliseconds = 3000;
-/** Demand that rises is followed over about this time: short of groups, a model's callers wait. */
-const risingMemory: Milliseconds = 500;
+/**
+ * Demand that rises is followed over about this time: short of groups, a model's callers wait. Shorter, and the callers that waited for
+ * gateways to start, who come all at once, would seem to be several times as many.
+ */
+const risingMemory: Milliseconds = 1500;
 /**
  * Demand that falls is followed over about this time: a group more than needed costs little. When gateways are cut off, some seconds
  * pass until their callers are at others; followed at once, that looked like half of the demand, and groups were given away.
  */
-const fallingMemory: Milliseconds = 6000;
+const fallingMemory: Milliseconds = 4000;
 /** Gateways report twice a second once they know the leader; by then all that reach it have reported. */
 const settlingTime: Milliseconds = 1500;
 
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -45,8 +45,11 @@
   readonly donors: readonly GroupView[];
   /** In requests at one moment, for each engine that it takes. */
   readonly value: number;
-  /** Whether the model has fewer groups than it needs now; such a group goes before any that is only a reserve. */
-  readonly isNeeded: boolean;
+  /**
+   * Part of what is asked for that the groups of the model can take, 1 at most. The model with the smallest goes first: by value a
+   * model with small groups would take all engines while callers of the other one find nothing.
+   */
+  readonly coverage: number;
 }
 
 /** The best candidate; undefined where none is worth its engines. */
@@ -85,9 +88,9 @@
     return undefined;
   }
   const value = valueCandidate(input, domain, model, chosen, donors);
-  const isNeeded = !input.needs.isCovered(model);
+  const coverage = input.needs.coverageOf(model);
   const isWorthIt = value > (input.hasTraffic ? leastGain : 0);
-  return isWorthIt ? { model, domain, recruits: chosen, donors, value, isNeeded } : undefined;
+  return isWorthIt ? { model, domain, recruits: chosen, donors, value, coverage } : undefined;
 }
 
 function valueCandidate(
@@ -138,5 +141,5 @@
 }
 
 function isBetter(one: Candidate, other: Candidate): boolean {
-  return one.isNeeded === other.isNeeded ? one.value > other.value : one.isNeeded;
+  return one.coverage === other.coverage ? one.value > other.value : one.coverage < other.coverage;
 }
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -46,6 +46,6 @@
   readonly duration: Milliseconds;
   /** Time to the first byte for the caller; undefined where there was none. */
   readonly firstByte: Milliseconds | undefined;
-  /** Time since the last attempt was sent; undefined where none was. */
-  readonly upstreamDuration: Milliseconds | undefined;
+  /** Time that the last attempt worked at its upstream, without most of what it waited there; undefined where nothing came. */
+  readonly runDuration: Milliseconds | undefined;
 }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -23,6 +23,12 @@
  */
 const mostUrgent = 0;
 
+/**
+ * An upstream with a free place reads most prompts within this time; what it takes beyond is waiting. Counted as work, the wait at a model
+ * that is short of groups seemed to be demand: 20 requests at one moment were taken for 120, and groups went where none were needed.
+ */
+const longestReading: Milliseconds = 250;
+
 export class Delivery {
   readonly #request: ReceivedRequest;
   readonly #parts: DeliverySurroundingParts;
@@ -33,7 +39,9 @@
   #target: Target | undefined;
   #timer: NodeJS.Timeout | undefined;
   #firstByte: Milliseconds | undefined;
-  #sentAt: Milliseconds | undefined;
+  #sentAt: Milliseconds = 0;
+  /** When the first bytes of the present attempt's answer came. */
+  #answeredAt: Milliseconds | undefined;
 
   constructor(
     request: ReceivedRequest,
@@ -148,6 +156,7 @@
     });
     this.#target = target;
     this.#sentAt = this.#now();
+    this.#answeredAt = undefined;
     loads.noteSent(target);
     const dispatcher = connections.find(target.address, connectionLimit(service));
     const attempt: UpstreamAttempt = new UpstreamAttempt(
@@ -204,6 +213,7 @@
   }
 
   #takeData(attempt: UpstreamAttempt, bytes: Buffer): void {
+    this.#answeredAt ??= this.#now();
     this.#answer.push(bytes);
     if (this.#answer.isPassedOn) {
       this.#firstByte ??= this.#now() - this.#request.startedAt;
@@ -259,6 +269,13 @@
     this.#parts.log.note(fields, message);
   }
 
+  #measureRun(now: Milliseconds): Milliseconds | undefined {
+    const answeredAt = this.#answeredAt;
+    return answeredAt === undefined
+      ? undefined
+      : now - answeredAt + Math.min(answeredAt - this.#sentAt, longestReading);
+  }
+
   #conclude(result: string): void {
     clearTimeout(this.#timer);
     this.#releaseTarget();
@@ -268,7 +285,7 @@
       attempts: this.#controller.attemptCount,
       duration: now - this.#request.startedAt,
       firstByte: this.#firstByte,
-      upstreamDuration: this.#sentAt === undefined ? undefined : now - this.#sentAt,
+      runDuration: this.#measureRun(now),
     });
   }
 }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -242,9 +242,9 @@
     delivery.start();
   }
 
-  #noteServed(model: string | undefined, { result, upstreamDuration }: DeliveryOutcome): void {
-    if (model !== undefined && result === 'whole' && upstreamDuration !== undefined) {
-      this.#demand.noteServed(model, upstreamDuration);
+  #noteServed(model: string | undefined, { result, runDuration }: DeliveryOutcome): void {
+    if (model !== undefined && result === 'whole' && runDuration !== undefined) {
+      this.#demand.noteServed(model, runDuration);
     }
   }
 
