--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -8,6 +8,7 @@
 import { runHosts } from './commands/hosts.js';
 import { runLabel } from './commands/label.js';
 import { RpcClientPool } from '../wire/index.js';
+import { runTrace } from './commands/trace.js';
 import { runReportBurn, type BurnFlags } from './commands/report-burn.js';
 import type { CommandContext, ControlContext } from './context.js';
 import { ControlClient } from './control-client.js';
@@ -42,6 +43,7 @@
     this.#addReads();
     this.#addChanges();
     this.#addReports();
+    this.#addTrace();
     this.#addCheck();
   }
 
@@ -121,6 +123,16 @@
       );
   }
 
+  #addTrace(): void {
+    this.#command('trace', 'show what log files say of one request and of its targets')
+      .argument('<request>', 'id of the request')
+      .argument('<files...>', 'logs of any processes, one JSON object a line')
+      .addHelpText('after', '\nExample:\n  pistachiospoke trace 5daa14d2797ace4f logs/*.log')
+      .action((requestId: string, files: readonly string[]) => {
+        this.#exitCode = runTrace(this.#createContext(), requestId, files);
+      });
+  }
+
   #addCheck(): void {
     const kind = new Option('--as <kind>', 'what the file is')
       .choices(checkKinds)
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -43,6 +43,8 @@
   /** `whole`, `left` or the name of a result code. */
   readonly result: string;
   readonly attempts: number;
+  /** Key of the last target; undefined where it was sent to none. */
+  readonly target: string | undefined;
   readonly duration: Milliseconds;
   /** Time to the first byte for the caller; undefined where there was none. */
   readonly firstByte: Milliseconds | undefined;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -37,6 +37,8 @@
   readonly #onOutcome: (outcome: DeliveryOutcome) => void;
   #attempt: UpstreamAttempt | undefined;
   #target: Target | undefined;
+  /** Key of the last target, for the log. */
+  #lastTarget: string | undefined;
   #timer: NodeJS.Timeout | undefined;
   #firstByte: Milliseconds | undefined;
   #sentAt: Milliseconds = 0;
@@ -155,6 +157,7 @@
       resumeAfter: this.#answer.lastEventId ?? resumeAfter,
     });
     this.#target = target;
+    this.#lastTarget = target.key;
     this.#sentAt = this.#now();
     this.#answeredAt = undefined;
     loads.noteSent(target);
@@ -283,6 +286,7 @@
     this.#onOutcome({
       result,
       attempts: this.#controller.attemptCount,
+      target: this.#lastTarget,
       duration: now - this.#request.startedAt,
       firstByte: this.#firstByte,
       runDuration: this.#measureRun(now),
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -262,9 +262,9 @@
         duration: Math.round(outcome.duration),
         firstByte: outcome.firstByte === undefined ? null : Math.round(outcome.firstByte),
       };
-      const { result, attempts } = outcome;
+      const { result, attempts, target } = outcome;
       this.#log.note(
-        { ...names, result, attempts, ...times, ...this.#guard.describe() },
+        { ...names, result, attempts, target, ...times, ...this.#guard.describe() },
         'request ended',
       );
     }
