--- a/__tests__/engines/form-groups.test.ts
+++ b/__tests__/engines/form-groups.test.ts
@@ -1,63 +1,24 @@
 import { describe, expect, it } from 'vitest';
 
-import { planEngineGroups, type EngineView, type GroupView } from '../../src/engines/index.js';
-import type { EngineGroup } from '../../src/routing/index.js';
-import { createDocument } from '../routing/documents.js';
+import { createGroupView, planGroups, type TestEngine } from './fixtures.js';
 
-function createEngine(host: string, lastModel: string, staged: string): [string, EngineView] {
-  const reading = {
-    instance: `i-${host}`,
-    fabricDomain: 'd0',
-    staged: [staged],
-    isBusy: false,
-    running: 1,
-    waiting: 0,
-    slowdown: 1,
-  };
-  const facts = {
-    failureDomain: 'a',
-    address: '10.0.0.1:1',
-    service: 'engines',
-    reading,
-    lastModel,
-  };
-  return [host, { host, facts, silence: 0 }];
+/** Groups whose engines are not heard of, so that only the free ones count. */
+function createGroup(number: number, model: string, size: number) {
+  const hosts = Array.from({ length: size }, (_, index) => `${model}-${number}-${index}`);
+  return createGroupView(`${model}/${number}`, hosts);
 }
 
-function createGroup(number: number, model: string, size: number): GroupView {
-  const members = Array.from({ length: size }, (_, index) => {
-    const host = `${model}-${number}-${index}`;
-    return { host, instance: `i-${host}`, address: '10.0.0.1:1' };
-  });
-  const name = `${model}/${number}`;
-  const group: EngineGroup = {
-    name,
-    fencingNumber: number,
-    service: 'engines',
-    model,
-    members,
-    phase: 'open',
-  };
-  return { group, phaseAge: 5000 };
+function place(free: readonly TestEngine[], demand: ReadonlyMap<string, number>) {
+  const groups = [
+    createGroup(1, 'large', 4),
+    ...[2, 3, 4].map((number) => createGroup(number, 'small', 2)),
+  ];
+  const { place: placed } = planGroups(groups, free, demand, { nextNumber: 6 });
+  return placed.map(({ model, members }) => `${model}: ${members.map(({ host }) => host).join()}`);
 }
 
-function place(free: readonly [string, EngineView][], demand: ReadonlyMap<string, number>) {
-  const { place: placed } = planEngineGroups({
-    services: createDocument().services,
-    groups: [
-      createGroup(1, 'large', 4),
-      ...[2, 3, 4].map((number) => createGroup(number, 'small', 2)),
-    ],
-    engines: new Map(free),
-    draining: new Set(),
-    hasTraffic: true,
-    isSettling: false,
-    loadsAllowed: 0,
-    pendingStaging: new Map(),
-    demand,
-    nextNumber: 6,
-  });
-  return placed.map(({ model, members }) => `${model}: ${members.map(({ host }) => host).join()}`);
+function createEngine(host: string, lastModel: string, staged: string): TestEngine {
+  return { host, lastModel, staged };
 }
 
 const demand = new Map([
