Gateways hear from the leader how many of them share the bounds on repeats and connections

Cause: each gateway took an eighth of the bound on repeats whatever their number; twenty would overdraw it two and a half times, three would leave most of it. Test first: instance-book, decisions.

--- a/__tests__/control/instance-book.test.ts
+++ b/__tests__/control/instance-book.test.ts
@@ -115,6 +115,27 @@
     expect(book.estimate(7000).size).toBe(0);
   });
 
+  /**
+   * Symptom: with twenty gateways a service gets two and a half times the repeats that its bound allows. Each gateway took an eighth
+   * of the bound, whatever their number.
+   */
+  it('tells how many gateways share the bounds, also while one is cut off', () => {
+    const book = new DemandBook();
+    book.take('g1', new Map(), 0);
+    book.take('g2', new Map([['small', 10]]), 0);
+    expect(book.countGateways(0)).toBe(0);
+    expect(book.countGateways(1500)).toBe(2);
+    book.take('g2', new Map([['small', 10]]), 30_000);
+    expect(book.countGateways(30_000)).toBe(2);
+    expect(book.countGateways(61_000)).toBe(1);
+  });
+
+  it('is not settled by gateways that nobody asks for a model', () => {
+    const book = new DemandBook();
+    book.take('g1', new Map(), 0);
+    expect(book.isSettled(5000)).toBe(false);
+  });
+
   it('forgets gateways that are gone', () => {
     const book = new DemandBook();
     book.take('g1', new Map([['small', 10]]), 0);
--- a/__tests__/gateway/decisions.test.ts
+++ b/__tests__/gateway/decisions.test.ts
@@ -112,6 +112,14 @@
     expect([spend(), spend()]).toEqual([true, false]);
   });
 
+  it('takes a smaller burst at once', () => {
+    const budget = new RetryBudget({ share: 0.2, burst: 8 });
+    expect(budget.spend('desk')).toBe(true);
+    budget.setBurst(2);
+    const spent = [budget.spend('desk'), budget.spend('desk'), budget.spend('desk')];
+    expect(spent).toEqual([true, true, false]);
+  });
+
   // Symptom: at three times capacity a small account that wants less than its share gets 84 in 100 answers (measured).
   // Sequence: a large account is refused everywhere and spends all retries; a small one is refused by one full group.
   // Cause: one bucket for all accounts.
--- a/src/control/routing/demand-book.ts
+++ b/src/control/routing/demand-book.ts
@@ -17,6 +17,12 @@
 /** Gateways report twice a second once they know the leader; by then all that reach it have reported. */
 const settlingTime: Milliseconds = 1500;
 
+/**
+ * A gateway that reported within this time counts among those that share bounds: cut off, it still uses its part of them, and a bound that the
+ * others share anew meanwhile would be overdrawn.
+ */
+const sharingTime: Milliseconds = 60_000;
+
 interface KnownDemand {
   readonly requests: ReadonlyMap<string, number>;
   readonly heardAt: Milliseconds;
@@ -24,12 +30,19 @@
 
 export class DemandBook {
   readonly #gateways = new Map<string, KnownDemand>();
+  readonly #seenAt = new Map<string, Milliseconds>();
   #followed: KnownDemand | undefined;
+  #firstSeenAt: Milliseconds | undefined;
+  /** When the first gateway reported that callers ask for a model. */
   #firstReportAt: Milliseconds | undefined;
 
   take(gateway: string, requests: ReadonlyMap<string, number>, now: Milliseconds): void {
-    this.#firstReportAt ??= now;
-    this.#gateways.set(gateway, { requests, heardAt: now });
+    this.#firstSeenAt ??= now;
+    this.#seenAt.set(gateway, now);
+    if (requests.size > 0) {
+      this.#firstReportAt ??= now;
+      this.#gateways.set(gateway, { requests, heardAt: now });
+    }
   }
 
   /** Sums over all gateways, evened out over time; empty while none has reported. */
@@ -56,9 +69,27 @@
     return this.#firstReportAt !== undefined && now - this.#firstReportAt >= settlingTime;
   }
 
+  /**
+   * Gateways that share what is bounded over all of them; 0 until all have had the time to report. A new leader hears of one gateway
+   * first, which would take the whole bound for itself.
+   */
+  countGateways(now: Milliseconds): number {
+    if (this.#firstSeenAt === undefined || now - this.#firstSeenAt < settlingTime) {
+      return 0;
+    }
+    for (const [gateway, seenAt] of this.#seenAt) {
+      if (now - seenAt > sharingTime) {
+        this.#seenAt.delete(gateway);
+      }
+    }
+    return this.#seenAt.size;
+  }
+
   /** Another host leads, or this one anew: what was reported before is old. */
   clear(): void {
     this.#gateways.clear();
+    this.#seenAt.clear();
+    this.#firstSeenAt = undefined;
     this.#followed = undefined;
     this.#firstReportAt = undefined;
   }
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -109,9 +109,9 @@
       watch: (request) => this.#watch(request),
       reportEngine: (reports) => this.#reports.takeStream(reports),
       reportDemand: ({ gateway, requests }) => {
-        const demand = new Map(Object.entries(requests));
-        this.#demand.take(gateway, demand, this.#options.clock.monotonic());
-        return {};
+        const now = this.#options.clock.monotonic();
+        this.#demand.take(gateway, new Map(Object.entries(requests)), now);
+        return { gateways: this.#demand.countGateways(now) };
       },
       announce: async ({ announcement }) => {
         const result = await this.#takeForwarded(announcement);
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -4,7 +4,7 @@
 import { RoutingService } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
 
-/** Tells the leader of control how many requests for each model want to run at one moment. */
+/** Tells the leader of control how many requests for each model want to run at one moment, and hears how many gateways there are. */
 
 const reportInterval: Milliseconds = 500;
 const reportTimeout: Milliseconds = 1000;
@@ -16,6 +16,8 @@
   readonly findLeader: () => string;
   /** Requests that want to run at one moment, by model; ends the interval that it measures. */
   readonly measure: () => ReadonlyMap<string, number>;
+  /** Told how many gateways have reported lately. */
+  readonly onGateways: (count: number) => void;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
 }
@@ -40,15 +42,16 @@
   }
 
   async #report(): Promise<void> {
-    const { gateway, findLeader, measure, clients, logger } = this.#options;
+    const { gateway, findLeader, measure, onGateways, clients, logger } = this.#options;
     const leader = findLeader();
     const requests = Object.fromEntries(measure());
-    if (leader === '' || Object.keys(requests).length === 0) {
+    if (leader === '') {
       return;
     }
     try {
       const client = clients.client(RoutingService, leader);
-      await client.reportDemand({ gateway, requests }, { timeoutMs: reportTimeout });
+      const answer = await client.reportDemand({ gateway, requests }, { timeoutMs: reportTimeout });
+      onGateways(answer.gateways);
     } catch (error) {
       logger.debug({ leader, error: String(error) }, 'demand not reported');
     }
--- a/src/gateway/direct/direct-gateway-parts.ts
+++ b/src/gateway/direct/direct-gateway-parts.ts
@@ -56,6 +56,9 @@
     gateway: name,
     findLeader: () => watcher.read().leader,
     measure: () => gateway.measureDemand(),
+    onGateways: (count) => {
+      gateway.shareBounds(count);
+    },
   });
   const connections: ManagedPart = {
     name: 'connections',
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -60,6 +60,8 @@
   readonly #demand: DemandMeter;
   readonly #log: RequestLog;
   readonly #guard: DocumentGuard;
+  /** Gateways that share the bounds on repeats and connections. */
+  #gateways: number;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
 
@@ -70,6 +72,7 @@
     const { vouchMilliseconds } = settings.bounds;
     this.#guard = new DocumentGuard({ readView, clock, longestSilence: vouchMilliseconds });
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
+    this.#gateways = gateways;
     this.#demand = new DemandMeter(clock.monotonic());
     this.#budget = new RetryBudget({ share: repeatShare, burst: repeatBurst / gateways });
     this.#parts = {
@@ -79,7 +82,7 @@
       loads: this.#loads,
       connections: this.#connections,
       chooser: new TargetChooser({ readView, loads: this.#loads, random }),
-      connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / gateways),
+      connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRepeat: (service) => this.#budget.spend(service),
     };
     this.#server = createServer((request, response) => {
@@ -97,6 +100,19 @@
     return this.#demand.measure(this.#options.clock.monotonic());
   }
 
+  /**
+   * Takes how many gateways share the bounds on repeats and on connections. With a number from the settings alone, a deployment with
+   * more gateways would overdraw both, and one with fewer would leave a part of them unused.
+   */
+  shareBounds(gateways: number): void {
+    if (gateways < 1 || gateways === this.#gateways) {
+      return;
+    }
+    this.#gateways = gateways;
+    this.#budget.setBurst(this.#options.settings.bounds.repeatBurst / gateways);
+    this.#options.logger.info({ gateways }, 'bounds shared by another number of gateways');
+  }
+
   /** The address that callers reach; known once the gateway is open. */
   get port(): number {
     const address = this.#server.address();
--- a/src/gateway/retry-budget.ts
+++ b/src/gateway/retry-budget.ts
@@ -21,13 +21,18 @@
  * tried again where they would have been taken.
  */
 export class RetryBudget {
-  readonly #limits: RetryBudgetLimits;
+  #limits: RetryBudgetLimits;
   readonly #tokens = new Map<AccountName, number>();
 
   constructor(limits: RetryBudgetLimits = defaultRetryBudgetLimits) {
     this.#limits = limits;
   }
 
+  /** Another burst from now on; what an account has beyond it is lost. */
+  setBurst(burst: number): void {
+    this.#limits = { ...this.#limits, burst };
+  }
+
   /** A request has come: it pays in its share. */
   noteRequest(account: AccountName): void {
     const { share, burst } = this.#limits;
@@ -45,6 +50,7 @@
   }
 
   #read(account: AccountName): number {
-    return this.#tokens.get(account) ?? this.#limits.burst;
+    const { burst } = this.#limits;
+    return Math.min(burst, this.#tokens.get(account) ?? burst);
   }
 }
