A load that changed plans nothing; drains end on the head's word from after they began

Reports of the load now go with the heartbeat, and every 50 ms while a group drains, so that a drain is seen to be over up to 0.4 s sooner. With slower reports a drain could have ended on a word from before it; now it cannot.

--- a/__tests__/engines/survivors.test.ts
+++ b/__tests__/engines/survivors.test.ts
@@ -1,6 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
-import { createGroupView, createMembers, planGroups, type TestEngine } from './fixtures.js';
+import type { EngineView } from '../../src/engines/index.js';
+import {
+  createEngineView,
+  createGroupView,
+  createMembers,
+  planGroups,
+  type TestEngine,
+} from './fixtures.js';
 
 /** Callers of both models; the large one needs two groups and a reserve, the small one four and a reserve. */
 const demand = new Map([
@@ -127,3 +134,29 @@
     expect(place).toEqual([]);
   });
 });
+
+describe('a group that drains', () => {
+  const group = createGroupView('small/1', ['a', 'b'], 'draining', 400);
+  const members = createMembers(group, 'd0');
+
+  function drainWith(running: number, silence: number) {
+    const idle = (view: EngineView): EngineView => {
+      const reading = view.facts.reading && { ...view.facts.reading, running };
+      return { ...view, silence, facts: { ...view.facts, ...(reading && { reading }) } };
+    };
+    const engines = new Map(
+      members.map(createEngineView).map(([host, view]) => [host, idle(view)]),
+    );
+    return planGroups([group], [], demand, { engines }).advance;
+  }
+
+  /**
+   * Symptom: streams break off when a group is given away. The head had said that it was idle a second before the drain began, and the group
+   * was closed on that.
+   */
+  it('is closed once its head says after the drain began that it is idle', () => {
+    expect(drainWith(0, 350)).toEqual([]);
+    expect(drainWith(3, 50)).toEqual([]);
+    expect(drainWith(0, 50)).toMatchObject([{ phase: 'closing', reason: 'drained' }]);
+  });
+});
--- a/src/control/routing/engine-directory.ts
+++ b/src/control/routing/engine-directory.ts
@@ -1,3 +1,5 @@
+import { isDeepStrictEqual } from 'node:util';
+
 import type { Milliseconds } from '../../common/index.js';
 import type { EngineView } from '../../engines/index.js';
 import type { EngineFacts } from '../../routing/index.js';
@@ -13,7 +15,10 @@
   readonly facts: EngineFacts | undefined;
 }
 
-/** What became of a report. `factsMissing`: the sidecar has to send its facts again. */
+/**
+ * What became of a report. `unchanged`: it says nothing but another load, for which no step has to be taken at once. `factsMissing`: the
+ * sidecar has to send its facts again.
+ */
 export type EngineReportVerdict = 'changed' | 'unchanged' | 'late' | 'factsMissing';
 
 /** Hosts that are silent for this long are forgotten. */
@@ -41,7 +46,9 @@
       return 'factsMissing';
     }
     this.#engines.set(host, { incarnation, sequence, facts, heardAt: now });
-    return report.facts === undefined ? 'unchanged' : 'changed';
+    const isSame =
+      isSameLife && isDeepStrictEqual(describeState(facts), describeState(known.facts));
+    return isSame ? 'unchanged' : 'changed';
   }
 
   /** All engines by host. */
@@ -63,3 +70,10 @@
     this.#engines.clear();
   }
 }
+
+/** All but the load, which changes with every report of a group that serves. */
+function describeState({ reading, ...others }: EngineFacts): object {
+  return reading === undefined
+    ? others
+    : { ...others, reading: { ...reading, running: 0, waiting: 0 } };
+}
--- a/src/engines/review-groups.ts
+++ b/src/engines/review-groups.ts
@@ -11,6 +11,8 @@
 export const longestSilence: Milliseconds = 3000;
 /** A draining group is closed after this time, whether or not it is idle: a leaving engine serves about 2 s more. */
 const longestDrain: Milliseconds = 1800;
+/** Gateways hear of a drain, and what they sent before arrives, within this time. */
+const announcementTime: Milliseconds = 100;
 /** A group that was never ordered to open and has a member that nobody hears of is given up after this time. */
 const longestJoinWithoutWord: Milliseconds = 5000;
 
@@ -139,8 +141,7 @@
   if (standings.includes('lost')) {
     return advance(group, 'closing', 'a member was lost');
   }
-  const reading = findHead(group, input)?.facts.reading;
-  const isIdle = reading !== undefined && reading.running + reading.waiting === 0;
+  const isIdle = isIdleSince(findHead(group, input), phaseAge);
   if (isIdle || phaseAge > longestDrain) {
     return advance(group, 'closing', isIdle ? 'drained' : 'the drain took too long');
   }
@@ -168,6 +169,18 @@
   return state === 'broken' ? remove(group, 'the head is broken') : keep;
 }
 
+/**
+ * Whether the head said that it is idle after gateways had heard of the drain. What it said before may be old by a second: closed on that,
+ * the group would break off what it was sent since.
+ */
+function isIdleSince(head: EngineView | undefined, phaseAge: Milliseconds): boolean {
+  const reading = head?.facts.reading;
+  if (reading === undefined || (head?.silence ?? 0) + announcementTime > phaseAge) {
+    return false;
+  }
+  return reading.running + reading.waiting === 0;
+}
+
 function findHead(group: EngineGroup, input: PlannerInput): EngineView | undefined {
   return input.engines.get(group.members[0]?.host ?? '');
 }
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -57,8 +57,9 @@
         return this.#isHead() && state !== 'open';
       case 'closing':
         return this.#isHead() && state !== undefined;
-      case 'open':
       case 'draining':
+        return this.#isHead();
+      case 'open':
       case undefined:
         return false;
     }
--- a/src/sidecar/engine/engine-reporter.ts
+++ b/src/sidecar/engine/engine-reporter.ts
@@ -20,8 +20,10 @@
 /** Reports on the engine to the leader of control: what changed at once, otherwise a small heartbeat. */
 
 const heartbeatInterval: Milliseconds = 1000;
-/** Load changes with every question; the leader needs it a few times a second at most. */
-const loadInterval: Milliseconds = 500;
+/** Load changes with every question; the leader has no use for it more often than it gets a heartbeat. */
+const loadInterval: Milliseconds = 1000;
+/** While a group drains, the leader waits for its head to be idle. */
+const drainingLoadInterval: Milliseconds = 50;
 /** A leader answers each report; without an answer for two heartbeats the connection is lost. */
 const silenceLimit: Milliseconds = 2500;
 const longestReconnectDelay: Milliseconds = 500;
@@ -35,6 +37,8 @@
   /** `ip:port` of the leader; empty while none is known. */
   readonly findLeader: () => string;
   readonly describe: () => EngineFacts;
+  /** Whether the leader waits for this engine to be idle. */
+  readonly isDraining: () => boolean;
   /** Told which model the leader wants staged. */
   readonly onStaging: (model: string | undefined) => void;
   readonly clients: RpcClientPool;
@@ -83,7 +87,8 @@
   /** Sends at once what changed; a change of the load alone waits a little. */
   notify(): void {
     const facts = this.#options.describe();
-    const isDue = this.#options.clock.monotonic() - this.#sentAt >= loadInterval;
+    const interval = this.#options.isDraining() ? drainingLoadInterval : loadInterval;
+    const isDue = this.#options.clock.monotonic() - this.#sentAt >= interval;
     const isLoadNew = isDue && JSON.stringify(facts) !== this.#sentFacts;
     if (describeState(facts) !== this.#sentState || isLoadNew) {
       this.#send(facts);
--- a/src/sidecar/engine/engine-sidecar.ts
+++ b/src/sidecar/engine/engine-sidecar.ts
@@ -64,6 +64,7 @@
     incarnation: createIdentifier(),
     findLeader: () => watcher.read().leader,
     describe,
+    isDraining: () => findGroup(watcher.read(), host)?.phase === 'draining',
     onStaging: (model) => {
       driver.wantStaged(model);
     },
