--- a/src/engines/recruits.ts
+++ b/src/engines/available-engines.ts
@@ -18,25 +18,25 @@
 const slowFrom = 2;
 
 /** An engine that could be a member of a new group. */
-export interface Recruit {
+export interface AvailableEngine {
   readonly engine: FreeEngine;
   /** Time until it is in no group any more; 0 for a free one. */
   readonly freeIn: Milliseconds;
   /** The open group that would have to be drained for it; undefined for none. */
-  readonly donor: GroupView | undefined;
+  readonly heldBy: GroupView | undefined;
 }
 
 /** Engines that are free, those that come free by themselves, and those of open groups. */
-export function listRecruits(
+export function listAvailableEngines(
   engines: readonly FreeEngine[],
   groups: readonly GroupView[],
-): readonly Recruit[] {
+): readonly AvailableEngine[] {
   const groupOf = new Map(
     groups.flatMap((view) => view.group.members.map(({ host }) => [host, view] as const)),
   );
   return engines
     .filter((engine) => !isSlow(engine))
-    .flatMap((engine) => describeRecruit(engine, groupOf.get(engine.member.host)) ?? []);
+    .flatMap((engine) => describeAvailable(engine, groupOf.get(engine.member.host)) ?? []);
 }
 
 /** Whether the engine is so slow that a group is better off without it. */
@@ -49,8 +49,11 @@
   return lastModel === model.name || reading.staged.includes(model.name);
 }
 
-/** Time until a recruit is ready in a group of the model; loads as before the first request. */
-export function estimateReady({ engine, freeIn }: Recruit, model: EngineModel): Milliseconds {
+/** Time until an engine is ready in a group of the model; loads as before the first request. */
+export function estimateReady(
+  { engine, freeIn }: AvailableEngine,
+  model: EngineModel,
+): Milliseconds {
   if (engine.lastModel === model.name) {
     return freeIn + rejoinDuration;
   }
@@ -71,36 +74,39 @@
 }
 
 /** Undefined for an engine of a group that is on its way. */
-function describeRecruit(engine: FreeEngine, view: GroupView | undefined): Recruit | undefined {
+function describeAvailable(
+  engine: FreeEngine,
+  view: GroupView | undefined,
+): AvailableEngine | undefined {
   switch (view?.group.phase) {
     case undefined:
-      return { engine, freeIn: 0, donor: undefined };
+      return { engine, freeIn: 0, heldBy: undefined };
     case 'open':
-      return { engine, freeIn: drainDuration + closingDuration, donor: view };
+      return { engine, freeIn: drainDuration + closingDuration, heldBy: view };
     case 'draining': {
       const freeIn = Math.max(0, drainDuration - view.phaseAge) + closingDuration;
-      return { engine, freeIn, donor: undefined };
+      return { engine, freeIn, heldBy: undefined };
     }
     case 'closing':
       return view.phaseAge > longestClosing
         ? undefined
-        : { engine, freeIn: closingDuration, donor: undefined };
+        : { engine, freeIn: closingDuration, heldBy: undefined };
     case 'joining':
     case 'opening':
       return undefined;
   }
 }
 
-/** Fabric domains of recruits. */
-export function listDomains(recruits: readonly Recruit[]): readonly string[] {
-  return [...new Set(recruits.map(({ engine }) => engine.reading.fabricDomain))];
+/** Fabric domains of the engines. */
+export function listDomains(available: readonly AvailableEngine[]): readonly string[] {
+  return [...new Set(available.map(({ engine }) => engine.reading.fabricDomain))];
 }
 
-/** How fast a group of these recruits would serve; before the first request no weights have to be at hand. */
+/** Time until a group of these engines would serve. */
 export function estimateServing(
-  recruits: readonly Recruit[],
+  members: readonly AvailableEngine[],
   model: EngineModel,
   { openDuration }: EngineProfile,
 ): Milliseconds {
-  return Math.max(...recruits.map((recruit) => estimateReady(recruit, model))) + openDuration;
+  return Math.max(...members.map((member) => estimateReady(member, model))) + openDuration;
 }
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -1,7 +1,13 @@
 import type { Milliseconds } from '../common/index.js';
 import type { EngineModel, EngineProfile } from '../routing/index.js';
 import type { ModelNeeds } from './model-need.js';
-import { estimateReady, estimateServing, isWarm, listDomains, type Recruit } from './recruits.js';
+import {
+  estimateReady,
+  estimateServing,
+  isWarm,
+  listDomains,
+  type AvailableEngine,
+} from './available-engines.js';
 import type { GroupView } from './types.js';
 
 /** Lists the groups that could be formed, with what each is worth. */
@@ -27,7 +33,7 @@
 /** What candidates are made from. */
 export interface CandidateInput {
   readonly profile: EngineProfile;
-  readonly recruits: readonly Recruit[];
+  readonly available: readonly AvailableEngine[];
   readonly needs: ModelNeeds;
   readonly hasTraffic: boolean;
   /** Open groups that answer too slowly to be counted; their engines may go to any model. */
@@ -40,9 +46,9 @@
 export interface Candidate {
   readonly model: EngineModel;
   readonly domain: string;
-  readonly recruits: readonly Recruit[];
+  readonly members: readonly AvailableEngine[];
   /** Open groups that have to be drained for it. */
-  readonly donors: readonly GroupView[];
+  readonly drained: readonly GroupView[];
   /** In requests at one moment, for each engine that it takes. */
   readonly value: number;
   /**
@@ -61,8 +67,8 @@
 }
 
 function listCandidates(input: CandidateInput): readonly Candidate[] {
-  return listDomains(input.recruits).flatMap((domain) => {
-    const local = input.recruits.filter(({ engine }) => engine.reading.fabricDomain === domain);
+  return listDomains(input.available).flatMap((domain) => {
+    const local = input.available.filter(({ engine }) => engine.reading.fabricDomain === domain);
     return input.profile.models.flatMap(
       (model) => createCandidate(input, domain, local, model) ?? [],
     );
@@ -72,54 +78,55 @@
 function createCandidate(
   input: CandidateInput,
   domain: string,
-  local: readonly Recruit[],
+  local: readonly AvailableEngine[],
   model: EngineModel,
 ): Candidate | undefined {
   // Later, a load takes longer than most groups live; hosts that lack the weights stage them first.
   const able = input.hasTraffic ? local.filter(({ engine }) => isWarm(engine, model)) : local;
-  const atHand = able.filter(({ donor }) => donor === undefined);
+  const atHand = able.filter(({ heldBy }) => heldBy === undefined);
   const missing = model.groupSize - atHand.length;
-  const donors = missing > 0 ? chooseDonors(input, able, model, missing) : [];
-  const given = able.filter(({ donor }) => donor !== undefined && donors.includes(donor));
+  const drained = missing > 0 ? chooseDrained(input, able, model, missing) : [];
+  const given = able.filter(({ heldBy }) => heldBy !== undefined && drained.includes(heldBy));
   const chosen = [...atHand, ...given]
     .sort((one, other) => estimateReady(one, model) - estimateReady(other, model))
     .slice(0, model.groupSize);
   if (chosen.length < model.groupSize) {
     return undefined;
   }
-  const value = valueCandidate(input, domain, model, chosen, donors);
+  const value = valueCandidate(input, domain, model, chosen, drained);
   const coverage = input.needs.coverageOf(model);
   const isWorthIt = value > (input.hasTraffic ? leastGain : 0);
-  return isWorthIt ? { model, domain, recruits: chosen, donors, value, coverage } : undefined;
+  return isWorthIt ? { model, domain, members: chosen, drained, value, coverage } : undefined;
 }
 
 function valueCandidate(
   { needs, profile, slowGroups, countInDomain }: CandidateInput,
   domain: string,
   model: EngineModel,
-  chosen: readonly Recruit[],
-  donors: readonly GroupView[],
+  chosen: readonly AvailableEngine[],
+  drained: readonly GroupView[],
 ): number {
   const duration = estimateServing(chosen, model, profile);
   const crowding = 1 - crowdingShare * countInDomain(domain, model.name);
   const gain = needs.gainOf(model) * (1 - duration / expectedLife) * crowding;
-  const counted = donors.filter(({ group }) => !slowGroups.has(group.name));
+  const counted = drained.filter(({ group }) => !slowGroups.has(group.name));
   const loss = needs.lossOf(counted.map(({ group }) => group.model));
-  return (gain - loss - donors.length * drainCost) / model.groupSize;
+  return (gain - loss - drained.length * drainCost) / model.groupSize;
 }
 
 /**
  * The fewest open groups that together give the missing engines; none where that is not possible. A model gives away what it
  * can spare, and any group that is slow.
  */
-function chooseDonors(
+function chooseDrained(
   { needs, profile, slowGroups }: CandidateInput,
-  able: readonly Recruit[],
+  able: readonly AvailableEngine[],
   model: EngineModel,
   missing: number,
 ): readonly GroupView[] {
-  const views = [...new Set(able.flatMap(({ donor }) => donor ?? []))];
-  const countGiven = (view: GroupView): number => able.filter(({ donor }) => donor === view).length;
+  const views = [...new Set(able.flatMap(({ heldBy }) => heldBy ?? []))];
+  const countGiven = (view: GroupView): number =>
+    able.filter(({ heldBy }) => heldBy === view).length;
   const spare = new Map(profile.models.map((each) => [each.name, needs.countSpare(each)]));
   const chosen: GroupView[] = [];
   let given = 0;
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -1,7 +1,7 @@
 import type { EngineProfile, RoutedService } from '../routing/index.js';
 import { findBestCandidate, type Candidate } from './candidates.js';
 import type { ModelNeeds } from './model-need.js';
-import type { Recruit } from './recruits.js';
+import type { AvailableEngine } from './available-engines.js';
 import type { GroupAdvance, GroupView, NewEngineGroup } from './types.js';
 
 /** Decides which groups to form now, and which open ones to drain for a better use of their engines. */
@@ -10,7 +10,7 @@
 export interface FormingInput {
   readonly service: RoutedService;
   readonly profile: EngineProfile;
-  readonly recruits: readonly Recruit[];
+  readonly available: readonly AvailableEngine[];
   /** Groups that serve or are on their way. */
   readonly working: readonly GroupView[];
   readonly slowGroups: ReadonlySet<string>;
@@ -42,28 +42,28 @@
   const counts = countByDomain(input);
   const countInDomain = (domain: string, model: string): number =>
     counts.get(describePlace(domain, model)) ?? 0;
-  let recruits: readonly Recruit[] = input.recruits.filter(
-    ({ donor }) => input.mayDrain || donor === undefined,
+  let available: readonly AvailableEngine[] = input.available.filter(
+    ({ heldBy }) => input.mayDrain || heldBy === undefined,
   );
   for (;;) {
-    const candidateInput = { profile, recruits, needs, hasTraffic, slowGroups, countInDomain };
+    const candidateInput = { profile, available, needs, hasTraffic, slowGroups, countInDomain };
     const best = findBestCandidate(candidateInput);
     if (best === undefined) {
       return { place, drain };
     }
-    if (best.recruits.every(({ freeIn }) => freeIn === 0)) {
+    if (best.members.every(({ freeIn }) => freeIn === 0)) {
       place.push(describeGroup(best, service, input.nextNumber + place.length));
     }
-    drain.push(...best.donors.map((donor) => describeDrain(donor, best)));
+    drain.push(...best.drained.map((view) => describeDrain(view, best)));
     needs.add(best.model.name);
-    best.donors
+    best.drained
       .filter(({ group }) => !slowGroups.has(group.name))
       .forEach(({ group }) => {
         needs.remove(group.model);
       });
     const key = describePlace(best.domain, best.model.name);
     counts.set(key, (counts.get(key) ?? 0) + 1);
-    recruits = releaseDonors(recruits, best);
+    available = releaseDrained(available, best);
   }
 }
 
@@ -81,17 +81,20 @@
 }
 
 /** What is left: those that are not taken, and of drained groups those that are then free for others. */
-function releaseDonors(recruits: readonly Recruit[], best: Candidate): readonly Recruit[] {
-  return recruits
-    .filter((recruit) => !best.recruits.includes(recruit))
-    .map((recruit) => {
-      const isReleased = recruit.donor !== undefined && best.donors.includes(recruit.donor);
-      return isReleased ? { ...recruit, donor: undefined } : recruit;
+function releaseDrained(
+  available: readonly AvailableEngine[],
+  best: Candidate,
+): readonly AvailableEngine[] {
+  return available
+    .filter((engine) => !best.members.includes(engine))
+    .map((engine) => {
+      const isReleased = engine.heldBy !== undefined && best.drained.includes(engine.heldBy);
+      return isReleased ? { ...engine, heldBy: undefined } : engine;
     });
 }
 
 function describeGroup(
-  { model, recruits }: Candidate,
+  { model, members }: Candidate,
   service: RoutedService,
   number: number,
 ): NewEngineGroup {
@@ -99,7 +102,7 @@
     name: `${model.name}/${number}`,
     service: service.name,
     model: model.name,
-    members: recruits.map(({ engine }) => engine.member),
+    members: members.map(({ engine }) => engine.member),
   };
 }
 
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -2,7 +2,7 @@
 import { formGroups } from './form-groups.js';
 import { ModelNeeds } from './model-need.js';
 import { longestSilence, reviewGroup } from './review-groups.js';
-import { listRecruits, listSlowGroups } from './recruits.js';
+import { listAvailableEngines, listSlowGroups } from './available-engines.js';
 import { chooseStaging } from './staging.js';
 import type {
   EngineDecision,
@@ -73,9 +73,9 @@
   const domains = new Map(
     engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
   );
-  const recruits = listRecruits(engines, groups);
+  const available = listAvailableEngines(engines, groups);
   const mayDrain = !hasTraffic || input.demand.size > 0;
-  const known = { service, profile, recruits, working, slowGroups, needs, domains };
+  const known = { service, profile, available, working, slowGroups, needs, domains };
   const { place, drain } = input.isSettling
     ? { place: [], drain: [] }
     : formGroups({ ...known, hasTraffic, mayDrain, nextNumber });
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -1,5 +1,5 @@
 import type { EngineModel, EngineProfile } from '../routing/index.js';
-import { isWarm } from './recruits.js';
+import { isWarm } from './available-engines.js';
 import type { FreeEngine, StagingOrder } from './types.js';
 
 /** Chooses which weights hosts stage beside what they serve. */
