A model that is short itself gives a group to one whose callers find much less

The tests of slow engines got groups of the large model beside them, which they did not mean to leave out.

--- a/__tests__/engines/survivors.test.ts
+++ b/__tests__/engines/survivors.test.ts
@@ -102,13 +102,55 @@
   });
 });
 
+describe('a model that is short itself', () => {
+  const large = createGroupView('large/1', ['d1-a', 'd1-b', 'd1-c', 'd1-d']);
+  const small = createSmallGroups('d0', 5);
+  const idle = ['x', 'y'].map((host) => ({ host, lastModel: 'large', staged: 'large' }));
+  const engines = [
+    ...createMembers(large, 'd1'),
+    ...small.flatMap((view) => createMembers(view, 'd0')),
+    ...idle,
+  ];
+
+  /**
+   * Symptom: for twenty seconds one group of the large model is left for the callers of two and a half, and nothing is planned, while two
+   * idle engines and any group of the small model would form another. The small model lacked a little itself, so it gave none.
+   */
+  it('gives a group to one whose callers find much less', () => {
+    const asked = new Map([
+      ['large', 40],
+      ['small', 88],
+    ]);
+    const { advance } = planGroups([large, ...small], engines, asked);
+    expect(advance).toMatchObject([
+      { phase: 'draining', reason: 'large needs their engines more' },
+    ]);
+  });
+
+  it('gives none to one whose callers find little less', () => {
+    const asked = new Map([
+      ['large', 22],
+      ['small', 100],
+    ]);
+    const { advance } = planGroups([large, ...small], engines, asked);
+    expect(advance).toEqual([]);
+  });
+});
+
 describe('slow engines', () => {
   const slow = createGroupView('small/1', ['a', 'b']);
   const others = [2, 3, 4].map((number) =>
     createGroupView(`small/${number}`, [`c${number}`, `d${number}`]),
   );
-  const groups = [slow, ...others];
-  const members = groups.flatMap((view) => createMembers(view, 'd0'));
+  const large = [
+    createGroupView('large/8', ['d1-a', 'd1-b', 'd1-c', 'd1-d']),
+    createGroupView('large/9', ['d2-a', 'd2-b', 'd2-c', 'd2-d']),
+  ];
+  const groups = [slow, ...others, ...large];
+  const members = [
+    ...[slow, ...others].flatMap((view) => createMembers(view, 'd0')),
+    ...large.flatMap((view, index) => createMembers(view, `d${index + 1}`)),
+  ];
   const engines = members.map((engine) =>
     engine.host === 'a' ? { ...engine, slowdown: 5 } : engine,
   );
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -127,7 +127,10 @@
   const views = [...new Set(able.flatMap(({ heldBy }) => heldBy ?? []))];
   const countGiven = (view: GroupView): number =>
     able.filter(({ heldBy }) => heldBy === view).length;
-  const spare = new Map(profile.models.map((each) => [each.name, needs.countSpare(each)]));
+  const coverage = needs.coverageOf(model);
+  const spare = new Map(
+    profile.models.map((each) => [each.name, needs.countSpare(each, coverage)]),
+  );
   const chosen: GroupView[] = [];
   let given = 0;
   for (const view of views.sort((one, other) => countGiven(other) - countGiven(one))) {
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -14,6 +14,11 @@
  * group of 24 slots and no seventh.
  */
 const comfortWeight = 0.2;
+/**
+ * A model that is short itself gives a group to one whose callers find this much less, as parts of what is asked for. Smaller, and the
+ * two would take the same engines from each other by turns.
+ */
+const imbalance = 0.3;
 /** Worth of the reserve, against capacity that is needed now. */
 const reserveWeight = 0.4;
 /** The reserve is one group, or this part of the demand where that is more: a fabric domain is lost as a whole. */
@@ -73,10 +78,15 @@
     return demand === 0 ? 1 : Math.min(1, this.#capacity(this.#count(model.name)) / demand);
   }
 
-  /** Groups without which the others would still take all that is asked for, and some more. */
-  countSpare(model: EngineModel): number {
-    const needed = (this.#demandOf(model) * spareMargin) / this.#capacity(1);
-    return Math.max(0, this.#count(model.name) - Math.ceil(needed));
+  /**
+   * Groups that the model can give to one with this coverage: those without which its others would still take all that is asked for
+   * and some more, and those without which its callers would still find a good deal more than the other's.
+   */
+  countSpare(model: EngineModel, coverage: number): number {
+    const demand = this.#demandOf(model);
+    const enough = Math.ceil((demand * spareMargin) / this.#capacity(1));
+    const balanced = Math.ceil((demand * (coverage + imbalance)) / this.#capacity(1));
+    return Math.max(0, this.#count(model.name) - Math.min(enough, balanced));
   }
 
   /** The model that one more group of would help most. */
@@ -98,7 +108,16 @@
     const reserve = Math.max(this.#capacity(1), demand * reserveShare);
     const beyond = Math.min(Math.max(0, capacity - demand), reserve);
     const comfort = comfortWeight * demand * (1 - 1 / (1 + groups));
-    return Math.min(demand, capacity) + beyond * reserveWeight + comfort;
+    return demand * this.#worthOfCoverage(capacity, demand) + beyond * reserveWeight + comfort;
+  }
+
+  /**
+   * From 0 to 1, and steepest where nearly nothing is covered. Taken as it is, coverage would be worth the same to a model whose callers
+   * find next to nothing and to one that lacks a little, and small groups, which bring more for each engine, would always win.
+   */
+  #worthOfCoverage(capacity: number, demand: number): number {
+    const missing = demand === 0 ? 0 : Math.max(0, 1 - capacity / demand);
+    return 1 - missing * missing;
   }
 
   #capacity(groups: number): number {
