A request whose connection was never open has not run, also where its group was lost or its time is over

Cause: the connection to the head was still being opened when the group was given up; the gateway took the attempt for one that may have run. Ruled out: a broken answer (no server had the request). Now it goes elsewhere, or is told when to come back.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -17,6 +17,7 @@
   readonly lost = new Set<string>();
   targets: string[] = ['a', 'b', 'c'];
   isFull = false;
+  isSent = true;
   repeats = 10;
   readonly controller: DeliveryController;
 
@@ -27,6 +28,7 @@
       {
         choose: (tried) => this.#choose(tried),
         isThere: ({ key }) => !this.lost.has(key),
+        isSent: () => this.isSent,
         spendRepeat: () => {
           this.repeats -= 1;
           return this.repeats >= 0;
@@ -111,6 +113,41 @@
     expect(describeEffects(effects)).toEqual(['cancel', 'send b 5700']);
   });
 
+  /**
+   * Symptom: after a power cut callers get a 502 and may not ask again, while no upstream has seen their requests. The connection to the
+   * head was still being opened when the group was given up, and the gateway took the request for one that may have run.
+   */
+  it('says "not run" where the connection to a lost group was never open', () => {
+    const session = new Session();
+    session.isSent = false;
+    session.controller.handle({ type: 'started', now: 0 });
+    session.lost.add('a');
+    session.targets = [];
+    const effects = session.controller.handle({ type: 'targetsChanged', now: 300 });
+    expect(describeEffects(effects)).toEqual(['cancel']);
+    const wakeAt = session.controller.wakeAt ?? Number.NaN;
+    expect(describeEffects(session.controller.handle({ type: 'ticked', now: wakeAt }))).toEqual([
+      'fail noServingGroup',
+    ]);
+  });
+
+  it('goes elsewhere with any request whose connection was never open', () => {
+    const session = new Session({ isRepeatable: false });
+    session.isSent = false;
+    session.controller.handle({ type: 'started', now: 0 });
+    session.lost.add('a');
+    const effects = session.controller.handle({ type: 'targetsChanged', now: 300 });
+    expect(describeEffects(effects)).toEqual(['cancel', 'send b 5700']);
+  });
+
+  it('says "not run" at the deadline where the connection was never open', () => {
+    const session = new Session({ deadline: 1200 });
+    session.isSent = false;
+    session.controller.handle({ type: 'started', now: 0 });
+    const effects = session.controller.handle({ type: 'ticked', now: 1200 });
+    expect(describeEffects(effects)).toEqual(['cancel', 'fail overloaded']);
+  });
+
   it('does not take a request that must not run twice away from a group that is lost', () => {
     const session = new Session({ isRepeatable: false });
     session.controller.handle({ type: 'started', now: 0 });
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -45,6 +45,8 @@
   readonly choose: (tried: ReadonlySet<string>, now: Milliseconds) => TargetChoice;
   /** Whether the target still serves what it was chosen for. */
   readonly isThere: (target: Target) => boolean;
+  /** Whether the present attempt may have reached its upstream; false while its connection is still being opened. */
+  readonly isSent: () => boolean;
   /** Takes one repeat from the budget of the service; false when it is spent. */
   readonly spendRepeat: () => boolean;
 }
@@ -193,7 +195,13 @@
    * at another group at once; what may not is left to whatever the upstream still answers.
    */
   #leaveLostTarget(target: Target, now: Milliseconds): readonly DeliveryEffect[] {
-    if (!this.#facts.isRepeatable || this.#surroundings.isThere(target)) {
+    if (this.#surroundings.isThere(target)) {
+      return [];
+    }
+    if (!this.#surroundings.isSent()) {
+      return [{ type: 'cancel' }, ...this.#sendElsewhere(now)];
+    }
+    if (!this.#facts.isRepeatable) {
       return [];
     }
     this.#mayHaveRun = true;
@@ -205,7 +213,7 @@
     if (now >= this.#facts.deadline) {
       const cancel: readonly DeliveryEffect[] =
         phase.type === 'running' ? [{ type: 'cancel' }] : [];
-      const isSent = phase.type === 'running' || this.#mayHaveRun;
+      const isSent = this.#mayHaveRun || (phase.type === 'running' && this.#surroundings.isSent());
       return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded', now)];
     }
     if (phase.type === 'waiting' && now >= this.#findWaitEnd(phase)) {
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -64,6 +64,7 @@
       {
         choose: (tried, now) => chooser.choose({ service, model, tried }, now),
         isThere: (target) => chooser.isThere(target),
+        isSent: () => this.#attempt?.isSent ?? false,
         spendRepeat: () => parts.spendRepeat(service.name),
       },
     );
--- a/src/gateway/direct/upstream-attempt.ts
+++ b/src/gateway/direct/upstream-attempt.ts
@@ -39,6 +39,11 @@
     dispatcher.dispatch(options, this.#createHandler());
   }
 
+  /** Whether a part of the request may have reached the upstream; not while it waits for a connection. */
+  get isSent(): boolean {
+    return this.#controller !== undefined;
+  }
+
   /** Gives the attempt up; its connection is closed, so that the upstream stops working on it. */
   cancel(): void {
     this.#isOver = true;
@@ -85,7 +90,7 @@
       onResponseError: (_, error) => {
         if (!this.#isOver) {
           this.#isOver = true;
-          this.#listener.onError(error, this.#controller !== undefined);
+          this.#listener.onError(error, this.isSent);
         }
       },
     };
