--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -248,6 +248,15 @@
     ]);
   });
 
+  /** Symptom: a request that an upstream refuses after seconds is given up at once, although places come free all the time. */
+  it('waits as long for a place after a late refusal as at the start', () => {
+    const session = new Session({ attempts: 3 });
+    session.controller.handle({ type: 'started', now: 0 });
+    session.isFull = true;
+    session.controller.handle({ type: 'refused', now: 3000 });
+    expect(session.controller.wakeAt).toBe(3500);
+  });
+
   it('waits longer for a stream of which a part is with the caller', () => {
     const session = new Session({ attempts: 3 });
     session.controller.handle({ type: 'started', now: 0 });
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -83,6 +83,9 @@
 
 interface WaitingPhase {
   readonly type: 'waiting';
+  /** Since when it waits for any upstream. */
+  readonly from: Milliseconds;
+  /** Since when it waits for this reason. */
   readonly since: Milliseconds;
   /** What it waits for, as the failure that it ends with. */
   readonly code: ResultCodeName;
@@ -103,7 +106,7 @@
   constructor(facts: DeliveryFacts, surroundings: DeliverySurroundings) {
     this.#facts = facts;
     this.#surroundings = surroundings;
-    this.#phase = { type: 'waiting', since: facts.startedAt, code: 'noServingGroup' };
+    this.#phase = startWaiting(facts.startedAt, 'noServingGroup');
   }
 
   /** Upstreams to which it was sent so far. */
@@ -132,18 +135,18 @@
   }
 
   /** When a waiting request is given up; one that found the upstreams full after there was none waits no longer in all. */
-  #findWaitEnd({ since, code }: WaitingPhase): Milliseconds {
+  #findWaitEnd({ from, since, code }: WaitingPhase): Milliseconds {
     const { deadline, startedAt } = this.#facts;
     const time = deadline - startedAt;
     if (this.#isPassedOn) {
-      return since + longestResumeWait;
+      return from + longestResumeWait;
     }
     const without = Math.min(longestWaitWithout, time * longestShareWithout);
     if (code === 'noServingGroup') {
-      return since + without;
+      return from + without;
     }
     const whileFull = Math.min(longestWaitWhileFull, time * longestShareWhileFull);
-    return Math.min(since + whileFull, Math.max(startedAt + without, since + shortestRun));
+    return Math.min(since + whileFull, from + without);
   }
 
   handle(event: DeliveryEvent): readonly DeliveryEffect[] {
@@ -227,7 +230,7 @@
     if (!this.#mayTryAgain(now)) {
       return [this.#giveUp('overloaded', now)];
     }
-    this.#phase = { type: 'waiting', since: now, code: 'overloaded' };
+    this.#phase = startWaiting(now, 'overloaded');
     return this.#tryToSend(now);
   }
 
@@ -236,7 +239,7 @@
     if (!this.#facts.isRepeatable || !this.#mayTryAgain(now)) {
       return [this.#giveUp(code, now)];
     }
-    this.#phase = { type: 'waiting', since: now, code };
+    this.#phase = startWaiting(now, code);
     return this.#tryToSend(now);
   }
 
@@ -246,15 +249,15 @@
 
   #tryToSend(now: Milliseconds): readonly DeliveryEffect[] {
     const phase = this.#phase;
-    const since = phase.type === 'waiting' ? phase.since : now;
+    const waiting = phase.type === 'waiting' ? phase : startWaiting(now, 'noServingGroup');
     const choice = this.#surroundings.choose(this.#tried, now);
     switch (choice.type) {
       case 'none':
-        this.#phase = { type: 'waiting', since, code: 'noServingGroup' };
+        this.#phase = { ...waiting, code: 'noServingGroup' };
         return [];
       case 'full': {
-        const wasFull = phase.type === 'waiting' && phase.code !== 'noServingGroup';
-        this.#phase = { type: 'waiting', since: wasFull ? since : now, code: 'overloaded' };
+        const since = waiting.code === 'noServingGroup' ? now : waiting.since;
+        this.#phase = { ...waiting, since, code: 'overloaded' };
         return [];
       }
       case 'target':
@@ -285,6 +288,10 @@
   }
 }
 
+function startWaiting(now: Milliseconds, code: ResultCodeName): WaitingPhase {
+  return { type: 'waiting', from: now, since: now, code };
+}
+
 function isNotRun(code: ResultCodeName): boolean {
   return code === 'overloaded' || code === 'noServingGroup' || code === 'retryBudgetSpent';
 }
