--- a/src/sidecar/engine/engine-reporter.ts
+++ b/src/sidecar/engine/engine-reporter.ts
@@ -15,7 +15,7 @@
 } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import type { EngineFacts } from '../../routing/index.js';
 import { ReconnectPacing } from '../../watch/index.js';
-import { MessageQueue, type RpcClientPool } from '../../wire/index.js';
+import { MessageQueue, StreamSilence, type RpcClientPool } from '../../wire/index.js';
 
 /** Reports on the engine to the leader of control: what changed at once, otherwise a small heartbeat. */
 
@@ -61,12 +61,13 @@
   #sentFacts = '';
   #sentAt: Milliseconds = 0;
   #timer: NodeJS.Timeout | undefined;
-  #silence: NodeJS.Timeout | undefined;
+  readonly #silence: StreamSilence;
   #running: Promise<void> | undefined;
 
   constructor(options: EngineReporterOptions) {
     this.#options = options;
     this.#pacing = new ReconnectPacing(options.random, longestReconnectDelay);
+    this.#silence = new StreamSilence(options.clients, silenceLimit);
   }
 
   open(): void {
@@ -118,7 +119,7 @@
           logger.info({ leader: this.#leader, error: String(error) }, 'report stream ended');
         }
       }
-      clearTimeout(this.#silence);
+      this.#silence.end();
       this.#queue = undefined;
       if (!this.#isClosing()) {
         await pause(this.#pacing.next(), this.#closing.signal);
@@ -133,12 +134,12 @@
     this.#queue = queue;
     this.#sentFacts = '';
     this.#send(this.#options.describe());
-    this.#expectAnswer(leader, stream);
+    this.#silence.expect(leader, stream);
     const answers = this.#options.clients
       .client(RoutingService, leader)
       .reportEngine(queue, { signal: stream.signal });
     for await (const { stagingModel } of answers) {
-      this.#expectAnswer(leader, stream);
+      this.#silence.expect(leader, stream);
       this.#pacing.reset();
       this.#options.onStaging(stagingModel === '' ? undefined : stagingModel);
     }
@@ -148,15 +149,6 @@
     return this.#closing.signal.aborted;
   }
 
-  /** Reports into a connection that something on the way lost track of go nowhere, without an error. */
-  #expectAnswer(leader: string, stream: AbortController): void {
-    clearTimeout(this.#silence);
-    this.#silence = setTimeout(() => {
-      this.#options.clients.retire(leader);
-      stream.abort();
-    }, silenceLimit);
-  }
-
   #send(facts: EngineFacts): void {
     if (this.#queue === undefined) {
       return;
--- a/src/sidecar/shell/report-client.ts
+++ b/src/sidecar/shell/report-client.ts
@@ -15,12 +15,12 @@
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { HostFacts } from '../../model/index.js';
 import { ReconnectPacing } from '../../watch/index.js';
-import { MessageQueue, type RpcClientPool } from '../../wire/index.js';
+import { MessageQueue, StreamSilence, type RpcClientPool } from '../../wire/index.js';
 
 /** Reports to one control host: facts when they change, otherwise a small heartbeat. */
 
 const heartbeatInterval: Milliseconds = 1000;
-/** Three heartbeats without an answer. */
+/** Each report is answered; three heartbeats without an answer, and the host would count as lost for as long as the stream lives. */
 const silenceLimit: Milliseconds = 3500;
 /** A stream that lived this long was useful: the control host behind it works. */
 const usefulAfter: Milliseconds = 5000;
@@ -53,13 +53,14 @@
   #sequence = 0;
   #factsSequence = 0;
   #timer: NodeJS.Timeout | undefined;
-  #silence: NodeJS.Timeout | undefined;
+  readonly #silence: StreamSilence;
   #running: Promise<void> | undefined;
 
   constructor(options: ReportClientOptions) {
     this.#options = options;
     this.#turn = options.random.integerBelow(options.control.length);
     this.#pacing = new ReconnectPacing(options.random);
+    this.#silence = new StreamSilence(options.clients, silenceLimit);
   }
 
   open(): void {
@@ -97,7 +98,7 @@
       } catch (error) {
         logger.info({ address, error: String(error) }, 'report stream ended');
       }
-      clearTimeout(this.#silence);
+      this.#silence.end();
       if (!this.#isClosing()) {
         if (clock.monotonic() - openedAt > usefulAfter) {
           this.#pacing.reset();
@@ -109,26 +110,14 @@
 
   async #report(address: string, queue: MessageQueue<HostReportMessage>): Promise<void> {
     const stream = new AbortController();
-    this.#expectAnswer(address, stream);
+    this.#silence.expect(address, stream);
     const client = this.#options.clients.client(ControlService, address);
     const answers = client.report(queue, { signal: stream.signal })[Symbol.asyncIterator]();
     while ((await answers.next()).done !== true) {
-      this.#expectAnswer(address, stream);
+      this.#silence.expect(address, stream);
     }
   }
 
-  /**
-   * Reports into a connection that something on the way lost track of go nowhere, without an error: the host would count as lost
-   * for as long as the stream lives. Each report is answered, so a stream without answers is given up.
-   */
-  #expectAnswer(address: string, stream: AbortController): void {
-    clearTimeout(this.#silence);
-    this.#silence = setTimeout(() => {
-      this.#options.clients.retire(address);
-      stream.abort();
-    }, silenceLimit);
-  }
-
   #isClosing(): boolean {
     return this.#closing.signal.aborted;
   }
--- a/src/watch/control-watcher.ts
+++ b/src/watch/control-watcher.ts
@@ -10,7 +10,7 @@
 } from '../common/index.js';
 import { ControlService, type WatchResponse } from '../generated/pistachiospoke/v1/control_pb.js';
 import type { Revision, WatchedState, WatchedStateSource } from '../model/index.js';
-import { decodeGroup, type RpcClientPool } from '../wire/index.js';
+import { decodeGroup, StreamSilence, type RpcClientPool } from '../wire/index.js';
 import { ReconnectPacing } from './reconnect-pacing.js';
 import { WatchedStateKeeper, type WatchEvent } from './watched-state-keeper.js';
 
@@ -44,7 +44,7 @@
   /** Control host and revision last acknowledged. */
   #acknowledged = '';
   #stream: AbortController | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #silence: StreamSilence;
   readonly #closing = new AbortController();
   #running: Promise<void> | undefined;
 
@@ -52,6 +52,7 @@
     this.#options = options;
     this.#turn = options.random.integerBelow(options.control.length);
     this.#pacing = new ReconnectPacing(options.random);
+    this.#silence = new StreamSilence(options.clients, silenceLimit);
   }
 
   /** Bound, because parts take it as a function of its own. */
@@ -91,7 +92,7 @@
           this.#options.logger.info({ address, error: String(error) }, 'watch ended');
         }
       }
-      clearTimeout(this.#timer);
+      this.#silence.end();
       if (!this.#isClosing()) {
         await pause(this.#pacing.next(), this.#closing.signal);
       }
@@ -116,7 +117,7 @@
     const { clients, watcher, kind } = this.#options;
     // A control host that was started again knows nothing of what was acknowledged to it before.
     this.#acknowledged = '';
-    this.#expectMessage(address, stream);
+    this.#silence.expect(address, stream);
     const responses = clients
       .client(ControlService, address)
       .watch(
@@ -125,7 +126,7 @@
       );
     this.#keeper.handle({ type: 'connected' });
     for await (const response of responses) {
-      this.#expectMessage(address, stream);
+      this.#silence.expect(address, stream);
       if (!this.#take(response)) {
         this.#options.logger.info({ address }, 'control host is behind; taking another');
         stream.abort();
@@ -156,15 +157,6 @@
       });
   }
 
-  /** An open connection can go silent for good; without this limit the watch would wait for ever and miss changes. */
-  #expectMessage(address: string, stream: AbortController): void {
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#options.clients.retire(address);
-      stream.abort();
-    }, silenceLimit);
-  }
-
   #take(response: WatchResponse): boolean {
     const event = decodeWatchEvent(response);
     if (event === undefined) {
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -13,7 +13,7 @@
   type RoutingWatchResponse,
 } from '../generated/pistachiospoke/v1/routing_pb.js';
 import { engineGroupSchema, instanceSchema, routingDocumentSchema } from '../routing/index.js';
-import type { RpcClientPool } from '../wire/index.js';
+import { StreamSilence, type RpcClientPool } from '../wire/index.js';
 import { ReconnectPacing } from './reconnect-pacing.js';
 import { RoutingKeeper, type RoutingEvent, type RoutingView } from './routing-keeper.js';
 
@@ -48,7 +48,7 @@
   #control: readonly string[];
   #turn: number;
   #stream: AbortController | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #silence: StreamSilence;
   #running: Promise<void> | undefined;
 
   constructor(options: RoutingWatcherOptions) {
@@ -56,6 +56,7 @@
     this.#control = options.control;
     this.#turn = options.random.integerBelow(options.control.length);
     this.#pacing = new ReconnectPacing(options.random, longestReconnectDelay);
+    this.#silence = new StreamSilence(options.clients, silenceLimit);
   }
 
   /** Bound, because parts take it as a function of its own. */
@@ -96,7 +97,7 @@
           logger.warn({ address, error: String(error) }, 'routing watch lost');
         }
       }
-      clearTimeout(this.#timer);
+      this.#silence.end();
       if (!this.#isClosing()) {
         await pause(this.#pacing.next(), this.#closing.signal);
       }
@@ -120,14 +121,14 @@
 
   async #watch(address: string, stream: AbortController): Promise<void> {
     const { clients, watcher, kind, logger } = this.#options;
-    this.#expectMessage(address, stream);
+    this.#silence.expect(address, stream);
     const version = BigInt(this.#keeper.read().table?.document.version ?? 0);
     const responses = clients
       .client(RoutingService, address)
       .watch({ watcher, kind, version }, { signal: stream.signal });
     this.#keeper.handle({ type: 'connected' });
     for await (const response of responses) {
-      this.#expectMessage(address, stream);
+      this.#silence.expect(address, stream);
       const event = this.#decode(response);
       if (event !== undefined && !this.#take(event, address)) {
         logger.warn({ address }, 'control host is behind; taking another');
@@ -137,15 +138,6 @@
     }
   }
 
-  /** An open connection can go silent for good; without this limit the watch would wait for ever and miss changes. */
-  #expectMessage(address: string, stream: AbortController): void {
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#options.clients.retire(address);
-      stream.abort();
-    }, silenceLimit);
-  }
-
   /** False where this control host is to be left. */
   #take(event: RoutingEvent, address: string): boolean {
     const verdict = this.#keeper.handle(event);
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -9,6 +9,7 @@
   encodeHostFacts,
 } from './codecs.js';
 export { smallestCompressed } from './compression.js';
+export { StreamSilence } from './stream-silence.js';
 export { MessageQueue } from './message-queue.js';
 export { RpcClientPool } from './rpc-client.js';
 export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
