--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -42,3 +42,14 @@
     this.failure = failure;
   }
 }
+
+/** What an answer between processes says of an outcome; code 0 and no text for one that went well. */
+export function encodeOutcome(failure: Failure | undefined): {
+  readonly resultCode: number;
+  readonly message: string;
+} {
+  return {
+    resultCode: resultCodes[failure?.code ?? 'ok'].number,
+    message: failure?.detail ?? '',
+  };
+}
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -3,6 +3,7 @@
 export { assertNever, type Controller } from './controller.js';
 export {
   createFailure,
+  encodeOutcome,
   FailureError,
   findResultCode,
   formatFailure,
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -5,8 +5,8 @@
 
 import {
   createFailure,
+  encodeOutcome,
   parseJson,
-  resultCodes,
   type Clock,
   type Failure,
   type ManagedPart,
@@ -115,11 +115,11 @@
       },
       announce: async ({ announcement }) => {
         const result = await this.#takeForwarded(announcement);
-        return describeResult(result);
+        return encodeOutcome(findFailure(result));
       },
       read: async () => {
         const result = await this.#readHere();
-        return { ...describeResult(result), source: result.ok ? result.val : '' };
+        return { ...encodeOutcome(findFailure(result)), source: result.ok ? result.val : '' };
       },
     });
   }
@@ -283,13 +283,6 @@
   }
 }
 
-function describeResult(result: Result<unknown, Failure>): {
-  readonly resultCode: number;
-  readonly message: string;
-} {
-  if (result.ok) {
-    return { resultCode: resultCodes.ok.number, message: '' };
-  }
-  const { code, detail } = result.val;
-  return { resultCode: resultCodes[code].number, message: detail };
+function findFailure(result: Result<unknown, Failure>): Failure | undefined {
+  return result.err ? result.val : undefined;
 }
--- a/src/control/shell/membership-keeper.ts
+++ b/src/control/shell/membership-keeper.ts
@@ -2,10 +2,9 @@
 
 import {
   createFailure,
+  encodeOutcome,
   findResultCodeName,
-  resultCodes,
   type Clock,
-  type Failure,
   type ManagedPart,
   type Milliseconds,
 } from '../../common/index.js';
@@ -74,7 +73,7 @@
     }
     const leader = view.type === 'follower' ? findAddress(view.leader) : undefined;
     if (leader === undefined || forwarded) {
-      return describe(createFailure('noQuorum', 'no leader is known here'));
+      return encodeOutcome(createFailure('noQuorum', 'no leader is known here'));
     }
     try {
       const client = clients.client(ConsensusService, leader);
@@ -82,7 +81,7 @@
       return await client.admit(request, { timeoutMs: askTimeout });
     } catch (error) {
       logger.info({ leader, error: String(error) }, 'request to be taken in not handed on');
-      return describe(createFailure('noQuorum', String(error)));
+      return encodeOutcome(createFailure('noQuorum', String(error)));
     }
   }
 
@@ -92,16 +91,16 @@
     const members = [...(membership?.voters ?? []), ...(membership?.learners ?? [])];
     const earlier = members.find((member) => member.name === name);
     if (earlier?.storageId === storageId) {
-      return describe(undefined);
+      return encodeOutcome(undefined);
     }
     if (earlier !== undefined && silentMembers?.includes(name) !== true) {
       // Of two processes with one name, the one that answers stays.
-      return describe(createFailure('invalidCommand', `${name} is a member and answers`));
+      return encodeOutcome(createFailure('invalidCommand', `${name} is a member and answers`));
     }
     const result = await log.changeMembers({ type: 'admit', member: { name, storageId } });
     const failure = result.err ? result.val : undefined;
     logger.warn({ name, storageId, failure }, 'control host asked to be taken in');
-    return describe(failure);
+    return encodeOutcome(failure);
   }
 
   async #step(): Promise<void> {
@@ -157,10 +156,3 @@
     logger.warn({ name, failure }, 'silent control host taken out of the log');
   }
 }
-
-function describe(failure: Failure | undefined): AdmitAnswer {
-  return {
-    resultCode: resultCodes[failure?.code ?? 'ok'].number,
-    message: failure?.detail ?? '',
-  };
-}
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -5,7 +5,7 @@
 import {
   assertNever,
   createFailure,
-  resultCodes,
+  encodeOutcome,
   type Failure,
   type Milliseconds,
 } from '../../common/index.js';
@@ -132,7 +132,7 @@
 }
 
 function refuseGet(failure: Failure): GetResponse {
-  return create(GetResponseSchema, describeFailure(failure));
+  return create(GetResponseSchema, encodeOutcome(failure));
 }
 
 function encodeAnswer(answer: CommandAnswer): SubmitResponse {
@@ -140,17 +140,13 @@
   if (answer.type !== 'refused') {
     return create(SubmitResponseSchema, { answer: text });
   }
-  return create(SubmitResponseSchema, { ...describeFailure(answer.failure), answer: text });
+  return create(SubmitResponseSchema, { ...encodeOutcome(answer.failure), answer: text });
 }
 
 function encodeFailure(failure: Failure): SubmitResponse {
   const message: MessageInitShape<typeof SubmitResponseSchema> = {
-    ...describeFailure(failure),
+    ...encodeOutcome(failure),
     retryAfterMilliseconds: failure.retryAfterMilliseconds ?? retryWithoutQuorum,
   };
   return create(SubmitResponseSchema, message);
 }
-
-function describeFailure(failure: Failure): { resultCode: number; message: string } {
-  return { resultCode: resultCodes[failure.code].number, message: failure.detail };
-}
