A gateway reads what a caller says once, and looks for its first document once for all callers

Each request read its caller's fields two or three times; after a restart each of some hundred waiting callers looked for the document fifty times a second. Behaviour is the same.

--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -17,6 +17,7 @@
 import { RetryBudget } from '../retry-budget.js';
 import { readBody } from '../shell/body.js';
 import { admitRequest, type Admitted } from './admission.js';
+import { readLastEventId, type Call } from './call.js';
 import { DemandMeter } from './demand-meter.js';
 import { Delivery } from './delivery.js';
 import type { DeliveryOutcome, DeliverySurroundingParts } from './delivery-types.js';
@@ -172,8 +173,14 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const startedAt = this.#options.clock.monotonic();
-    const answer = new DirectAnswer(response, () => this.#isStopping);
+    const { dialect, clock, random } = this.#options;
+    const call: Call = {
+      request,
+      response,
+      answer: new DirectAnswer(response, () => this.#isStopping),
+      facts: dialect.readCaller(request.headers),
+      startedAt: clock.monotonic(),
+    };
     await this.#guard.waitForStart();
     const admission = admitRequest({
       table: this.#guard.table,
@@ -181,47 +188,35 @@
       host: request.headers.host ?? '',
       path: request.url ?? '/',
       authorization: request.headers.authorization ?? '',
-      timeLimit: this.#options.dialect.readCaller(request.headers).timeLimit,
-      fraction: this.#options.random.fraction(),
+      timeLimit: call.facts.timeLimit,
+      fraction: random.fraction(),
     });
     if (admission.type === 'refused') {
-      this.#refuse(request, answer, admission.failure);
+      this.#refuse(call, admission.failure);
       return;
     }
     const { maximumBodyBytes } = admission.table.document.callers;
     const body = await readBody(request, maximumBodyBytes);
-    if (body.err) {
-      if (body.val.code === 'cancelled') {
-        answer.cut();
-      } else {
-        this.#refuse(request, answer, body.val);
-      }
-      return;
+    if (body.ok) {
+      this.#deliver(call, admission, body.val);
+    } else if (body.val.code === 'cancelled') {
+      call.answer.cut();
+    } else {
+      this.#refuse(call, body.val);
     }
-    this.#deliver(request, response, answer, admission, body.val, startedAt);
   }
 
-  #refuse(request: IncomingMessage, answer: DirectAnswer, failure: Failure): void {
-    const { dialect, metrics } = this.#options;
-    const { requestId } = dialect.readCaller(request.headers);
+  #refuse({ request, answer, facts: { requestId } }: Call, failure: Failure): void {
     const fields = { requestId, code: failure.code, path: request.url, ...this.#guard.describe() };
     this.#log.note(fields, 'request refused');
-    metrics.noteRefusal(failure.code);
+    this.#options.metrics.noteRefusal(failure.code);
     answer.fail(failure);
     request.resume();
   }
 
-  #deliver(
-    request: IncomingMessage,
-    response: ServerResponse,
-    answer: DirectAnswer,
-    admission: Admitted,
-    body: Buffer,
-    startedAt: Milliseconds,
-  ): void {
-    const { dialect } = this.#options;
+  #deliver(call: Call, admission: Admitted, body: Buffer): void {
+    const { request, response, answer, facts, startedAt } = call;
     const { route, service, account } = admission;
-    const facts = dialect.readCaller(request.headers);
     this.#budget.noteRequest(service.name);
     if (facts.model !== undefined) {
       this.#demand.noteArrival(facts.model);
@@ -237,7 +232,7 @@
         service,
         account,
         model: facts.model,
-        resumeAfter: readLastEventId(request),
+        resumeAfter: readLastEventId(call),
         startedAt,
         deadline: startedAt + Math.min(route.timeout, facts.timeLimit ?? route.timeout),
       },
@@ -301,8 +296,3 @@
   const heads = [...engineGroups.values()].map(({ members }) => members[0]?.address ?? '');
   return new Set([...heads, ...[...instances.values()].map(({ address }) => address)]);
 }
-
-function readLastEventId(request: IncomingMessage): string | undefined {
-  const value = request.headers['last-event-id'];
-  return typeof value === 'string' && value !== '' ? value : undefined;
-}
--- a/src/gateway/direct/document-guard.ts
+++ b/src/gateway/direct/document-guard.ts
@@ -21,8 +21,8 @@
 
 export class DocumentGuard {
   readonly #options: DocumentGuardOptions;
-  /** Whether there was ever a document that control vouched for. */
-  #hasStarted = false;
+  /** The wait for the first document that control vouches for, which the first caller begins. */
+  #starting: Promise<void> | undefined;
   #startsBy: Milliseconds = 0;
 
   constructor(options: DocumentGuardOptions) {
@@ -54,13 +54,18 @@
   }
 
   /** Callers come as soon as a restarted gateway listens; refused for want of a document, they would have used up a retry. */
-  async waitForStart(): Promise<void> {
+  waitForStart(): Promise<void> {
+    // One wait for all callers: some hundreds come at once after a restart, and each would look fifty times a second.
+    this.#starting ??= this.#awaitDocument();
+    return this.#starting;
+  }
+
+  async #awaitDocument(): Promise<void> {
     const { clock } = this.#options;
-    while (!this.#hasStarted && clock.monotonic() < this.#startsBy) {
-      this.#hasStarted = this.isUsable;
-      if (!this.#hasStarted) {
-        await pause(startPollInterval, new AbortController().signal);
-      }
+    let hasStarted = this.isUsable;
+    while (!hasStarted && clock.monotonic() < this.#startsBy) {
+      await pause(startPollInterval, new AbortController().signal);
+      hasStarted = this.isUsable;
     }
   }
 
