Gauges of groups are made when asked for; coverage and names of targets are worked out once; one figure for how long a caller is held

The leader filled the gauges at each step of the planner, several times a second, also where nobody reads them. AnsweringEngine in place of FreeEngine: it also stands for members of groups. Behaviour is the same.

--- a/src/cli/commands/trace.ts
+++ b/src/cli/commands/trace.ts
@@ -44,7 +44,9 @@
   const from = Math.min(...times) - before;
   const to = Math.max(...times) + after;
   const targets = new Set(
-    own.flatMap(({ details: { target } }) => (typeof target === 'string' ? target : [])),
+    own.flatMap(({ details: { target } }) =>
+      typeof target === 'string' ? JSON.stringify(target) : [],
+    ),
   );
   const related = lines.filter((line) => {
     const isNear = line.requestId === undefined && line.at >= from && line.at <= to;
@@ -53,9 +55,10 @@
   return [...own, ...related].sort((one, other) => one.at - other.at);
 }
 
+/** `targets` are names as they stand in JSON text, quotes included. */
 function namesOneOf({ details }: LogLine, targets: ReadonlySet<string>): boolean {
   const text = JSON.stringify(details);
-  return [...targets].some((target) => text.includes(JSON.stringify(target)));
+  return [...targets].some((target) => text.includes(target));
 }
 
 function formatLines(lines: readonly LogLine[]): string {
--- a/src/control/routing/engine-metrics.ts
+++ b/src/control/routing/engine-metrics.ts
@@ -6,8 +6,8 @@
 export class EngineMetrics {
   readonly #decisions: Counter<'result'>;
   readonly #lost: Counter<'model'>;
-  readonly #groups: Gauge<'model' | 'phase'>;
-  readonly #demand: Gauge<'model'>;
+  /** What the last decision was made from; the gauges are made of it when somebody asks, not several times a second. */
+  #input: PlannerInput | undefined;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -23,29 +23,34 @@
       labelNames: ['model'],
       registers,
     });
-    this.#groups = new Gauge({
+    const groups = new Gauge<'model' | 'phase'>({
       name: 'pistachiospoke_groups',
       help: 'Groups of engines by model and phase, as this host knows them.',
       labelNames: ['model', 'phase'],
       registers,
+      collect: () => {
+        groups.reset();
+        this.#input?.groups.forEach(({ group: { model, phase } }) => {
+          groups.inc({ model, phase });
+        });
+      },
     });
-    this.#demand = new Gauge({
+    const demand = new Gauge<'model'>({
       name: 'pistachiospoke_demand_requests',
       help: 'Requests that want to run at one moment, by model, as this leader takes it.',
       labelNames: ['model'],
       registers,
+      collect: () => {
+        this.#input?.demand.forEach((requests, model) => {
+          demand.set({ model }, requests);
+        });
+      },
     });
   }
 
   /** Taken before each decision. */
-  noteInput({ groups, demand }: PlannerInput): void {
-    this.#groups.reset();
-    for (const { group } of groups) {
-      this.#groups.inc({ model: group.model, phase: group.phase });
-    }
-    for (const [model, requests] of demand) {
-      this.#demand.set({ model }, requests);
-    }
+  noteInput(input: PlannerInput): void {
+    this.#input = input;
   }
 
   noteDecision({ advance }: EngineDecision, input: PlannerInput, isCommitted: boolean): void {
--- a/src/engines/available-engines.ts
+++ b/src/engines/available-engines.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../common/index.js';
 import type { EngineModel, EngineProfile } from '../routing/index.js';
-import type { FreeEngine, GroupView } from './types.js';
+import type { AnsweringEngine, GroupView } from './types.js';
 
 /** Tells which engines can be members of a new group, and when. */
 
@@ -19,7 +19,7 @@
 
 /** An engine that could be a member of a new group. */
 export interface AvailableEngine {
-  readonly engine: FreeEngine;
+  readonly engine: AnsweringEngine;
   /** Time until it is in no group any more; 0 for a free one. */
   readonly freeIn: Milliseconds;
   /** The open group that would have to be drained for it; undefined for none. */
@@ -28,7 +28,7 @@
 
 /** Engines that are free, those that come free by themselves, and those of open groups. */
 export function listAvailableEngines(
-  engines: readonly FreeEngine[],
+  engines: readonly AnsweringEngine[],
   groups: readonly GroupView[],
 ): readonly AvailableEngine[] {
   const groupOf = new Map(
@@ -40,12 +40,12 @@
 }
 
 /** Whether the engine is so slow that a group is better off without it. */
-export function isSlow({ reading }: FreeEngine): boolean {
+export function isSlow({ reading }: AnsweringEngine): boolean {
   return reading.slowdown >= slowFrom;
 }
 
 /** Whether the engine can join a group of the model within a second or two. */
-export function isWarm({ lastModel, reading }: FreeEngine, model: EngineModel): boolean {
+export function isWarm({ lastModel, reading }: AnsweringEngine, model: EngineModel): boolean {
   return lastModel === model.name || reading.staged.includes(model.name);
 }
 
@@ -63,7 +63,7 @@
 
 /** Open groups that work at full pace: the others answer too late to be counted on. */
 export function listSlowGroups(
-  engines: readonly FreeEngine[],
+  engines: readonly AnsweringEngine[],
   groups: readonly GroupView[],
 ): ReadonlySet<string> {
   const slow = new Set(engines.filter(isSlow).map(({ member }) => member.instance));
@@ -75,7 +75,7 @@
 
 /** Undefined for an engine of a group that is on its way. */
 function describeAvailable(
-  engine: FreeEngine,
+  engine: AnsweringEngine,
   view: GroupView | undefined,
 ): AvailableEngine | undefined {
   switch (view?.group.phase) {
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -85,7 +85,8 @@
   const able = input.hasTraffic ? local.filter(({ engine }) => isWarm(engine, model)) : local;
   const atHand = able.filter(({ heldBy }) => heldBy === undefined);
   const missing = model.groupSize - atHand.length;
-  const drained = missing > 0 ? chooseDrained(input, able, model, missing) : [];
+  const coverage = input.needs.coverageOf(model);
+  const drained = missing > 0 ? chooseDrained(input, able, model, missing, coverage) : [];
   const given = able.filter(({ heldBy }) => heldBy !== undefined && drained.includes(heldBy));
   const chosen = [...atHand, ...given]
     .sort((one, other) => estimateReady(one, model) - estimateReady(other, model))
@@ -94,7 +95,6 @@
     return undefined;
   }
   const value = valueCandidate(input, domain, model, chosen, drained);
-  const coverage = input.needs.coverageOf(model);
   const isWorthIt = value > (input.hasTraffic ? leastGain : 0);
   return isWorthIt ? { model, domain, members: chosen, drained, value, coverage } : undefined;
 }
@@ -123,11 +123,11 @@
   able: readonly AvailableEngine[],
   model: EngineModel,
   missing: number,
+  coverage: number,
 ): readonly GroupView[] {
   const views = [...new Set(able.flatMap(({ heldBy }) => heldBy ?? []))];
   const countGiven = (view: GroupView): number =>
     able.filter(({ heldBy }) => heldBy === view).length;
-  const coverage = needs.coverageOf(model);
   const spare = new Map(
     profile.models.map((each) => [each.name, needs.countSpare(each, coverage)]),
   );
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -7,7 +7,7 @@
 import type {
   EngineDecision,
   EngineView,
-  FreeEngine,
+  AnsweringEngine,
   GroupAdvance,
   GroupRemoval,
   GroupView,
@@ -101,7 +101,7 @@
 }
 
 /** An engine that answers, was heard of lately and stays; undefined for any other. */
-function describeEngine(view: EngineView, input: PlannerInput): FreeEngine | undefined {
+function describeEngine(view: EngineView, input: PlannerInput): AnsweringEngine | undefined {
   const { facts, host, silence } = view;
   const { reading, address, service, lastModel } = facts;
   if (reading === undefined || silence > longestSilence || input.draining.has(reading.instance)) {
--- a/src/engines/review-groups.ts
+++ b/src/engines/review-groups.ts
@@ -174,11 +174,11 @@
  * the group would break off what it was sent since.
  */
 function isIdleSince(head: EngineView | undefined, phaseAge: Milliseconds): boolean {
-  const reading = head?.facts.reading;
-  if (reading === undefined || (head?.silence ?? 0) + announcementTime > phaseAge) {
+  if (head === undefined || head.silence + announcementTime > phaseAge) {
     return false;
   }
-  return reading.running + reading.waiting === 0;
+  const { reading } = head.facts;
+  return reading !== undefined && reading.running + reading.waiting === 0;
 }
 
 function findHead(group: EngineGroup, input: PlannerInput): EngineView | undefined {
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -1,6 +1,6 @@
 import type { EngineModel, EngineProfile } from '../routing/index.js';
 import { isWarm } from './available-engines.js';
-import type { FreeEngine, StagingOrder } from './types.js';
+import type { AnsweringEngine, StagingOrder } from './types.js';
 
 /** Chooses which weights hosts stage beside what they serve. */
 
@@ -8,7 +8,7 @@
 export interface StagingInput {
   readonly profile: EngineProfile;
   /** All engines of the service that answer. */
-  readonly engines: readonly FreeEngine[];
+  readonly engines: readonly AnsweringEngine[];
   /** Models of the groups that engines are members of, by host. */
   readonly groupModels: ReadonlyMap<string, string>;
   readonly hasTraffic: boolean;
@@ -39,7 +39,7 @@
   return [...begun, ...others.slice(0, Math.max(0, loadsAllowed))];
 }
 
-function chooseForIdle(engine: FreeEngine, input: StagingInput): readonly StagingOrder[] {
+function chooseForIdle(engine: AnsweringEngine, input: StagingInput): readonly StagingOrder[] {
   const { neediest, groupModels } = input;
   const { host } = engine.member;
   const isIdle = !groupModels.has(host) && !engine.reading.isBusy;
@@ -48,7 +48,7 @@
 }
 
 /** The model that a member of a group does not serve. */
-function chooseOther(engine: FreeEngine, input: StagingInput): readonly StagingOrder[] {
+function chooseOther(engine: AnsweringEngine, input: StagingInput): readonly StagingOrder[] {
   const { reading, lastModel, member } = engine;
   const { host } = member;
   if (reading.isBusy || lastModel === undefined || lastModel !== input.groupModels.get(host)) {
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -77,7 +77,7 @@
 }
 
 /** An engine that answers and may become a member. */
-export interface FreeEngine {
+export interface AnsweringEngine {
   readonly member: EngineMember;
   readonly service: string;
   readonly reading: EngineReading;
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -5,6 +5,7 @@
   type Milliseconds,
   type ResultCodeName,
 } from '../../common/index.js';
+import { longestHold } from './longest-hold.js';
 import { chooseRetryAfter } from './retry-after.js';
 import type { Target, TargetChoice } from './target.js';
 
@@ -18,11 +19,9 @@
 /** No request waits for more of its time than this while all upstreams are full. */
 const longestShareWhileFull = 0.15;
 /**
- * Longest time that a request waits while there is no upstream at all: a group that has its weights at hand is mended within it.
- * Callers of streams leave after two seconds without an event, so a longer wait would serve nobody.
+ * While there is no upstream at all a request waits as long as its caller stays, for a group that has its weights at hand is mended
+ * within that. No request waits for more of its time than this; callers wait as long before they come back.
  */
-const longestWaitWithout: Milliseconds = 1800;
-/** No request waits for more of its time than this while there is no upstream; callers wait as long before they come back. */
 const longestShareWithout = 0.3;
 /** A stream of which a part is with the caller waits longer: refused, it would be lost. Callers leave after two seconds' pause. */
 const longestResumeWait: Milliseconds = 1500;
@@ -141,7 +140,7 @@
     if (this.#isPassedOn) {
       return from + longestResumeWait;
     }
-    const without = Math.min(longestWaitWithout, time * longestShareWithout);
+    const without = Math.min(longestHold, time * longestShareWithout);
     if (code === 'noServingGroup') {
       return from + without;
     }
--- a/src/gateway/direct/document-guard.ts
+++ b/src/gateway/direct/document-guard.ts
@@ -1,14 +1,10 @@
 import { pause, type Clock, type Milliseconds } from '../../common/index.js';
 import type { RouteTable } from '../../routing/index.js';
 import type { RoutingView } from '../../watch/index.js';
+import { longestHold } from './longest-hold.js';
 
 /** Says whether the routing document of a gateway may be used. */
 
-/**
- * A gateway that has just started has its first document within a few tenths of a second, and about a second later where control
- * was started with it. Callers wait for that; those of streams leave after two seconds.
- */
-const longestStart: Milliseconds = 1800;
 const startPollInterval: Milliseconds = 20;
 
 /** Options of the guard. */
@@ -50,10 +46,13 @@
 
   /** The gateway begins to listen. */
   start(): void {
-    this.#startsBy = this.#options.clock.monotonic() + longestStart;
+    this.#startsBy = this.#options.clock.monotonic() + longestHold;
   }
 
-  /** Callers come as soon as a restarted gateway listens; refused for want of a document, they would have used up a retry. */
+  /**
+   * A gateway that has just started has its first document within a few tenths of a second, and about a second later where control
+   * was started with it. Callers come as soon as a restarted gateway listens; refused for want of a document, they would have used up a retry.
+   */
   waitForStart(): Promise<void> {
     // One wait for all callers: some hundreds come at once after a restart, and each would look fifty times a second.
     this.#starting ??= this.#awaitDocument();
