--- a/src/settings/common-settings.ts
+++ b/src/settings/common-settings.ts
@@ -39,6 +39,13 @@
   });
 }
 
+/** Adds the addresses of the control hosts that the seeds of these settings stand for. */
+export function addControlAddresses<
+  Settings extends { readonly seeds: z.infer<typeof requiredSeedSettings> },
+>(settings: Settings): Settings & { readonly control: readonly string[] } {
+  return { ...settings, control: listSeeds(settings.seeds).map(({ address }) => address) };
+}
+
 export const logSettings = z
   .strictObject({
     level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
--- a/src/settings/engine-sidecar-settings.ts
+++ b/src/settings/engine-sidecar-settings.ts
@@ -2,7 +2,7 @@
 
 import { reachableAddress } from './address.js';
 import {
-  listSeeds,
+  addControlAddresses,
   logSettings,
   metricsPageSettings,
   placeName,
@@ -25,9 +25,6 @@
     log: logSettings,
   })
   .readonly()
-  .transform((settings) => ({
-    ...settings,
-    control: listSeeds(settings.seeds).map(({ address }) => address),
-  }));
+  .transform(addControlAddresses);
 
 export type EngineSidecarSettings = z.infer<typeof engineSidecarSettingsSchema>;
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -2,7 +2,7 @@
 
 import { listenAddress } from './address.js';
 import {
-  listSeeds,
+  addControlAddresses,
   logSettings,
   metricsPageSettings,
   placeName,
@@ -46,9 +46,6 @@
     log: logSettings,
   })
   .readonly()
-  .transform((settings) => ({
-    ...settings,
-    control: listSeeds(settings.seeds).map(({ address }) => address),
-  }));
+  .transform(addControlAddresses);
 
 export type RoutingGatewaySettings = z.infer<typeof routingGatewaySettingsSchema>;
