--- a/__tests__/direct/request-log.test.ts
+++ b/__tests__/common/bounded-log.test.ts
@@ -1,7 +1,7 @@
 import { pino } from 'pino';
 import { describe, expect, it } from 'vitest';
 
-import { RequestLog } from '../../src/gateway/direct/request-log.js';
+import { BoundedLog } from '../../src/common/index.js';
 
 interface Line {
   readonly msg: string;
@@ -13,11 +13,12 @@
   const lines: Line[] = [];
   const logger = pino({}, { write: (text: string) => lines.push(JSON.parse(text) as Line) });
   const clock = { now: 0 };
-  const log = new RequestLog(logger, { monotonic: () => clock.now, wall: () => 0 });
+  const limits = { burst: 200, perSecond: 50 };
+  const log = new BoundedLog(logger, { monotonic: () => clock.now, wall: () => 0 }, limits);
   return { lines, clock, log };
 }
 
-describe('lines about requests', () => {
+describe('lines of one kind', () => {
   it('are bounded, and say how many were left out', () => {
     const { lines, clock, log } = createLog();
     for (let index = 0; index < 1000; index += 1) {
--- a/__tests__/control/engine-metrics.test.ts
+++ b/__tests__/control/engine-metrics.test.ts
@@ -3,13 +3,14 @@
 
 import { EngineMetrics } from '../../src/control/routing/engine-metrics.js';
 import type { PlannerInput } from '../../src/engines/index.js';
+import { InstanceSet } from '../../src/routing/index.js';
 import { createGroupView } from '../engines/fixtures.js';
 
 const input: PlannerInput = {
   services: [],
   groups: [createGroupView('large/1', ['a']), createGroupView('large/2', ['b'], 'joining')],
   engines: new Map(),
-  draining: new Set(),
+  leaving: new InstanceSet(),
   hasTraffic: true,
   isSettling: false,
   loadsAllowed: 0,
--- a/__tests__/control/instance-book.test.ts
+++ b/__tests__/control/instance-book.test.ts
@@ -42,7 +42,10 @@
   });
 
   it('of retired instances change nothing', () => {
-    const state = { ...createState(), retired: ['i-1'] };
+    const state: RoutingState = {
+      ...createState(),
+      departed: [{ id: 'i-1', reason: 'left' }],
+    };
     expect(new InstanceBook().take(announce(9), state, 0).type).toBe('retired');
   });
 
@@ -50,7 +53,7 @@
     const book = new InstanceBook();
     const state = createState(instance);
     expect(book.findSilent(state, 100_000, 5000)).toEqual([]);
-    expect(book.findSilent(state, 105_001, 5000)).toEqual(['i-1']);
+    expect(book.findSilent(state, 105_001, 5000)).toEqual([{ id: 'i-1' }]);
     book.take(announce(1), state, 105_002);
     expect(book.findSilent(state, 106_000, 5000)).toEqual([]);
   });
--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -33,7 +33,7 @@
 }
 
 function placeGroup(name: string, host: string): Command {
-  const members = [{ host, instance: `i-${host}`, address: '10.0.0.1:1' }];
+  const members = [{ host, instance: { id: `i-${host}` }, address: '10.0.0.1:1' }];
   const place = [{ name, service: 'engines', model: 'large', members }];
   return { type: 'planEngineGroups', at: 0, basedOn: 100, place, advance: [], remove: [] };
 }
--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -9,7 +9,13 @@
 } from '../../src/gateway/direct/index.js';
 
 function createTarget(key: string): Target {
-  return { key, service: 'engines', instance: `i-${key}`, address: '10.0.0.1:1', slots: 24 };
+  return {
+    key,
+    service: 'engines',
+    instance: { id: `i-${key}` },
+    address: '10.0.0.1:1',
+    slots: 24,
+  };
 }
 
 /** A controller whose surroundings are changed while it runs. */
--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -35,7 +35,7 @@
 }
 
 function createGroup(name: string, upstream: TestUpstream): [string, EngineGroup] {
-  const members = [{ host: name, instance: `i-${name}`, address: upstream.address }];
+  const members = [{ host: name, instance: { id: `i-${name}` }, address: upstream.address }];
   const group = { name, service: 'engines', model: 'small', members, fencingNumber: 1 };
   return [name, { ...group, phase: 'open' }];
 }
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -9,7 +9,7 @@
 const [engines, desk] = createDocument().services;
 
 function createGroup(name: string, phase: EnginePhase = 'open'): [string, EngineGroup] {
-  const members = [{ host: name, instance: `i-${name}`, address: '10.0.0.1:1' }];
+  const members = [{ host: name, instance: { id: `i-${name}` }, address: '10.0.0.1:1' }];
   const group = { name, service: 'engines', model: 'small', members, fencingNumber: 1 };
   return [name, { ...group, phase }];
 }
@@ -92,6 +92,33 @@
     expect(names).toEqual(['a', 'bb']);
   });
 
+  /**
+   * Symptom: an instance that started again gets no requests for a while. What was known of the start before, its load and that it had
+   * just failed, was held against the new one.
+   */
+  it('knows nothing of an instance that started again under its id', () => {
+    const loads = new TargetLoads();
+    let startedAt = 1000;
+    const read = () => {
+      const [id, instance] = createInstance('a');
+      return { ...emptyRoutingView, instances: new Map([[id, { ...instance, startedAt }]]) };
+    };
+    const random = createRandomSource(1);
+    const chooser = new TargetChooser({ readView: read, loads, random });
+    const before = desk && chooser.listTargets(desk, undefined)[0];
+    startedAt = 2000;
+    const after = desk && chooser.listTargets(desk, undefined)[0];
+    if (before === undefined || after === undefined) {
+      throw new Error('no target');
+    }
+    loads.noteLoad(before, { running: 6, waiting: 9, slots: 6 }, 0);
+    loads.suspect(before, 0);
+    expect(loads.useOf(after, 0)).toBe(0);
+    expect(loads.isSuspected(after, 0)).toBe(false);
+    expect(chooser.isThere(before)).toBe(false);
+    expect(chooser.isThere(after)).toBe(true);
+  });
+
   it('knows which targets go on with what they have', () => {
     const { chooser } = createChooser();
     const target = findTarget(chooser, 'small/1');
--- a/__tests__/engines/fixtures.ts
+++ b/__tests__/engines/fixtures.ts
@@ -5,7 +5,7 @@
   PlannerInput,
 } from '../../src/engines/index.js';
 import { planEngineGroups } from '../../src/engines/index.js';
-import type { EngineGroup, EnginePhase } from '../../src/routing/index.js';
+import { InstanceSet, type EngineGroup, type EnginePhase } from '../../src/routing/index.js';
 import { createDocument } from '../routing/documents.js';
 
 /** Engines and groups as the planner sees them. */
@@ -24,7 +24,7 @@
 export function createEngineView(engine: TestEngine): [string, EngineView] {
   const { host, domain = 'd0', lastModel, staged, slowdown = 1, group } = engine;
   const reading = {
-    instance: `i-${host}`,
+    instance: { id: `i-${host}` },
     fabricDomain: domain,
     staged: [staged],
     ...(group === undefined ? {} : { membership: describeMembership(host, group) }),
@@ -56,7 +56,11 @@
   phaseAge = 5000,
 ): GroupView {
   const [model = '', number = ''] = name.split('/');
-  const members = hosts.map((host) => ({ host, instance: `i-${host}`, address: '10.0.0.1:1' }));
+  const members = hosts.map((host) => ({
+    host,
+    instance: { id: `i-${host}` },
+    address: '10.0.0.1:1',
+  }));
   const group: EngineGroup = {
     name,
     service: 'engines',
@@ -87,7 +91,7 @@
     services: createDocument().services,
     groups,
     engines: new Map(engines.map(createEngineView)),
-    draining: new Set(),
+    leaving: new InstanceSet(),
     hasTraffic: true,
     isSettling: false,
     loadsAllowed: 0,
--- a/__tests__/engines/settling.test.ts
+++ b/__tests__/engines/settling.test.ts
@@ -4,7 +4,7 @@
 
 function createViews(answering: number, missing: number): ReadonlyMap<string, EngineView> {
   const reading = {
-    instance: 'i',
+    instance: { id: 'i' },
     fabricDomain: 'd',
     staged: [],
     isBusy: false,
--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -6,7 +6,13 @@
   type ControlState,
 } from '../../src/control/state/index.js';
 import { planEngineGroups, type EngineDecision } from '../../src/engines/index.js';
-import type { EngineFacts, EngineGroup, EngineReading } from '../../src/routing/index.js';
+import {
+  InstanceSet,
+  type EngineFacts,
+  type EngineGroup,
+  type EngineReading,
+  type InstanceIdentity,
+} from '../../src/routing/index.js';
 import { EngineController, type EngineOrder } from '../../src/sidecar/index.js';
 import { createDocument, engineProfile } from '../routing/documents.js';
 
@@ -39,7 +45,14 @@
   stagedAt = 0;
   highestFence = 0;
 
-  constructor(readonly instance: string) {}
+  constructor(
+    readonly instance: string,
+    readonly startedAt: Milliseconds,
+  ) {}
+
+  get identity(): InstanceIdentity {
+    return { id: this.instance, startedAt: this.startedAt };
+  }
 }
 
 interface Scheduled {
@@ -60,7 +73,7 @@
     readonly name: string,
     readonly domain: string,
   ) {
-    this.engine = new SimulatedEngine(`${name}-0`);
+    this.engine = new SimulatedEngine(`${name}-0`, 0);
     this.controller = new EngineController(name);
   }
 }
@@ -91,7 +104,7 @@
   #phases = new Map<string, { readonly phase: string; readonly since: Milliseconds }>();
   /** Members that were ready, by group and fencing number. */
   readonly #ready = new Map<string, Set<string>>();
-  readonly #draining = new Set<string>();
+  readonly #leaving = new InstanceSet();
   readonly #loads = new LoadBudget();
   #staging: ReadonlyMap<string, string> = new Map();
 
@@ -134,7 +147,14 @@
 
   restartEngine(host: SimulatedHost): void {
     const { staged, instance } = host.engine;
-    host.engine = new SimulatedEngine(`${instance}+`);
+    host.engine = new SimulatedEngine(`${instance}+`, this.now);
+    host.engine.staged = staged;
+  }
+
+  /** The engine starts again under the id that it had. */
+  restartEngineUnderItsId(host: SimulatedHost): void {
+    const { staged, instance } = host.engine;
+    host.engine = new SimulatedEngine(instance, this.now);
     host.engine.staged = staged;
   }
 
@@ -145,7 +165,7 @@
   }
 
   drain(host: SimulatedHost): void {
-    this.#draining.add(host.engine.instance);
+    this.#leaving.add(host.engine.identity);
   }
 
   /** Another control host leads: it knows the state, and nothing that was reported. */
@@ -197,7 +217,7 @@
     const { group } = engine;
     const state = group?.state === 'opening' ? 'ready' : group?.state;
     return {
-      instance: engine.instance,
+      instance: engine.identity,
       fabricDomain: domain,
       staged: engine.staged,
       ...(group === undefined || state === undefined
@@ -355,7 +375,9 @@
       return;
     }
     const isWhole = group.members.every((member) =>
-      this.hosts.some(({ engine: each }) => each.isAlive && each.instance === member),
+      this.hosts.some(({ engine: each }) => {
+        return each.isAlive && each.instance === member && each.group?.name === group.name;
+      }),
     );
     if (isWhole) {
       group.changesAt = this.now + stallDuration;
@@ -385,7 +407,7 @@
       services: document?.services ?? [],
       groups,
       engines: this.#directory.describe(this.now),
-      draining: this.#draining,
+      leaving: this.#leaving,
       hasTraffic: this.hasTraffic,
       isSettling: false,
       loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(engineProfile, this.now) : 5,
--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -2,7 +2,7 @@
 
 import { decodeOrderStatus, decodeReport, encodeOrder } from '../../platform/wire/engine.js';
 import { decodeManifest } from '../../platform/wire/manifest.js';
-import { decodeHeartbeat } from '../../platform/wire/registration.js';
+import { decodeHeartbeat, decodeLeave } from '../../platform/wire/registration.js';
 import { platformDialect } from '../../platform/wire/requests.js';
 import { checkRoutingDocument } from '../../src/routing/index.js';
 
@@ -96,20 +96,77 @@
 });
 
 describe('heartbeats', () => {
+  const body = {
+    service: 'desk',
+    address: '10.0.0.1:80',
+    zone: 'a',
+    version: 'v1',
+    capacity: 6,
+    state: 'draining',
+    cold_left_ms: 0,
+    sequence: 4,
+  };
+  const decode = (changes: object) =>
+    decodeHeartbeat('i-1', JSON.stringify({ ...body, ...changes }));
+
   it('say which instance is there and whether it leaves', () => {
-    const body = { service: 'desk', address: '10.0.0.1:80', zone: 'a', state: 'draining' };
-    expect(decodeHeartbeat('i-1', JSON.stringify({ ...body, sequence: 4 }))).toEqual({
-      type: 'present',
-      instance: {
-        id: 'i-1',
-        service: 'desk',
-        address: '10.0.0.1:80',
-        failureDomain: 'a',
-        isDraining: true,
+    expect(decode({})).toEqual({
+      type: 'read',
+      value: {
+        type: 'present',
+        instance: {
+          id: 'i-1',
+          service: 'desk',
+          address: '10.0.0.1:80',
+          failureDomain: 'a',
+          isDraining: true,
+        },
+        sequence: 4,
       },
-      sequence: 4,
     });
-    expect(decodeHeartbeat('i-1', '{"service":"desk"}')).toBeUndefined();
+    expect(decodeHeartbeat('i-1', '{"service":"desk"}').type).toBe('unreadable');
+  });
+
+  it('name the start of the runner where they are told it', () => {
+    const born = 1_764_728_000_123;
+    expect(decode({ born })).toMatchObject({ value: { instance: { startedAt: born } } });
+    expect(decodeLeave('i-1', JSON.stringify({ born }))).toEqual({
+      type: 'read',
+      value: { type: 'leaving', id: 'i-1', startedAt: born },
+    });
+    expect(decodeLeave('i-1', '')).toEqual({ type: 'read', value: { type: 'leaving', id: 'i-1' } });
+  });
+
+  /**
+   * Symptom: a sound runner gets no requests any more. Somebody else wrote a heartbeat under its id, with a state that no runner has; taken
+   * as a drain, it could not be taken back.
+   */
+  it.each([
+    ['a state that no runner has', { state: 'resting' }],
+    ['no state', { state: undefined }],
+    ['a number for a service', { service: 7 }],
+    ['a name for an address', { address: 'desk.example:80' }],
+    ['an address without a port', { address: '10.0.0.1' }],
+    ['no zone', { zone: undefined }],
+    ['a sequence that is text', { sequence: '4' }],
+    ['a sequence that is not whole', { sequence: 4.5 }],
+    ['a start that is not whole', { born: 17.5 }],
+    ['a start that is text', { born: '1764728000123' }],
+    ['no capacity', { capacity: undefined }],
+    ['a list for a version', { version: [] }],
+  ])('with %s name no runner', (_, changes) => {
+    expect(decode(changes).type).toBe('unreadable');
+  });
+
+  it.each(['', 'null', '[]', '7', '{"service":', '\u0000\ufffd'])(
+    'of other bytes name no runner: %j',
+    (text) => {
+      expect(decodeHeartbeat('i-1', text).type).toBe('unreadable');
+    },
+  );
+
+  it.each(['null', '[]', '{"born":"now"}', '{'])('that leave name no runner in %j', (text) => {
+    expect(decodeLeave('i-1', text).type).toBe('unreadable');
   });
 });
 
@@ -127,7 +184,9 @@
       group: { name: 'm/1', epoch: 12, rank: 0, state: 'open' },
     });
     expect(decodeReport(text)).toMatchObject({
+      type: 'status',
       orderCount: 2,
+      startedAt: undefined,
       state: {
         fabricDomain: 'f1',
         staged: ['m'],
@@ -137,7 +196,7 @@
         slowdown: 1,
       },
     });
-    expect(decodeReport('<html>')).toBeUndefined();
+    expect(decodeReport('<html>').type).toBe('unreadable');
   });
 
   it('are ordered with the fencing number of the group', () => {
--- a/__tests__/sidecar/engine-controller.test.ts
+++ b/__tests__/sidecar/engine-controller.test.ts
@@ -9,8 +9,8 @@
   service: 'engines',
   model: 'small',
   members: [
-    { host: 'head', instance: 'i-head', address: '10.0.0.1:80' },
-    { host: 'other', instance: 'i-other', address: '10.0.0.2:80' },
+    { host: 'head', instance: { id: 'i-head' }, address: '10.0.0.1:80' },
+    { host: 'other', instance: { id: 'i-other' }, address: '10.0.0.2:80' },
   ],
   phase: 'joining',
 };
@@ -23,7 +23,7 @@
   const membership =
     state === undefined ? {} : { membership: { group: 'small/1', fencingNumber: 3, state } };
   const reading = {
-    instance: 'i-head',
+    instance: { id: 'i-head' },
     fabricDomain: 'd',
     staged: [],
     isBusy: false,
@@ -66,7 +66,9 @@
   it('open the head only, and only when it is ready', () => {
     expect(decide('opening', read('ready'))).toBe('open');
     expect(decide('opening', read('joining'))).toBeUndefined();
-    expect(decide('opening', read('ready', { instance: 'i-other' }), 'other')).toBeUndefined();
+    expect(
+      decide('opening', read('ready', { instance: { id: 'i-other' } }), 'other'),
+    ).toBeUndefined();
   });
 
   /**
@@ -77,12 +79,14 @@
     expect(decide('closing', read('open'))).toBe('close');
     expect(decide('closing', read('ready'))).toBe('leave');
     expect(decide('closing', read('broken'))).toBe('leave');
-    expect(decide('closing', read('ready', { instance: 'i-other' }), 'other')).toBeUndefined();
+    expect(
+      decide('closing', read('ready', { instance: { id: 'i-other' } }), 'other'),
+    ).toBeUndefined();
   });
 
   it('are none for a group of an engine that was there before', () => {
-    expect(decide('joining', read(undefined, { instance: 'i-restarted' }))).toBeUndefined();
-    expect(decide('closing', read('open', { instance: 'i-restarted' }))).toBeUndefined();
+    expect(decide('joining', read(undefined, { instance: { id: 'i-restarted' } }))).toBeUndefined();
+    expect(decide('closing', read('open', { instance: { id: 'i-restarted' } }))).toBeUndefined();
   });
 
   it('stage what the leader wants while the engine is not busy', () => {
@@ -100,7 +104,32 @@
     expect(controller.lastModel).toBeUndefined();
     controller.handle(read('ready'));
     expect(controller.lastModel).toBe('small');
-    controller.handle(read(undefined, { instance: 'i-restarted' }));
+    controller.handle(read(undefined, { instance: { id: 'i-restarted' } }));
     expect(controller.lastModel).toBeUndefined();
   });
+
+  it('hold an engine that started again under its id for another one', () => {
+    const started = { id: 'i-head', startedAt: 1000 };
+    const members = [{ host: 'head', instance: started, address: '10.0.0.1:80' }];
+    const controller = new EngineController('head');
+    controller.handle({ type: 'assigned', group: { ...group, members } });
+    controller.handle(read('ready', { instance: started }));
+    expect(controller.lastModel).toBe('small');
+    const again = { id: 'i-head', startedAt: 2000 };
+    expect(controller.handle(read(undefined, { instance: again }, 1000))).toBeUndefined();
+    expect(controller.lastModel).toBeUndefined();
+  });
+
+  /**
+   * Symptom: a group that serves is dissolved. One answer of a member's engine was spoilt on its way, and the sidecar reported the
+   * engine as gone.
+   */
+  it('go by what the engine last said while its answers cannot be read, for some seconds', () => {
+    const controller = new EngineController('head');
+    controller.handle(read('open'));
+    controller.handle({ type: 'unreadable', now: 3000 });
+    expect(controller.reading?.membership?.state).toBe('open');
+    controller.handle({ type: 'unreadable', now: 3001 });
+    expect(controller.reading).toBeUndefined();
+  });
 });
--- a/__tests__/state/routing-state.test.ts
+++ b/__tests__/state/routing-state.test.ts
@@ -5,6 +5,7 @@
   decodeSnapshot,
   encodeSnapshot,
   initialControlState,
+  parseCommand,
   type Command,
   type ControlState,
 } from '../../src/control/state/index.js';
@@ -29,7 +30,7 @@
 function placeGroup(name: string, hosts: readonly string[], basedOn: number): Command {
   const members = hosts.map((host) => ({
     host,
-    instance: `i-${host}`,
+    instance: { id: `i-${host}` },
     address: `10.0.0.1:${hosts.indexOf(host) + 1}`,
   }));
   const group = { name, service: 'engines', model: 'small', members };
@@ -59,11 +60,26 @@
       putVersion(7, 'seven'),
       announce('i-1', '10.0.0.1:1'),
       placeGroup('small/1', ['h1', 'h2'], 0),
-      { type: 'recordInstances', at: 0, present: [], retired: ['i-9'], silent: [] },
+      { type: 'recordInstances', at: 0, present: [], retired: [{ id: 'i-9' }], silent: [] },
     ]);
     expect(decodeSnapshot(encodeSnapshot(state))).toEqual(state);
   });
 
+  it('reads a snapshot and commands that name instances by their ids alone', () => {
+    const state = applyAll([putVersion(7, 'seven'), placeGroup('small/1', ['h1'], 0)]);
+    const older = encodeSnapshot(state)
+      .replace('"departed":[]', '"retired":["i-9"]')
+      .replace('"instance":{"id":"i-h1"}', '"instance":"i-h1"');
+    const read = decodeSnapshot(older);
+    expect(read.routing.departed).toEqual([{ id: 'i-9', reason: 'left' }]);
+    expect(read.routing.engineGroups).toEqual(state.routing.engineGroups);
+    const command = { type: 'recordInstances', at: 0, present: [], retired: ['a'], silent: ['b'] };
+    expect(parseCommand(JSON.stringify(command)).unwrap()).toMatchObject({
+      retired: [{ id: 'a' }],
+      silent: [{ id: 'b' }],
+    });
+  });
+
   it('reads a snapshot that was taken before there was routing', () => {
     const older = JSON.parse(encodeSnapshot(initialControlState)) as Record<string, unknown>;
     delete older.routing;
@@ -88,7 +104,7 @@
   it('takes back one that was only silent', () => {
     const state = applyAll([
       announce('a', '10.0.0.1:1'),
-      { type: 'recordInstances', at: 0, present: [], retired: [], silent: ['a'] },
+      { type: 'recordInstances', at: 0, present: [], retired: [], silent: [{ id: 'a' }] },
       announce('a', '10.0.0.1:1'),
     ]);
     expect([...state.routing.instances.keys()]).toEqual(['a']);
--- a/__tests__/watch/routing-keeper.test.ts
+++ b/__tests__/watch/routing-keeper.test.ts
@@ -16,7 +16,7 @@
   fencingNumber: 3,
   service: 'engines',
   model: 'small',
-  members: [{ host: 'h', instance: 'i', address: '10.0.0.2:80' }],
+  members: [{ host: 'h', instance: { id: 'i' }, address: '10.0.0.2:80' }],
   phase: 'open',
 };
 const sign = { type: 'sign', isFresh: true, leader: '10.0.0.9:1', voters: ['10.0.0.9:1'] } as const;
--- a/bench/engines/loss-day.ts
+++ b/bench/engines/loss-day.ts
@@ -51,7 +51,7 @@
 
 function isWhole(world: EngineWorld, group: EngineWorld['openGroups'][number]): boolean {
   return group.members.every(({ instance }) =>
-    world.hosts.some(({ engine }) => engine.isAlive && engine.instance === instance),
+    world.hosts.some(({ engine }) => engine.isAlive && engine.instance === instance.id),
   );
 }
 
@@ -91,7 +91,7 @@
 
 function loseMember(world: EngineWorld, domain: string, draw: number): void {
   const members = new Set(
-    world.openGroups.flatMap((group) => group.members.map(({ instance }) => instance)),
+    world.openGroups.flatMap((group) => group.members.map(({ instance }) => instance.id)),
   );
   const there = world.hosts.filter((host) => {
     return host.domain === domain && members.has(host.engine.instance) && host.engine.isAlive;
--- a/src/gateway/direct/request-log.ts
+++ b/src/common/bounded-log.ts
@@ -1,23 +1,18 @@
 import type { Logger } from 'pino';
 
-import { LineBudget, type Clock } from '../../common/index.js';
+import { LineBudget, type LineBudgetLimits } from './line-budget.js';
+import type { Clock } from './time.js';
 
-/** Lines about single requests, bounded in number. */
-
-/**
- * Enough to explain any failure on a quiet day and a sample on a bad one: at 50 lines of 300 bytes a second a gateway writes 15 KB/s,
- * and takes about 1% of a core for it.
- */
-const limits = { burst: 200, perSecond: 50 };
-
-export class RequestLog {
+/** Log lines of one kind, bounded in number. */
+export class BoundedLog {
   readonly #logger: Logger;
   readonly #clock: Clock;
-  readonly #budget = new LineBudget(limits);
+  readonly #budget: LineBudget;
 
-  constructor(logger: Logger, clock: Clock) {
+  constructor(logger: Logger, clock: Clock, limits: LineBudgetLimits) {
     this.#logger = logger;
     this.#clock = clock;
+    this.#budget = new LineBudget(limits);
   }
 
   /** Writes a line, or counts it as left out; the next line that is written says how many were. */
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -31,5 +31,6 @@
 export { pause } from './pause.js';
 export { closeServer, openServer } from './http-server.js';
 export { createMetricsPage } from './metrics-page.js';
+export { BoundedLog } from './bounded-log.js';
 export { LineBudget, type LineBudgetLimits } from './line-budget.js';
 export { parseJson } from './json.js';
--- a/src/common/result-codes/change-codes.ts
+++ b/src/common/result-codes/change-codes.ts
@@ -98,4 +98,12 @@
     'This instance has left, or another one took its address.',
     'Nothing to do: the announcement is late.',
   ),
+  unusableAnnouncement: createRow(
+    4013,
+    400,
+    'notApplicable',
+    false,
+    'The announcement names no instance that could be used.',
+    'Correct what the message names; nothing was changed.',
+  ),
 };
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -10,9 +10,9 @@
   type GroupView,
   type PlannerInput,
 } from '../../engines/index.js';
-import type { EngineGroup, EngineProfile } from '../../routing/index.js';
+import { InstanceSet, type EngineGroup, type EngineProfile } from '../../routing/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
-import type { CommandAnswer, ControlState } from '../state/index.js';
+import type { CommandAnswer, ControlState, RoutingState } from '../state/index.js';
 import type { EngineMetrics } from './engine-metrics.js';
 import { LoadBudget } from './load-budget.js';
 
@@ -123,7 +123,7 @@
   }
 
   #describe(state: ControlState): PlannerInput | undefined {
-    const { document, engineGroups, instances, retired } = state.routing;
+    const { document, engineGroups } = state.routing;
     if (document === undefined) {
       return undefined;
     }
@@ -136,13 +136,12 @@
     if (this.#hasTraffic) {
       this.#settling.end();
     }
-    const draining = [...instances.values()].filter(({ isDraining }) => isDraining);
     const profile = document.services.find(({ engine }) => engine !== undefined)?.engine;
     return {
       services: document.services,
       groups: this.#describeGroups([...engineGroups.values()], now),
       engines,
-      draining: new Set([...draining.map(({ id }) => id), ...retired]),
+      leaving: listLeaving(state.routing),
       hasTraffic: this.#hasTraffic,
       isSettling: this.#settling.isSettling(engines, now),
       loadsAllowed: this.#countLoads(profile, now),
@@ -210,6 +209,16 @@
   }
 }
 
+/** Instances that said that they are leaving, or are known to be gone though their engines may still answer. */
+function listLeaving({ instances, departed }: RoutingState): InstanceSet {
+  return new InstanceSet([
+    ...[...instances.values()].filter(({ isDraining }) => isDraining),
+    ...departed.filter(({ id, startedAt, reason }) => {
+      return reason !== 'silent' && (startedAt !== undefined || !instances.has(id));
+    }),
+  ]);
+}
+
 /** Requests that want to run at one moment, by model, as a decision took them. */
 function describeDemand({ demand }: PlannerInput): Readonly<Record<string, number>> {
   return Object.fromEntries([...demand].map(([model, count]) => [model, Math.round(count)]));
--- a/src/control/routing/engine-report-service.ts
+++ b/src/control/routing/engine-report-service.ts
@@ -2,7 +2,7 @@
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { Logger } from 'pino';
 
-import type { Clock } from '../../common/index.js';
+import { parseJson, type Clock } from '../../common/index.js';
 import type { ReplicatedLog } from '../../consensus/index.js';
 import type { EngineView } from '../../engines/index.js';
 import {
@@ -74,7 +74,7 @@
 }
 
 function parseFacts(text: string): ReceivedReport['facts'] {
-  const parsed = engineFactsSchema.safeParse(JSON.parse(text));
+  const parsed = engineFactsSchema.safeParse(parseJson(text));
   if (!parsed.success) {
     throw new ConnectError(`facts: ${parsed.error.message}`, Code.InvalidArgument);
   }
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -1,9 +1,10 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Err, Ok, type Result } from 'ts-results';
 import type { Logger } from 'pino';
-import type { Registry } from 'prom-client';
+import { Counter, type Registry } from 'prom-client';
 
 import {
+  BoundedLog,
   createFailure,
   encodeOutcome,
   parseJson,
@@ -21,6 +22,7 @@
 import {
   announcementSchema,
   checkRoutingDocument,
+  formatIdentity,
   type Announcement,
   type RoutingDocument,
 } from '../../routing/index.js';
@@ -41,6 +43,10 @@
 const freshnessLimit: Milliseconds = 1500;
 /** Between two signs of life to watchers; also how often the leader looks for silent instances. */
 const signInterval: Milliseconds = 500;
+/** Lines about announcements that could not be used: whoever writes them may do so many times a second. */
+const unusableLines = { burst: 20, perSecond: 1 };
+/** Characters of such an announcement that are logged: enough to tell who writes it. */
+const loggedText = 200;
 
 /** Options of routing on a control host. */
 export interface RoutingControlOptions {
@@ -68,11 +74,19 @@
   readonly #reports: EngineReportService;
   readonly #calls: LeaderCalls;
   readonly #engines: EngineLoop;
+  readonly #unusable: BoundedLog;
+  readonly #unusableCount: Counter;
   #timer: NodeJS.Timeout | undefined;
   #leader = '';
 
   constructor(options: RoutingControlOptions) {
     this.#options = options;
+    this.#unusable = new BoundedLog(options.logger, options.clock, unusableLines);
+    this.#unusableCount = new Counter({
+      name: 'pistachiospoke_announcements_unusable_total',
+      help: 'Announcements that named no instance to use and changed nothing.',
+      registers: [options.registry],
+    });
     this.#calls = new LeaderCalls(options);
     this.#engines = new EngineLoop({
       ...options,
@@ -185,6 +199,14 @@
     return this.#calls.announce(leader, announcement);
   }
 
+  /** Notes an announcement that names no instance to use; answers the failure that its writer is told. */
+  refuseAnnouncement(id: string, reason: string, text: string): Failure {
+    this.#unusableCount.inc();
+    const fields = { id: id.slice(0, loggedText), reason, text: text.slice(0, loggedText) };
+    this.#unusable.note(fields, 'announcement not usable');
+    return createFailure('unusableAnnouncement', reason);
+  }
+
   async *#watch(request: RoutingWatchRequest): AsyncIterable<RoutingWatchResponse> {
     const { watcher, kind } = request;
     const { logger } = this.#options;
@@ -243,6 +265,14 @@
         return new Ok(undefined);
       case 'retired':
         return new Err(createFailure('retiredInstance', ''));
+      case 'unusable':
+        return new Err(
+          this.refuseAnnouncement(
+            findId(announcement),
+            verdict.reason,
+            JSON.stringify(announcement),
+          ),
+        );
       case 'record':
         logger.info({ announcement }, 'instance announced a change');
         return this.#record(verdict.changes);
@@ -268,7 +298,7 @@
     if (silent.length === 0) {
       return;
     }
-    logger.warn({ silent, instanceSilence }, 'instances fell silent');
+    logger.warn({ silent: silent.map(formatIdentity), instanceSilence }, 'instances fell silent');
     void this.#record({ present: [], retired: [], silent });
   }
 
@@ -283,6 +313,10 @@
   }
 }
 
+function findId(announcement: Announcement): string {
+  return announcement.type === 'present' ? announcement.instance.id : announcement.id;
+}
+
 function findFailure(result: Result<unknown, Failure>): Failure | undefined {
   return result.err ? result.val : undefined;
 }
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -3,7 +3,8 @@
 import { applyClaimKey, applySettleClaim } from './apply-claim.js';
 import { applyPlanEngineGroups } from './apply-engine-groups.js';
 import { applyPlaceGroups } from './apply-placement.js';
-import { applyPutRouting, applyRecordInstances } from './apply-routing.js';
+import { applyRecordInstances } from './apply-instances.js';
+import { applyPutRouting } from './apply-routing.js';
 import type { Command } from './commands.js';
 import type { Applied, ControlState } from './state.js';
 
--- a/src/control/state/commands.ts
+++ b/src/control/state/commands.ts
@@ -5,6 +5,7 @@
   engineGroupSchema,
   enginePhases,
   instanceSchema,
+  storedIdentitySchema,
   routingDocumentSchema,
 } from '../../routing/index.js';
 
@@ -123,9 +124,11 @@
     /** New instances, and known ones of which something changed. */
     present: z.array(instanceSchema).readonly(),
     /** Instances that left for good: a late announcement does not bring them back. */
-    retired: z.array(z.string()).readonly(),
+    retired: z.array(storedIdentitySchema).readonly(),
     /** Instances that fell silent: they are taken back when they speak again. */
-    silent: z.array(z.string()).readonly(),
+    silent: z.array(storedIdentitySchema).readonly(),
+    /** Those of the present ones that had been replaced and have proved since that it is they who run. */
+    proved: z.array(storedIdentitySchema).readonly().exactOptional(),
   })
   .readonly();
 
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -1,9 +1,11 @@
 import { z } from 'zod';
 
 import {
+  departedInstanceSchema,
   engineGroupSchema,
   instanceSchema,
   routingDocumentSchema,
+  type DepartedInstance,
   type EngineGroup,
   type Instance,
   type RoutingDocument,
@@ -14,8 +16,8 @@
   /** Undefined before the first document. */
   readonly document: RoutingDocument | undefined;
   readonly instances: ReadonlyMap<string, Instance>;
-  /** Instances that left for good, the newest last. */
-  readonly retired: readonly string[];
+  /** Instances that are gone, the newest last. */
+  readonly departed: readonly DepartedInstance[];
   readonly engineGroups: ReadonlyMap<string, EngineGroup>;
   /** Log index of the last command that changed groups of engines. */
   readonly engineGroupsIndex: number;
@@ -25,7 +27,7 @@
 export const initialRoutingState: RoutingState = {
   document: undefined,
   instances: new Map(),
-  retired: [],
+  departed: [],
   engineGroups: new Map(),
   engineGroupsIndex: 0,
 };
@@ -35,7 +37,9 @@
   .strictObject({
     document: routingDocumentSchema.nullable(),
     instances: z.array(instanceSchema),
-    retired: z.array(z.string()).readonly(),
+    departed: z.array(departedInstanceSchema).readonly().exactOptional(),
+    /** Ids of instances that left, in snapshots from before starts were told apart. */
+    retired: z.array(z.string()).readonly().exactOptional(),
     engineGroups: z.array(engineGroupSchema),
     engineGroupsIndex: z.int().min(0),
   })
@@ -56,8 +60,11 @@
   if (stored === undefined) {
     return initialRoutingState;
   }
+  const { departed = [], retired = [], ...rest } = stored;
+  const departedBefore = retired.map((id): DepartedInstance => ({ id, reason: 'left' }));
   return {
-    ...stored,
+    ...rest,
+    departed: [...departedBefore, ...departed],
     document: stored.document ?? undefined,
     instances: new Map(stored.instances.map((instance) => [instance.id, instance])),
     engineGroups: new Map(stored.engineGroups.map((group) => [group.name, group])),
--- a/src/engines/available-engines.ts
+++ b/src/engines/available-engines.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../common/index.js';
-import type { EngineModel, EngineProfile } from '../routing/index.js';
+import { InstanceSet, type EngineModel, type EngineProfile } from '../routing/index.js';
 import type { AnsweringEngine, GroupView } from './types.js';
 
 /** Tells which engines can be members of a new group, and when. */
@@ -66,7 +66,7 @@
   engines: readonly AnsweringEngine[],
   groups: readonly GroupView[],
 ): ReadonlySet<string> {
-  const slow = new Set(engines.filter(isSlow).map(({ member }) => member.instance));
+  const slow = new InstanceSet(engines.filter(isSlow).map(({ member }) => member.instance));
   const found = groups.filter(({ group }) =>
     group.members.some(({ instance }) => slow.has(instance)),
   );
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -104,7 +104,7 @@
 function describeEngine(view: EngineView, input: PlannerInput): AnsweringEngine | undefined {
   const { facts, host, silence } = view;
   const { reading, address, service, lastModel } = facts;
-  if (reading === undefined || silence > longestSilence || input.draining.has(reading.instance)) {
+  if (reading === undefined || silence > longestSilence || input.leaving.has(reading.instance)) {
     return undefined;
   }
   const member = { host, instance: reading.instance, address };
--- a/src/engines/review-groups.ts
+++ b/src/engines/review-groups.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from '../common/index.js';
-import type { EngineGroup, EngineMember, EngineMembership } from '../routing/index.js';
+import {
+  isSameInstance,
+  type EngineGroup,
+  type EngineMember,
+  type EngineMembership,
+} from '../routing/index.js';
 import type { EngineView, GroupAdvance, GroupRemoval, GroupView, PlannerInput } from './types.js';
 
 /** Decides what becomes of the groups that are placed. */
@@ -29,7 +34,7 @@
 
 export function reviewGroup(view: GroupView, input: PlannerInput): GroupVerdict {
   const { group } = view;
-  const standings = group.members.map((member) => judgeMember(member, input));
+  const standings = group.members.map((member) => judgeMember(member, group, input));
   switch (group.phase) {
     case 'joining':
       return reviewJoining(view, standings, input);
@@ -58,15 +63,40 @@
   return isThis ? membership : undefined;
 }
 
-function judgeMember(member: EngineMember, input: PlannerInput): MemberStanding {
+function judgeMember(
+  member: EngineMember,
+  group: EngineGroup,
+  input: PlannerInput,
+): MemberStanding {
   const view = input.engines.get(member.host);
   if (view === undefined || view.silence > longestSilence) {
     return 'unheard';
   }
-  if (view.facts.reading?.instance !== member.instance) {
+  if (!isStillThere(member, view) || hasForgotten(group, view)) {
     return 'lost';
   }
-  return input.draining.has(member.instance) ? 'leaving' : 'present';
+  return input.leaving.has(member.instance) ? 'leaving' : 'present';
+}
+
+function isStillThere({ instance }: EngineMember, { facts }: EngineView): boolean {
+  return facts.reading !== undefined && isSameInstance(facts.reading.instance, instance);
+}
+
+/**
+ * Whether a member that was ready in the group is not in it any more.
+ * An engine that started again, or that carried out a late order, makes no more tokens for the group; the head says nothing of that for
+ * seconds, in which all its streams stand still.
+ */
+function hasForgotten(group: EngineGroup, view: EngineView): boolean {
+  switch (group.phase) {
+    case 'joining':
+    case 'closing':
+      return false;
+    case 'opening':
+    case 'open':
+    case 'draining':
+      return findMembership(group, view) === undefined;
+  }
 }
 
 /** It was never ordered to open, so it can be dissolved at any moment. */
@@ -158,8 +188,8 @@
   if (view === undefined || view.silence > longestSilence) {
     return keep;
   }
-  const headInstance = group.members[0]?.instance;
-  if (view.facts.reading?.instance !== headInstance) {
+  const head = group.members[0];
+  if (head === undefined || !isStillThere(head, view)) {
     return remove(group, 'the head is gone');
   }
   const state = findMembership(group, view)?.state;
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -5,6 +5,7 @@
   EngineMember,
   EnginePhase,
   EngineReading,
+  InstanceSet,
   RoutedService,
 } from '../routing/index.js';
 
@@ -30,7 +31,7 @@
   readonly groups: readonly GroupView[];
   readonly engines: ReadonlyMap<string, EngineView>;
   /** Instances that said that they are leaving. */
-  readonly draining: ReadonlySet<string>;
+  readonly leaving: InstanceSet;
   /** Whether a group has served a request: from then on loads are slow, and limited. */
   readonly hasTraffic: boolean;
   /** Whether engines are still coming up for the first time: what is placed now would be placed from a part of them. */
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -1,7 +1,6 @@
-import type { Clock, Milliseconds } from '../../common/index.js';
+import type { BoundedLog, Clock, Milliseconds } from '../../common/index.js';
 import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { Dialect, RawHeaders } from './dialect.js';
-import type { RequestLog } from './request-log.js';
 import type { TargetChooser, TargetLoads } from './target.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -35,7 +34,7 @@
   readonly connectionLimit: (service: RoutedService) => number;
   readonly spendRepeat: (service: string) => boolean;
   readonly clock: Clock;
-  readonly log: RequestLog;
+  readonly log: BoundedLog;
 }
 
 /** How a delivery ended, for logs and metrics. */
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -151,7 +151,7 @@
     const { connections, connectionLimit, dialect, loads } = this.#parts;
     const { method, path, rawHeaders, body, service, account, route, resumeAfter } = this.#request;
     const headers = dialect.writeUpstream(rawHeaders, {
-      instance: target.instance,
+      instance: target.instance.id,
       remaining,
       account: account?.name,
       priority: this.#answer.isPassedOn ? mostUrgent : (account?.priority ?? route.priority),
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 
 import {
+  BoundedLog,
   closeServer,
   openServer,
   pause,
@@ -12,6 +13,7 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
+import { formatIdentity } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { RetryBudget } from '../retry-budget.js';
@@ -25,7 +27,6 @@
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
 import { DocumentGuard } from './document-guard.js';
-import { RequestLog } from './request-log.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
@@ -36,6 +37,11 @@
 /** What is still under way this long before the end of the grace period is cut off. */
 const graceMargin: Milliseconds = 400;
 const drainPollInterval: Milliseconds = 50;
+/**
+ * Enough lines to explain any failure on a quiet day and a sample on a bad one: at 50 lines of 300 bytes a second a gateway writes
+ * 15 KB/s, and takes about 1% of a core for it.
+ */
+const requestLines = { burst: 200, perSecond: 50 };
 
 /** Options of the gateway. */
 export interface DirectGatewayOptions {
@@ -59,7 +65,7 @@
   readonly #parts: DeliverySurroundingParts;
   readonly #deliveries = new Set<Delivery>();
   readonly #demand: DemandMeter;
-  readonly #log: RequestLog;
+  readonly #log: BoundedLog;
   readonly #guard: DocumentGuard;
   /** Gateways that share the bounds on repeats and connections. */
   #gateways: number;
@@ -69,7 +75,7 @@
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
     const { settings, dialect, readView, clock, random, logger } = options;
-    this.#log = new RequestLog(logger, clock);
+    this.#log = new BoundedLog(logger, clock, requestLines);
     const { vouchMilliseconds } = settings.bounds;
     this.#guard = new DocumentGuard({ readView, clock, longestSilence: vouchMilliseconds });
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
@@ -155,7 +161,8 @@
   }
 
   #follow(view: RoutingView): void {
-    const keys = new Set([...view.engineGroups.keys(), ...view.instances.keys()]);
+    const instances = [...view.instances.values()].map(formatIdentity);
+    const keys = new Set([...view.engineGroups.keys(), ...instances]);
     this.#loads.retain(keys);
     this.#connections.retain(listAddresses(view));
     const callers = view.table?.document.callers;
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -1,5 +1,12 @@
 import type { Milliseconds, RandomSource } from '../../common/index.js';
-import type { EngineGroup, RoutedService } from '../../routing/index.js';
+import {
+  formatIdentity,
+  identityOf,
+  isSameStart,
+  type EngineGroup,
+  type InstanceIdentity,
+  type RoutedService,
+} from '../../routing/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import type { UpstreamLoad } from './dialect.js';
 
@@ -7,10 +14,10 @@
 
 /** Where a request can be sent. */
 export interface Target {
-  /** Names the placed group, or the instance of a plain service. */
+  /** Names the placed group, or the start of an instance of a plain service. */
   readonly key: string;
   readonly service: string;
-  readonly instance: string;
+  readonly instance: InstanceIdentity;
   /** `ip:port`. */
   readonly address: string;
   /** Requests that it works on at once; undefined where it has not said. */
@@ -154,7 +161,8 @@
     if (group !== undefined) {
       return group.phase === 'open' || group.phase === 'draining';
     }
-    return instances.get(instance)?.service === service;
+    const known = instances.get(instance.id);
+    return known?.service === service && isSameStart(known, instance);
   }
 
   listTargets(service: RoutedService, model: string | undefined): readonly Target[] {
@@ -168,9 +176,13 @@
     }
     return [...instances.values()]
       .filter((instance) => instance.service === service.name && !instance.isDraining)
-      .map(({ id, address }) => {
-        return { key: id, service: service.name, instance: id, address, slots: undefined };
-      });
+      .map((instance) => ({
+        key: formatIdentity(instance),
+        service: service.name,
+        instance: identityOf(instance),
+        address: instance.address,
+        slots: undefined,
+      }));
   }
 }
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,14 +1,27 @@
 export { checkRoutingDocument } from './check.js';
-export { chooseService, RouteTable } from './route-table.js';
 export {
   announcementSchema,
+  departedInstanceSchema,
+  formatIdentity,
+  identityOf,
+  InstanceSet,
+  instanceSchema,
+  isSameInstance,
+  isSameStart,
+  storedIdentitySchema,
+  type Announcement,
+  type DepartedInstance,
+  type DepartureReason,
+  type Instance,
+  type InstanceIdentity,
+} from './instances.js';
+export { chooseService, RouteTable } from './route-table.js';
+export {
   engineFactsSchema,
   engineGroupSchema,
   enginePhases,
   engineReadingSchema,
-  instanceSchema,
   routingDocumentSchema,
-  type Announcement,
   type CallerBounds,
   type EngineFacts,
   type EngineGroup,
@@ -18,7 +31,6 @@
   type EnginePhase,
   type EngineProfile,
   type EngineReading,
-  type Instance,
   type Route,
   type RoutedAccount,
   type RoutedService,
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -1,15 +1,13 @@
 import { z } from 'zod';
 
+import { storedIdentitySchema } from './instances.js';
+import { nameSchema as name } from './names.js';
+
 /**
- * Routing: which requests go to which services, the instances that serve them and the groups that engines form.
+ * Routing: which requests go to which services, and the groups that engines form.
  * The types follow from the schemas, because all of it crosses the log and the watches as JSON text.
  */
 
-/** Longest name in a routing document, in characters: names end up in every log line. */
-const longestName = 200;
-
-const name = z.string().min(1).max(longestName);
-
 /** Milliseconds. */
 const duration = z.number().min(0);
 
@@ -118,37 +116,11 @@
   })
   .readonly();
 
-/** A started upstream that announced itself; a restart is another instance. */
-export const instanceSchema = z
-  .strictObject({
-    id: name,
-    service: name,
-    /** `ip:port`. */
-    address: name,
-    failureDomain: z.string(),
-    /** A draining instance gets no new requests. */
-    isDraining: z.boolean(),
-  })
-  .readonly();
-
-/** What an instance says of itself. */
-export const announcementSchema = z.discriminatedUnion('type', [
-  z
-    .strictObject({
-      type: z.literal('present'),
-      instance: instanceSchema,
-      /** Grows with each announcement of one instance, so that a late one is known. */
-      sequence: z.number(),
-    })
-    .readonly(),
-  z.strictObject({ type: z.literal('leaving'), id: name }).readonly(),
-]);
-
 const engineMember = z
   .strictObject({
     host: name,
-    /** The instance that was there when the group was placed; a restarted engine is another one. */
-    instance: name,
+    /** The instance that was there when the group was placed; an engine that started again is another one. */
+    instance: storedIdentitySchema,
     /** `ip:port` of the engine. */
     address: name,
   })
@@ -187,7 +159,7 @@
 /** What an engine says of itself when it is asked by its own sidecar. */
 export const engineReadingSchema = z
   .strictObject({
-    instance: name,
+    instance: storedIdentitySchema,
     /** Where the links between engines are fast. */
     fabricDomain: z.string(),
     /** Models whose weights are on the host. */
@@ -223,8 +195,6 @@
 export type RoutedAccount = z.infer<typeof routedAccount>;
 export type CallerBounds = z.infer<typeof callerBounds>;
 export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
-export type Instance = z.infer<typeof instanceSchema>;
-export type Announcement = z.infer<typeof announcementSchema>;
 export type EngineMember = z.infer<typeof engineMember>;
 export type EnginePhase = (typeof enginePhases)[number];
 export type EngineGroup = z.infer<typeof engineGroupSchema>;
--- a/src/sidecar/engine/driver-metrics.ts
+++ b/src/sidecar/engine/driver-metrics.ts
@@ -14,6 +14,7 @@
   readonly #orderTime: Histogram<'order'>;
   readonly #instances: Counter;
   readonly #unanswered: Counter;
+  readonly #unreadable: Counter;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -40,6 +41,11 @@
       help: 'Times that the engine stopped answering.',
       registers,
     });
+    this.#unreadable = new Counter({
+      name: 'pistachiospoke_engine_unreadable_answers_total',
+      help: 'Answers of the engine that could not be read.',
+      registers,
+    });
   }
 
   noteOrder({ type }: EngineOrder, outcome: OrderOutcome, took: Milliseconds): void {
@@ -47,6 +53,10 @@
     this.#orderTime.observe({ order: type }, took / millisecondsPerSecond);
   }
 
+  noteUnreadable(): void {
+    this.#unreadable.inc();
+  }
+
   /** Another instance answers now, or none does. */
   noteInstance(instance: string | undefined): void {
     if (instance === undefined) {
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -1,5 +1,11 @@
 import type { Milliseconds } from '../../common/index.js';
-import type { EngineGroup, EngineMembership, EngineReading } from '../../routing/index.js';
+import {
+  isSameInstance,
+  isSameStart,
+  type EngineGroup,
+  type EngineMembership,
+  type EngineReading,
+} from '../../routing/index.js';
 import type { EngineOrder } from './engine-port.js';
 
 /** Decides what the engine beside a sidecar is ordered; free of I/O. */
@@ -9,10 +15,17 @@
  * Every order names its group and fencing number, so a second copy changes nothing.
  */
 const repeatAfter: Milliseconds = 250;
+/**
+ * What an engine last said is believed for this long while its answers cannot be read; as long as control believes a report of a sidecar that
+ * fell silent. Taken for the end of the engine at once, one spoilt answer would dissolve a group that serves.
+ */
+const longestUnreadable: Milliseconds = 3000;
 
 /** What happens to the controller. */
 export type EngineEvent =
   | { readonly type: 'read'; readonly now: Milliseconds; readonly reading: EngineReading }
+  /** Something answers at the engine's address, and says nothing that can be read. */
+  | { readonly type: 'unreadable'; readonly now: Milliseconds }
   /** Nothing answers at the engine's address. */
   | { readonly type: 'silent' }
   /** The placed group that this host is a member of. */
@@ -28,6 +41,7 @@
 export class EngineController {
   readonly #host: string;
   #reading: EngineReading | undefined;
+  #readAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #group: EngineGroup | undefined;
   #stagingModel: string | undefined;
   #lastModel: string | undefined;
@@ -70,11 +84,15 @@
     switch (event.type) {
       case 'read':
         this.#takeReading(event.reading);
+        this.#readAt = event.now;
         return this.#decide(event.now);
+      case 'unreadable':
+        if (event.now - this.#readAt > longestUnreadable) {
+          this.#forgetEngine();
+        }
+        return undefined;
       case 'silent':
-        this.#reading = undefined;
-        this.#lastModel = undefined;
-        this.#sent = undefined;
+        this.#forgetEngine();
         return undefined;
       case 'assigned':
         this.#group = event.group;
@@ -85,8 +103,15 @@
     }
   }
 
+  #forgetEngine(): void {
+    this.#reading = undefined;
+    this.#lastModel = undefined;
+    this.#sent = undefined;
+  }
+
   #takeReading(reading: EngineReading): void {
-    if (reading.instance !== this.#reading?.instance) {
+    const before = this.#reading?.instance;
+    if (before === undefined || !isSameStart(reading.instance, before)) {
       this.#lastModel = undefined;
       this.#sent = undefined;
     }
@@ -119,7 +144,7 @@
     const { name, fencingNumber } = group;
     switch (group.phase) {
       case 'joining': {
-        const members = group.members.map(({ instance }) => instance);
+        const members = group.members.map(({ instance }) => instance.id);
         return membership === undefined
           ? { type: 'join', group: name, fencingNumber, model: group.model, members }
           : this.#chooseStaging();
@@ -177,9 +202,12 @@
   }
 
   #isMember(group: EngineGroup): boolean {
-    return group.members.some(
-      ({ host, instance }) => host === this.#host && instance === this.#reading?.instance,
-    );
+    const reading = this.#reading;
+    return group.members.some(({ host, instance }) => {
+      return (
+        host === this.#host && reading !== undefined && isSameInstance(instance, reading.instance)
+      );
+    });
   }
 
   #isHead(): boolean {
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -1,7 +1,19 @@
 import type { Logger } from 'pino';
 
-import { pause, type Clock, type ManagedPart, type Milliseconds } from '../../common/index.js';
-import type { EngineGroup, EngineReading } from '../../routing/index.js';
+import {
+  BoundedLog,
+  pause,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+  type WallTime,
+} from '../../common/index.js';
+import {
+  formatIdentity,
+  type EngineGroup,
+  type EngineReading,
+  type InstanceIdentity,
+} from '../../routing/index.js';
 import type { DriverMetrics } from './driver-metrics.js';
 import { EngineController, type EngineEvent } from './engine-controller.js';
 import type { EngineOrder, EnginePort, EngineStatus } from './engine-port.js';
@@ -15,6 +27,8 @@
 const restingInterval: Milliseconds = 400;
 /** While the engine changes groups, each wait is time in which nobody is served. */
 const changingInterval: Milliseconds = 20;
+/** Lines about answers that cannot be read: one tells what is wrong, and an engine is asked up to fifty times a second. */
+const unreadableLines = { burst: 5, perSecond: 0.2 };
 
 /** Options of the driver. */
 export interface EngineDriverOptions {
@@ -28,7 +42,7 @@
 }
 
 interface KnownInstance {
-  readonly name: string;
+  readonly identity: InstanceIdentity;
   readonly connection: number;
   readonly orderCount: number;
 }
@@ -38,6 +52,7 @@
   readonly #options: EngineDriverOptions;
   readonly #controller: EngineController;
   readonly #closing = new AbortController();
+  readonly #unreadable: BoundedLog;
   #instance: KnownInstance | undefined;
   #wake = new AbortController();
   #running: Promise<void> | undefined;
@@ -45,6 +60,7 @@
   constructor(options: EngineDriverOptions) {
     this.#options = options;
     this.#controller = new EngineController(options.host);
+    this.#unreadable = new BoundedLog(options.logger, options.clock, unreadableLines);
     options.port.onDisconnect(() => {
       this.#wake.abort();
     });
@@ -102,9 +118,10 @@
     const order = this.#controller.handle(event);
     const after = this.#controller.reading;
     const { logger, metrics } = this.#options;
-    if (before?.instance !== after?.instance) {
-      metrics.noteInstance(after?.instance);
-      logger.info({ before: before?.instance, now: after?.instance }, 'engine instance changed');
+    const identities = { before: describeInstance(before), now: describeInstance(after) };
+    if (identities.before !== identities.now) {
+      metrics.noteInstance(identities.now);
+      logger.info(identities, 'engine instance changed');
     }
     const describe = (reading: EngineReading | undefined): string =>
       JSON.stringify(reading?.membership);
@@ -115,23 +132,52 @@
   }
 
   async #read(): Promise<EngineEvent> {
-    const { port, clock } = this.#options;
-    const status = await port.readStatus();
-    const instance = status === undefined ? undefined : await this.#identify(status);
-    if (status === undefined || instance === undefined) {
-      this.#instance = undefined;
+    const { port, clock, metrics } = this.#options;
+    const answer = await port.readStatus();
+    switch (answer.type) {
+      case 'status':
+        return this.#describe(answer);
+      case 'unreadable':
+        metrics.noteUnreadable();
+        this.#unreadable.note({ reason: answer.reason }, 'the answer of the engine cannot be read');
+        return { type: 'unreadable', now: clock.monotonic() };
+      case 'silent':
+        this.#instance = undefined;
+        return { type: 'silent' };
+    }
+  }
+
+  async #describe(status: EngineStatus): Promise<EngineEvent> {
+    const instance = await this.#identify(status);
+    if (instance === undefined) {
       return { type: 'silent' };
     }
-    return { type: 'read', now: clock.monotonic(), reading: { instance, ...status.state } };
+    const now = this.#options.clock.monotonic();
+    return { type: 'read', now, reading: { instance, ...status.state } };
   }
 
-  /** Asks for the instance only when it may be another one: the question takes a slot of the engine. */
-  async #identify({ connection, orderCount }: EngineStatus): Promise<string | undefined> {
+  /**
+   * Asks for the id only when it may be another instance: the question takes a slot of the engine. One that started again under its id
+   * says so by the time of its start, also on a connection that a proxy kept open.
+   */
+  async #identify(status: EngineStatus): Promise<InstanceIdentity | undefined> {
+    const { connection, orderCount, startedAt } = status;
     const known = this.#instance;
-    const isSame = known?.connection === connection && orderCount >= known.orderCount;
-    const name = isSame ? known.name : await this.#options.port.readInstance();
-    this.#instance = name === undefined ? undefined : { name, connection, orderCount };
-    return name;
+    const isSame =
+      known?.connection === connection &&
+      orderCount >= known.orderCount &&
+      startedAt === known.identity.startedAt;
+    const identity = isSame ? known.identity : await this.#askIdentity(startedAt);
+    this.#instance = identity === undefined ? undefined : { identity, connection, orderCount };
+    return identity;
+  }
+
+  async #askIdentity(startedAt: WallTime | undefined): Promise<InstanceIdentity | undefined> {
+    const id = await this.#options.port.readInstance();
+    if (id === undefined) {
+      return undefined;
+    }
+    return startedAt === undefined ? { id } : { id, startedAt };
   }
 
   async #order(order: EngineOrder): Promise<void> {
@@ -143,3 +189,7 @@
     logger.info({ order, outcome, took }, 'engine ordered');
   }
 }
+
+function describeInstance(reading: EngineReading | undefined): string | undefined {
+  return reading === undefined ? undefined : formatIdentity(reading.instance);
+}
--- a/src/sidecar/engine/engine-port.ts
+++ b/src/sidecar/engine/engine-port.ts
@@ -1,3 +1,4 @@
+import type { WallTime } from '../../common/index.js';
 import type { EngineReading } from '../../routing/index.js';
 
 /** What a sidecar needs of the engine beside it; an adapter translates it to the engine's own protocol. */
@@ -9,7 +10,7 @@
       readonly group: string;
       readonly fencingNumber: number;
       readonly model: string;
-      /** Instances of all members, the head first. */
+      /** Ids of the instances of all members, the head first. */
       readonly members: readonly string[];
     }
   | { readonly type: 'open'; readonly group: string; readonly fencingNumber: number }
@@ -23,22 +24,33 @@
  */
 export type OrderOutcome = 'accepted' | 'unfit' | 'outdated' | 'unanswered';
 
-/** What an engine says of itself, without its name. */
+/** What an engine says of itself, without its id. */
 export interface EngineStatus {
+  readonly type: 'status';
   readonly state: Omit<EngineReading, 'instance'>;
+  /** When it started, by its own clock; undefined where it does not say. */
+  readonly startedAt: WallTime | undefined;
   /** Orders that it has begun since it started; it falls when the engine was started again. */
   readonly orderCount: number;
   /** Grows with every connection to the engine: behind a new one there may be another instance. */
   readonly connection: number;
 }
 
+/**
+ * What came of asking an engine. `unreadable`: something answered, in a way that says nothing of the engine. `silent`: nothing
+ * answers there.
+ */
+export type EngineAnswer =
+  | EngineStatus
+  | { readonly type: 'unreadable'; readonly reason: string }
+  | { readonly type: 'silent' };
+
 /** The engine beside a sidecar. */
 export interface EnginePort {
   /** `ip:port`. */
   readonly address: string;
-  /** Undefined when nothing answers there. */
-  readonly readStatus: () => Promise<EngineStatus | undefined>;
-  /** The instance that answers; undefined when none does. */
+  readonly readStatus: () => Promise<EngineAnswer>;
+  /** Id of the instance that answers; undefined when none does. */
   readonly readInstance: () => Promise<string | undefined>;
   readonly order: (order: EngineOrder) => Promise<OrderOutcome>;
   /** Called back when the connection to the engine closes: it may just have ended. */
--- a/src/sidecar/engine/index.ts
+++ b/src/sidecar/engine/index.ts
@@ -1,6 +1,12 @@
 export { EngineController, type EngineEvent } from './engine-controller.js';
 export { EngineDriver, type EngineDriverOptions } from './engine-driver.js';
-export type { EngineOrder, EnginePort, EngineStatus, OrderOutcome } from './engine-port.js';
+export type {
+  EngineAnswer,
+  EngineOrder,
+  EnginePort,
+  EngineStatus,
+  OrderOutcome,
+} from './engine-port.js';
 export { EngineReporter, type EngineReporterOptions } from './engine-reporter.js';
 export {
   createEngineSidecar,
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -4,6 +4,7 @@
   EngineController,
   type EngineEvent,
   type EngineOrder,
+  type EngineAnswer,
   type EnginePort,
   type EngineSidecar,
   type EngineSidecarOptions,
