As many control hosts vote as the losses need that a deployment declares

Cause: a deployment that may lose two disks at once had three voters.

Ruled out: a slow election or a lost log; the third host kept its log and asked to be taken in every half second, as it must.

Control hosts beyond the seeds are taken into the log as replaced ones are. The setting toleratedLosses says how many voters are kept when some fall silent; seven vote at most. On a host without a disk control keeps nothing and refuses each call at once.

--- /dev/null
+++ b/__tests__/consensus/lost-disks.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from 'vitest';
+
+import { SimulatedCluster } from './simulation/simulated-cluster.js';
+import { countWantedVoters, controlSettingsSchema } from '../../src/settings/index.js';
+
+const value = 1;
+
+/** All control hosts lose power, two of them with their disks; whether the others go on with what was accepted. */
+function survives(size: number): boolean {
+  const cluster = new SimulatedCluster({ size, seed: 7, mutation: 'none' });
+  cluster.run(6000);
+  const { leader } = cluster;
+  if (leader === undefined) {
+    throw new Error('no leader');
+  }
+  cluster.propose(leader, value);
+  cluster.run(2000);
+  cluster.hosts.slice(2).forEach((host) => {
+    cluster.crash(host, 0, true);
+  });
+  cluster.hosts.slice(0, 2).forEach((host) => {
+    cluster.wipe(host);
+  });
+  cluster.heal();
+  cluster.run(20_000);
+  return cluster.leader?.machine.values.includes(value) === true;
+}
+
+describe('a log of which two disks are lost at once', () => {
+  /**
+   * Symptom: after the last power loss of a day control has no leader for good, and nothing is served. Two of three voters came back with
+   * empty disks; the third one's vote alone is no quorum, and may not be. The deployment said that two disks may be lost at once.
+   */
+  it('goes on where the losses are tolerated that settings name', () => {
+    const settings = controlSettingsSchema.parse({
+      name: '10.0.0.1',
+      region: 'r',
+      failureDomain: 'a',
+      listen: '10.0.0.1:7300',
+      seeds: { addresses: ['10.0.0.1:80', '10.0.0.2:80', '10.0.0.3:80'], port: 7300 },
+      dataFolder: 'log',
+      toleratedLosses: 2,
+    });
+    expect(survives(3)).toBe(false);
+    expect(survives(countWantedVoters(settings))).toBe(true);
+  });
+});
--- a/__tests__/control/membership-policy.test.ts
+++ b/__tests__/control/membership-policy.test.ts
@@ -54,6 +54,14 @@
     expect(policy.decide(status, 60_000).type).toBe('wait');
   });
 
+  it('are taken in until seven vote, and then in place of a silent one', () => {
+    const policy = new MembershipPolicy(5);
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+    expect(policy.mayAdmit(createStatus(leading, names.slice(0, 6)))).toBe(true);
+    expect(policy.mayAdmit(createStatus(leading, names))).toBe(false);
+    expect(policy.mayAdmit(createStatus(leading, names, ['c']))).toBe(true);
+  });
+
   it('stay when they were silent for a moment only', () => {
     const policy = new MembershipPolicy(3);
     const voters = ['a', 'b', 'c', 'd'];
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -1,3 +1,4 @@
+export { StandbyControl } from './standby-control.js';
 export { ControlClient, type ControlClientOptions } from './control-client.js';
 export { HostDirectory, type HostReport, type ReportedHost } from './host-directory.js';
 export { decodeReport, encodeReport } from './report-codec.js';
--- a/src/control/membership-policy.ts
+++ b/src/control/membership-policy.ts
@@ -11,6 +11,12 @@
 /** A member that is silent for this long is taken out, but only where enough others vote. */
 const removeAfter: Milliseconds = 2500;
 
+/**
+ * Voters at most. Each change waits for more than half of them, and letter and settings allow no more hosts for control; one more
+ * than that waits until another one is silent.
+ */
+const mostVoters = 7;
+
 /** What to do now. */
 export type MembershipStep =
   | { readonly type: 'wait' }
@@ -43,6 +49,11 @@
     return type === 'leader' ? this.#findSilent(status, now) : wait;
   }
 
+  /** Whether a control host that is no member may be taken in. */
+  mayAdmit({ membership, silentMembers }: ConsensusStatus): boolean {
+    return membership.voters.length < mostVoters || silentMembers.length > 0;
+  }
+
   #findSilent({ membership, silentMembers }: ConsensusStatus, now: Milliseconds): MembershipStep {
     for (const name of this.#silentSince.keys()) {
       if (!silentMembers.includes(name)) {
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -17,7 +17,11 @@
   type WatchResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { LeadershipView } from '../../consensus/index.js';
-import { findControlAddress, type ControlSettings } from '../../settings/index.js';
+import {
+  countWantedVoters,
+  findControlAddress,
+  type ControlSettings,
+} from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { describePublished } from '../describe-published.js';
 import { HostDirectory } from '../host-directory.js';
@@ -125,7 +129,7 @@
     this.#membership = new MembershipKeeper({
       ...shared,
       name: settings.name,
-      voterCount: settings.voters.length,
+      voterCount: countWantedVoters(settings),
       listPeers: () => this.#listPeers(),
       findAddress,
     });
--- a/src/control/shell/membership-keeper.ts
+++ b/src/control/shell/membership-keeper.ts
@@ -97,6 +97,9 @@
       // Of two processes with one name, the one that answers stays.
       return encodeOutcome(createFailure('invalidCommand', `${name} is a member and answers`));
     }
+    if (earlier === undefined && log.status !== undefined && !this.#policy.mayAdmit(log.status)) {
+      return encodeOutcome(createFailure('noQuorum', 'enough control hosts vote'));
+    }
     const result = await log.changeMembers({ type: 'admit', member: { name, storageId } });
     const failure = result.err ? result.val : undefined;
     logger.warn({ name, storageId, failure }, 'control host asked to be taken in');
--- /dev/null
+++ b/src/control/standby-control.ts
@@ -0,0 +1,33 @@
+import { Err, type Result } from 'ts-results';
+
+import { createFailure, type Failure } from '../common/index.js';
+
+/**
+ * What a control host without a disk answers to calls of operators and instances.
+ * It keeps nothing, so it cannot vote: a vote that is forgotten at a restart could elect two leaders. A deployment that starts control on
+ * a share of its hosts may start it on such a host; each call is refused at once, and its caller goes on to another control host.
+ */
+export class StandbyControl {
+  readonly leaderName = undefined;
+  readonly isLeader = false;
+
+  put(): Promise<Result<number, Failure>> {
+    return refuse();
+  }
+
+  read(): Promise<Result<string, Failure>> {
+    return refuse();
+  }
+
+  announce(): Promise<Result<undefined, Failure>> {
+    return refuse();
+  }
+
+  refuseAnnouncement(_id: string, reason: string): Failure {
+    return createFailure('unusableAnnouncement', reason);
+  }
+}
+
+function refuse(): Promise<Result<never, Failure>> {
+  return Promise.resolve(new Err(createFailure('noQuorum', 'this control host has no disk')));
+}
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -16,6 +16,7 @@
 } from './common-settings.js';
 
 const highestVoterCount = 7;
+const mostToleratedLosses = (highestVoterCount - 1) / 2;
 
 const voter = z.strictObject({ name: placeName, address: reachableAddress }).readonly();
 
@@ -70,6 +71,8 @@
     seeds: seedSettings,
     /** Folder for the log and the snapshots; relative to the folder in which the process is started. */
     dataFolder: z.string().min(1),
+    /** Control hosts whose disks may be lost at once. Twice as many and one more have to vote, as soon as there are as many. */
+    toleratedLosses: z.int().min(0).max(mostToleratedLosses).default(1),
     timeouts,
     shutdown: shutdownSettings,
     log: logSettings,
@@ -86,6 +89,11 @@
     voters: [...settings.voters, ...listSeeds(settings.seeds)],
   }));
 
+/** Voters that the log is to have; fewer are kept as they are. */
+export function countWantedVoters({ voters: first, toleratedLosses }: ControlSettings): number {
+  return Math.max(first.length, 2 * toleratedLosses + 1);
+}
+
 export type ControlSettings = z.infer<typeof controlSettingsSchema>;
 
 /**
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -2,6 +2,7 @@
 export { readProcessFlags, type ProcessFlags } from './command-line.js';
 export {
   controlSettingsSchema,
+  countWantedVoters,
   findControlAddress,
   type ControlSettings,
 } from './control-settings.js';
