--- a/__tests__/control/instance-histories.test.ts
+++ b/__tests__/control/instance-histories.test.ts
@@ -1,16 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { InstanceBook } from '../../src/control/routing/index.js';
-import {
-  applyCommand,
-  decodeSnapshot,
-  encodeSnapshot,
-  initialControlState,
-  type ControlState,
-} from '../../src/control/state/index.js';
 import type { Announcement, Instance } from '../../src/routing/index.js';
-import { createDocument } from '../routing/documents.js';
+import { TestLeader } from './test-leader.js';
 
 /**
  * Random histories of instances that start, start again under their id, leave, speak late, and of others that write in their name,
@@ -66,15 +58,11 @@
   readonly #recorded = new Map<string, number>();
   /** Starts that said they leave, as `id@start`. */
   readonly #left = new Set<string>();
-  #book = new InstanceBook();
-  #state: ControlState;
+  readonly #leader = new TestLeader((instances) => {
+    this.#checkStarts(instances);
+  });
   #now = 0;
 
-  constructor() {
-    const document = createDocument();
-    this.#state = applyCommand(initialControlState, { type: 'putRouting', at: 0, document }).state;
-  }
-
   play(steps: readonly Step[]): void {
     ids.forEach((_, each) => {
       this.#start(each);
@@ -104,10 +92,10 @@
         this.#write(each.index, each.draw);
         return;
       case 'leader':
-        this.#book = new InstanceBook();
+        this.#leader.change();
         return;
       case 'snapshot':
-        this.#state = decodeSnapshot(encodeSnapshot(this.#state));
+        this.#leader.restore();
         return;
       case 'wait':
         this.#wait(each.duration);
@@ -176,8 +164,7 @@
           this.#beat(id);
         }
       }
-      const silent = this.#book.findSilent(this.#state.routing, this.#now, 5000);
-      this.#record({ silent });
+      this.#leader.dropSilent(this.#now);
     }
   }
 
@@ -199,27 +186,12 @@
   }
 
   #hear(announcement: Announcement): void {
-    const verdict = this.#book.take(announcement, this.#state.routing, this.#now);
-    if (verdict.type === 'record') {
-      this.#record(verdict.changes);
-    }
-  }
-
-  #record(changes: object): void {
-    const command = {
-      type: 'recordInstances' as const,
-      at: 0,
-      present: [],
-      retired: [],
-      silent: [],
-    };
-    this.#state = applyCommand(this.#state, { ...command, ...changes }).state;
-    this.#checkStarts();
+    this.#leader.take(announcement, this.#now);
   }
 
   /** One instance an id by the map; never an earlier start, and none that left. */
-  #checkStarts(): void {
-    for (const { id, startedAt = 0 } of this.#state.routing.instances.values()) {
+  #checkStarts(instances: readonly Instance[]): void {
+    for (const { id, startedAt = 0 } of instances) {
       expect(startedAt).toBeGreaterThanOrEqual(this.#recorded.get(id) ?? 0);
       expect(this.#left.has(`${id}@${startedAt}`)).toBe(false);
       this.#recorded.set(id, startedAt);
@@ -227,7 +199,7 @@
   }
 
   #checkSound(): void {
-    const known = [...this.#state.routing.instances.values()]
+    const known = this.#leader.instances
       .map(({ id, startedAt, address, isDraining }) => ({ id, startedAt, address, isDraining }))
       .sort((one, other) => one.id.localeCompare(other.id));
     const running = [...this.#running]
--- a/__tests__/control/instance-starts.test.ts
+++ b/__tests__/control/instance-starts.test.ts
@@ -1,56 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
-import { InstanceBook } from '../../src/control/routing/index.js';
-import {
-  applyCommand,
-  initialControlState,
-  type ControlState,
-} from '../../src/control/state/index.js';
 import type { Announcement, Instance } from '../../src/routing/index.js';
-import { createDocument } from '../routing/documents.js';
-
-/** A leader that takes announcements and records what they change. */
-class Leader {
-  #book = new InstanceBook();
-  #state: ControlState = applyCommand(initialControlState, {
-    type: 'putRouting',
-    at: 0,
-    document: createDocument(),
-  }).state;
-
-  get instances(): readonly Instance[] {
-    return [...this.#state.routing.instances.values()];
-  }
-
-  take(announcement: Announcement, now: number): string {
-    const verdict = this.#book.take(announcement, this.#state.routing, now);
-    if (verdict.type === 'record') {
-      this.#record(verdict.changes);
-    }
-    return verdict.type;
-  }
-
-  dropSilent(now: number): void {
-    const silent = this.#book.findSilent(this.#state.routing, now, 5000);
-    this.#record({ present: [], retired: [], silent });
-  }
-
-  /** Another host leads, which knows the state and nothing that was announced. */
-  change(): void {
-    this.#book = new InstanceBook();
-  }
-
-  #record(changes: object): void {
-    const command = {
-      type: 'recordInstances' as const,
-      at: 0,
-      present: [],
-      retired: [],
-      silent: [],
-    };
-    this.#state = applyCommand(this.#state, { ...command, ...changes }).state;
-  }
-}
+import { TestLeader } from './test-leader.js';
 
 function present(
   startedAt: number,
@@ -75,7 +26,7 @@
    * anew, and were taken for late ones of the start before; meanwhile it was dropped as silent.
    */
   it('is heard at once, though its announcements count anew', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 40), 0);
     expect(leader.take(present(9000, 1), 100)).toBe('record');
     expect(leader.instances).toMatchObject([{ id: 'i-1', startedAt: 9000 }]);
@@ -85,24 +36,24 @@
   });
 
   it('is another instance after the one before left, drained, fell silent or moved', () => {
-    const left = new Leader();
+    const left = new TestLeader();
     left.take(present(1000, 1), 0);
     left.take({ type: 'leaving', id: 'i-1', startedAt: 1000 }, 100);
     expect(left.take(present(9000, 1), 200)).toBe('record');
     expect(left.instances).toMatchObject([{ startedAt: 9000, isDraining: false }]);
 
-    const drained = new Leader();
+    const drained = new TestLeader();
     drained.take(present(1000, 1, { isDraining: true }), 0);
     drained.take(present(9000, 1), 100);
     expect(drained.instances).toMatchObject([{ startedAt: 9000, isDraining: false }]);
 
-    const silent = new Leader();
+    const silent = new TestLeader();
     silent.take(present(1000, 1), 0);
     silent.dropSilent(6000);
     silent.take(present(9000, 1), 7000);
     expect(silent.instances).toMatchObject([{ startedAt: 9000 }]);
 
-    const moved = new Leader();
+    const moved = new TestLeader();
     moved.take(present(1000, 1), 0);
     moved.take(present(9000, 1, { address: '10.0.0.9:80' }), 100);
     expect(moved.instances).toMatchObject([{ startedAt: 9000, address: '10.0.0.9:80' }]);
@@ -113,7 +64,7 @@
    * the new start registered elsewhere, also at a leader that has heard neither.
    */
   it('is not replaced by late words of the start before', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 1), 0);
     leader.take(present(9000, 1, { address: '10.0.0.9:80' }), 100);
     expect(leader.take(present(1000, 7, { isDraining: true }), 200)).toBe('retired');
@@ -124,7 +75,7 @@
   });
 
   it('stays gone when it left and words of that start or of earlier ones come late', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 1), 0);
     leader.take(present(9000, 1), 100);
     leader.take({ type: 'leaving', id: 'i-1', startedAt: 9000 }, 200);
@@ -139,7 +90,7 @@
    * looks like a late word of an earlier start.
    */
   it('is taken once it has proved to run, where the clock of its host was set back', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(9000, 1), 0);
     expect(leader.take(present(500, 1), 1000)).toBe('retired');
     expect(leader.take(present(500, 2), 2200)).toBe('retired');
@@ -149,7 +100,7 @@
   });
 
   it('is not taken for a clock set back while the start that is there still speaks', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     for (let now = 0; now <= 20_000; now += 1000) {
       leader.take(present(9000, now), now);
       expect(leader.take(present(500, now), now)).toBe('retired');
@@ -163,7 +114,7 @@
    * nobody declared, and the sound one was taken for replaced.
    */
   it('that name an unknown service change nothing', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 1), 0);
     const foreign = present(2000, 1, { id: 'i-foreign', service: 'nobody' });
     expect(leader.take(foreign, 100)).toBe('unusable');
@@ -171,7 +122,7 @@
   });
 
   it('that name no start change nothing at an instance that names its starts', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 1), 0);
     const instance: Instance = {
       id: 'i-1',
@@ -186,7 +137,7 @@
 
   /** Symptom: as above, with a service that is declared: no field shows that nobody runs under the other id. */
   it('that claim the address of a sound instance cost it a few seconds at most', () => {
-    const leader = new Leader();
+    const leader = new TestLeader();
     leader.take(present(1000, 1), 0);
     leader.take(present(2000, 1, { id: 'i-foreign' }), 100);
     expect(leader.instances).toMatchObject([{ id: 'i-foreign' }]);
