--- /dev/null
+++ b/scripts/pass-over-known-red.mjs
@@ -0,0 +1,37 @@
+/**
+ * Decides whether a run of the tests that failed may pass: only where each failed test is listed in KNOWN-RED.txt, whose lines begin with
+ * the full name of a test and go on after ` | ` with the cause. The tests run all the same; what else fails, fails the check.
+ */
+import { readFileSync } from 'node:fs';
+
+const [resultsFile = ''] = process.argv.slice(2);
+
+const known = new Set(
+  readFileSync('KNOWN-RED.txt', { encoding: 'utf8', flag: 'a+' })
+    .split('\n')
+    .filter((line) => line.trim() !== '' && !line.startsWith('#'))
+    .map((line) => line.split(' | ')[0]?.trim() ?? ''),
+);
+
+const { testResults } = JSON.parse(readFileSync(resultsFile, 'utf8'));
+
+/** Full names of failed tests; a file that failed as a whole is named by its path, which no line lists. */
+const failed = testResults
+  .filter(({ status }) => status === 'failed')
+  .flatMap(({ name, assertionResults }) => {
+    const names = assertionResults
+      .filter((test) => test.status === 'failed')
+      .map(({ fullName }) => fullName);
+    return names.length === 0 ? [name] : names;
+  });
+
+const others = failed.filter((name) => !known.has(name));
+failed
+  .filter((name) => known.has(name))
+  .forEach((name) => {
+    console.log(`known red, passed over: ${name}`);
+  });
+others.forEach((name) => {
+  console.error(`failed: ${name}`);
+});
+process.exit(failed.length > 0 && others.length === 0 ? 0 : 1);
