Sight: sidecars say why they know nothing of their engine; the leader logs the last report on each member of a group that it gives up

Cause: 'a member was lost' and 'the head is gone' stood in the log for a report without a reading, an old one and another instance alike, and the sidecar had one word, silent, for a refused connection, an answer that did not come and an engine that did not say which instance it is. Change: the reason travels with the report (notAsked, notIdentified, unanswered, unreadable, refused) and is logged at both ends. No decision reads it yet.

--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -200,7 +200,7 @@
     const reading = this.#read(host);
     const order =
       reading === undefined
-        ? controller.handle({ type: 'silent' })
+        ? controller.handle({ type: 'absent', absence: 'refused' })
         : controller.handle({ type: 'read', now: this.now, reading });
     if (!host.isCut) {
       this.#report(host);
@@ -237,6 +237,7 @@
       address: '10.0.0.1:1',
       service: 'engines',
       ...(controller.reading === undefined ? {} : { reading: controller.reading }),
+      ...(controller.absence === undefined ? {} : { absence: controller.absence }),
       ...(controller.lastModel === undefined ? {} : { lastModel: controller.lastModel }),
     };
     host.sequence += 1;
--- /dev/null
+++ b/src/control/routing/describe-decision.ts
@@ -0,0 +1,66 @@
+import type {
+  EngineDecision,
+  EngineView,
+  GroupAdvance,
+  GroupRemoval,
+  PlannerInput,
+} from '../../engines/index.js';
+import { formatIdentity } from '../../routing/index.js';
+
+/** Tells in the log what was decided on groups of engines, and what it was decided from. */
+
+/** Fields of the log line on a decision. */
+export function describeDecision(decision: EngineDecision, input: PlannerInput): object {
+  const { place, advance, remove } = decision;
+  return {
+    demand: describeDemand(input),
+    idle: listIdle(input),
+    placed: place.map(({ name, members }) => ({ name, hosts: members.map(({ host }) => host) })),
+    advance: advance.map((step) => addReports(step, input)),
+    remove: remove.map((step) => addReports(step, input)),
+  };
+}
+
+/**
+ * Adds what the leader had last heard of each member where a group is given up: a report that names no engine, an old one, and one
+ * of another instance lead to the same step, and have different causes.
+ */
+function addReports(step: GroupAdvance | GroupRemoval, input: PlannerInput): object {
+  if ('phase' in step && step.phase !== 'closing') {
+    return step;
+  }
+  const placed = input.groups.find(({ group }) => group.name === step.name);
+  const reports = placed?.group.members.map(
+    ({ host }) => `${host}: ${describeReport(input.engines.get(host))}`,
+  );
+  return { ...step, reports };
+}
+
+function describeReport(view: EngineView | undefined): string {
+  if (view === undefined) {
+    return 'none';
+  }
+  const { facts, silence } = view;
+  const { reading, absence } = facts;
+  const age = `${Math.round(silence)} ms ago`;
+  if (reading === undefined) {
+    return `${absence ?? 'no engine'}, ${age}`;
+  }
+  const { membership } = reading;
+  const state = membership === undefined ? 'no group' : `${membership.group} ${membership.state}`;
+  return `${formatIdentity(reading.instance)} ${state}, ${age}`;
+}
+
+/** Requests that want to run at one moment, by model, as a decision took them. */
+function describeDemand({ demand }: PlannerInput): Readonly<Record<string, number>> {
+  return Object.fromEntries([...demand].map(([model, count]) => [model, Math.round(count)]));
+}
+
+/** Engines that answer and stand in no group, with the models that they have at hand. */
+function listIdle({ engines, groups }: PlannerInput): readonly string[] {
+  const placed = new Set(groups.flatMap(({ group }) => group.members.map(({ host }) => host)));
+  return [...engines.values()].flatMap(({ host, facts: { reading, lastModel } }) => {
+    const models = [...new Set([lastModel ?? [], reading?.staged ?? []].flat())];
+    return reading === undefined || placed.has(host) ? [] : [`${host} (${models.join(', ')})`];
+  });
+}
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -13,6 +13,7 @@
 import { InstanceSet, type EngineGroup, type EngineProfile } from '../../routing/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState, RoutingState } from '../state/index.js';
+import { describeDecision } from './describe-decision.js';
 import type { EngineMetrics } from './engine-metrics.js';
 import { LoadBudget } from './load-budget.js';
 
@@ -202,15 +203,10 @@
       advance: advance.map(({ name, phase }) => ({ name, phase })),
       remove: remove.map(({ name }) => name),
     });
-    const placed = place.map(({ name, members }) => ({
-      name,
-      hosts: members.map(({ host }) => host),
-    }));
     const isCommitted = result.ok && result.val.type !== 'refused';
     this.#options.metrics.noteDecision(decision, input, isCommitted);
-    const inputs = { demand: describeDemand(input), idle: listIdle(input) };
     logger.info(
-      { basedOn, ...inputs, placed, advance, remove, isCommitted },
+      { basedOn, ...describeDecision(decision, input), isCommitted },
       'engine groups planned',
     );
     return isCommitted;
@@ -232,17 +228,3 @@
     }),
   ]);
 }
-
-/** Requests that want to run at one moment, by model, as a decision took them. */
-function describeDemand({ demand }: PlannerInput): Readonly<Record<string, number>> {
-  return Object.fromEntries([...demand].map(([model, count]) => [model, Math.round(count)]));
-}
-
-/** Engines that answer and stand in no group, with the models that they have at hand. */
-function listIdle({ engines, groups }: PlannerInput): readonly string[] {
-  const placed = new Set(groups.flatMap(({ group }) => group.members.map(({ host }) => host)));
-  return [...engines.values()].flatMap(({ host, facts: { reading, lastModel } }) => {
-    const models = [...new Set([lastModel ?? [], reading?.staged ?? []].flat())];
-    return reading === undefined || placed.has(host) ? [] : [`${host} (${models.join(', ')})`];
-  });
-}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -17,12 +17,14 @@
 } from './instances.js';
 export { chooseService, RouteTable } from './route-table.js';
 export {
+  engineAbsences,
   engineFactsSchema,
   engineGroupSchema,
   enginePhases,
   engineReadingSchema,
   routingDocumentSchema,
   type CallerBounds,
+  type EngineAbsence,
   type EngineFacts,
   type EngineGroup,
   type EngineMember,
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -174,6 +174,19 @@
   })
   .readonly();
 
+/**
+ * Why a sidecar has no reading of its engine. `notAsked`: it started a moment ago, and no answer has come yet. `notIdentified`: the engine
+ * answers, and which instance it is could not be found out. `unanswered`: a question got no answer in time, or its connection broke.
+ * `unreadable`: what answers says nothing that can be read. `refused`: nothing listens at the engine's address.
+ */
+export const engineAbsences = [
+  'notAsked',
+  'notIdentified',
+  'unanswered',
+  'unreadable',
+  'refused',
+] as const;
+
 /** What a sidecar tells the leader of its engine. */
 export const engineFactsSchema = z
   .strictObject({
@@ -181,8 +194,9 @@
     /** `ip:port` of the engine. */
     address: name,
     service: name,
-    /** Absent while nothing answers at the engine's address. */
     reading: engineReadingSchema.exactOptional(),
+    /** Why there is no reading; absent where there is one. */
+    absence: z.enum(engineAbsences).exactOptional(),
     /** Model of the last group that this engine was ready in; absent for none since it started. */
     lastModel: name.exactOptional(),
   })
@@ -200,4 +214,5 @@
 export type EngineGroup = z.infer<typeof engineGroupSchema>;
 export type EngineMembership = z.infer<typeof membership>;
 export type EngineReading = z.infer<typeof engineReadingSchema>;
+export type EngineAbsence = (typeof engineAbsences)[number];
 export type EngineFacts = z.infer<typeof engineFactsSchema>;
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -2,6 +2,7 @@
 import {
   isSameInstance,
   isSameStart,
+  type EngineAbsence,
   type EngineGroup,
   type EngineMembership,
   type EngineReading,
@@ -26,8 +27,11 @@
   | { readonly type: 'read'; readonly now: Milliseconds; readonly reading: EngineReading }
   /** Something answers at the engine's address, and says nothing that can be read. */
   | { readonly type: 'unreadable'; readonly now: Milliseconds }
-  /** Nothing answers at the engine's address. */
-  | { readonly type: 'silent' }
+  /** The question brought nothing else. */
+  | {
+      readonly type: 'absent';
+      readonly absence: Extract<EngineAbsence, 'refused' | 'unanswered' | 'notIdentified'>;
+    }
   /** The placed group that this host is a member of. */
   | { readonly type: 'assigned'; readonly group: EngineGroup | undefined }
   /** The model that the leader of control wants staged here. */
@@ -41,6 +45,7 @@
 export class EngineController {
   readonly #host: string;
   #reading: EngineReading | undefined;
+  #absence: EngineAbsence = 'notAsked';
   #readAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #group: EngineGroup | undefined;
   #stagingModel: string | undefined;
@@ -51,11 +56,16 @@
     this.#host = host;
   }
 
-  /** Undefined while nothing answers. */
+  /** Undefined while nothing is known of the engine. */
   get reading(): EngineReading | undefined {
     return this.#reading;
   }
 
+  /** Why there is no reading; undefined where there is one. */
+  get absence(): EngineAbsence | undefined {
+    return this.#reading === undefined ? this.#absence : undefined;
+  }
+
   /** Model of the last group that the engine was ready in since it started. */
   get lastModel(): string | undefined {
     return this.#lastModel;
@@ -88,11 +98,11 @@
         return this.#decide(event.now);
       case 'unreadable':
         if (event.now - this.#readAt > longestUnreadable) {
-          this.#forgetEngine();
+          this.#forgetEngine('unreadable');
         }
         return undefined;
-      case 'silent':
-        this.#forgetEngine();
+      case 'absent':
+        this.#forgetEngine(event.absence);
         return undefined;
       case 'assigned':
         this.#group = event.group;
@@ -103,7 +113,8 @@
     }
   }
 
-  #forgetEngine(): void {
+  #forgetEngine(absence: EngineAbsence): void {
+    this.#absence = absence;
     this.#reading = undefined;
     this.#lastModel = undefined;
     this.#sent = undefined;
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -10,6 +10,7 @@
 } from '../../common/index.js';
 import {
   formatIdentity,
+  type EngineAbsence,
   type EngineGroup,
   type EngineReading,
   type InstanceIdentity,
@@ -27,8 +28,8 @@
 const restingInterval: Milliseconds = 400;
 /** While the engine changes groups, each wait is time in which nobody is served. */
 const changingInterval: Milliseconds = 20;
-/** Lines about answers that cannot be read: one tells what is wrong, and an engine is asked up to fifty times a second. */
-const unreadableLines = { burst: 5, perSecond: 0.2 };
+/** Lines about questions that brought nothing: one tells what is wrong, and an engine is asked up to fifty times a second. */
+const questionLines = { burst: 5, perSecond: 0.2 };
 
 /** Options of the driver. */
 export interface EngineDriverOptions {
@@ -53,6 +54,7 @@
   readonly #controller: EngineController;
   readonly #closing = new AbortController();
   readonly #unreadable: BoundedLog;
+  readonly #unanswered: BoundedLog;
   #instance: KnownInstance | undefined;
   #wake = new AbortController();
   #running: Promise<void> | undefined;
@@ -60,7 +62,8 @@
   constructor(options: EngineDriverOptions) {
     this.#options = options;
     this.#controller = new EngineController(options.host);
-    this.#unreadable = new BoundedLog(options.logger, options.clock, unreadableLines);
+    this.#unreadable = new BoundedLog(options.logger, options.clock, questionLines);
+    this.#unanswered = new BoundedLog(options.logger, options.clock, questionLines);
     options.port.onDisconnect(() => {
       this.#wake.abort();
     });
@@ -70,6 +73,10 @@
     return this.#controller.reading;
   }
 
+  get absence(): EngineAbsence | undefined {
+    return this.#controller.absence;
+  }
+
   get lastModel(): string | undefined {
     return this.#controller.lastModel;
   }
@@ -114,14 +121,16 @@
   }
 
   #handle(event: EngineEvent): EngineOrder | undefined {
-    const before = this.#controller.reading;
+    const { reading: before, absence: absenceBefore } = this.#controller;
     const order = this.#controller.handle(event);
-    const after = this.#controller.reading;
+    const { reading: after, absence } = this.#controller;
     const { logger, metrics } = this.#options;
     const identities = { before: describeInstance(before), now: describeInstance(after) };
     if (identities.before !== identities.now) {
       metrics.noteInstance(identities.now);
-      logger.info(identities, 'engine instance changed');
+      logger.info({ ...identities, absence }, 'engine instance changed');
+    } else if (absence !== absenceBefore) {
+      logger.info({ before: absenceBefore, absence }, 'engine still not read');
     }
     const describe = (reading: EngineReading | undefined): string =>
       JSON.stringify(reading?.membership);
@@ -141,16 +150,21 @@
         metrics.noteUnreadable();
         this.#unreadable.note({ reason: answer.reason }, 'the answer of the engine cannot be read');
         return { type: 'unreadable', now: clock.monotonic() };
-      case 'silent':
+      case 'unanswered':
+        this.#unanswered.note({ reason: answer.reason }, 'the engine did not answer');
+        this.#instance = undefined;
+        return { type: 'absent', absence: 'unanswered' };
+      case 'refused':
         this.#instance = undefined;
-        return { type: 'silent' };
+        return { type: 'absent', absence: 'refused' };
     }
   }
 
   async #describe(status: EngineStatus): Promise<EngineEvent> {
     const instance = await this.#identify(status);
     if (instance === undefined) {
-      return { type: 'silent' };
+      this.#unanswered.note({}, 'the engine answers and did not say which instance it is');
+      return { type: 'absent', absence: 'notIdentified' };
     }
     const now = this.#options.clock.monotonic();
     return { type: 'read', now, reading: { instance, ...status.state } };
--- a/src/sidecar/engine/engine-port.ts
+++ b/src/sidecar/engine/engine-port.ts
@@ -37,13 +37,14 @@
 }
 
 /**
- * What came of asking an engine. `unreadable`: something answered, in a way that says nothing of the engine. `silent`: nothing
- * answers there.
+ * What came of asking an engine. `unreadable`: something answered, in a way that says nothing of the engine. `unanswered`: no answer came
+ * in time, or its connection broke. `refused`: nothing listens there.
  */
 export type EngineAnswer =
   | EngineStatus
   | { readonly type: 'unreadable'; readonly reason: string }
-  | { readonly type: 'silent' };
+  | { readonly type: 'unanswered'; readonly reason: string }
+  | { readonly type: 'refused' };
 
 /** The engine beside a sidecar. */
 export interface EnginePort {
--- a/src/sidecar/engine/engine-sidecar.ts
+++ b/src/sidecar/engine/engine-sidecar.ts
@@ -56,6 +56,7 @@
     address: port.address,
     service: settings.service,
     ...(driver.reading === undefined ? {} : { reading: driver.reading }),
+    ...(driver.absence === undefined ? {} : { absence: driver.absence }),
     ...(driver.lastModel === undefined ? {} : { lastModel: driver.lastModel }),
   });
   const reporter = new EngineReporter({
