--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -68,6 +68,8 @@
   sequence = 0;
   isSidecarAlive = true;
   isCut = false;
+  /** Until then the sidecar waits for the first answer of its engine. */
+  answersFrom: Milliseconds = 0;
 
   constructor(
     readonly name: string,
@@ -164,6 +166,13 @@
     host.sequence = 0;
   }
 
+  /** As above, and it reports to the leader of control before its engine has answered, which takes the time said. */
+  restartSidecarThatReportsFirst(host: SimulatedHost, answerDelay: Milliseconds): void {
+    this.restartSidecar(host);
+    host.answersFrom = this.now + answerDelay;
+    this.#report(host);
+  }
+
   drain(host: SimulatedHost): void {
     this.#leaving.add(host.engine.identity);
   }
@@ -187,7 +196,7 @@
   }
 
   #stepSidecar(host: SimulatedHost): void {
-    if (!host.isSidecarAlive) {
+    if (!host.isSidecarAlive || this.now < host.answersFrom) {
       return;
     }
     const { controller } = host;
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -27,6 +27,7 @@
   readonly engines: readonly TestEngine[];
   readonly #ports: Ports;
   readonly #control = new Map<string, RunningProgram>();
+  readonly #sidecars: RunningProgram[] = [];
   readonly #settings = new Map<string, string>();
   #gatewayAddress = '';
 
@@ -146,6 +147,19 @@
     this.#control.set(name, program);
   }
 
+  /** Kills the sidecar beside an engine, which goes on, and starts it again. */
+  async restartSidecar(index: number): Promise<RunningProgram> {
+    const before = this.#sidecars[index];
+    before?.signal('SIGKILL');
+    await before?.waitForExit();
+    this.#startSidecar(index);
+    const program = this.#sidecars[index];
+    if (program === undefined) {
+      throw new Error(`there is no sidecar ${index}`);
+    }
+    return program;
+  }
+
   get #seeds(): object {
     const addresses = controlHosts
       .slice(0, firstControlCount)
@@ -186,10 +200,17 @@
         seeds: this.#seeds,
       };
       const file = await this.group.write(`sidecar-${index}.json`, JSON.stringify(settings));
-      this.group.start('platform/sidecar', ['--settings', file], { label: `sidecar ${index}` });
+      this.#settings.set(nameSidecar(index), file);
+      this.#startSidecar(index);
     }
   }
 
+  #startSidecar(index: number): void {
+    const label = nameSidecar(index);
+    const file = this.#settings.get(label) ?? '';
+    this.#sidecars[index] = this.group.start('platform/sidecar', ['--settings', file], { label });
+  }
+
   async #startGateway(): Promise<void> {
     this.#gatewayAddress = `127.0.0.1:${await reservePort()}`;
     const settings = {
@@ -205,6 +226,10 @@
   }
 }
 
+function nameSidecar(index: number): string {
+  return `sidecar ${index}`;
+}
+
 interface CallOptions {
   readonly method: string;
   readonly body?: string;
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 /** A model runner for tests, as the platform's pages describe it: reports, orders, streams. */
 
@@ -27,6 +28,8 @@
   readonly splits: string[] = [];
   /** Requests that began to run here. */
   readonly runs: string[] = [];
+  /** Time, in milliseconds, that it takes to answer a question about itself. */
+  reportDelay = 0;
   readonly #host: string;
   readonly #port: number;
   #server: Server | undefined;
@@ -86,6 +89,7 @@
     const { url = '' } = request;
     switch (url) {
       case '/report':
+        await pause(this.reportDelay);
         response.end(JSON.stringify(this.#describe()));
         return;
       case '/healthz':
