Mended: what is not known of an engine frees nobody

Cause: one word, no reading, stood for an engine that had ended and for one that had not been asked, identified or answered in time. The leader closed serving groups on it and freed the members of closing ones while their head was open. Class: missing knowledge told on as an end, and something freed on that word. Change: reports give the reason; judgeEngine is the one place that says what follows from it. A refused connection is an end; a longer silence closes a group, whose head then says that it left; all else changes nothing. A leaving head that refuses connections may work for 10 s more. Ruled out: holding the first report back until the engine was asked. It would mend one way into the fault and leave the others.

--- a/__tests__/engines/world.ts
+++ b/__tests__/engines/world.ts
@@ -13,7 +13,7 @@
   type EngineReading,
   type InstanceIdentity,
 } from '../../src/routing/index.js';
-import { EngineController, type EngineOrder } from '../../src/sidecar/index.js';
+import { EngineController, type EngineEvent, type EngineOrder } from '../../src/sidecar/index.js';
 import { createDocument, engineProfile } from '../routing/documents.js';
 
 /**
@@ -68,6 +68,8 @@
   sequence = 0;
   isSidecarAlive = true;
   isCut = false;
+  /** What comes of a question to an engine that runs. */
+  answers: 'read' | 'unanswered' | 'notIdentified' = 'read';
   /** Until then the sidecar waits for the first answer of its engine. */
   answersFrom: Milliseconds = 0;
 
@@ -206,11 +208,7 @@
       );
       controller.handle({ type: 'assigned', group });
     }
-    const reading = this.#read(host);
-    const order =
-      reading === undefined
-        ? controller.handle({ type: 'absent', absence: 'refused' })
-        : controller.handle({ type: 'read', now: this.now, reading });
+    const order = controller.handle(this.#ask(host));
     if (!host.isCut) {
       this.#report(host);
     }
@@ -219,10 +217,21 @@
     }
   }
 
-  #read({ engine, domain }: SimulatedHost): EngineReading | undefined {
-    if (!engine.isAlive) {
-      return undefined;
+  #ask(host: SimulatedHost): EngineEvent {
+    if (!host.engine.isAlive) {
+      return { type: 'refused' };
+    }
+    switch (host.answers) {
+      case 'read':
+        return { type: 'read', now: this.now, reading: this.#read(host) };
+      case 'unanswered':
+        return { type: 'unanswered', now: this.now };
+      case 'notIdentified':
+        return { type: 'notIdentified' };
     }
+  }
+
+  #read({ engine, domain }: SimulatedHost): EngineReading {
     const { group } = engine;
     const state = group?.state === 'opening' ? 'ready' : group?.state;
     return {
--- a/__tests__/sidecar/engine-controller.test.ts
+++ b/__tests__/sidecar/engine-controller.test.ts
@@ -133,3 +133,48 @@
     expect(controller.reading).toBeUndefined();
   });
 });
+
+/**
+ * A group that served was given up, and its engines were freed beside a head that was open, because one question to an engine got no answer
+ * or its liveness check found no slot. The controller had one event for these and for an engine that had ended.
+ */
+describe('what is told of an engine that is not read', () => {
+  it('is that it was not asked yet, before anything came of the first question', () => {
+    expect(new EngineController('head').absence).toBe('notAsked');
+  });
+
+  it('is that it is silent only after a second question in vain', () => {
+    const controller = new EngineController('head');
+    controller.handle(read('open'));
+    controller.handle({ type: 'unanswered', now: 1000 });
+    expect(controller.absence).toBe('unanswered');
+    controller.handle({ type: 'unanswered', now: 1499 });
+    expect(controller.absence).toBe('unanswered');
+    controller.handle({ type: 'unanswered', now: 1500 });
+    expect(controller.absence).toBe('silent');
+    controller.handle(read('open', {}, 1600));
+    expect(controller.absence).toBeUndefined();
+    controller.handle({ type: 'unanswered', now: 1700 });
+    expect(controller.absence).toBe('unanswered');
+  });
+
+  it('is that it was not identified while it does not say which instance it is', () => {
+    const controller = new EngineController('head');
+    controller.handle(read('open'));
+    controller.handle({ type: 'notIdentified' });
+    expect(controller.absence).toBe('notIdentified');
+    expect(controller.reading).toBeUndefined();
+  });
+
+  it('keeps the model of the last group, unless the engine has ended', () => {
+    const controller = new EngineController('head');
+    controller.handle({ type: 'assigned', group });
+    controller.handle(read('ready'));
+    controller.handle({ type: 'unanswered', now: 100 });
+    controller.handle(read(undefined, {}, 200));
+    expect(controller.lastModel).toBe('small');
+    controller.handle({ type: 'refused' });
+    controller.handle(read(undefined, {}, 300));
+    expect(controller.lastModel).toBeUndefined();
+  });
+});
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -3,6 +3,7 @@
 import type { Clock, Milliseconds } from '../../common/index.js';
 import type { ReplicatedLog } from '../../consensus/index.js';
 import {
+  judgeEngine,
   planEngineGroups,
   Settling,
   type EngineDecision,
@@ -213,10 +214,21 @@
   }
 }
 
-/** Whether the engine of a host may still be loading the model: it answers, and has not got it yet. */
+/**
+ * Whether the engine of a host may still be loading the model. One of which nothing is known may: taken for done, its load made room for
+ * another beside it, and loads that share the store take longer. A host that was never heard of is not waited for.
+ */
 function mayBeLoading(view: EngineView | undefined, model: string): boolean {
-  const reading = view?.facts.reading;
-  return reading !== undefined && !reading.staged.includes(model);
+  const standing = judgeEngine(view);
+  switch (standing.type) {
+    case 'answering':
+      return !standing.reading.staged.includes(model);
+    case 'ended':
+      return false;
+    case 'silent':
+    case 'unknown':
+      return view !== undefined;
+  }
 }
 
 /** Instances that said that they are leaving, or are known to be gone though their engines may still answer. */
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -1,7 +1,8 @@
 import type { EnginePhase, RoutedService } from '../routing/index.js';
 import { formGroups } from './form-groups.js';
 import { ModelNeeds } from './model-need.js';
-import { longestSilence, reviewGroup } from './review-groups.js';
+import { judgeEngine } from './engine-standing.js';
+import { reviewGroup } from './review-groups.js';
 import { listAvailableEngines, listSlowGroups } from './available-engines.js';
 import { chooseStaging } from './staging.js';
 import type {
@@ -100,13 +101,15 @@
   return phase === 'joining' || phase === 'opening' || phase === 'open';
 }
 
-/** An engine that answers, was heard of lately and stays; undefined for any other. */
+/** An engine that answers and stays; undefined for any other. */
 function describeEngine(view: EngineView, input: PlannerInput): AnsweringEngine | undefined {
-  const { facts, host, silence } = view;
-  const { reading, address, service, lastModel } = facts;
-  if (reading === undefined || silence > longestSilence || input.leaving.has(reading.instance)) {
+  const { facts, host } = view;
+  const { address, service, lastModel } = facts;
+  const standing = judgeEngine(view);
+  if (standing.type !== 'answering' || input.leaving.has(standing.reading.instance)) {
     return undefined;
   }
+  const { reading } = standing;
   const member = { host, instance: reading.instance, address };
   return { member, service, reading, lastModel };
 }
--- a/src/engines/review-groups.ts
+++ b/src/engines/review-groups.ts
@@ -5,21 +5,19 @@
   type EngineMember,
   type EngineMembership,
 } from '../routing/index.js';
+import { judgeEngine } from './engine-standing.js';
 import type { EngineView, GroupAdvance, GroupRemoval, GroupView, PlannerInput } from './types.js';
 
 /** Decides what becomes of the groups that are placed. */
 
-/**
- * A report older than this proves nothing about an engine. Sidecars report at least once a second; three of those may be
- * late before what they said is doubted.
- */
-export const longestSilence: Milliseconds = 3000;
 /** A draining group is closed after this time, whether or not it is idle: a leaving engine serves about 2 s more. */
 const longestDrain: Milliseconds = 1800;
 /** Gateways hear of a drain, and what they sent before arrives, within this time. */
 const announcementTime: Milliseconds = 100;
 /** A group that was never ordered to open and has a member that nobody hears of is given up after this time. */
 const longestJoinWithoutWord: Milliseconds = 5000;
+/** An engine that leaves may refuse connections while it still works, for this long at most. */
+const longestLastWork: Milliseconds = 10_000;
 
 /** What becomes of one group. */
 export type GroupVerdict =
@@ -27,8 +25,11 @@
   | { readonly type: 'advance'; readonly advance: GroupAdvance }
   | { readonly type: 'remove'; readonly removal: GroupRemoval };
 
-/** What is known of a member. `unheard`: its sidecar is silent, so the engine may be well or gone. */
-type MemberStanding = 'present' | 'lost' | 'leaving' | 'unheard';
+/**
+ * What is known of a member. `lost`: it is not in the group any more. `silent`: it does not answer, so the group is better closed, but may serve.
+ * `unheard`: nothing is known, so nothing is done.
+ */
+type MemberStanding = 'present' | 'lost' | 'leaving' | 'silent' | 'unheard';
 
 const keep: GroupVerdict = { type: 'keep' };
 
@@ -45,7 +46,7 @@
     case 'draining':
       return reviewDraining(view, standings, input);
     case 'closing':
-      return reviewClosing(group, input);
+      return reviewClosing(view, input);
   }
 }
 
@@ -69,17 +70,23 @@
   input: PlannerInput,
 ): MemberStanding {
   const view = input.engines.get(member.host);
-  if (view === undefined || view.silence > longestSilence) {
-    return 'unheard';
+  const standing = judgeEngine(view);
+  switch (standing.type) {
+    case 'unknown':
+      return 'unheard';
+    case 'silent':
+      return 'silent';
+    case 'ended':
+      return 'lost';
+    case 'answering':
+      if (
+        !isSameInstance(standing.reading.instance, member.instance) ||
+        hasForgotten(group, view)
+      ) {
+        return 'lost';
+      }
+      return input.leaving.has(member.instance) ? 'leaving' : 'present';
   }
-  if (!isStillThere(member, view) || hasForgotten(group, view)) {
-    return 'lost';
-  }
-  return input.leaving.has(member.instance) ? 'leaving' : 'present';
-}
-
-function isStillThere({ instance }: EngineMember, { facts }: EngineView): boolean {
-  return facts.reading !== undefined && isSameInstance(facts.reading.instance, instance);
 }
 
 /**
@@ -87,7 +94,7 @@
  * An engine that started again, or that carried out a late order, makes no more tokens for the group; the head says nothing of that for
  * seconds, in which all its streams stand still.
  */
-function hasForgotten(group: EngineGroup, view: EngineView): boolean {
+function hasForgotten(group: EngineGroup, view: EngineView | undefined): boolean {
   switch (group.phase) {
     case 'joining':
     case 'closing':
@@ -111,6 +118,9 @@
   if (standings.includes('leaving')) {
     return remove(group, 'a member leaves before it opened');
   }
+  if (standings.includes('silent')) {
+    return remove(group, 'a member does not answer before it opened');
+  }
   if (standings.includes('unheard')) {
     const isGivenUp = phaseAge > longestJoinWithoutWord;
     return isGivenUp ? remove(group, 'a member is not heard of') : keep;
@@ -142,11 +152,14 @@
   if (standings.includes('lost')) {
     return advance(group, 'closing', 'a member was lost');
   }
+  if (standings.includes('silent')) {
+    return advance(group, 'closing', 'a member does not answer');
+  }
   if (standings.includes('leaving')) {
     return advance(group, 'draining', 'a member leaves');
   }
   const head = findHead(group, input);
-  if (head === undefined || head.silence > longestSilence) {
+  if (judgeEngine(head).type !== 'answering') {
     return keep;
   }
   switch (findMembership(group, head)?.state) {
@@ -171,6 +184,9 @@
   if (standings.includes('lost')) {
     return advance(group, 'closing', 'a member was lost');
   }
+  if (standings.includes('silent')) {
+    return advance(group, 'closing', 'a member does not answer');
+  }
   const isIdle = isIdleSince(findHead(group, input), phaseAge);
   if (isIdle || phaseAge > longestDrain) {
     return advance(group, 'closing', isIdle ? 'drained' : 'the drain took too long');
@@ -181,22 +197,46 @@
 /**
  * Frees the members once the head can be open no more.
  * An engine that joins another group while the head of its own is open, or stands still, would split a replica that still takes
- * requests: answers would come from a part of the model. Only the head's own word, or its end, shows that it is not.
+ * requests: answers would come from a part of the model. Only the head's own word, or its end, shows that it is not; that nothing is
+ * known of it, or that it does not answer, does not.
  */
-function reviewClosing(group: EngineGroup, input: PlannerInput): GroupVerdict {
+function reviewClosing({ group, phaseAge }: GroupView, input: PlannerInput): GroupVerdict {
+  const [head] = group.members;
   const view = findHead(group, input);
-  if (view === undefined || view.silence > longestSilence) {
-    return keep;
-  }
-  const head = group.members[0];
-  if (head === undefined || !isStillThere(head, view)) {
-    return remove(group, 'the head is gone');
+  const standing = judgeEngine(view);
+  switch (standing.type) {
+    case 'unknown':
+    case 'silent':
+      return keep;
+    case 'ended': {
+      const mayStillWork = head !== undefined && input.leaving.has(head.instance);
+      return mayStillWork && phaseAge <= longestLastWork
+        ? keep
+        : remove(group, 'the head has ended');
+    }
+    case 'answering':
+      if (head === undefined || !isSameInstance(standing.reading.instance, head.instance)) {
+        return remove(group, 'the head is another instance now');
+      }
+      return reviewClosingHead(group, findMembership(group, view)?.state);
   }
-  const state = findMembership(group, view)?.state;
-  if (state === undefined) {
-    return remove(group, 'the head left');
+}
+
+function reviewClosingHead(
+  group: EngineGroup,
+  state: EngineMembership['state'] | undefined,
+): GroupVerdict {
+  switch (state) {
+    case undefined:
+      return remove(group, 'the head left');
+    case 'broken':
+      return remove(group, 'the head is broken');
+    case 'joining':
+    case 'ready':
+    case 'open':
+    case 'closing':
+      return keep;
   }
-  return state === 'broken' ? remove(group, 'the head is broken') : keep;
 }
 
 /**
@@ -219,6 +259,9 @@
   if (standings.includes('lost')) {
     return 'a member was lost while it opened';
   }
+  if (standings.includes('silent')) {
+    return 'a member does not answer while it opens';
+  }
   return standings.includes('leaving') ? 'a member leaves while it opened' : undefined;
 }
 
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -176,13 +176,15 @@
 
 /**
  * Why a sidecar has no reading of its engine. `notAsked`: it started a moment ago, and no answer has come yet. `notIdentified`: the engine
- * answers, and which instance it is could not be found out. `unanswered`: a question got no answer in time, or its connection broke.
- * `unreadable`: what answers says nothing that can be read. `refused`: nothing listens at the engine's address.
+ * answers, and which instance it is could not be found out. `unanswered`: the last question got no answer in time, or its connection broke.
+ * `silent`: that has gone on for a while. `unreadable`: what answers has said nothing that can be read for a while. `refused`: nothing
+ * listens at the engine's address; only this shows that the engine has ended.
  */
 export const engineAbsences = [
   'notAsked',
   'notIdentified',
   'unanswered',
+  'silent',
   'unreadable',
   'refused',
 ] as const;
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -6,6 +6,7 @@
   type EngineGroup,
   type EngineMembership,
   type EngineReading,
+  type InstanceIdentity,
 } from '../../routing/index.js';
 import type { EngineOrder } from './engine-port.js';
 
@@ -21,17 +22,23 @@
  * fell silent. Taken for the end of the engine at once, one spoilt answer would dissolve a group that serves.
  */
 const longestUnreadable: Milliseconds = 3000;
+/**
+ * One answer may be lost. An engine that gives none for this long, which is at least two questions, is reported as silent: its group is
+ * closed, because a member that does not answer holds up every stream of the group.
+ */
+const longestUnanswered: Milliseconds = 500;
 
 /** What happens to the controller. */
 export type EngineEvent =
   | { readonly type: 'read'; readonly now: Milliseconds; readonly reading: EngineReading }
   /** Something answers at the engine's address, and says nothing that can be read. */
   | { readonly type: 'unreadable'; readonly now: Milliseconds }
-  /** The question brought nothing else. */
-  | {
-      readonly type: 'absent';
-      readonly absence: Extract<EngineAbsence, 'refused' | 'unanswered' | 'notIdentified'>;
-    }
+  /** No answer came in time, or its connection broke. */
+  | { readonly type: 'unanswered'; readonly now: Milliseconds }
+  /** It answers, and which instance it is could not be found out. */
+  | { readonly type: 'notIdentified' }
+  /** Nothing listens at the engine's address. */
+  | { readonly type: 'refused' }
   /** The placed group that this host is a member of. */
   | { readonly type: 'assigned'; readonly group: EngineGroup | undefined }
   /** The model that the leader of control wants staged here. */
@@ -47,6 +54,9 @@
   #reading: EngineReading | undefined;
   #absence: EngineAbsence = 'notAsked';
   #readAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #unansweredSince: Milliseconds | undefined;
+  /** The instance that was read last, also while nothing is known of it; undefined once it has ended. */
+  #instance: InstanceIdentity | undefined;
   #group: EngineGroup | undefined;
   #stagingModel: string | undefined;
   #lastModel: string | undefined;
@@ -93,16 +103,27 @@
   handle(event: EngineEvent): EngineOrder | undefined {
     switch (event.type) {
       case 'read':
+        this.#unansweredSince = undefined;
         this.#takeReading(event.reading);
         this.#readAt = event.now;
         return this.#decide(event.now);
       case 'unreadable':
+        this.#unansweredSince = undefined;
         if (event.now - this.#readAt > longestUnreadable) {
-          this.#forgetEngine('unreadable');
+          this.#forgetReading('unreadable');
         }
         return undefined;
-      case 'absent':
-        this.#forgetEngine(event.absence);
+      case 'unanswered':
+        this.#takeUnanswered(event.now);
+        return undefined;
+      case 'notIdentified':
+        this.#unansweredSince = undefined;
+        this.#forgetReading('notIdentified');
+        return undefined;
+      case 'refused':
+        this.#unansweredSince = undefined;
+        this.#forgetReading('refused');
+        this.#forgetInstance(undefined);
         return undefined;
       case 'assigned':
         this.#group = event.group;
@@ -113,18 +134,27 @@
     }
   }
 
-  #forgetEngine(absence: EngineAbsence): void {
+  #takeUnanswered(now: Milliseconds): void {
+    this.#unansweredSince ??= now;
+    const isSilent = now - this.#unansweredSince >= longestUnanswered;
+    this.#forgetReading(isSilent ? 'silent' : 'unanswered');
+  }
+
+  /** What it said before may be over; that nothing newer is known does not mean that the engine is. */
+  #forgetReading(absence: EngineAbsence): void {
     this.#absence = absence;
     this.#reading = undefined;
+  }
+
+  #forgetInstance(next: InstanceIdentity | undefined): void {
+    this.#instance = next;
     this.#lastModel = undefined;
     this.#sent = undefined;
   }
 
   #takeReading(reading: EngineReading): void {
-    const before = this.#reading?.instance;
-    if (before === undefined || !isSameStart(reading.instance, before)) {
-      this.#lastModel = undefined;
-      this.#sent = undefined;
+    if (this.#instance === undefined || !isSameStart(reading.instance, this.#instance)) {
+      this.#forgetInstance(reading.instance);
     }
     this.#reading = reading;
     const membership = this.#findMembership();
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -26,6 +26,8 @@
  * questions a second took 1.7% of a core of each host.
  */
 const restingInterval: Milliseconds = 400;
+/** While nothing is known of an engine that may serve, its group can be neither used nor given up with good reason. */
+const unknownInterval: Milliseconds = 100;
 /** While the engine changes groups, each wait is time in which nobody is served. */
 const changingInterval: Milliseconds = 20;
 /** Lines about questions that brought nothing: one tells what is wrong, and an engine is asked up to fifty times a second. */
@@ -116,8 +118,22 @@
   }
 
   async #rest(): Promise<void> {
-    const interval = this.#controller.isChanging ? changingInterval : restingInterval;
-    await pause(interval, this.#wake.signal);
+    await pause(this.#chooseInterval(), this.#wake.signal);
+  }
+
+  #chooseInterval(): Milliseconds {
+    switch (this.#controller.absence) {
+      case undefined:
+        return this.#controller.isChanging ? changingInterval : restingInterval;
+      case 'notAsked':
+      case 'notIdentified':
+      case 'unanswered':
+        return unknownInterval;
+      case 'silent':
+      case 'unreadable':
+      case 'refused':
+        return restingInterval;
+    }
   }
 
   #handle(event: EngineEvent): EngineOrder | undefined {
@@ -153,10 +169,10 @@
       case 'unanswered':
         this.#unanswered.note({ reason: answer.reason }, 'the engine did not answer');
         this.#instance = undefined;
-        return { type: 'absent', absence: 'unanswered' };
+        return { type: 'unanswered', now: clock.monotonic() };
       case 'refused':
         this.#instance = undefined;
-        return { type: 'absent', absence: 'refused' };
+        return { type: 'refused' };
     }
   }
 
@@ -164,7 +180,7 @@
     const instance = await this.#identify(status);
     if (instance === undefined) {
       this.#unanswered.note({}, 'the engine answers and did not say which instance it is');
-      return { type: 'absent', absence: 'notIdentified' };
+      return { type: 'notIdentified' };
     }
     const now = this.#options.clock.monotonic();
     return { type: 'read', now, reading: { instance, ...status.state } };
