--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -8,6 +8,7 @@
   type ControlState,
 } from '../../src/control/state/index.js';
 import type { RoutingWatchResponse } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
+import { routingDocumentSchema } from '../../src/routing/index.js';
 import type { MessageQueue } from '../../src/wire/index.js';
 import { createDocument } from '../routing/documents.js';
 
@@ -130,7 +131,8 @@
     const told: string[] = [];
     for await (const { event } of queue) {
       if (event.case === 'document') {
-        told.push(`document ${String(JSON.parse(event.value).version)}`);
+        const { version } = routingDocumentSchema.parse(JSON.parse(event.value));
+        told.push(`document ${version}`);
       } else if (event.case === 'sign') {
         told.push(`sign ${event.value.leader}`);
       } else {
