--- a/__tests__/processes/path-silent-control.test.ts
+++ b/__tests__/processes/path-silent-control.test.ts
@@ -72,8 +72,9 @@
     const end = performance.now() + cutMilliseconds;
     while (performance.now() < end) {
       const response = await running.chat();
-      expect(response.status).toBe(200);
-      expect(await response.text()).toContain('hello#0');
+      const answer = { status: response.status, text: await response.text() };
+      // Both in one check, so that a refusal shows its code.
+      expect(answer).toEqual({ status: 200, text: expect.stringContaining('hello#0') as string });
     }
     relays.forEach((relay) => {
       relay.setMode('carry');
--- a/src/engines/engine-standing.ts
+++ b/src/engines/engine-standing.ts
@@ -8,7 +8,7 @@
  * A report older than this proves nothing about an engine. Sidecars report at least once a second; three of those may be
  * late before what they said is doubted.
  */
-export const longestSilence: Milliseconds = 3000;
+const longestSilence: Milliseconds = 3000;
 
 /**
  * What is known of an engine. `answering`: it answered its sidecar lately. `ended`: nothing listens at its address any more.
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -17,7 +17,6 @@
 } from './instances.js';
 export { chooseService, RouteTable } from './route-table.js';
 export {
-  engineAbsences,
   engineFactsSchema,
   engineGroupSchema,
   enginePhases,
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -180,7 +180,7 @@
  * `silent`: that has gone on for a while. `unreadable`: what answers has said nothing that can be read for a while. `refused`: nothing
  * listens at the engine's address; only this shows that the engine has ended.
  */
-export const engineAbsences = [
+const engineAbsences = [
   'notAsked',
   'notIdentified',
   'unanswered',
