A test of a killed sidecar waits until the call has reached the service

Ruled out: a call that ran twice (one too few was counted, not one too many). Change: that test waits for the service's own word that the call is there. What it asserts is the same; the other tests wait as before.

--- a/__tests__/processes/requests-services.test.ts
+++ b/__tests__/processes/requests-services.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
+import { callsPath } from '../../src/stand-in/index.js';
 import { Fleet, waitFor, type RunningProgram } from '../support/index.js';
 
 /** Non-idempotent calls of a plain service, whose path loses a process while they run; the stand-in counts what reaches it. */
@@ -86,6 +87,24 @@
   return { reply };
 }
 
+/**
+ * The same, and waits until it has reached the service. The sidecar logs that it hands a call on before it has written a byte of it: killed in
+ * between, it takes along a call that ran nowhere.
+ */
+async function startCallAtService(body: string): ReturnType<typeof startCall> {
+  const reached = await countReached();
+  const started = await startCall(body);
+  await waitFor('the call to reach the service', async () => (await countReached()) > reached);
+  return started;
+}
+
+/** Calls that reached the service, by its own word. */
+async function countReached(): Promise<number> {
+  const response = await fetch(`http://${fleet.member('service-1').address}${callsPath}`);
+  const calls = (await response.json()) as Readonly<Record<string, number>>;
+  return Object.values(calls).reduce((sum, count) => sum + count, 0);
+}
+
 /** The answer goes out before the log is told of it: a repeat right after it still hears that the first is under way. */
 function expectFinished(): Promise<boolean> {
   return waitFor('the end of the first to be known', async () => {
@@ -151,7 +170,7 @@
    */
   it('is unknown, and not run again, when its sidecar was killed', async () => {
     const before = await countCalls();
-    const first = await startCall('van 3');
+    const first = await startCallAtService('van 3');
     sidecar.signal('SIGKILL');
     expect((await first.reply)?.status).toBe(502);
     expect(await startSidecar()).toBe(before + 2);
