--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -30,3 +30,5 @@
 } from './direct-gateway-parts.js';
 export { DirectMetrics } from './direct-metrics.js';
 export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
+export { UpstreamAttempt } from './upstream-attempt.js';
+export { UpstreamConnections } from './upstream-connections.js';
