Mended: an attempt that is given up resets its connection

Cause: an orderly close comes after the bytes that are held up, so an upstream whose host stands still reads the whole request when it goes on and runs it for a caller that has left. Ruled out: gateways that go on after a caller left (they give up within 4 ms, as traced). Change: connections to upstreams are opened by a connector of our own whose sockets reset when they are destroyed (resetAndDestroy, which is public; on this Node it destroys at once instead of waiting until all is flushed). Test: an upstream that reads nothing until after the give-up. Before: 524,378 of 524,378 bytes came, the whole request; after: only what fitted on the way. The test asked for the code ECONNRESET at its reader as well: replaced, because this kernel shows a reset to a reader that was paused as an end behind the bytes that had arrived; the bytes tell whether the request is whole, which is what broke.

--- a/src/gateway/direct/upstream-connections.ts
+++ b/src/gateway/direct/upstream-connections.ts
@@ -1,6 +1,7 @@
 import { Pool, type Dispatcher } from 'undici';
 
 import type { Milliseconds } from '../../common/index.js';
+import { createResettingConnector } from './resetting-socket.js';
 
 /** Connections to upstreams, one pool for each address. */
 
@@ -27,7 +28,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: Math.max(fewestConnections, limit),
       pipelining: 1,
-      connect: { timeout: connectTimeout },
+      connect: createResettingConnector(connectTimeout),
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
       // A request has its own deadline; these would break off answers that are only slow.
