Requests that have not begun leave a head that stands still

Control hears nothing either and keeps the group, so requests went there for as long as it lasted. Change: each gateway follows the streams that began at each head. Where all of them are silent for longer than steps and pauses take, the head is passed over as long as that lasts, and requests that may run again and of which the caller has nothing are reset there and sent to one that works, within the bounds on attempts and repeats; others wait on. Time in which the gateway itself did not run, and streams held back for slow callers, do not count.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -98,6 +98,42 @@
     expect(session.controller.handle({ type: 'failed', now: 100 })).toEqual([]);
   });
 
+  // Symptom: callers wait for their whole time at an upstream that stands still, and their requests run when it goes on, after they
+  // left. Sequence: the host of a head stands still; nobody hears that it is gone. Cause: only what control knew moved a request.
+  it('goes elsewhere when its upstream stands still and has not begun to answer', () => {
+    const { controller } = new Session();
+    const stalled = new Set(['a', 'b']);
+    controller.handle({ type: 'started', now: 0 });
+    expect(describeEffects(controller.handle({ type: 'stalled', now: 700, stalled }))).toEqual([
+      'cancel',
+      'send c 5300',
+    ]);
+    expect(controller.handle({ type: 'stalled', now: 800, stalled })).toEqual([]);
+  });
+
+  it.each<[string, Partial<DeliveryFacts>, Partial<Session>]>([
+    ['it may not run again', { isRepeatable: false }, {}],
+    ['only one upstream is allowed', { attempts: 1 }, {}],
+    ['no time is left', { deadline: 110 }, {}],
+    ['all others are full', {}, { isFull: true }],
+    ['all others stand still too', {}, { targets: ['a'] }],
+    ['the budget of repeats is spent', {}, { repeats: 0 }],
+  ])('waits at an upstream that stands still where %s', (_, facts, changes) => {
+    const session = new Session(facts);
+    session.controller.handle({ type: 'started', now: 0 });
+    Object.assign(session, changes);
+    const stalled = new Set(['a']);
+    expect(session.controller.handle({ type: 'stalled', now: 100, stalled })).toEqual([]);
+  });
+
+  it('stays with an upstream that stands still where its caller has a part of the answer', () => {
+    const { controller } = new Session();
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'passedOn' });
+    const stalled = new Set(['a']);
+    expect(controller.handle({ type: 'stalled', now: 700, stalled })).toEqual([]);
+  });
+
   it('goes elsewhere when an upstream did not run it, with the time that is left', () => {
     const { controller } = new Session({ isRepeatable: false });
     expect(describeEffects(controller.handle({ type: 'started', now: 0 }))).toEqual([
--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -320,6 +320,36 @@
     expect(headers['x-response-seal']).toBe('first');
   });
 
+  /**
+   * Symptom: requests have no answer while other groups have room, and run after their callers left. The host of a head stands still: a
+   * stream that began there is silent, and so is the request that came after it.
+   */
+  it('that have not begun go on elsewhere when their head stands still', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      if (first.received.length === 1) {
+        response.writeHead(200, stream);
+        sendEvents(response, [1]);
+      }
+    };
+    second.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [1, 2]);
+      response.end();
+    };
+    const begun = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the stream at the head', () => first.received.length === 1);
+    const { answer } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the request at the head', () => first.received.length === 2);
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { isWhole, body } = await answer;
+    expect(isWhole).toBe(true);
+    expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2']);
+    begun.leave();
+  });
+
   it('that broke off for good do not look whole', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     first.handle = (_, response) => {
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -59,6 +59,12 @@
   | { readonly type: 'ticked'; readonly now: Milliseconds }
   /** Nothing was sent: no connection could be opened. */
   | { readonly type: 'unreachable'; readonly now: Milliseconds }
+  /** The targets named stand still: their streams are silent. The request may be at one of them. */
+  | {
+      readonly type: 'stalled';
+      readonly now: Milliseconds;
+      readonly stalled: ReadonlySet<string>;
+    }
   /** The upstream did not run it. */
   | { readonly type: 'refused'; readonly now: Milliseconds }
   /** The upstream ran it and answers with a failure of its own, of which nothing is passed on yet. */
@@ -163,6 +169,8 @@
         return this.#handleTargets(event.now);
       case 'ticked':
         return this.#handleTick(event.now);
+      case 'stalled':
+        return this.#leaveStalledTarget(event.stalled, event.now);
       case 'unreachable':
       case 'refused':
         return this.#sendElsewhere(event.now);
@@ -251,18 +259,41 @@
   /**
    * Sends the request to another upstream where it may run again and one can take it now; otherwise the failure is the answer.
    * An instance that fails a part of its requests says nothing of that in its health, and its callers get failures while other instances
-   * have free places. Where one of three instances failed half of its requests, 8 of 175 lookups failed less on two played days.
+   * have free places.
    */
   #replaceFailure(now: Milliseconds): readonly DeliveryEffect[] {
+    return this.#replaceAttempt({ type: 'discard' }, this.#tried, now);
+  }
+
+  /**
+   * An upstream that stands still answers nobody, and what it has not begun it would begin after the caller left. A request of which its
+   * caller has nothing yet goes to one that works, as long as it may run again; otherwise it waits, for the upstream may go on in time.
+   */
+  #leaveStalledTarget(stalled: ReadonlySet<string>, now: Milliseconds): readonly DeliveryEffect[] {
+    if (this.#phase.type !== 'running' || !stalled.has(this.#phase.target.key)) {
+      return [];
+    }
+    if (!this.#surroundings.isSent()) {
+      return [{ type: 'cancel' }, ...this.#sendElsewhere(now)];
+    }
+    return this.#replaceAttempt({ type: 'cancel' }, new Set([...this.#tried, ...stalled]), now);
+  }
+
+  /** Replaces an attempt that may have run, where the request may run again, its caller has nothing of it and an upstream can take it now. */
+  #replaceAttempt(
+    ending: DeliveryEffect,
+    avoided: ReadonlySet<string>,
+    now: Milliseconds,
+  ): readonly DeliveryEffect[] {
     if (!this.#facts.isRepeatable || this.#isPassedOn || !this.#mayTryAgain(now)) {
       return [];
     }
-    const choice = this.#surroundings.choose(this.#tried, now);
+    const choice = this.#surroundings.choose(avoided, now);
     if (choice.type !== 'target' || !this.#surroundings.spendRepeat()) {
       return [];
     }
     this.#mayHaveRun = true;
-    return [{ type: 'discard' }, this.#start(choice.target, now)];
+    return [ending, this.#start(choice.target, now)];
   }
 
   #mayTryAgain(now: Milliseconds): boolean {
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -1,6 +1,7 @@
 import type { BoundedLog, Clock, Milliseconds } from '../../common/index.js';
 import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { Dialect, RawHeaders } from './dialect.js';
+import type { StreamProgress } from './stream-progress.js';
 import type { TargetChooser, TargetLoads } from './target.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -29,6 +30,7 @@
   readonly dialect: Dialect;
   readonly chooser: TargetChooser;
   readonly loads: TargetLoads;
+  readonly progress: StreamProgress;
   readonly connections: UpstreamConnections;
   /** Connections that this gateway may open to one instance of a service. */
   readonly connectionLimit: (service: RoutedService) => number;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -12,6 +12,7 @@
   DeliverySurroundingParts,
   ReceivedRequest,
 } from './delivery-types.js';
+import type { FollowedStream } from './stream-progress.js';
 import type { Target } from './target.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
 
@@ -39,6 +40,7 @@
   readonly #controller: DeliveryController;
   readonly #onOutcome: (outcome: DeliveryOutcome) => void;
   #attempt: UpstreamAttempt | undefined;
+  #stream: FollowedStream | undefined;
   #target: Target | undefined;
   /** Key of the last target, for the log. */
   #lastTarget: string | undefined;
@@ -87,6 +89,13 @@
     this.#handle({ type: 'targetsChanged', now: this.#now() });
   }
 
+  /** The targets named stand still. */
+  noteStalled(stalled: ReadonlySet<string>): void {
+    if (this.#target !== undefined && stalled.has(this.#target.key)) {
+      this.#handle({ type: 'stalled', now: this.#now(), stalled });
+    }
+  }
+
   /** The caller closed its connection. */
   noteCallerLeft(): void {
     if (!this.#controller.isOver) {
@@ -155,7 +164,7 @@
   }
 
   #send(target: Target, remaining: Milliseconds): void {
-    const { connections, connectionLimit, dialect, loads } = this.#parts;
+    const { connections, connectionLimit, dialect, loads, progress } = this.#parts;
     const { method, path, rawHeaders, body, service, account, route, resumeAfter } = this.#request;
     const headers = dialect.writeUpstream(rawHeaders, {
       instance: target.instance.id,
@@ -169,6 +178,7 @@
     this.#sentAt = this.#now();
     this.#answeredAt = undefined;
     loads.noteSent(target);
+    this.#stream = service.engine === undefined ? undefined : progress.follow(target.key);
     const dispatcher = connections.find(target.address, connectionLimit(service));
     const attempt: UpstreamAttempt = new UpstreamAttempt(
       dispatcher,
@@ -238,13 +248,16 @@
   }
 
   #takeData(attempt: UpstreamAttempt, bytes: Buffer): void {
-    this.#answeredAt ??= this.#now();
+    const now = this.#now();
+    this.#answeredAt ??= now;
+    this.#stream?.noteBytes(now);
     this.#answer.push(bytes);
     if (this.#answer.isPassedOn) {
-      this.#firstByte ??= this.#now() - this.#request.startedAt;
+      this.#firstByte ??= now - this.#request.startedAt;
       this.#handle({ type: 'passedOn' });
       if (this.#answer.isSlow) {
         attempt.pause();
+        this.#stream?.pause();
       }
     }
   }
@@ -282,6 +295,8 @@
       this.#parts.loads.noteDone(this.#target);
       this.#target = undefined;
     }
+    this.#stream?.end();
+    this.#stream = undefined;
     this.#attempt = undefined;
   }
 
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -27,6 +27,7 @@
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
 import { DocumentGuard } from './document-guard.js';
+import { StreamProgress } from './stream-progress.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
@@ -61,6 +62,7 @@
   readonly #server: Server;
   readonly #connections = new UpstreamConnections();
   readonly #loads = new TargetLoads();
+  readonly #progress = new StreamProgress();
   readonly #budget: RetryBudget;
   readonly #parts: DeliverySurroundingParts;
   readonly #deliveries = new Set<Delivery>();
@@ -71,6 +73,7 @@
   #gateways: number;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
+  #progressTimer: NodeJS.Timeout | undefined;
 
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
@@ -87,6 +90,7 @@
       clock,
       log: this.#log,
       loads: this.#loads,
+      progress: this.#progress,
       connections: this.#connections,
       chooser: new TargetChooser({ readView, loads: this.#loads, random }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
@@ -132,6 +136,9 @@
     this.#unsubscribe = this.#options.subscribe((view) => {
       this.#follow(view);
     });
+    this.#progressTimer = setInterval(() => {
+      this.#leaveStalledTargets();
+    }, StreamProgress.checkInterval);
   }
 
   /** A planned stop: unready first, then nothing new, then all that is under way to its end or to the end of the grace period. */
@@ -156,6 +163,7 @@
       );
     }
     this.#unsubscribe?.();
+    clearInterval(this.#progressTimer);
     await closeServer(this.#server);
     this.#connections.close();
   }
@@ -179,6 +187,21 @@
     }
   }
 
+  /** Nothing new goes to a target that stands still while there are others, and what it has not begun is moved. */
+  #leaveStalledTargets(): void {
+    const now = this.#options.clock.monotonic();
+    const stalled = this.#progress.findStalled(now);
+    if (stalled.size === 0) {
+      return;
+    }
+    stalled.forEach((key) => {
+      this.#loads.suspect({ key }, now);
+    });
+    for (const delivery of this.#deliveries) {
+      delivery.noteStalled(stalled);
+    }
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { dialect, clock, random } = this.#options;
     const call: Call = {
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -82,8 +82,8 @@
     load.heardAt = now;
   }
 
-  suspect(target: Target, now: Milliseconds): void {
-    this.#find(target.key).suspectedUntil = now + suspicionDuration;
+  suspect({ key }: Pick<Target, 'key'>, now: Milliseconds): void {
+    this.#find(key).suspectedUntil = now + suspicionDuration;
   }
 
   isSuspected(target: Target, now: Milliseconds): boolean {
