Gateways that start together do not overdraw the bound on repeats

Each of the 39 gateways came back with a part of the burst as if 8 shared it, 33 repeats each and 1,287 in all where 264 are allowed, before control could say how many there are. Ruled out: gateways that repeat without the budget (every repeat but that of an unsent request asks it). Change: a gateway begins with one repeat and earns the rest with its requests; its part of the burst is set when control says how many share it.

--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -16,7 +16,6 @@
 import { formatIdentity } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
-import { RetryBudget } from '../retry-budget.js';
 import { readBody } from '../shell/body.js';
 import { admitRequest, type Admitted } from './admission.js';
 import { readLastEventId, type Call } from './call.js';
@@ -27,6 +26,7 @@
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
 import { DocumentGuard } from './document-guard.js';
+import { SharedRepeatBudget } from './shared-repeat-budget.js';
 import { StreamProgress } from './stream-progress.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
@@ -63,7 +63,7 @@
   readonly #connections = new UpstreamConnections();
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
-  readonly #budget: RetryBudget;
+  readonly #budget: SharedRepeatBudget;
   readonly #parts: DeliverySurroundingParts;
   readonly #deliveries = new Set<Delivery>();
   readonly #demand: DemandMeter;
@@ -84,7 +84,7 @@
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
     this.#gateways = gateways;
     this.#demand = new DemandMeter(clock.monotonic());
-    this.#budget = new RetryBudget({ share: repeatShare, burst: repeatBurst / gateways });
+    this.#budget = new SharedRepeatBudget({ share: repeatShare, burst: repeatBurst });
     this.#parts = {
       dialect,
       clock,
@@ -116,11 +116,14 @@
    * more gateways would overdraw both, and one with fewer would leave a part of them unused.
    */
   shareBounds(gateways: number): void {
-    if (gateways < 1 || gateways === this.#gateways) {
+    if (gateways < 1) {
+      return;
+    }
+    this.#budget.shareWith(gateways);
+    if (gateways === this.#gateways) {
       return;
     }
     this.#gateways = gateways;
-    this.#budget.setBurst(this.#options.settings.bounds.repeatBurst / gateways);
     this.#options.logger.info({ gateways }, 'bounds shared by another number of gateways');
   }
 
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -29,6 +29,7 @@
   type DirectGatewayProcess,
 } from './direct-gateway-parts.js';
 export { DirectMetrics } from './direct-metrics.js';
+export { SharedRepeatBudget, type RepeatBound } from './shared-repeat-budget.js';
 export { FollowedStream, StreamProgress } from './stream-progress.js';
 export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
--- a/src/gateway/retry-budget.ts
+++ b/src/gateway/retry-budget.ts
@@ -6,6 +6,8 @@
   readonly share: number;
   /** Retries that may come in a burst. */
   readonly burst: number;
+  /** Retries at hand before the first request; the whole burst where it is absent. */
+  readonly initial?: number;
 }
 
 /**
@@ -50,7 +52,7 @@
   }
 
   #read(account: AccountName): number {
-    const { burst } = this.#limits;
-    return Math.min(burst, this.#tokens.get(account) ?? burst);
+    const { burst, initial = burst } = this.#limits;
+    return Math.min(burst, this.#tokens.get(account) ?? initial);
   }
 }
