A head that stood still is doubted until it sends a byte, and streams that began there go on elsewhere too

Once begun streams had gone, nothing told that the head stood still: the ones sent later waited for their whole time. Ruled out: a head that was slow before (streams of that group ran until 13.0); gateways that missed it (they moved at 13.64 what had not begun). Change: what stands still is judged by the next request there until a byte comes, and nothing else goes there meanwhile; streams that began go on at another group behind their last event, as where a group is lost.

--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -262,12 +262,12 @@
    * have free places.
    */
   #replaceFailure(now: Milliseconds): readonly DeliveryEffect[] {
-    return this.#replaceAttempt({ type: 'discard' }, this.#tried, now);
+    return this.#isPassedOn ? [] : this.#replaceAttempt({ type: 'discard' }, this.#tried, now);
   }
 
   /**
-   * An upstream that stands still answers nobody, and what it has not begun it would begin after the caller left. A request of which its
-   * caller has nothing yet goes to one that works, as long as it may run again; otherwise it waits, for the upstream may go on in time.
+   * An upstream that stands still answers nobody, and goes on after the callers have left. What may run again goes to one that works, a
+   * stream after its last event; otherwise it waits, for the upstream may go on in time.
    */
   #leaveStalledTarget(stalled: ReadonlySet<string>, now: Milliseconds): readonly DeliveryEffect[] {
     if (this.#phase.type !== 'running' || !stalled.has(this.#phase.target.key)) {
@@ -279,13 +279,13 @@
     return this.#replaceAttempt({ type: 'cancel' }, new Set([...this.#tried, ...stalled]), now);
   }
 
-  /** Replaces an attempt that may have run, where the request may run again, its caller has nothing of it and an upstream can take it now. */
+  /** Replaces an attempt that may have run, where the request may run again and an upstream can take it now. */
   #replaceAttempt(
     ending: DeliveryEffect,
     avoided: ReadonlySet<string>,
     now: Milliseconds,
   ): readonly DeliveryEffect[] {
-    if (!this.#facts.isRepeatable || this.#isPassedOn || !this.#mayTryAgain(now)) {
+    if (!this.#facts.isRepeatable || !this.#mayTryAgain(now)) {
       return [];
     }
     const choice = this.#surroundings.choose(avoided, now);
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -178,7 +178,8 @@
     this.#sentAt = this.#now();
     this.#answeredAt = undefined;
     loads.noteSent(target);
-    this.#stream = service.engine === undefined ? undefined : progress.follow(target.key);
+    this.#stream =
+      service.engine === undefined ? undefined : progress.follow(target.key, this.#sentAt);
     const dispatcher = connections.find(target.address, connectionLimit(service));
     const attempt: UpstreamAttempt = new UpstreamAttempt(
       dispatcher,
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -175,6 +175,7 @@
     const instances = [...view.instances.values()].map(formatIdentity);
     const keys = new Set([...view.engineGroups.keys(), ...instances]);
     this.#loads.retain(keys);
+    this.#progress.retain(keys);
     this.#connections.retain(listAddresses(view));
     const callers = view.table?.document.callers;
     if (callers !== undefined) {
@@ -190,16 +191,16 @@
     }
   }
 
-  /** Nothing new goes to a target that stands still while there are others, and what it has not begun is moved. */
+  /** Nothing new goes to a target that stands still while there are others, and what it has goes on there where it may. */
   #leaveStalledTargets(): void {
     const now = this.#options.clock.monotonic();
-    const stalled = this.#progress.findStalled(now);
+    const { doubted, stalled } = this.#progress.review(now);
+    doubted.forEach((key) => {
+      this.#loads.suspect({ key }, now);
+    });
     if (stalled.size === 0) {
       return;
     }
-    stalled.forEach((key) => {
-      this.#loads.suspect({ key }, now);
-    });
     for (const delivery of this.#deliveries) {
       delivery.noteStalled(stalled);
     }
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -30,7 +30,7 @@
 } from './direct-gateway-parts.js';
 export { DirectMetrics } from './direct-metrics.js';
 export { SharedRepeatBudget, type RepeatBound } from './shared-repeat-budget.js';
-export { FollowedStream, StreamProgress } from './stream-progress.js';
+export { FollowedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
 export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
 export { UpstreamConnections } from './upstream-connections.js';
--- a/src/gateway/direct/stream-progress.ts
+++ b/src/gateway/direct/stream-progress.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../../common/index.js';
 
-/** Tells which targets stand still, by the streams that began there; free of I/O. */
+/** Tells which targets stand still, by the streams that were sent there; free of I/O. */
 
 /** Between two looks at the streams. */
 const checkInterval: Milliseconds = 100;
@@ -9,13 +9,30 @@
 /** Steps of an engine and the pauses between the events of its streams are shorter, also where it works slowly. */
 const longestPause: Milliseconds = 600;
 
+/** What a look at the streams shows. */
+export interface ProgressReview {
+  /** Targets that stood still, sent no byte since, and have a request that will show whether they work again: nothing else goes there. */
+  readonly doubted: ReadonlySet<string>;
+  /** Those of them whose requests should go on elsewhere. */
+  readonly stalled: ReadonlySet<string>;
+}
+
+interface FollowedTarget {
+  readonly streams: Set<FollowedStream>;
+  /** Whether it stood still and sent no byte since. */
+  isDoubted: boolean;
+}
+
 /** One stream for as long as its attempt is under way. */
 export class FollowedStream {
-  readonly #onEnd: (stream: FollowedStream) => void;
+  readonly sentAt: Milliseconds;
+  readonly #target: FollowedTarget;
   #lastByteAt: Milliseconds | undefined;
 
-  constructor(onEnd: (stream: FollowedStream) => void) {
-    this.#onEnd = onEnd;
+  constructor(target: FollowedTarget, sentAt: Milliseconds) {
+    this.#target = target;
+    this.sentAt = sentAt;
+    target.streams.add(this);
   }
 
   /** When bytes came last; undefined before the first, and while it is held back. */
@@ -25,6 +42,7 @@
 
   noteBytes(now: Milliseconds): void {
     this.#lastByteAt = now;
+    this.#target.isDoubted = false;
   }
 
   /** It is held back here, because its caller reads slowly: its silence says nothing of the upstream. */
@@ -33,49 +51,75 @@
   }
 
   end(): void {
-    this.#onEnd(this);
+    this.#target.streams.delete(this);
   }
 }
 
 /**
  * The streams of one gateway by target. A head whose host stands still says nothing, and neither does the sidecar beside it: control waits
- * for a word, and requests wait there for their whole time. That all its streams are silent shows it to each gateway that has one.
+ * for a word, and requests wait there for their whole time. That all streams that began there are silent shows it to each gateway that
+ * has one. A target that stood still is judged by the first request that goes there again.
  */
 export class StreamProgress {
   static readonly checkInterval = checkInterval;
 
-  readonly #targets = new Map<string, Set<FollowedStream>>();
+  readonly #targets = new Map<string, FollowedTarget>();
   #checkedAt: Milliseconds | undefined;
   /** From when on what came was read. */
   #watchingSince: Milliseconds = 0;
 
-  /** A request is sent to the target; it counts from its first byte on. */
-  follow(target: string): FollowedStream {
-    const streams = this.#targets.get(target) ?? new Set();
-    this.#targets.set(target, streams);
-    const stream = new FollowedStream((ended) => {
-      streams.delete(ended);
-      if (streams.size === 0) {
-        this.#targets.delete(target);
-      }
-    });
-    streams.add(stream);
-    return stream;
+  /** A request is sent to the target. */
+  follow(target: string, now: Milliseconds): FollowedStream {
+    const followed = this.#targets.get(target) ?? { streams: new Set(), isDoubted: false };
+    this.#targets.set(target, followed);
+    return new FollowedStream(followed, now);
   }
 
-  /** Targets of which every stream that began is silent for too long; to be asked once in each interval. */
-  findStalled(now: Milliseconds): ReadonlySet<string> {
+  /** To be called once in each interval. */
+  review(now: Milliseconds): ProgressReview {
     const before = this.#checkedAt;
     this.#checkedAt = now;
     if (before === undefined || now - before > longestBetweenChecks) {
       this.#watchingSince = now;
     }
-    const stalled = [...this.#targets].filter(([, streams]) => this.#areSilent(streams, now));
-    return new Set(stalled.map(([target]) => target));
+    const stalled = new Set<string>();
+    const doubted = new Set<string>();
+    for (const [target, followed] of this.#targets) {
+      if (this.#isStalled(followed, now)) {
+        followed.isDoubted = true;
+        stalled.add(target);
+      }
+      if (followed.isDoubted && followed.streams.size > 0) {
+        doubted.add(target);
+      }
+    }
+    return { doubted, stalled };
   }
 
-  #areSilent(streams: ReadonlySet<FollowedStream>, now: Milliseconds): boolean {
-    const times = [...streams].flatMap(({ lastByteAt }) => lastByteAt ?? []);
-    return times.length > 0 && now - Math.max(...times, this.#watchingSince) > longestPause;
+  /** Forgets targets that are there no more and have nothing under way. */
+  retain(keys: ReadonlySet<string>): void {
+    for (const [key, { streams }] of this.#targets) {
+      if (streams.size === 0 && !keys.has(key)) {
+        this.#targets.delete(key);
+      }
+    }
+  }
+
+  #isStalled(target: FollowedTarget, now: Milliseconds): boolean {
+    const silentSince = findSilentSince(target);
+    return (
+      silentSince !== undefined && now - Math.max(silentSince, this.#watchingSince) > longestPause
+    );
+  }
+}
+
+/** Since when nothing came though something should have; undefined where nothing can be said. */
+function findSilentSince({ streams, isDoubted }: FollowedTarget): Milliseconds | undefined {
+  const begun = [...streams].flatMap(({ lastByteAt }) => lastByteAt ?? []);
+  if (begun.length > 0) {
+    return Math.max(...begun);
   }
+  return isDoubted && streams.size > 0
+    ? Math.min(...[...streams].map(({ sentAt }) => sentAt))
+    : undefined;
 }
