How long a head may be silent follows from the pauses that routes want of their streams

A figure of its own for the silence also fits no deployment but by luck. Change: twice the longest pause that the route wants (400 ms where it wants 200), 600 ms where a route does not say.

--- a/__tests__/direct/stream-progress.test.ts
+++ b/__tests__/direct/stream-progress.test.ts
@@ -41,6 +41,14 @@
     expect([...progress.review(long).stalled]).toEqual(['b']);
   });
 
+  it('are found the sooner, the shorter the pauses are that a route wants', () => {
+    const progress = new StreamProgress();
+    progress.follow('a', 0, 100).noteBytes(0);
+    progress.follow('b', 0, 1000).noteBytes(0);
+    expect(watch(progress, 0, 1000).stalled).toEqual(['a']);
+    expect(watch(progress, 1000, long).stalled).toEqual(['a', 'b']);
+  });
+
   it('do not stand still while nothing has begun there', () => {
     const progress = new StreamProgress();
     progress.follow('a', 0);
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -179,7 +179,9 @@
     this.#answeredAt = undefined;
     loads.noteSent(target);
     this.#stream =
-      service.engine === undefined ? undefined : progress.follow(target.key, this.#sentAt);
+      service.engine === undefined
+        ? undefined
+        : progress.follow(target.key, this.#sentAt, route.longestPause);
     const dispatcher = connections.find(target.address, connectionLimit(service));
     const attempt: UpstreamAttempt = new UpstreamAttempt(
       dispatcher,
--- a/src/gateway/direct/stream-progress.ts
+++ b/src/gateway/direct/stream-progress.ts
@@ -6,8 +6,10 @@
 const checkInterval: Milliseconds = 100;
 /** A look later than this shows that the process itself did not run: what came meanwhile is not read yet. */
 const longestBetweenChecks: Milliseconds = 300;
-/** Steps of an engine and the pauses between the events of its streams are shorter, also where it works slowly. */
-const longestPause: Milliseconds = 600;
+/** A pause this many times as long as the longest that a route wants of its streams is none that a working engine makes. */
+const tolerance = 2;
+/** The longest pause that is wanted where a route does not say. */
+const assumedPause: Milliseconds = 300;
 
 /** What a look at the streams shows. */
 export interface ProgressReview {
@@ -26,12 +28,19 @@
 /** One stream for as long as its attempt is under way. */
 export class FollowedStream {
   readonly sentAt: Milliseconds;
+  /** Without a byte for longer than this it stands still. */
+  readonly longestSilence: Milliseconds;
   readonly #target: FollowedTarget;
   #lastByteAt: Milliseconds | undefined;
 
-  constructor(target: FollowedTarget, sentAt: Milliseconds) {
+  constructor(
+    target: FollowedTarget,
+    sentAt: Milliseconds,
+    longestPause: Milliseconds = assumedPause,
+  ) {
     this.#target = target;
     this.sentAt = sentAt;
+    this.longestSilence = longestPause * tolerance;
     target.streams.add(this);
   }
 
@@ -68,11 +77,11 @@
   /** From when on what came was read. */
   #watchingSince: Milliseconds = 0;
 
-  /** A request is sent to the target. */
-  follow(target: string, now: Milliseconds): FollowedStream {
+  /** A request is sent to the target; `longestPause` is what its route wants between two events. */
+  follow(target: string, now: Milliseconds, longestPause?: Milliseconds): FollowedStream {
     const followed = this.#targets.get(target) ?? { streams: new Set(), isDoubted: false };
     this.#targets.set(target, followed);
-    return new FollowedStream(followed, now);
+    return new FollowedStream(followed, now, longestPause);
   }
 
   /** To be called once in each interval. */
@@ -107,9 +116,11 @@
 
   #isStalled(target: FollowedTarget, now: Milliseconds): boolean {
     const silentSince = findSilentSince(target);
-    return (
-      silentSince !== undefined && now - Math.max(silentSince, this.#watchingSince) > longestPause
-    );
+    if (silentSince === undefined) {
+      return false;
+    }
+    const limits = [...target.streams].map(({ longestSilence }) => longestSilence);
+    return now - Math.max(silentSince, this.#watchingSince) > Math.min(...limits);
   }
 }
 
