Gateways keep to a part of the heads, by their place among each other; what goes on at another upstream is admitted first

Load pattern: 46 gateways and 35 heads of a model; each gateway sends a given head a request every few seconds, so its knowledge of that head is old and it takes any head that it has nothing at itself. Ruled out: rendezvous hashing of parts (heads then have different numbers of gateways, which is more uneven than what it mends); loads of heads by way of control (older than a request lasts). Change: control tells each gateway its place in the order of names beside their number; parts are spread by it so that each head is in about as many as any other. When the part is full, or gone, the others are taken. A request that goes on elsewhere has waited already, so it is admitted first there, as streams with a part passed on were.

--- a/__tests__/control/instance-book.test.ts
+++ b/__tests__/control/instance-book.test.ts
@@ -151,6 +151,14 @@
     expect(book.countGateways(61_000)).toBe(1);
   });
 
+  it('tells each gateway its place in an order that all agree on', () => {
+    const book = new DemandBook();
+    ['g2', 'g1', 'g3'].forEach((gateway) => {
+      book.take(gateway, new Map(), 0);
+    });
+    expect(['g1', 'g2', 'g3'].map((gateway) => book.findPosition(gateway))).toEqual([0, 1, 2]);
+  });
+
   it('is not settled by gateways that nobody asks for a model', () => {
     const book = new DemandBook();
     book.take('g1', new Map(), 0);
--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -121,7 +121,7 @@
     random: createRandomSource(1),
     logger: createLogger('test', 'silent'),
   });
-  gateway.shareBounds(1);
+  gateway.shareUpstreams({ gateways: 1, position: 0 });
   await gateway.open();
 });
 
--- a/__tests__/direct/placement-world.ts
+++ b/__tests__/direct/placement-world.ts
@@ -3,7 +3,12 @@
   type Milliseconds,
   type RandomSource,
 } from '../../src/common/index.js';
-import { TargetChooser, TargetLoads, type Target } from '../../src/gateway/direct/index.js';
+import {
+  TargetChooser,
+  TargetLoads,
+  type GatewayPlace,
+  type Target,
+} from '../../src/gateway/direct/index.js';
 import type { EngineGroup, RoutedService } from '../../src/routing/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { engineProfile } from '../routing/documents.js';
@@ -20,6 +25,8 @@
   readonly heads: number;
   /** Requests at one moment, in parts of all slots. */
   readonly load: number;
+  /** Whether gateways know their place among each other. */
+  readonly arePlaced: boolean;
   /** Arrivals are the load of this much time. */
   readonly duration: Milliseconds;
 }
@@ -66,7 +73,11 @@
   };
   const view = createView(heads);
   const gateways = Array.from({ length: options.gateways }, (_, index) =>
-    createGateway(view, createRandomSource(seed * 1000 + index)),
+    createGateway(
+      view,
+      createRandomSource(seed * 1000 + index),
+      options.arePlaced ? { gateways: options.gateways, position: index } : undefined,
+    ),
   );
   const running = new Map<string, Run[]>([...view.engineGroups.keys()].map((key) => [key, []]));
   const arrivalsPerTick = (load * heads * slots * tick) / meanWork;
@@ -129,9 +140,14 @@
   return { ...emptyRoutingView, engineGroups: new Map(groups) };
 }
 
-function createGateway(view: RoutingView, random: RandomSource): Gateway {
+function createGateway(
+  view: RoutingView,
+  random: RandomSource,
+  place: GatewayPlace | undefined,
+): Gateway {
   const loads = new TargetLoads();
-  return { loads, chooser: new TargetChooser({ readView: () => view, loads, random }) };
+  const options = { readView: () => view, loads, readPlace: () => place, random };
+  return { loads, chooser: new TargetChooser(options) };
 }
 
 function endRuns(running: Map<string, Run[]>, now: Milliseconds): void {
--- a/bench/leader/client-roles.ts
+++ b/bench/leader/client-roles.ts
@@ -217,7 +217,7 @@
     gateway: name,
     findLeader: () => watcher.read().leader,
     measure: () => demand,
-    onGateways: () => undefined,
+    onPlace: () => undefined,
   });
   watcher.open();
   reporter.open();
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -12,12 +12,17 @@
 ];
 const loads = [0.5, 0.7, 0.85, 1.1];
 
-const rows = sizes.flatMap(({ gateways, heads }) =>
+const layouts = sizes.flatMap((size) => [
+  { ...size, arePlaced: false },
+  { ...size, arePlaced: true },
+]);
+const rows = layouts.flatMap((layout) =>
   loads.map((load) => {
-    const results = seeds.map((seed) => playPlacement({ seed, gateways, heads, load, duration }));
+    const { gateways, heads, arePlaced } = layout;
+    const results = seeds.map((seed) => playPlacement({ ...layout, seed, load, duration }));
     const meanOf = (read: (result: (typeof results)[number]) => number): number =>
       results.reduce((sum, result) => sum + read(result), 0) / results.length;
-    return [
+    const figures = [
       gateways,
       heads,
       load,
@@ -27,9 +32,11 @@
       meanOf(({ busiest }) => busiest),
       meanOf(({ pairs }) => pairs),
     ].map((figure) => formatFigure(figure));
+    return [arePlaced ? 'yes' : 'no', ...figures];
   }),
 );
 const header = [
+  'place known',
   'gateways',
   'heads',
   'load',
--- a/src/control/routing/demand-book.ts
+++ b/src/control/routing/demand-book.ts
@@ -85,6 +85,11 @@
     return this.#seenAt.size;
   }
 
+  /** Place of a gateway among all that count, in the order of their names. */
+  findPosition(gateway: string): number {
+    return [...this.#seenAt.keys()].filter((other) => other < gateway).length;
+  }
+
   /** Another host leads, or this one anew: what was reported before is old. */
   clear(): void {
     this.#gateways.clear();
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -128,7 +128,10 @@
       reportDemand: ({ gateway, requests }) => {
         const now = this.#options.clock.monotonic();
         this.#demand.take(gateway, new Map(Object.entries(requests)), now);
-        return { gateways: this.#demand.countGateways(now) };
+        return {
+          gateways: this.#demand.countGateways(now),
+          position: this.#demand.findPosition(gateway),
+        };
       },
       announce: async ({ announcement }) => {
         const result = await this.#takeForwarded(announcement);
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -19,8 +19,8 @@
 /** Carries one request from its caller to upstreams and the answer back, as the controller decides. */
 
 /**
- * A stream that goes on at another upstream is admitted before new requests: its caller has a part of the answer, and a pause of
- * seconds in the queue of a full group would make it late, or lost.
+ * A request that goes on at another upstream is admitted before new ones: it has waited at the first one already, and a pause of seconds in the
+ * queue of a full group would make it late, or lose the stream of which its caller has a part.
  */
 const mostUrgent = 0;
 
@@ -166,11 +166,12 @@
   #send(target: Target, remaining: Milliseconds): void {
     const { connections, connectionLimit, dialect, loads, progress } = this.#parts;
     const { method, path, rawHeaders, body, service, account, route, resumeAfter } = this.#request;
+    const isFirst = this.#controller.attemptCount === 1 && !this.#answer.isPassedOn;
     const headers = dialect.writeUpstream(rawHeaders, {
       instance: target.instance.id,
       remaining,
       account: account?.name,
-      priority: this.#answer.isPassedOn ? mostUrgent : (account?.priority ?? route.priority),
+      priority: isFirst ? (account?.priority ?? route.priority) : mostUrgent,
       resumeAfter: this.#answer.lastEventId ?? resumeAfter,
     });
     this.#target = target;
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -3,6 +3,7 @@
 import type { ManagedPart, Milliseconds } from '../../common/index.js';
 import { RoutingService } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
+import type { GatewayPlace } from './head-subset.js';
 
 /** Tells the leader of control how many requests for each model want to run at one moment, and hears how many gateways there are. */
 
@@ -16,8 +17,8 @@
   readonly findLeader: () => string;
   /** Requests that want to run at one moment, by model; ends the interval that it measures. */
   readonly measure: () => ReadonlyMap<string, number>;
-  /** Told how many gateways have reported lately. */
-  readonly onGateways: (count: number) => void;
+  /** Told where this gateway stands among those that have reported lately. */
+  readonly onPlace: (place: GatewayPlace) => void;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
 }
@@ -42,7 +43,7 @@
   }
 
   async #report(): Promise<void> {
-    const { gateway, findLeader, measure, onGateways, clients, logger } = this.#options;
+    const { gateway, findLeader, measure, onPlace, clients, logger } = this.#options;
     const leader = findLeader();
     const requests = Object.fromEntries(measure());
     if (leader === '') {
@@ -50,8 +51,11 @@
     }
     try {
       const client = clients.client(RoutingService, leader);
-      const answer = await client.reportDemand({ gateway, requests }, { timeoutMs: reportTimeout });
-      onGateways(answer.gateways);
+      const { gateways, position } = await client.reportDemand(
+        { gateway, requests },
+        { timeoutMs: reportTimeout },
+      );
+      onPlace({ gateways, position });
     } catch (error) {
       logger.debug({ leader, error: String(error) }, 'demand not reported');
     }
--- a/src/gateway/direct/direct-gateway-parts.ts
+++ b/src/gateway/direct/direct-gateway-parts.ts
@@ -56,8 +56,8 @@
     gateway: name,
     findLeader: () => watcher.read().leader,
     measure: () => gateway.measureDemand(),
-    onGateways: (count) => {
-      gateway.shareBounds(count);
+    onPlace: (place) => {
+      gateway.shareUpstreams(place);
     },
   });
   const connections: ManagedPart = {
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -26,6 +26,7 @@
 import type { Dialect } from './dialect.js';
 import { DirectAnswer } from './direct-answer.js';
 import { DocumentGuard } from './document-guard.js';
+import type { GatewayPlace } from './head-subset.js';
 import { SharedRepeatBudget } from './shared-repeat-budget.js';
 import { StreamProgress } from './stream-progress.js';
 import { TargetChooser, TargetLoads } from './target.js';
@@ -71,6 +72,7 @@
   readonly #guard: DocumentGuard;
   /** Gateways that share the bounds on repeats and connections. */
   #gateways: number;
+  #place: GatewayPlace | undefined;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
   #progressTimer: NodeJS.Timeout | undefined;
@@ -92,7 +94,12 @@
       loads: this.#loads,
       progress: this.#progress,
       connections: this.#connections,
-      chooser: new TargetChooser({ readView, loads: this.#loads, random }),
+      chooser: new TargetChooser({
+        readView,
+        loads: this.#loads,
+        readPlace: () => this.#place,
+        random,
+      }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRepeat: (service) => this.#budget.spend(service),
     };
@@ -112,19 +119,20 @@
   }
 
   /**
-   * Takes how many gateways share the bounds on repeats and on connections. With a number from the settings alone, a deployment with
-   * more gateways would overdraw both, and one with fewer would leave a part of them unused.
+   * Takes how many gateways share the bounds and the upstreams, and where this one stands among them. With a number from the settings alone, a
+   * deployment with more gateways would overdraw the bounds, and one with fewer would leave a part of them unused.
    */
-  shareBounds(gateways: number): void {
+  shareUpstreams(place: GatewayPlace): void {
+    const { gateways } = place;
     if (gateways < 1) {
       return;
     }
+    this.#place = place;
     this.#budget.shareWith(gateways);
-    if (gateways === this.#gateways) {
-      return;
+    if (gateways !== this.#gateways) {
+      this.#gateways = gateways;
+      this.#options.logger.info(place, 'bounds shared by another number of gateways');
     }
-    this.#gateways = gateways;
-    this.#options.logger.info({ gateways }, 'bounds shared by another number of gateways');
   }
 
   /** The address that callers reach; known once the gateway is open. */
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -29,6 +29,7 @@
   type DirectGatewayProcess,
 } from './direct-gateway-parts.js';
 export { DirectMetrics } from './direct-metrics.js';
+export { choosePreferred, type GatewayPlace } from './head-subset.js';
 export { SharedRepeatBudget, type RepeatBound } from './shared-repeat-budget.js';
 export { FollowedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
 export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -9,6 +9,7 @@
 } from '../../routing/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import type { UpstreamLoad } from './dialect.js';
+import { choosePreferred, type GatewayPlace } from './head-subset.js';
 
 /** Chooses the upstream for a request; free of I/O. */
 
@@ -128,9 +129,18 @@
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
+  /** Undefined while it is not known, and where no others share the targets. */
+  readonly readPlace?: () => GatewayPlace | undefined;
   readonly random: RandomSource;
 }
 
+interface RankedTarget {
+  readonly target: Target;
+  readonly use: number;
+  /** Decides between equals. */
+  readonly draw: number;
+}
+
 export class TargetChooser {
   readonly #options: TargetChooserOptions;
 
@@ -138,20 +148,37 @@
     this.#options = options;
   }
 
-  /** The least used target that was not tried; of equals, any. */
+  /** The least used target that was not tried, of those that this gateway prefers while one of them has room; of equals, any. */
   choose({ service, model, tried }: TargetQuestion, now: Milliseconds): TargetChoice {
-    const { loads, random } = this.#options;
-    const all = this.listTargets(service, model).filter(({ key }) => !tried.has(key));
+    const { loads } = this.#options;
+    const targets = this.listTargets(service, model);
+    const all = targets.filter(({ key }) => !tried.has(key));
     const trusted = all.filter((target) => !loads.isSuspected(target, now));
-    const ranked = (trusted.length > 0 ? trusted : all)
-      .map((target) => ({ target, use: loads.useOf(target, now), draw: random.fraction() }))
-      .sort((one, other) => one.use - other.use || one.draw - other.draw);
-    const best = ranked[0];
-    if (best === undefined) {
+    const ranked = this.#rank(trusted.length > 0 ? trusted : all, now);
+    if (ranked.length === 0) {
       return { type: 'none' };
     }
     const limit = service.engine === undefined ? instanceFill : engineFill;
-    return best.use < limit ? { type: 'target', target: best.target } : { type: 'full' };
+    const withRoom = ranked.filter(({ use }) => use < limit);
+    const preferred = this.#findPreferred(service, targets);
+    const best = withRoom.find(({ target }) => preferred.has(target.key)) ?? withRoom[0];
+    return best === undefined ? { type: 'full' } : { type: 'target', target: best.target };
+  }
+
+  /** The least used first. */
+  #rank(targets: readonly Target[], now: Milliseconds): readonly RankedTarget[] {
+    const { loads, random } = this.#options;
+    return targets
+      .map((target) => ({ target, use: loads.useOf(target, now), draw: random.fraction() }))
+      .sort((one, other) => one.use - other.use || one.draw - other.draw);
+  }
+
+  /** Instances of plain services are few, and done with a request before others could crowd them. */
+  #findPreferred({ engine }: RoutedService, targets: readonly Target[]): ReadonlySet<string> {
+    const keys = targets.map(({ key }) => key);
+    return engine === undefined
+      ? new Set(keys)
+      : choosePreferred(keys, this.#options.readPlace?.());
   }
 
   /** Whether the target still serves what it was chosen for; one that drains goes on with what it has. */
