--- a/__tests__/direct/placement-world.ts
+++ b/__tests__/direct/placement-world.ts
@@ -66,6 +66,8 @@
 export function playPlacement(options: PlacementOptions): PlacementResult {
   const { seed, heads, load, duration } = options;
   const random = createRandomSource(seed);
+  // Of their own, so that the same requests come whatever becomes of them.
+  const arrivals = createRandomSource(seed);
   const service: RoutedService = {
     name: 'engines',
     maximumConnections: 600,
@@ -91,10 +93,10 @@
   let ticks = 0;
   for (let now = 0; now < duration; now += tick) {
     endRuns(running, now);
-    due += arrivalsPerTick * drawExponential(random);
+    due += arrivalsPerTick * drawExponential(arrivals);
     for (; due >= 1; due -= 1) {
       requests += 1;
-      const place = random.integerBelow(gateways.length);
+      const place = arrivals.integerBelow(gateways.length);
       const gateway = gateways[place];
       if (gateway === undefined) {
         continue;
