--- a/bench/leader/client-roles.ts
+++ b/bench/leader/client-roles.ts
@@ -16,6 +16,7 @@
 const domainSize = 19;
 const joinMilliseconds = 50;
 const openMilliseconds = 300;
+const loadMilliseconds = 1000;
 /** Between two announcements of an instance. */
 const announceMilliseconds = 1200;
 const announceTimeout = 1500;
@@ -41,6 +42,7 @@
   #membership: EngineMembership | undefined;
   #lastModel: string | undefined;
   #running = 0;
+  #staged: readonly string[] = [];
 
   constructor(index: number) {
     this.#host = `side-${index}`;
@@ -58,7 +60,7 @@
       reading: {
         instance: { id: `i-${this.#host}` },
         fabricDomain: this.#domain,
-        staged: [],
+        staged: this.#staged,
         ...(this.#membership === undefined ? {} : { membership: this.#membership }),
         isBusy: false,
         running: this.#running,
@@ -87,6 +89,17 @@
     }, step.duration);
   }
 
+  /** Calls back once the weights of the model are on the host. */
+  stage(model: string | undefined, onChange: () => void): void {
+    if (model === undefined || this.#staged.includes(model)) {
+      return;
+    }
+    setTimeout(() => {
+      this.#staged = [model];
+      onChange();
+    }, loadMilliseconds);
+  }
+
   work(): void {
     this.#running = (this.#running + 1) % domainSize;
   }
@@ -144,7 +157,11 @@
     findLeader: () => watcher.read().leader,
     describe: () => engine.describe(),
     isDraining: () => false,
-    onStaging: () => undefined,
+    onStaging: (model) => {
+      engine.stage(model, () => {
+        reporter.notify();
+      });
+    },
   });
   watcher.subscribe((view) => {
     engine.assign(findGroup(view, host), () => {
