Gateways are told of many instances and groups in one message

Cause: after a start or a change of the leader every gateway is told of every instance and group, each in a message of its own: 50 gateways and 400 instances are 20,000 messages. Change: one message for all that is not only of use in its latest form; for watches that begin it is put together once for each state. Gateways also follow a message at once instead of each item of it. The test of watches flattens such messages; its expectations are as they were.

--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -54,7 +54,9 @@
   queue.close();
   const cases: string[] = [];
   for await (const { event } of queue) {
-    cases.push(event.case ?? '');
+    // Several events may be told in one message.
+    const told = event.case === 'batch' ? event.value.events : [{ event }];
+    cases.push(...told.map((each) => each.event.case ?? ''));
   }
   return cases;
 }
@@ -142,6 +144,29 @@
     expect(told).toEqual(['document 3', 'synchronized', 'document 20', 'sign 10.0.0.1:20']);
   });
 
+  // Symptom: control changes its leader after a start. Sequence: tens of gateways connect at once, and hundreds of instances announce
+  // themselves. Cause: each instance was a message of its own to each gateway, and the leader had no time for its heartbeats.
+  it('tell of many instances in one message', async () => {
+    const hub = new RoutingHub();
+    const ids = Array.from({ length: 400 }, (_, index) => 'i'.repeat(index + 1));
+    const half = ids
+      .slice(0, 200)
+      .reduce((known, id) => apply(known, announce(id)), apply(initialControlState, putVersion(3)));
+    hub.publish(half.index, half.routing);
+    const queue = hub.subscribe(3, sign);
+    const whole = ids.slice(200).reduce((known, id) => apply(known, announce(id)), half);
+    hub.publish(whole.index, whole.routing);
+    queue.close();
+    const told: string[] = [];
+    const counts: number[] = [];
+    for await (const { event } of queue) {
+      told.push(event.case ?? '');
+      counts.push(event.case === 'batch' ? event.value.events.length : 1);
+    }
+    expect(told).toEqual(['batch', 'synchronized', 'sign', 'batch']);
+    expect(counts).toEqual([200, 1, 1, 200]);
+  });
+
   it("do not carry the operator's text", async () => {
     const hub = new RoutingHub();
     const state = apply(initialControlState, putVersion(3));
--- a/__tests__/watch/routing-world.ts
+++ b/__tests__/watch/routing-world.ts
@@ -2,7 +2,7 @@
 import { RoutingHub } from '../../src/control/routing/index.js';
 import { initialRoutingState, type RoutingState } from '../../src/control/state/index.js';
 import type { RoutingWatchResponse } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
-import { decodeRoutingEvent, RoutingKeeper } from '../../src/watch/index.js';
+import { decodeRoutingEvents, RoutingKeeper } from '../../src/watch/index.js';
 import type { MessageQueue } from '../../src/wire/index.js';
 import { createDocument, streamRoute } from '../routing/documents.js';
 
@@ -182,12 +182,13 @@
     gateway.pending = undefined;
     gateway.heardAt = this.now;
     const before = gateway.version;
-    const event = decodeRoutingEvent(message, this.now);
-    const verdict = event === undefined ? 'unchanged' : gateway.keeper.handle(event);
+    const verdicts = decodeRoutingEvents(message, this.now).map((event) => {
+      return gateway.keeper.handle(event);
+    });
     if (gateway.version < before) {
       this.violations.push(`version ${before} went back to ${gateway.version}`);
     }
-    if (verdict === 'leave') {
+    if (verdicts.includes('leave')) {
       this.#disconnect(gateway);
     }
   }
--- a/bench/leader/leader-role.ts
+++ b/bench/leader/leader-role.ts
@@ -7,6 +7,7 @@
 import type { RoutingDocument } from '../../src/routing/index.js';
 import { controlSettingsSchema } from '../../src/settings/index.js';
 import { createDocument, engineProfile } from '../../__tests__/routing/documents.js';
+import { waitFor } from '../../__tests__/support/index.js';
 import { createDataFolder } from '../capacity/control-role.js';
 import { announceReady } from '../support/index.js';
 
@@ -65,8 +66,8 @@
   let spentBefore = readProcessorTime();
   announceReady(address, async (question) => {
     if (question === 'document') {
-      const answer = await control.routing.put(createEngineDocument());
-      return String(answer.ok);
+      await waitFor('a leader', async () => (await control.routing.put(createEngineDocument())).ok);
+      return 'in force';
     }
     const { profile } = await session.post('Profiler.stop');
     const spent = readProcessorTime();
--- a/src/control/routing/routing-hub.ts
+++ b/src/control/routing/routing-hub.ts
@@ -36,6 +36,10 @@
   readonly audience: Audience;
 }
 
+interface EncodedChange extends Change {
+  readonly message: RoutingWatchResponse;
+}
+
 /**
  * Whether a later event of the kind makes an earlier one needless. A document is sent whole, and a sign vouches for what was sent before
  * it. With 1,400 routes a document takes 400 KB: in a series of 17 changes a watcher that reads slowly had 6.8 MB to read before the last.
@@ -44,6 +48,12 @@
   return kind === 'document' || kind === 'sign';
 }
 
+/** What every gateway is told of one state; encoded once for all of them. */
+interface WholeState {
+  readonly state: RoutingState;
+  readonly batch: readonly Change[];
+}
+
 interface Watch {
   readonly queue: MessageQueue<RoutingWatchResponse>;
   /** The host of a sidecar; undefined for a gateway. */
@@ -55,6 +65,7 @@
   readonly #watches = new Map<MessageQueue<RoutingWatchResponse>, Watch>();
   #published: RoutingState = initialRoutingState;
   #index = 0;
+  #whole: WholeState | undefined;
 
   /** Sends what differs from the last published state. */
   publish(index: number, state: RoutingState): void {
@@ -75,8 +86,7 @@
     host?: string,
   ): MessageQueue<RoutingWatchResponse> {
     const watch = { queue: new MessageQueue<RoutingWatchResponse>(queueCapacity), host };
-    const changes = listWholeState(this.#published, knownVersion);
-    for (const { event } of changes.filter(({ audience }) => isFor(audience, watch))) {
+    for (const event of this.#listWholeState(watch, knownVersion)) {
       // The first document stays in its place: the state is whole only behind the document that belongs to it.
       watch.queue.push(encodeEvent(this.#index, event));
     }
@@ -99,17 +109,56 @@
     this.#watches.clear();
   }
 
+  #listWholeState(watch: Watch, knownVersion: number): readonly WatchEvent[] {
+    const version = this.#published.document?.version ?? 0;
+    const document = version > knownVersion ? describeDocument(this.#published) : [];
+    const items = watch.host === undefined ? this.#describeWhole() : describeItems(this.#published);
+    const told = [...document, ...items].filter(({ audience }) => isFor(audience, watch));
+    const synchronized = { case: 'synchronized', value: { version: BigInt(version) } } as const;
+    return [...told.map(({ event }) => event), synchronized];
+  }
+
+  /** When a control host starts, or leads anew, every gateway connects within a second. */
+  #describeWhole(): readonly Change[] {
+    if (this.#whole?.state !== this.#published) {
+      const batch = batchChanges(this.#index, describeItems(this.#published));
+      this.#whole = { state: this.#published, batch };
+    }
+    return this.#whole.batch;
+  }
+
   #send(changes: readonly Change[]): void {
-    for (const { event, audience } of changes) {
-      // One message for all: it is encoded once for each watcher only when it is written.
-      const message = encodeEvent(this.#index, event);
-      for (const watch of this.#watches.values()) {
+    const batched = batchChanges(this.#index, changes);
+    // One message for all: it is encoded once for each watcher only when it is written.
+    const forGateways = batched.map((change) => this.#encode(change));
+    const forSidecars = changes.map((change) => this.#encode(change));
+    for (const watch of this.#watches.values()) {
+      const messages = watch.host === undefined ? forGateways : forSidecars;
+      for (const { event, audience, message } of messages) {
         if (isFor(audience, watch)) {
           push(watch.queue, event, message);
         }
       }
     }
   }
+
+  #encode(change: Change): EncodedChange {
+    return { ...change, message: encodeEvent(this.#index, change.event) };
+  }
+}
+
+/**
+ * For gateways, which are told of everything: all that is not only of use in its latest form goes into one message. Hundreds of instances,
+ * each in a message of its own to each of tens of gateways, take a leader seconds.
+ */
+function batchChanges(index: number, changes: readonly Change[]): readonly Change[] {
+  const items = changes.filter(({ event }) => !isOnlyLatestOfUse(event));
+  if (items.length < 2) {
+    return changes;
+  }
+  const events = items.map(({ event }) => encodeEvent(index, event));
+  const others = changes.filter(({ event }) => isOnlyLatestOfUse(event));
+  return [...others, { event: { case: 'batch', value: { events } }, audience: 'gateways' }];
 }
 
 function push(
@@ -131,14 +180,10 @@
   return audience !== 'gateways' && audience.includes(host);
 }
 
-function listWholeState(state: RoutingState, knownVersion: number): readonly Change[] {
-  const version = state.document?.version ?? 0;
-  const synchronized = { case: 'synchronized', value: { version: BigInt(version) } } as const;
+function describeItems(state: RoutingState): readonly Change[] {
   return [
-    ...(version > knownVersion ? describeDocument(state) : []),
     ...[...state.instances.values()].map(describeInstance),
     ...[...state.engineGroups.values()].map(describeGroup),
-    { event: synchronized, audience: 'everyone' },
   ];
 }
 
--- a/src/watch/decode-routing-event.ts
+++ b/src/watch/decode-routing-event.ts
@@ -3,8 +3,19 @@
 import { engineGroupSchema, instanceSchema, routingDocumentSchema } from '../routing/index.js';
 import type { RoutingEvent } from './routing-keeper.js';
 
-/** What a message of a routing watch says, received at `now`; undefined for an event of a later version. Throws where it cannot be read. */
-export function decodeRoutingEvent(
+/** What a message of a routing watch says, received at `now`; nothing for an event of a later version. Throws where it cannot be read. */
+export function decodeRoutingEvents(
+  response: RoutingWatchResponse,
+  now: Milliseconds,
+): readonly RoutingEvent[] {
+  if (response.event.case === 'batch') {
+    return response.event.value.events.flatMap((event) => decodeRoutingEvents(event, now));
+  }
+  const event = decodeRoutingEvent(response, now);
+  return event === undefined ? [] : [event];
+}
+
+function decodeRoutingEvent(
   { event, index: rawIndex }: RoutingWatchResponse,
   now: Milliseconds,
 ): RoutingEvent | undefined {
@@ -30,6 +41,7 @@
       const { fresh, leader, voters } = event.value;
       return { type: 'sign', now, isFresh: fresh, leader, voters };
     }
+    case 'batch':
     case undefined:
       return undefined;
     default:
--- a/src/watch/index.ts
+++ b/src/watch/index.ts
@@ -1,5 +1,5 @@
 export { ControlWatcher, type ControlWatcherOptions } from './control-watcher.js';
-export { decodeRoutingEvent } from './decode-routing-event.js';
+export { decodeRoutingEvents } from './decode-routing-event.js';
 export { ReconnectPacing } from './reconnect-pacing.js';
 export { WatchedStateKeeper, type WatchEvent, type WatchVerdict } from './watched-state-keeper.js';
 export {
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -1,7 +1,6 @@
 import type { Logger } from 'pino';
 
 import {
-  assertNever,
   pause,
   type Clock,
   type ManagedPart,
@@ -10,7 +9,7 @@
 } from '../common/index.js';
 import { RoutingService } from '../generated/pistachiospoke/v1/routing_pb.js';
 import { StreamSilence, type RpcClientPool } from '../wire/index.js';
-import { decodeRoutingEvent } from './decode-routing-event.js';
+import { decodeRoutingEvents } from './decode-routing-event.js';
 import { ReconnectPacing } from './reconnect-pacing.js';
 import { RoutingKeeper, type RoutingEvent, type RoutingView } from './routing-keeper.js';
 
@@ -126,8 +125,8 @@
     this.#keeper.handle({ type: 'connected' });
     for await (const response of responses) {
       this.#silence.expect(address, stream);
-      const event = decodeRoutingEvent(response, this.#options.clock.monotonic());
-      if (event !== undefined && !this.#take(event, address)) {
+      const events = decodeRoutingEvents(response, this.#options.clock.monotonic());
+      if (!this.#take(events, address)) {
         logger.warn({ address }, 'control host is behind; taking another');
         stream.abort();
         return;
@@ -135,21 +134,23 @@
     }
   }
 
-  /** False where this control host is to be left. */
-  #take(event: RoutingEvent, address: string): boolean {
-    const verdict = this.#keeper.handle(event);
-    switch (verdict) {
-      case 'leave':
+  /** Takes what one message says; false where this control host is to be left. */
+  #take(events: readonly RoutingEvent[], address: string): boolean {
+    let isChanged = false;
+    for (const event of events) {
+      const verdict = this.#keeper.handle(event);
+      if (verdict === 'leave') {
         return false;
-      case 'changed':
+      }
+      if (verdict === 'changed') {
+        isChanged = true;
         this.#note(event, address);
-        this.#notify();
-        return true;
-      case 'unchanged':
-        return true;
-      default:
-        return assertNever(verdict);
+      }
+    }
+    if (isChanged) {
+      this.#notify();
     }
+    return true;
   }
 
   #note(event: RoutingEvent, address: string): void {
--- a/src/wire/rpc-client.ts
+++ b/src/wire/rpc-client.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { connect, type Socket } from 'node:net';
 
 import type { DescService } from '@bufbuild/protobuf';
@@ -69,6 +70,8 @@
     const baseUrl = `http://${address}`;
     const sockets = new Set<Socket>();
     const retirement = new AbortController();
+    // Each call under way listens, so many listeners are no leak.
+    setMaxListeners(0, retirement.signal);
     const sessionManager = new Http2SessionManager(
       baseUrl,
       {
