--- a/src/consensus/core/elections.ts
+++ b/src/consensus/core/elections.ts
@@ -239,7 +239,7 @@
 
   /**
    * A host that has just started has no leader to be patient with: where all control hosts were started anew, nobody leads, and
-   * where one leads, the others refuse the pre-vote. After all processes were killed, a leader was there 0.7 s after the start.
+   * where one leads, the others refuse the pre-vote.
    */
   get #waitShare(): number {
     const hasHeardLeader = this.#heardLeaderAt !== Number.NEGATIVE_INFINITY;
--- a/src/control/routing/instance-book.ts
+++ b/src/control/routing/instance-book.ts
@@ -79,8 +79,7 @@
 
   /**
    * Silent instances that get no requests any more. A service of which every instance is silent keeps them: rather control is cut off from them
-   * than all ended at once, and gateways pass over those that refuse connections. Given up, its callers had no upstream at all: with all
-   * instances cut off from control for 14 s, 96 of 390 calls were refused, and 2 are now.
+   * than all ended at once, and gateways pass over those that refuse connections. Given up, its callers would have no upstream at all.
    */
   findGivenUp(
     state: RoutingState,
--- a/src/control/routing/load-budget.ts
+++ b/src/control/routing/load-budget.ts
@@ -31,8 +31,8 @@
   }
 
   /**
-   * Takes out what has ended. Taken for under way for a fixed time instead, loads that were over, or whose engine was lost, kept those of
-   * empty engines waiting for up to 7 s of the 16 s that such a load takes.
+   * Takes out what has ended. Taken for under way for a fixed time instead, loads that are over, or whose engine is lost, would keep empty
+   * engines waiting for theirs.
    */
   settle(isUnderWay: (load: OrderedLoad) => boolean): void {
     for (const load of this.#begun) {
--- a/src/control/routing/routing-hub.ts
+++ b/src/control/routing/routing-hub.ts
@@ -42,7 +42,7 @@
 
 /**
  * Whether a later event of the kind makes an earlier one needless. A document is sent whole, and a sign vouches for what was sent before
- * it. With 1,400 routes a document takes 400 KB: in a series of 17 changes a watcher that reads slowly had 6.8 MB to read before the last.
+ * it. Sent all of them, a watcher that reads slowly would have the newest one only behind all that it has replaced.
  */
 function isOnlyLatestOfUse({ case: kind }: WatchEvent): boolean {
   return kind === 'document' || kind === 'sign';
--- a/src/engines/available-engines.ts
+++ b/src/engines/available-engines.ts
@@ -4,7 +4,7 @@
 
 /** Tells which engines can be members of a new group, and when. */
 
-/** Time to join when the engine's last group had the same model, as measured at engines. */
+/** Time to join when the engine's last group had the same model. */
 const rejoinDuration: Milliseconds = 220;
 /** Loads take this part of their time before the first request. */
 const earlyLoadShare = 0.1;
--- a/src/engines/model-need.ts
+++ b/src/engines/model-need.ts
@@ -9,10 +9,7 @@
 const plannedUse = 0.7;
 /** A model gives a group away only when it keeps this much more than is asked for, so that it does not want it back at once. */
 const spareMargin = 1.15;
-/**
- * Worth of groups beyond demand and reserve, against those that are needed: a model with 50 requests at one moment gets a sixth
- * group of 24 slots and no seventh.
- */
+/** Worth of groups beyond demand and reserve, against those that are needed: a little more is of use, much more is idle. */
 const comfortWeight = 0.2;
 /**
  * A model that is short itself gives a group to one whose callers find this much less, as parts of what is asked for. Smaller, and the
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -5,10 +5,8 @@
 /** Chooses which weights hosts stage beside what they serve. */
 
 /**
- * Part of the loads that the weight store gives at full speed that is kept for hosts that stand idle. Where an engine is lost every three
- * seconds and comes back empty, five loads of 16 s are under way at any time; what hosts that serve load beside their own model delays
- * them all. Together with loads that count only while they are under way, this raised the mean worth of ten played days with trouble from
- * 0.515 to 0.569, nine of the ten by 0.02 to 0.17.
+ * Part of the loads that the weight store gives at full speed that is kept for hosts that stand idle. Where engines are lost all the time and
+ * come back empty, what hosts that serve load beside their own model delays them all.
  */
 const keptForIdleShare = 0.8;
 
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -26,7 +26,7 @@
 
 /**
  * An upstream with a free place reads most prompts within this time; what it takes beyond is waiting. Counted as work, the wait at a model
- * that is short of groups seemed to be demand: 20 requests at one moment were taken for 120, and groups went where none were needed.
+ * that is short of groups would seem to be demand, and groups would go where none are needed.
  */
 const longestReading: Milliseconds = 250;
 
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -39,10 +39,7 @@
 /** What is still under way this long before the end of the grace period is cut off. */
 const graceMargin: Milliseconds = 400;
 const drainPollInterval: Milliseconds = 50;
-/**
- * Enough lines to explain any failure on a quiet day and a sample on a bad one: at 50 lines of 300 bytes a second a gateway writes
- * 15 KB/s, and takes about 1% of a core for it.
- */
+/** Enough lines to explain any failure on a quiet day, and a sample on a bad one, in which writing them must not cost its callers time. */
 const requestLines = { burst: 200, perSecond: 50 };
 
 /** Options of the gateway. */
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -21,10 +21,7 @@
 
 /** Asks the engine beside a sidecar how it is, and carries out what the controller decides. */
 
-/**
- * The connection to an engine that ends closes at once, and that wakes the driver; this is for what no connection shows. Ten
- * questions a second took 1.7% of a core of each host.
- */
+/** The connection to an engine that ends closes at once, and that wakes the driver; this is for what no connection shows. */
 const restingInterval: Milliseconds = 400;
 /** While nothing is known of an engine that may serve, its group can be neither used nor given up with good reason. */
 const unknownInterval: Milliseconds = 100;
