--- a/__tests__/settings/settings.test.ts
+++ b/__tests__/settings/settings.test.ts
@@ -8,6 +8,7 @@
   loadSettings,
   parseOverride,
   parseSettings,
+  routingGatewaySettingsSchema,
   sidecarSettingsSchema,
   type SettingsOverride,
 } from '../../src/settings/index.js';
@@ -31,6 +32,21 @@
 }
 
 describe('settings', () => {
+  // Symptom: no gateway of a deployment starts; each ends at once with "expected int, received number". Cause: operators scale bounds to
+  // the size of a deployment, so a bound on repeats need not be a whole number.
+  it('take a bound on repeats that is no whole number', () => {
+    const text = `{
+      "name": "gateway-1",
+      "failureDomain": "bole",
+      "listen": "10.0.0.4:8400",
+      "readiness": "10.0.0.4:8401",
+      "seeds": { "addresses": ["10.0.0.1:8501"], "port": 7340 },
+      "bounds": { "repeatShare": 0.2, "repeatBurst": 60.5 },
+    }`;
+    const settings = parseSettings(routingGatewaySettingsSchema, 'gateway.jsonc', text).unwrap();
+    expect(settings.bounds.repeatBurst).toBe(60.5);
+  });
+
   it('fills in what the file leaves out', () => {
     const settings = parseSettings(gatewaySettingsSchema, 'gateway.jsonc', gatewayText).unwrap();
     expect(settings.limits.requestTimeoutMilliseconds).toBe(120_000);
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -20,7 +20,7 @@
     /** Repeats allowed for each request, in the long run, over all gateways. */
     repeatShare: z.number().min(0).max(1).default(0.2),
     /** Repeats that all gateways together may make beyond that share. */
-    repeatBurst: z.int().min(0).default(100),
+    repeatBurst: z.number().min(0).default(100),
     /** Gateways that share the connections of an instance, until control says how many there are. */
     gateways: z.int().min(1).default(8),
     /** Time between a planned stop and the end of the process, in which requests are finished. */
