--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -91,8 +91,13 @@
 
   /** The targets named stand still. */
   noteStalled(stalled: ReadonlySet<string>): void {
-    if (this.#target !== undefined && stalled.has(this.#target.key)) {
-      this.#handle({ type: 'stalled', now: this.#now(), stalled });
+    const before = this.#target?.key;
+    if (before === undefined || !stalled.has(before)) {
+      return;
+    }
+    this.#handle({ type: 'stalled', now: this.#now(), stalled });
+    if (this.#target !== undefined && this.#target.key !== before) {
+      this.#note('upstream stands still, request sent to another', { before });
     }
   }
 
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -28,6 +28,7 @@
 import { DocumentGuard } from './document-guard.js';
 import type { GatewayPlace } from './head-subset.js';
 import { SharedRepeatBudget } from './shared-repeat-budget.js';
+import { StallWatch } from './stall-watch.js';
 import { StreamProgress } from './stream-progress.js';
 import { TargetChooser, TargetLoads } from './target.js';
 import { UpstreamConnections } from './upstream-connections.js';
@@ -67,12 +68,12 @@
   readonly #demand: DemandMeter;
   readonly #log: BoundedLog;
   readonly #guard: DocumentGuard;
+  readonly #stalls: StallWatch;
   /** Gateways that share the bounds on repeats and connections. */
   #gateways: number;
   #place: GatewayPlace | undefined;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
-  #progressTimer: NodeJS.Timeout | undefined;
 
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
@@ -100,6 +101,13 @@
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRepeat: (service) => this.#budget.spend(service),
     };
+    this.#stalls = new StallWatch({
+      progress: this.#progress,
+      loads: this.#loads,
+      deliveries: this.#deliveries,
+      clock,
+      log: this.#log,
+    });
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
     });
@@ -144,9 +152,7 @@
     this.#unsubscribe = this.#options.subscribe((view) => {
       this.#follow(view);
     });
-    this.#progressTimer = setInterval(() => {
-      this.#leaveStalledTargets();
-    }, StreamProgress.checkInterval);
+    this.#stalls.open();
   }
 
   /** A planned stop: unready first, then nothing new, then all that is under way to its end or to the end of the grace period. */
@@ -171,7 +177,7 @@
       );
     }
     this.#unsubscribe?.();
-    clearInterval(this.#progressTimer);
+    this.#stalls.close();
     await closeServer(this.#server);
     this.#connections.close();
   }
@@ -196,21 +202,6 @@
     }
   }
 
-  /** Nothing new goes to a target that stands still while there are others, and what it has goes on there where it may. */
-  #leaveStalledTargets(): void {
-    const now = this.#options.clock.monotonic();
-    const { doubted, stalled } = this.#progress.review(now);
-    doubted.forEach((key) => {
-      this.#loads.suspect({ key }, now);
-    });
-    if (stalled.size === 0) {
-      return;
-    }
-    for (const delivery of this.#deliveries) {
-      delivery.noteStalled(stalled);
-    }
-  }
-
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { dialect, clock, random } = this.#options;
     const call: Call = {
