--- a/scripts/build-deployment.mjs
+++ b/scripts/build-deployment.mjs
@@ -2,8 +2,8 @@
 import { bundlePrograms } from './bundle-programs.mjs';
 
 /**
- * V8 keeps the text of a program in memory: without white space a sidecar takes 27.0 instead of 31.0 MB beside Node's own pages
- * (RssAnon of an idle process). Names stay, for stack traces.
+ * V8 keeps the text of a program in memory, so it is kept short.
+ * Names stay, for stack traces.
  */
 const smaller = { minifyWhitespace: true, minifySyntax: true };
 const names = await bundlePrograms('platform/bin', 'target', smaller);
