What a head said of its load is held, and a head of which nothing was heard lately takes one request at a time

Load pattern: a burst, with gateways that each know only their own requests and what heads said in their answers. What was heard faded to nothing within a second, so each gateway sent what waited to heads that were full; answers say so only when they begin, which is late then. Waiting requests look again when a head says its load, and every 50 ms. Instances of plain services are treated as before.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -12,6 +12,7 @@
   return {
     key,
     service: 'engines',
+    isGroup: true,
     instance: { id: `i-${key}` },
     address: '10.0.0.1:1',
     slots: 24,
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -2,7 +2,8 @@
 import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { Dialect, RawHeaders } from './dialect.js';
 import type { StreamProgress } from './stream-progress.js';
-import type { TargetChooser, TargetLoads } from './target.js';
+import type { TargetChooser } from './target.js';
+import type { TargetLoads } from './target-loads.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
 /** What a delivery is made from, and how it ended. */
@@ -34,6 +35,8 @@
   readonly connections: UpstreamConnections;
   /** Connections that this gateway may open to one instance of a service. */
   readonly connectionLimit: (service: RoutedService) => number;
+  /** A target said its load, or is done with a request: one that waits for a place may be sent. */
+  readonly onRoom: () => void;
   readonly spendRepeat: (service: string) => boolean;
   readonly clock: Clock;
   readonly log: BoundedLog;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -47,6 +47,8 @@
   #timer: NodeJS.Timeout | undefined;
   #firstByte: Milliseconds | undefined;
   #sentAt: Milliseconds = 0;
+  /** Whether the head of the present attempt's answer came. */
+  #isAnswered = false;
   /** When the first bytes of the present attempt's answer came. */
   #answeredAt: Milliseconds | undefined;
 
@@ -183,6 +185,7 @@
     this.#lastTarget = target.key;
     this.#sentAt = this.#now();
     this.#answeredAt = undefined;
+    this.#isAnswered = false;
     loads.noteSent(target);
     this.#stream =
       service.engine === undefined
@@ -217,10 +220,13 @@
     headers: IncomingHttpHeaders,
     raw: string[],
   ): void {
-    const { dialect, loads } = this.#parts;
+    const { dialect, loads, onRoom } = this.#parts;
     const facts = dialect.readAnswer(status, headers);
+    this.#isAnswered = true;
+    loads.noteAnswered(target);
     if (facts.load !== undefined) {
       loads.noteLoad(target, facts.load, this.#now());
+      onRoom();
     }
     if (facts.requestId !== undefined && facts.requestId !== this.#request.requestId) {
       // An answer to an earlier request came late on this connection. What became of this one is not known.
@@ -301,7 +307,7 @@
 
   #releaseTarget(): void {
     if (this.#target !== undefined) {
-      this.#parts.loads.noteDone(this.#target);
+      this.#parts.loads.noteDone(this.#target, this.#isAnswered);
       this.#target = undefined;
     }
     this.#stream?.end();
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -30,7 +30,8 @@
 import { SharedRepeatBudget } from './shared-repeat-budget.js';
 import { StallWatch } from './stall-watch.js';
 import { StreamProgress } from './stream-progress.js';
-import { TargetChooser, TargetLoads } from './target.js';
+import { TargetChooser } from './target.js';
+import { TargetLoads } from './target-loads.js';
 import { UpstreamConnections } from './upstream-connections.js';
 
 /** The callers' server of a gateway that sends requests straight to upstreams. */
@@ -40,6 +41,8 @@
 /** What is still under way this long before the end of the grace period is cut off. */
 const graceMargin: Milliseconds = 400;
 const drainPollInterval: Milliseconds = 50;
+/** What was heard of a head's load grows old without an event: what waits for a place looks again this often. */
+const wakeInterval: Milliseconds = 50;
 /** Enough lines to explain any failure on a quiet day, and a sample on a bad one, in which writing them must not cost its callers time. */
 const requestLines = { burst: 200, perSecond: 50 };
 
@@ -74,6 +77,7 @@
   #place: GatewayPlace | undefined;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
+  #wakeTimer: NodeJS.Timeout | undefined;
 
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
@@ -99,6 +103,9 @@
         random,
       }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
+      onRoom: () => {
+        this.#wakeWaiting();
+      },
       spendRepeat: (service) => this.#budget.spend(service),
     };
     this.#stalls = new StallWatch({
@@ -153,6 +160,9 @@
       this.#follow(view);
     });
     this.#stalls.open();
+    this.#wakeTimer = setInterval(() => {
+      this.#wakeWaiting();
+    }, wakeInterval);
   }
 
   /** A planned stop: unready first, then nothing new, then all that is under way to its end or to the end of the grace period. */
@@ -178,6 +188,7 @@
     }
     this.#unsubscribe?.();
     this.#stalls.close();
+    clearInterval(this.#wakeTimer);
     await closeServer(this.#server);
     this.#connections.close();
   }
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -32,6 +32,7 @@
 export { choosePreferred, type GatewayPlace } from './head-subset.js';
 export { SharedRepeatBudget, type RepeatBound } from './shared-repeat-budget.js';
 export { FollowedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
-export { TargetChooser, TargetLoads, type Target, type TargetChoice } from './target.js';
+export { TargetChooser, type Target, type TargetChoice } from './target.js';
+export { TargetLoads } from './target-loads.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
 export { UpstreamConnections } from './upstream-connections.js';
--- a/src/gateway/direct/stall-watch.ts
+++ b/src/gateway/direct/stall-watch.ts
@@ -1,7 +1,7 @@
 import type { BoundedLog, Clock } from '../../common/index.js';
 import type { Delivery } from './delivery.js';
 import { StreamProgress } from './stream-progress.js';
-import type { TargetLoads } from './target.js';
+import type { TargetLoads } from './target-loads.js';
 
 /** Looks after targets that stand still: nothing new goes there while there are others, and what they have goes on elsewhere where it may. */
 
--- /dev/null
+++ b/src/gateway/direct/target-loads.ts
@@ -0,0 +1,118 @@
+import type { Milliseconds } from '../../common/index.js';
+import type { UpstreamLoad } from './dialect.js';
+import type { Target } from './target.js';
+
+/** What a gateway knows of the load of each target; free of I/O. */
+
+/** Slots of an upstream that has not said how many it has. */
+const assumedSlots = 8;
+/** What an upstream said of its load is taken for true for this long; it takes others' requests all the time. */
+const loadLifetime: Milliseconds = 1000;
+/** An upstream that could not be reached, or broke an answer off, is passed over for this long while there are others. */
+const suspicionDuration: Milliseconds = 1000;
+
+interface KnownLoad {
+  /** Requests of this gateway that are under way there. */
+  own: number;
+  /** Those of them that have no answer yet. */
+  unanswered: number;
+  /** Requests of others, when the upstream last said its load. */
+  others: number;
+  heardAt: Milliseconds;
+  slots: number | undefined;
+  suspectedUntil: Milliseconds;
+}
+
+export class TargetLoads {
+  readonly #loads = new Map<string, KnownLoad>();
+
+  noteSent(target: Target): void {
+    const load = this.#find(target.key);
+    load.own += 1;
+    load.unanswered += 1;
+  }
+
+  /** The answer to one of the requests began. */
+  noteAnswered(target: Target): void {
+    const load = this.#find(target.key);
+    load.unanswered = Math.max(0, load.unanswered - 1);
+  }
+
+  /** `isAnswered`: its answer had begun. */
+  noteDone(target: Target, isAnswered: boolean): void {
+    if (!isAnswered) {
+      this.noteAnswered(target);
+    }
+    const load = this.#find(target.key);
+    load.own = Math.max(0, load.own - 1);
+  }
+
+  noteLoad(target: Target, { running, waiting, slots }: UpstreamLoad, now: Milliseconds): void {
+    const load = this.#find(target.key);
+    load.others = Math.max(0, running + waiting - load.own);
+    load.slots = slots;
+    load.heardAt = now;
+  }
+
+  suspect({ key }: Pick<Target, 'key'>, now: Milliseconds): void {
+    this.#find(key).suspectedUntil = now + suspicionDuration;
+  }
+
+  isSuspected(target: Target, now: Milliseconds): boolean {
+    return this.#find(target.key).suspectedUntil > now;
+  }
+
+  /**
+   * Requests under way at the target for each of its slots.
+   * Those of others at a group are held until it says otherwise: under load their place is taken by the next ones. At an instance of a plain
+   * service, which is done with a request long before it is heard of again, they fade.
+   */
+  useOf(target: Target, now: Milliseconds): number {
+    const { own, others, slots } = this.#find(target.key);
+    const share = target.isGroup ? 1 : Math.max(0, 1 - this.#ageOf(target, now) / loadLifetime);
+    return (own + others * share) / (slots ?? target.slots ?? assumedSlots);
+  }
+
+  /**
+   * Whether the target can take one more request, with at most `limit` for each of its slots.
+   * Load pattern: a burst, with gateways that each know only their own requests. What was heard of a group longer ago than a moment would let
+   * each of them send all that waits, until the answers, which come late then, say that it is full; every request waits in its queue. So a
+   * group of which nothing was heard lately takes one request at a time, whose answer tells, also where it was full when it was heard of.
+   */
+  hasRoom(target: Target, limit: number, now: Milliseconds): boolean {
+    if (target.isGroup && this.#ageOf(target, now) > loadLifetime) {
+      return this.#find(target.key).unanswered === 0;
+    }
+    return this.useOf(target, now) < limit;
+  }
+
+  /** Forgets targets that are there no more and have nothing under way. */
+  retain(keys: ReadonlySet<string>): void {
+    for (const [key, { own }] of this.#loads) {
+      if (own === 0 && !keys.has(key)) {
+        this.#loads.delete(key);
+      }
+    }
+  }
+
+  #ageOf(target: Target, now: Milliseconds): Milliseconds {
+    return now - this.#find(target.key).heardAt;
+  }
+
+  #find(key: string): KnownLoad {
+    const known = this.#loads.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const load = {
+      own: 0,
+      unanswered: 0,
+      others: 0,
+      heardAt: Number.NEGATIVE_INFINITY,
+      slots: undefined,
+      suspectedUntil: Number.NEGATIVE_INFINITY,
+    };
+    this.#loads.set(key, load);
+    return load;
+  }
+}
