A head takes several requests again as long as it was not full when it was heard of last

Change: only a group that was full when it was heard of last is asked by one request after a second.

--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -68,22 +68,24 @@
    * service, which is done with a request long before it is heard of again, they fade.
    */
   useOf(target: Target, now: Milliseconds): number {
-    const { own, others, slots } = this.#find(target.key);
-    const share = target.isGroup ? 1 : Math.max(0, 1 - this.#ageOf(target, now) / loadLifetime);
+    const { own, others, heardAt, slots } = this.#find(target.key);
+    const fading = Math.max(0, 1 - (now - heardAt) / loadLifetime);
+    const share = target.isGroup ? 1 : fading;
     return (own + others * share) / (slots ?? target.slots ?? assumedSlots);
   }
 
   /**
    * Whether the target can take one more request, with at most `limit` for each of its slots.
-   * Load pattern: a burst, with gateways that each know only their own requests. What was heard of a group longer ago than a moment would let
-   * each of them send all that waits, until the answers, which come late then, say that it is full; every request waits in its queue. So a
-   * group of which nothing was heard lately takes one request at a time, whose answer tells, also where it was full when it was heard of.
+   * Load pattern: a burst, with gateways that each know only their own requests. Were a full group forgotten after a while, each of them would
+   * send all that waits, until the answers, which come late then, say that it is full; every request would wait in its queue. So a group that
+   * was full when it was heard of last gets one request after a while, whose answer tells.
    */
   hasRoom(target: Target, limit: number, now: Milliseconds): boolean {
-    if (target.isGroup && this.#ageOf(target, now) > loadLifetime) {
-      return this.#find(target.key).unanswered === 0;
+    if (this.useOf(target, now) < limit) {
+      return true;
     }
-    return this.useOf(target, now) < limit;
+    const { heardAt, unanswered } = this.#find(target.key);
+    return target.isGroup && unanswered === 0 && now - heardAt > loadLifetime;
   }
 
   /** Forgets targets that are there no more and have nothing under way. */
@@ -95,10 +97,6 @@
     }
   }
 
-  #ageOf(target: Target, now: Milliseconds): Milliseconds {
-    return now - this.#find(target.key).heardAt;
-  }
-
   #find(key: string): KnownLoad {
     const known = this.#loads.get(key);
     if (known !== undefined) {
