--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -6,8 +6,10 @@
 
 /** Slots of an upstream that has not said how many it has. */
 const assumedSlots = 8;
-/** What an upstream said of its load is taken for true for this long; it takes others' requests all the time. */
+/** What an instance of a plain service said of its load is of use for this long. */
 const loadLifetime: Milliseconds = 1000;
+/** A group that was full is asked again after this long: about the time from a request to the head of its answer, which tells. */
+const probeInterval: Milliseconds = 300;
 /** An upstream that could not be reached, or broke an answer off, is passed over for this long while there are others. */
 const suspicionDuration: Milliseconds = 1000;
 
@@ -85,7 +87,7 @@
       return true;
     }
     const { heardAt, unanswered } = this.#find(target.key);
-    return target.isGroup && unanswered === 0 && now - heardAt > loadLifetime;
+    return target.isGroup && unanswered === 0 && now - heardAt > probeInterval;
   }
 
   /** Forgets targets that are there no more and have nothing under way. */
