A group that was never heard of gets one request, until its answer tells

Load pattern: after a restart of everything all callers come back while gateways know nothing; each took every head for empty and sent it as many requests as it has slots (9 gateways, 34 slots: up to 306 at a head).

--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -86,6 +86,19 @@
   });
 
   // Symptom: in a burst every answer is late. Cause: a gateway that had heard nothing of a head for a moment sent it all that waited.
+  // Symptom: after a restart of everything all answers are late for seconds. Cause: each gateway took groups that it had not heard of for
+  // empty, and sent them all that had waited.
+  it('is a group that was never heard of for one request, until its answer tells', () => {
+    const { loads, chooser, choose } = createChooser();
+    const target = findTarget(chooser, 'small/1');
+    loads.noteSent(target);
+    expect(choose(['small/2'])).toBe('full');
+    loads.noteAnswered(target);
+    loads.noteLoad(target, { running: 9, waiting: 0, slots: 24 }, 0);
+    loads.noteSent(target);
+    expect(choose(['small/2'])).toBe('small/1');
+  });
+
   it('is a group that was full when it was heard of last, for one request after a while', () => {
     const { loads, chooser, choose } = createChooser();
     const target = findTarget(chooser, 'small/1');
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -78,16 +78,21 @@
 
   /**
    * Whether the target can take one more request, with at most `limit` for each of its slots.
-   * Load pattern: a burst, with gateways that each know only their own requests. Were a full group forgotten after a while, each of them would
-   * send all that waits, until the answers, which come late then, say that it is full; every request would wait in its queue. So a group that
-   * was full when it was heard of last gets one request after a while, whose answer tells.
+   * Load pattern: a burst, or everyone coming back after a restart, with gateways that each know only their own requests. Were a group that
+   * was not heard of taken for empty, each of them would send it all that waits, until the answers, which come late then, say that it is full;
+   * every request would wait in its queue. So a group that was never heard of gets one request, and one that was full when it was heard of last
+   * gets one after a while; the answer tells.
    */
   hasRoom(target: Target, limit: number, now: Milliseconds): boolean {
+    const { heardAt, unanswered } = this.#find(target.key);
+    const isAsked = target.isGroup && unanswered > 0;
+    if (isAsked && heardAt === Number.NEGATIVE_INFINITY) {
+      return false;
+    }
     if (this.useOf(target, now) < limit) {
       return true;
     }
-    const { heardAt, unanswered } = this.#find(target.key);
-    return target.isGroup && unanswered === 0 && now - heardAt > probeInterval;
+    return target.isGroup && !isAsked && now - heardAt > probeInterval;
   }
 
   /** Forgets targets that are there no more and have nothing under way. */
