What has waited at another upstream is sent to a full one rather than to none

Change: a request that goes on elsewhere is admitted first there, so it goes to the least used head also when that is full. Tests: target.test (new, failed before); a case of delivery-controller.test says 'no other takes it' where it said that all others are full.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -116,7 +116,7 @@
     ['it may not run again', { isRepeatable: false }, {}],
     ['only one upstream is allowed', { attempts: 1 }, {}],
     ['no time is left', { deadline: 110 }, {}],
-    ['all others are full', {}, { isFull: true }],
+    ['no other takes it', {}, { isFull: true }],
     ['all others stand still too', {}, { targets: ['a'] }],
     ['the budget of repeats is spent', {}, { repeats: 0 }],
   ])('waits at an upstream that stands still where %s', (_, facts, changes) => {
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -112,6 +112,25 @@
     expect(choose(['small/2'], 5100)).toBe('small/1');
   });
 
+  // Symptom: a request that stood still with its head waits until its caller leaves, while other heads work. Cause: all of them were full,
+  // and it counted as a new one.
+  it('is a full one, rather than none, for a request that has waited at another', () => {
+    const { loads, chooser } = createChooser();
+    for (const [key, running] of [
+      ['small/1', 30],
+      ['small/2', 25],
+    ] as const) {
+      loads.noteLoad(findTarget(chooser, key), { running, waiting: 0, slots: 24 }, 0);
+    }
+    if (engines === undefined) {
+      throw new Error('the document has no service');
+    }
+    const question = { service: engines, model: 'small', tried: new Set<string>() };
+    expect(chooser.choose(question, 0)).toEqual({ type: 'full' });
+    const target = { key: 'small/2' };
+    expect(chooser.choose({ ...question, isUrgent: true }, 0)).toMatchObject({ target });
+  });
+
   it('passes over an upstream that just failed while there is another', () => {
     const { loads, chooser, choose } = createChooser();
     loads.suspect(findTarget(chooser, 'small/1'), 0);
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -41,7 +41,12 @@
 
 /** What the controller asks of its surroundings while it decides. */
 export interface DeliverySurroundings {
-  readonly choose: (tried: ReadonlySet<string>, now: Milliseconds) => TargetChoice;
+  /** `isUrgent`: it has waited at another upstream, and is sent to one that is full rather than not at all. */
+  readonly choose: (
+    tried: ReadonlySet<string>,
+    now: Milliseconds,
+    isUrgent: boolean,
+  ) => TargetChoice;
   /** Whether the target still serves what it was chosen for. */
   readonly isThere: (target: Target) => boolean;
   /** Whether the present attempt may have reached its upstream; false while its connection is still being opened. */
@@ -262,7 +267,12 @@
    * have free places.
    */
   #replaceFailure(now: Milliseconds): readonly DeliveryEffect[] {
-    return this.#isPassedOn ? [] : this.#replaceAttempt({ type: 'discard' }, this.#tried, now);
+    if (this.#isPassedOn) {
+      return [];
+    }
+    return this.#replaceAttempt({ type: 'discard' }, now, () => {
+      return this.#surroundings.choose(this.#tried, now, false);
+    });
   }
 
   /**
@@ -276,19 +286,21 @@
     if (!this.#surroundings.isSent()) {
       return [{ type: 'cancel' }, ...this.#sendElsewhere(now)];
     }
-    return this.#replaceAttempt({ type: 'cancel' }, new Set([...this.#tried, ...stalled]), now);
+    return this.#replaceAttempt({ type: 'cancel' }, now, () => {
+      return this.#surroundings.choose(new Set([...this.#tried, ...stalled]), now, true);
+    });
   }
 
   /** Replaces an attempt that may have run, where the request may run again and an upstream can take it now. */
   #replaceAttempt(
     ending: DeliveryEffect,
-    avoided: ReadonlySet<string>,
     now: Milliseconds,
+    choose: () => TargetChoice,
   ): readonly DeliveryEffect[] {
     if (!this.#facts.isRepeatable || !this.#mayTryAgain(now)) {
       return [];
     }
-    const choice = this.#surroundings.choose(avoided, now);
+    const choice = choose();
     if (choice.type !== 'target' || !this.#surroundings.spendRepeat()) {
       return [];
     }
@@ -303,7 +315,7 @@
   #tryToSend(now: Milliseconds): readonly DeliveryEffect[] {
     const phase = this.#phase;
     const waiting = phase.type === 'waiting' ? phase : startWaiting(now, 'noServingGroup');
-    const choice = this.#surroundings.choose(this.#tried, now);
+    const choice = this.#surroundings.choose(this.#tried, now, this.#mayHaveRun);
     switch (choice.type) {
       case 'none':
         this.#phase = { ...waiting, code: 'noServingGroup' };
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -69,7 +69,7 @@
     this.#controller = new DeliveryController(
       { isRepeatable, attempts: route.attempts, startedAt, deadline },
       {
-        choose: (tried, now) => chooser.choose({ service, model, tried }, now),
+        choose: (tried, now, isUrgent) => chooser.choose({ service, model, tried, isUrgent }, now),
         isThere: (target) => chooser.isThere(target),
         isSent: () => this.#attempt?.isSent ?? false,
         spendRepeat: () => parts.spendRepeat(service.name),
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -33,6 +33,8 @@
   readonly model: string | undefined;
   /** Targets that were tried already. */
   readonly tried: ReadonlySet<string>;
+  /** Whether it is sent to one that is full rather than to none: it has waited at another one, and is admitted first. */
+  readonly isUrgent?: boolean;
 }
 
 /** `full`: every one that could take it has as much as it should. `none`: there is none now. */
@@ -68,7 +70,10 @@
    * The least used target with room that was not tried, of those that this gateway prefers; of equals, any. Others are taken only where none of
    * those is left: sent there when its own are full, requests of all gateways would crowd heads of which they know nothing.
    */
-  choose({ service, model, tried }: TargetQuestion, now: Milliseconds): TargetChoice {
+  choose(
+    { service, model, tried, isUrgent = false }: TargetQuestion,
+    now: Milliseconds,
+  ): TargetChoice {
     const { loads } = this.#options;
     const targets = this.listTargets(service, model);
     const all = targets.filter(({ key }) => !tried.has(key));
@@ -81,7 +86,8 @@
     const candidates = [own, trusted, all].find(({ length }) => length > 0) ?? [];
     const limit = service.engine === undefined ? instanceFill : engineFill;
     const withRoom = candidates.filter((target) => loads.hasRoom(target, limit, now));
-    const best = this.#findLeastUsed(withRoom, now);
+    const eligible = withRoom.length === 0 && isUrgent ? candidates : withRoom;
+    const best = this.#findLeastUsed(eligible, now);
     return best === undefined ? { type: 'full' } : { type: 'target', target: best };
   }
 
