--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -50,6 +50,7 @@
 const engineFill = 1;
 /** Instances of plain services are done with a request in a few hundredths of a second, so one may wait behind each. */
 const instanceFill = 2;
+
 /** Options of the chooser. */
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
