A group that answers without telling its load gets requests up to its slots

Cause (found by reading): a group that never told its load counted as never heard of and got one request at a time for ever; and one whose own requests fill its slots was asked by one more after each answer. Change: a group has answered once any answer began; no probe beyond the slots by one's own requests. Test: target.test, a group that tells no load; failed before.

--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -99,6 +99,20 @@
     expect(choose(['small/2'])).toBe('small/1');
   });
 
+  it('is a group that answers without telling its load, up to its slots', () => {
+    const { loads, chooser, choose } = createChooser();
+    const target = findTarget(chooser, 'small/1');
+    loads.noteSent(target);
+    loads.noteAnswered(target);
+    for (let request = 1; request < 24; request += 1) {
+      expect(choose(['small/2'])).toBe('small/1');
+      loads.noteSent(target);
+      loads.noteAnswered(target);
+    }
+    expect(choose(['small/2'])).toBe('full');
+    expect(choose(['small/2'], 5000)).toBe('full');
+  });
+
   it('is a group that was full when it was heard of last, for one request after a while', () => {
     const { loads, chooser, choose } = createChooser();
     const target = findTarget(chooser, 'small/1');
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -18,6 +18,8 @@
   own: number;
   /** Those of them that have no answer yet. */
   unanswered: number;
+  /** Whether it ever answered; not all upstreams tell their load with it. */
+  hasAnswered: boolean;
   /** Requests of others, when the upstream last said its load. */
   others: number;
   heardAt: Milliseconds;
@@ -38,15 +40,16 @@
   noteAnswered(target: Target): void {
     const load = this.#find(target.key);
     load.unanswered = Math.max(0, load.unanswered - 1);
+    load.hasAnswered = true;
   }
 
   /** `isAnswered`: its answer had begun. */
   noteDone(target: Target, isAnswered: boolean): void {
-    if (!isAnswered) {
-      this.noteAnswered(target);
-    }
     const load = this.#find(target.key);
     load.own = Math.max(0, load.own - 1);
+    if (!isAnswered) {
+      load.unanswered = Math.max(0, load.unanswered - 1);
+    }
   }
 
   noteLoad(target: Target, { running, waiting, slots }: UpstreamLoad, now: Milliseconds): void {
@@ -70,29 +73,30 @@
    * service, which is done with a request long before it is heard of again, they fade.
    */
   useOf(target: Target, now: Milliseconds): number {
-    const { own, others, heardAt, slots } = this.#find(target.key);
+    const { own, others, heardAt } = this.#find(target.key);
     const fading = Math.max(0, 1 - (now - heardAt) / loadLifetime);
     const share = target.isGroup ? 1 : fading;
-    return (own + others * share) / (slots ?? target.slots ?? assumedSlots);
+    return (own + others * share) / this.#slotsOf(target);
   }
 
   /**
    * Whether the target can take one more request, with at most `limit` for each of its slots.
    * Load pattern: a burst, or everyone coming back after a restart, with gateways that each know only their own requests. Were a group that
    * was not heard of taken for empty, each of them would send it all that waits, until the answers, which come late then, say that it is full;
-   * every request would wait in its queue. So a group that was never heard of gets one request, and one that was full when it was heard of last
+   * every request would wait in its queue. So a group that never answered gets one request, and one that was full when it was heard of last
    * gets one after a while; the answer tells.
    */
   hasRoom(target: Target, limit: number, now: Milliseconds): boolean {
-    const { heardAt, unanswered } = this.#find(target.key);
+    const { own, heardAt, unanswered, hasAnswered } = this.#find(target.key);
     const isAsked = target.isGroup && unanswered > 0;
-    if (isAsked && heardAt === Number.NEGATIVE_INFINITY) {
+    if (isAsked && !hasAnswered) {
       return false;
     }
     if (this.useOf(target, now) < limit) {
       return true;
     }
-    return target.isGroup && !isAsked && now - heardAt > probeInterval;
+    const isFullOfOwn = own >= limit * this.#slotsOf(target);
+    return target.isGroup && !isFullOfOwn && !isAsked && now - heardAt > probeInterval;
   }
 
   /** Forgets targets that are there no more and have nothing under way. */
@@ -104,6 +108,10 @@
     }
   }
 
+  #slotsOf(target: Target): number {
+    return this.#find(target.key).slots ?? target.slots ?? assumedSlots;
+  }
+
   #find(key: string): KnownLoad {
     const known = this.#loads.get(key);
     if (known !== undefined) {
@@ -112,6 +120,7 @@
     const load = {
       own: 0,
       unanswered: 0,
+      hasAnswered: false,
       others: 0,
       heardAt: Number.NEGATIVE_INFINITY,
       slots: undefined,
