Keep leadership while a large routing document is replicated

Cause: a document of 1,400 routes was 860 KB in the log (parsed form and source text, escaped twice), 1 MB to each of five followers, and it was validated in one turn of the event loop at the receiving host, at the leader and when applied. A leader on a quarter of a core over 100 Mbit/s was silent for longer than the election timeout. An operator that repeated a document in force made it pass through the log once more.

--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -8,10 +8,12 @@
   type ControlState,
 } from '../../src/control/state/index.js';
 import type { RoutingWatchResponse } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
-import { routingDocumentSchema } from '../../src/routing/index.js';
+import { routingDocumentSchema, unpackBody } from '../../src/routing/index.js';
 import type { MessageQueue } from '../../src/wire/index.js';
 import { createDocument } from '../routing/documents.js';
 
+const documentVersion = routingDocumentSchema.unwrap().pick({ version: true }).loose();
+
 const status = { isFresh: true, leader: '10.0.0.1:1', voters: ['10.0.0.1:1'] };
 
 function apply(state: ControlState, command: Command): ControlState {
@@ -157,7 +159,7 @@
     const told: string[] = [];
     for await (const { event } of queue) {
       if (event.case === 'document') {
-        const { version } = routingDocumentSchema.parse(JSON.parse(event.value));
+        const { version } = documentVersion.parse(unpackBody(event.value));
         told.push(`document ${version}`);
       } else if (event.case === 'sign') {
         told.push(`sign ${event.value.leader}`);
--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -56,10 +56,10 @@
 };
 
 describe('manifests', () => {
-  it('are decoded into routing documents that pass validation', () => {
+  it('are decoded into routing documents that pass validation', async () => {
     const text = JSON.stringify(manifest);
-    const document = decodeManifest(text);
-    expect(checkRoutingDocument(document).ok).toBe(true);
+    const document = await decodeManifest(text);
+    expect((await checkRoutingDocument(document)).ok).toBe(true);
     expect(document).toMatchObject({
       version: 7,
       source: text,
@@ -84,14 +84,14 @@
     ['cut short', JSON.stringify(manifest).slice(0, 300)],
     ['empty', ''],
     ['of another shape', '{"version":"seven"}'],
-  ])('%s are rejected', (_, text) => {
-    expect(decodeManifest(text)).toBeUndefined();
+  ])('%s are rejected', async (_, text) => {
+    expect(await decodeManifest(text)).toBeUndefined();
   });
 
-  it('without a timeout fail validation', () => {
+  it('without a timeout fail validation', async () => {
     const routes = [{ ...manifest.routes[1], timeout_ms: 0 }];
-    const document = decodeManifest(JSON.stringify({ ...manifest, routes }));
-    expect(checkRoutingDocument(document).err).toBe(true);
+    const document = await decodeManifest(JSON.stringify({ ...manifest, routes }));
+    expect((await checkRoutingDocument(document)).err).toBe(true);
   });
 });
 
--- a/__tests__/routing/documents.test.ts
+++ b/__tests__/routing/documents.test.ts
@@ -4,8 +4,8 @@
 import { bookRoute, createDocument, lookupRoute, streamRoute } from './documents.js';
 
 describe('validation of a routing document', () => {
-  it('accepts a complete document', () => {
-    expect(checkRoutingDocument(createDocument()).ok).toBe(true);
+  it('accepts a complete document', async () => {
+    expect((await checkRoutingDocument(createDocument())).ok).toBe(true);
   });
 
   it.each([
@@ -32,23 +32,23 @@
         ],
       },
     ],
-  ])('refuses %s', (_, changes) => {
-    const result = checkRoutingDocument({ ...createDocument(), ...changes });
+  ])('refuses %s', async (_, changes) => {
+    const result = await checkRoutingDocument({ ...createDocument(), ...changes });
     expect(result.err && result.val.code).toBe('invalidRouting');
   });
 
-  it('does not reveal a key in its message', () => {
+  it('does not reveal a key in its message', async () => {
     const accounts = [
       { name: 'a', keys: ['secret-key'] },
       { name: 'b', keys: ['secret-key'] },
     ];
-    const result = checkRoutingDocument({ ...createDocument(), accounts });
+    const result = await checkRoutingDocument({ ...createDocument(), accounts });
     expect(result.err && result.val.detail).not.toContain('secret-key');
   });
 
-  it('accepts a key that one account lists twice', () => {
+  it('accepts a key that one account lists twice', async () => {
     const accounts = [{ name: 'a', keys: ['same', 'same'] }];
-    expect(checkRoutingDocument(createDocument({ accounts })).ok).toBe(true);
+    expect((await checkRoutingDocument(createDocument({ accounts }))).ok).toBe(true);
   });
 });
 
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -28,6 +28,7 @@
 export { createLogger, type LogLevel } from './logging.js';
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
 export { runProcess } from './process-runner.js';
+export { parseItems, type ParsedItems } from './parse-items.js';
 export { pause } from './pause.js';
 export { closeServer, openServer } from './http-server.js';
 export { createMetricsPage } from './metrics-page.js';
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -195,8 +195,13 @@
 
   /** Submits an operator's document; resolves with the active version once it is committed. */
   async put(value: unknown): Promise<Result<number, Failure>> {
-    const checked = checkRoutingDocument(value);
-    return checked.err ? checked : this.#submitDocument(checked.val);
+    const checked = await checkRoutingDocument(value);
+    if (checked.err) {
+      return checked;
+    }
+    // What this host has applied is committed, so an operator that repeats a document needs no further entry of the log.
+    const inForce = this.#options.readState().routing.document?.version ?? -1;
+    return checked.val.version <= inForce ? new Ok(inForce) : this.#submitDocument(checked.val);
   }
 
   /** Reads the operator's source text of the active document, never a stale one; fails with `notFresh` if freshness cannot be confirmed. */
--- a/src/control/routing/routing-hub.ts
+++ b/src/control/routing/routing-hub.ts
@@ -4,7 +4,12 @@
   RoutingWatchResponseSchema,
   type RoutingWatchResponse,
 } from '../../generated/pistachiospoke/v1/routing_pb.js';
-import { listQuarantined, type EngineGroup, type Instance } from '../../routing/index.js';
+import {
+  listQuarantined,
+  packDocument,
+  type EngineGroup,
+  type Instance,
+} from '../../routing/index.js';
 import { MessageQueue } from '../../wire/index.js';
 import { initialRoutingState, type RoutingState } from '../state/index.js';
 
@@ -264,7 +269,7 @@
     return [];
   }
   // Watchers do not need the operator's source text, which is as large as the rest.
-  const value = JSON.stringify({ ...document, source: '' });
+  const value = packDocument(document).body;
   return [{ event: { case: 'document', value }, audience: 'gateways' }];
 }
 
--- a/src/control/shell/command-submitter.ts
+++ b/src/control/shell/command-submitter.ts
@@ -13,7 +13,12 @@
   type SubmitResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
-import { decodeCommandAnswer, type Command, type CommandAnswer } from '../state/index.js';
+import {
+  decodeCommandAnswer,
+  formatCommand,
+  type Command,
+  type CommandAnswer,
+} from '../state/index.js';
 
 /** Submits commands to the leader of the replicated log, whichever control host received them. */
 
@@ -53,7 +58,7 @@
   /** Proposes on this host only. Forwarded commands are handled with it, so that none is forwarded twice. */
   proposeLocally(command: Command): Promise<Result<CommandAnswer, Failure>> {
     const stamped = { ...command, at: this.#options.clock.wall() };
-    return this.#options.log.propose(JSON.stringify(stamped));
+    return this.#options.log.propose(formatCommand(stamped));
   }
 
   async #forward(command: Command, leader: string): Promise<Result<CommandAnswer, Failure>> {
@@ -64,7 +69,7 @@
     const client = this.#options.clients.client(ConsensusService, address);
     try {
       const response = await client.forward(
-        { command: JSON.stringify(command) },
+        { command: formatCommand(command) },
         { timeoutMs: forwardTimeout },
       );
       return decodeSubmitResponse(response);
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -89,7 +89,7 @@
     text: string,
     execute: (command: Command) => Promise<Result<CommandAnswer, Failure>>,
   ): Promise<SubmitResponse> {
-    const command = checkSubmittedCommand(text);
+    const command = await checkSubmittedCommand(text);
     if (command.err) {
       return encodeFailure(command.val);
     }
--- a/src/control/state/commands.ts
+++ b/src/control/state/commands.ts
@@ -7,6 +7,9 @@
   instanceSchema,
   storedIdentitySchema,
   routingDocumentSchema,
+  unpackDocument,
+  type PackedDocument,
+  type RoutingDocument,
 } from '../../routing/index.js';
 
 /**
@@ -112,9 +115,17 @@
   })
   .readonly();
 
+const packedDocument = z
+  .strictObject({ body: z.string(), source: z.string() })
+  .transform(unpackOrReject)
+  .readonly();
+
+/** A stored routing document: packed, or as written by earlier versions. */
+export const storedDocumentSchema = z.union([packedDocument, routingDocumentSchema]);
+
 /** The operator chooses the version; a version that is not higher than the current one has no effect. */
 const putRouting = z
-  .strictObject({ type: z.literal('putRouting'), at: z.number(), document: routingDocumentSchema })
+  .strictObject({ type: z.literal('putRouting'), at: z.number(), document: storedDocumentSchema })
   .readonly();
 
 const recordInstances = z
@@ -189,3 +200,15 @@
 
 /** A change made by an operator. */
 export type Change = Extract<Command, { readonly changeId: string }>;
+
+function unpackOrReject(
+  packed: PackedDocument,
+  context: z.core.$RefinementCtx<PackedDocument>,
+): RoutingDocument {
+  try {
+    return unpackDocument(packed);
+  } catch (error) {
+    context.addIssue(`not a packed routing document: ${String(error)}`);
+    return z.NEVER;
+  }
+}
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -5,7 +5,7 @@
 export { ClaimRegister, claimLifetimeMilliseconds } from './claim-register.js';
 export { commandSchema, type Change, type Command, type GroupPlacement } from './commands.js';
 export { applyHostOverride } from './host-override.js';
-export { checkSubmittedCommand, parseCommand } from './parse-command.js';
+export { checkSubmittedCommand, formatCommand, parseCommand } from './parse-command.js';
 export { ControlStateMachine, type StateListener } from './state-machine.js';
 export {
   initialControlState,
--- a/src/control/state/parse-command.ts
+++ b/src/control/state/parse-command.ts
@@ -1,10 +1,20 @@
 import { Err, Ok, type Result } from 'ts-results';
 
 import { createFailure, type Failure } from '../../common/index.js';
+import { checkRoutingDocument, packDocument } from '../../routing/index.js';
 import { crossCheck } from '../../configuration/index.js';
 import { formatPath } from '../../settings/index.js';
 import { commandSchema, type Command } from './commands.js';
 
+/** Formats a command for the log or for another control host. */
+export function formatCommand(command: Command): string {
+  return JSON.stringify(
+    command.type === 'putRouting'
+      ? { ...command, document: packDocument(command.document) }
+      : command,
+  );
+}
+
 /** Parses a command from the log. */
 export function parseCommand(text: string): Result<Command, Failure> {
   let value: unknown;
@@ -26,11 +36,16 @@
  * The validation is not repeated when the command is applied: a control host of a newer version with an additional check
  * would refuse a committed change that the others have accepted, and their states would diverge for good.
  */
-export function checkSubmittedCommand(text: string): Result<Command, Failure> {
-  return parseCommand(text).andThen(checkDocument);
+export async function checkSubmittedCommand(text: string): Promise<Result<Command, Failure>> {
+  const parsed = parseCommand(text);
+  if (parsed.ok && parsed.val.type === 'putRouting') {
+    const checked = await checkRoutingDocument(parsed.val.document);
+    return checked.err ? checked : parsed;
+  }
+  return parsed.andThen(checkConfiguration);
 }
 
-function checkDocument(command: Command): Result<Command, Failure> {
+function checkConfiguration(command: Command): Result<Command, Failure> {
   if (command.type !== 'applyConfiguration') {
     return new Ok(command);
   }
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -5,13 +5,14 @@
   departedInstanceSchema,
   engineGroupSchema,
   instanceSchema,
-  routingDocumentSchema,
+  packDocument,
   type CrashSuspect,
   type DepartedInstance,
   type EngineGroup,
   type Instance,
   type RoutingDocument,
 } from '../../routing/index.js';
+import { storedDocumentSchema } from './commands.js';
 
 /** The part of the replicated state that routing uses. */
 export interface RoutingState {
@@ -40,7 +41,7 @@
 /** Snapshot format of the state, with maps as arrays. */
 export const routingStateSchema = z
   .strictObject({
-    document: routingDocumentSchema.nullable(),
+    document: storedDocumentSchema.nullable(),
     instances: z.array(instanceSchema),
     departed: z.array(departedInstanceSchema).readonly().exactOptional(),
     /** Ids of instances that left; only in snapshots of earlier versions, which did not distinguish the starts of an instance. */
@@ -53,11 +54,13 @@
   .readonly();
 
 type StoredRoutingState = z.infer<typeof routingStateSchema>;
+/** A snapshot holds the document packed. */
+type EncodedRoutingState = z.input<typeof routingStateSchema>;
 
-export function encodeRoutingState(state: RoutingState): StoredRoutingState {
+export function encodeRoutingState(state: RoutingState): EncodedRoutingState {
   return {
     ...state,
-    document: state.document ?? null,
+    document: state.document === undefined ? null : packDocument(state.document),
     instances: [...state.instances.values()],
     engineGroups: [...state.engineGroups.values()],
     suspects: [...state.suspects.values()],
--- a/src/routing/check.ts
+++ b/src/routing/check.ts
@@ -1,31 +1,44 @@
 import { Err, Ok, type Result } from 'ts-results';
 
-import { createFailure, type Failure } from '../common/index.js';
+import { z } from 'zod';
+
+import { createFailure, parseItems, type Failure } from '../common/index.js';
 import { formatPath } from '../settings/index.js';
-import { routingDocumentSchema, type RoutingDocument } from './schema.js';
+import { routeSchema, routingDocumentSchema, type RoutingDocument } from './schema.js';
 
 /** Validates routing documents before they are appended to the log. A document that fails is rejected and never takes effect. */
 
+/** A document whose routes are still to be validated. */
+const outlineSchema = z.strictObject({
+  ...routingDocumentSchema.unwrap().shape,
+  routes: z.array(z.unknown()),
+});
+
 /** The document if it is complete and consistent; otherwise `invalidRouting` with all problems. */
-export function checkRoutingDocument(value: unknown): Result<RoutingDocument, Failure> {
-  const parsed = routingDocumentSchema.safeParse(value);
-  if (!parsed.success) {
-    return createInvalidResult(
-      parsed.error.issues.map((issue) => `${formatPath(issue.path)}: ${issue.message}`),
-    );
+export async function checkRoutingDocument(
+  value: unknown,
+): Promise<Result<RoutingDocument, Failure>> {
+  const outline = outlineSchema.safeParse(value);
+  if (!outline.success) {
+    return createInvalidResult(describeIssues(outline.error.issues));
+  }
+  const routes = await parseItems(routeSchema, outline.data.routes);
+  if (routes.type === 'invalid') {
+    return createInvalidResult(describeIssues(routes.issues, 'routes.'));
   }
+  const document = { ...outline.data, routes: routes.items };
   const problems = [
-    ...findUnknownServices(parsed.data),
-    ...findWeightlessRoutes(parsed.data),
-    ...findDuplicates('service', parsed.data.services, ({ name }) => name),
-    ...findDuplicates(
-      'place',
-      parsed.data.routes,
-      ({ host, pathPrefix }) => `${host}${pathPrefix}`,
-    ),
-    ...findDuplicates('key', listKeys(parsed.data), ({ key }) => key, describeKeyOwner),
+    ...findUnknownServices(document),
+    ...findWeightlessRoutes(document),
+    ...findDuplicates('service', document.services, ({ name }) => name),
+    ...findDuplicates('place', document.routes, ({ host, pathPrefix }) => `${host}${pathPrefix}`),
+    ...findDuplicates('key', listKeys(document), ({ key }) => key, describeKeyOwner),
   ];
-  return problems.length === 0 ? new Ok(parsed.data) : createInvalidResult(problems);
+  return problems.length === 0 ? new Ok(document) : createInvalidResult(problems);
+}
+
+function describeIssues(issues: readonly z.core.$ZodIssue[], prefix = ''): readonly string[] {
+  return issues.map((issue) => `${prefix}${formatPath(issue.path)}: ${issue.message}`);
 }
 
 function createInvalidResult(problems: readonly string[]): Result<RoutingDocument, Failure> {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -16,6 +16,12 @@
   type Instance,
   type InstanceIdentity,
 } from './instances.js';
+export {
+  packDocument,
+  unpackBody,
+  unpackDocument,
+  type PackedDocument,
+} from './packed-document.js';
 export { chooseService, RouteTable } from './route-table.js';
 export {
   crashSuspectSchema,
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -13,7 +13,7 @@
 
 const routeTarget = z.strictObject({ service: name, weight: z.number().min(0) }).readonly();
 
-const route = z
+export const routeSchema = z
   .strictObject({
     name,
     /** Value of the Host header that the route matches. */
@@ -106,7 +106,7 @@
 export const routingDocumentSchema = z
   .strictObject({
     version: z.int().min(0),
-    routes: z.array(route).readonly(),
+    routes: z.array(routeSchema).readonly(),
     services: z.array(routedService).readonly(),
     /** Absent if callers need no key. */
     accounts: z.array(routedAccount).readonly().exactOptional(),
@@ -205,7 +205,7 @@
   })
   .readonly();
 
-export type Route = z.infer<typeof route>;
+export type Route = z.infer<typeof routeSchema>;
 export type EngineModel = z.infer<typeof engineModel>;
 export type EngineProfile = z.infer<typeof engineProfile>;
 export type RoutedService = z.infer<typeof routedService>;
--- a/src/watch/decode-routing-event.ts
+++ b/src/watch/decode-routing-event.ts
@@ -1,6 +1,12 @@
 import { assertNever, type Milliseconds } from '../common/index.js';
 import type { RoutingWatchResponse } from '../generated/pistachiospoke/v1/routing_pb.js';
-import { engineGroupSchema, instanceSchema, routingDocumentSchema } from '../routing/index.js';
+import {
+  engineGroupSchema,
+  instanceSchema,
+  routingDocumentSchema,
+  unpackBody,
+  type RoutingDocument,
+} from '../routing/index.js';
 import type { RoutingEvent } from './routing-state-tracker.js';
 
 /** Decodes a message of a routing watch received at `now`. Ignores event types of later versions; throws when the content is invalid. */
@@ -22,7 +28,7 @@
   const index = Number(rawIndex);
   switch (event.case) {
     case 'document':
-      return { type: 'document', document: routingDocumentSchema.parse(JSON.parse(event.value)) };
+      return { type: 'document', document: decodeDocument(event.value) };
     case 'instance':
       return { type: 'instance', index, instance: instanceSchema.parse(JSON.parse(event.value)) };
     case 'instanceRemoved':
@@ -52,3 +58,13 @@
       return assertNever(event);
   }
 }
+
+/** Control does not send the operator's source to watchers. */
+const withoutSource = { source: '' };
+
+function decodeDocument(body: string): RoutingDocument {
+  const value = unpackBody(body);
+  return routingDocumentSchema.parse(
+    typeof value === 'object' ? { ...value, ...withoutSource } : value,
+  );
+}
