Idle hosts stage weights before traffic, by the members that each model has in their domain

Cause: hosts in no group staged weights only after the first request, when a load takes ten times as long, and all of them the model that was neediest at that moment. A lost member of a group could not be replaced in its domain for 16 s, and its survivors stood by.

Change: idle hosts without weights stage, as soon as the first groups are placed, the model with the most members for each warm spare of the domain.

--- a/__tests__/engines/engine-simulation.ts
+++ b/__tests__/engines/engine-simulation.ts
@@ -10,6 +10,7 @@
   InstanceSet,
   type EngineFacts,
   type EngineGroup,
+  type EngineProfile,
   type EngineReading,
   type InstanceIdentity,
 } from '../../src/routing/index.js';
@@ -89,6 +90,8 @@
   readonly domainSize: number;
   /** Fraction of the orders that get no answer and are executed seconds later. */
   readonly lateOrderShare: number;
+  /** Models and durations; those of the test documents by default. */
+  readonly profile?: EngineProfile;
   /** Demand in concurrent requests, by model, once there is traffic. */
   readonly demand?: ReadonlyMap<string, number>;
   /** Injects a fault into each decision, to show that the checks detect it. */
@@ -103,6 +106,7 @@
   hasTraffic = false;
   state: ControlState;
   readonly #options: SimulationOptions;
+  readonly #profile: EngineProfile;
   #scheduled: Scheduled[] = [];
   #directory = new EngineDirectory();
   #phases = new Map<string, { readonly phase: string; readonly since: Milliseconds }>();
@@ -114,11 +118,15 @@
 
   constructor(options: SimulationOptions) {
     this.#options = options;
+    this.#profile = options.profile ?? engineProfile;
     for (let index = 0; index < options.hostCount; index += 1) {
       const domain = `d${Math.floor(index / options.domainSize)}`;
       this.hosts.push(new SimulatedHost(`h${index}`, domain));
     }
-    const document = createDocument();
+    const document = createDocument({
+      services: [{ name: 'engines', maximumConnections: 400, engine: this.#profile }],
+      routes: [],
+    });
     this.state = applyCommand(initialControlState, { type: 'putRouting', at: 0, document }).state;
   }
 
@@ -290,7 +298,7 @@
       case 'open':
         if (this.#isIn(engine, order) && engine.group?.state === 'ready') {
           engine.group.state = 'opening';
-          engine.group.changesAt = this.now + engineProfile.openDuration;
+          engine.group.changesAt = this.now + this.#profile.openDuration;
         }
         return;
       case 'close':
@@ -324,7 +332,7 @@
     engine.highestFencingNumber = fencingNumber;
     const isRejoin = engine.lastModel === model;
     const isStaged = engine.staged.includes(model);
-    const known = engineProfile.models.find(({ name }) => name === model);
+    const known = this.#profile.models.find(({ name }) => name === model);
     const joinTime = known?.stagedJoinDuration ?? 0;
     const duration = isRejoin ? rejoinDuration : joinTime + (isStaged ? 0 : this.#loadTime(model));
     const changesAt = this.now + duration;
@@ -332,7 +340,7 @@
   }
 
   #loadTime(model: string): Milliseconds {
-    const known = engineProfile.models.find(({ name }) => name === model);
+    const known = this.#profile.models.find(({ name }) => name === model);
     return (known?.loadDuration ?? 0) * (this.hasTraffic ? 1 : earlyLoadFactor);
   }
 
@@ -429,7 +437,7 @@
       leaving: this.#leaving,
       hasTraffic: this.hasTraffic,
       isSettling: false,
-      loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(engineProfile, this.now) : 5,
+      loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(this.#profile, this.now) : 5,
       pendingStaging: this.#staging,
       demand: this.hasTraffic ? (this.#options.demand ?? new Map()) : new Map(),
       nextNumber: this.state.fencingNumber + 1,
--- /dev/null
+++ b/__tests__/engines/spares.test.ts
@@ -0,0 +1,102 @@
+// Guards against groups that stay incomplete because no spare engine of their fabric domain has the weights.
+import { describe, expect, it } from 'vitest';
+
+import { createRandomSource } from '../../src/common/index.js';
+import type { EngineProfile } from '../../src/routing/index.js';
+import { engineProfile } from '../routing/documents.js';
+import { EngineSimulation } from './engine-simulation.js';
+import { createGroupView, createMembers, planGroups, type TestEngine } from './fixtures.js';
+
+const domains = ['d0', 'd1', 'd2'];
+const [large, small] = engineProfile.models;
+
+/** A fabric domain of 27 engines has room for a group of 12, two of 6 and three spares. */
+const profile: EngineProfile = {
+  ...engineProfile,
+  slots: 34,
+  models: [
+    ...(large === undefined ? [] : [{ ...large, groupSize: 12 }]),
+    ...(small === undefined ? [] : [{ ...small, groupSize: 6 }]),
+  ],
+};
+
+/** Groups are exchanged between the models once the demand is known. */
+const settlingTime = 6000;
+/** Staged weights, closing the broken group, opening the new one, and the reports of each step. */
+const replacementTime = 1600 + 300 + 1100;
+
+function createWorld(seed: number): EngineSimulation {
+  return new EngineSimulation({
+    random: createRandomSource(seed),
+    hostCount: 81,
+    domainSize: 27,
+    lateOrderShare: 0,
+    profile,
+    demand: new Map([
+      ['large', 60],
+      ['small', 125],
+    ]),
+  });
+}
+
+function countServing(world: EngineSimulation): number {
+  return world.openGroups.reduce((sum, { members }) => sum + members.length, 0);
+}
+
+/** Open groups of a model, each with its engines. */
+function createGroups(model: string, groupSize: number, first: number) {
+  return [0, 1, 2, 3].map((index) => {
+    const name = `${model}/${first + index}`;
+    const hosts = Array.from({ length: groupSize }, (_, member) => `${name}/${member}`);
+    const view = createGroupView(name, hosts);
+    return { view, engines: createMembers(view, 'd0') };
+  });
+}
+
+describe('spare engines of a fabric domain', () => {
+  it.each([1, 2, 3, 4])(
+    'replace a lost member of a group of either model at once, seed %d',
+    (seed) => {
+      const random = createRandomSource(seed);
+      const world = createWorld(seed);
+      world.run(12_000);
+      world.hasTraffic = true;
+      world.run(settlingTime);
+      const before = countServing(world);
+      for (const domain of domains) {
+        const heads = world.openGroups.map(({ members }) => members.map(({ host }) => host));
+        const victims = world.hosts.filter(
+          (host) => host.domain === domain && heads.some((members) => members.includes(host.name)),
+        );
+        const victim = victims[random.integerBelow(victims.length)];
+        if (victim !== undefined) {
+          world.killEngine(victim);
+        }
+        world.run(replacementTime);
+        expect(countServing(world)).toBeGreaterThanOrEqual(before);
+      }
+      expect(world.violations).toEqual([]);
+    },
+  );
+
+  it('hold the weights of the models that most members of groups serve', () => {
+    const groups = [...createGroups('large', 4, 1), ...createGroups('small', 2, 5)];
+    const spares = ['s0', 's1', 's2'].map((host): TestEngine => {
+      return { host, lastModel: 'none', staged: 'none' };
+    });
+    const demand = new Map([
+      ['large', 40],
+      ['small', 40],
+    ]);
+    const { stage } = planGroups(
+      groups.map(({ view }) => view),
+      [...groups.flatMap(({ engines }) => engines), ...spares],
+      demand,
+      { loadsAllowed: 6 },
+    );
+    const models = stage
+      .filter(({ host }) => host.startsWith('s') && !host.includes('/'))
+      .map(({ model }) => model);
+    expect(models.toSorted()).toEqual(['large', 'large', 'small']);
+  });
+});
--- a/bench/engines.ts
+++ b/bench/engines.ts
@@ -1,37 +1,66 @@
 /**
  * What the planner of engine groups makes of days with many losses, in the simulated engines of its tests: the part of the requests
- * of each model that found a place. A model of the deployment, to compare planners with; what it finds counts once a played day
+ * of each model that found a place. A model of a deployment, to compare planners with; what it finds counts once a played day
  * shows it.
  */
 import { Command } from 'commander';
 
+import { deploymentShapes, type DemandCase, type DeploymentShape } from './engines/deployments.js';
 import { playLossDay } from './engines/loss-day.js';
 import { formatFigure, formatMarkdownTable, reportProgress } from './support/index.js';
 
-/** Requests at one moment, by model: the large one takes four engines a group, the small one two. */
-const demands = [
-  { label: 'as on a usual day', large: 25, small: 52 },
-  { label: 'a burst of the large model', large: 40, small: 52 },
-  { label: 'a burst of both', large: 40, small: 85 },
-];
+/** Moment of the day at which a fabric domain is lost. */
+const domainLostAt = 11_000;
 
-const { seeds } = new Command()
+const {
+  seeds,
+  domainLoss,
+  shape: only,
+} = new Command()
   .option('--seeds <count>', 'days for each row', Number, 12)
+  .option('--shape <number>', 'only this shape, counted from 1', Number)
+  .option('--no-domain-loss', 'no fabric domain is lost')
   .parse()
-  .opts<{ readonly seeds: number }>();
+  .opts<{ readonly seeds: number; readonly domainLoss: boolean; readonly shape?: number }>();
 
-const rows = demands.map(({ label, large, small }) => {
-  reportProgress(label);
+function playRow(shape: DeploymentShape, { label, large, small }: DemandCase): readonly string[] {
+  reportProgress(`${shape.label}, ${label}`);
   const demand = new Map([
     ['large', large],
     ['small', small],
   ]);
-  const days = Array.from({ length: seeds }, (_, index) => playLossDay(index + 1, demand));
-  const meanOf = (model: string): number =>
-    days.reduce((sum, { served }) => sum + (served.get(model) ?? 0), 0) / days.length;
+  const { profile, domainSize } = shape;
+  const days = Array.from({ length: seeds }, (_, index) =>
+    playLossDay({
+      seed: index + 1,
+      profile,
+      domainSize,
+      demand,
+      domainLostAt: domainLoss ? domainLostAt : undefined,
+    }),
+  );
+  const meanOf = (read: (day: (typeof days)[number]) => number): number =>
+    days.reduce((sum, each) => sum + read(each), 0) / days.length;
+  const shares = [
+    meanOf(({ served }) => served.get('large') ?? 0),
+    meanOf(({ served }) => served.get('small') ?? 0),
+    meanOf(({ idle }) => idle),
+  ].map((share) => formatFigure(share));
   const violations = days.reduce((sum, day) => sum + day.violations, 0);
-  const shares = [meanOf('large'), meanOf('small')].map((share) => formatFigure(share));
-  return [label, String(large), String(small), ...shares, String(violations)];
-});
-const header = ['demand', 'large', 'small', 'large served', 'small served', 'promises broken'];
+  return [shape.label, label, String(large), String(small), ...shares, String(violations)];
+}
+
+const rows = deploymentShapes
+  .filter((_, index) => only === undefined || index + 1 === only)
+  .flatMap((shape) => shape.demands.map((demandCase) => playRow(shape, demandCase)));
+const header = [
+  'shape',
+  'demand',
+  'large',
+  'small',
+  'large served',
+  'small served',
+  'idle engines',
+  'promises broken',
+];
 console.log(formatMarkdownTable(header, rows));
--- a/src/engines/model-needs.ts
+++ b/src/engines/model-needs.ts
@@ -86,19 +86,6 @@
     return Math.max(0, this.#count(model.name) - Math.min(enough, balanced));
   }
 
-  /** The model for which one more group adds the most utility per engine. */
-  findNeediest(): EngineModel | undefined {
-    return this.#profile.models.reduce<EngineModel | undefined>((neediest, model) => {
-      const isNeedier =
-        neediest === undefined || this.#urgencyOf(model) > this.#urgencyOf(neediest);
-      return isNeedier ? model : neediest;
-    }, undefined);
-  }
-
-  #urgencyOf(model: EngineModel): number {
-    return this.gainOf(model) / model.groupSize;
-  }
-
   #utilityOf(model: EngineModel, groups: number): number {
     const demand = this.#demandOf(model);
     const capacity = this.#capacity(groups);
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -94,8 +94,8 @@
     groupModels,
     hasTraffic,
     loadsAllowed,
+    isSettling: input.isSettling,
     pending: input.pendingStaging,
-    neediest: needs.findNeediest(),
   });
   return { place, stage, advance: drain };
 }
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -18,11 +18,11 @@
   /** Models of the groups that engines are members of, by host. */
   readonly groupModels: ReadonlyMap<string, string>;
   readonly hasTraffic: boolean;
+  /** Whether the first groups are not placed yet. */
+  readonly isSettling: boolean;
   readonly loadsAllowed: number;
   /** Models, by host, that were already ordered; these loads are already counted against the budget. */
   readonly pending: ReadonlyMap<string, string>;
-  /** Model for which one more group adds most. */
-  readonly neediest: EngineModel | undefined;
 }
 
 /**
@@ -33,7 +33,7 @@
  */
 export function chooseStaging(input: StagingInput): readonly StagingOrder[] {
   const { engines, hasTraffic, loadsAllowed, pending } = input;
-  const idle = hasTraffic ? engines.flatMap((engine) => chooseForIdle(engine, input)) : [];
+  const idle = input.isSettling ? [] : chooseForIdle(input);
   const serving = engines.flatMap((engine) => chooseOtherModel(engine, input));
   const orders = [...idle, ...serving];
   if (!hasTraffic) {
@@ -50,12 +50,71 @@
   return [...pendingOrders, ...newIdle, ...newServing];
 }
 
-function chooseForIdle(engine: AnsweringEngine, input: StagingInput): readonly StagingOrder[] {
-  const { neediest, groupModels } = input;
-  const { host } = engine.member;
-  const isIdle = !groupModels.has(host) && !engine.reading.isBusy;
-  const needsLoad = isIdle && neediest !== undefined && !isWarm(engine, neediest);
-  return needsLoad ? [{ host, model: neediest.name }] : [];
+/**
+ * Idle hosts without weights stage the model for which their fabric domain has the fewest spares for its members.
+ * Load pattern: members of open groups are lost every few seconds. A group with a warm spare in its domain is whole again within a
+ * second; without one, its other members stay idle until a load from the store ends.
+ */
+function chooseForIdle(input: StagingInput): readonly StagingOrder[] {
+  const { profile, engines, groupModels, pending } = input;
+  const spares = new SpareCounts(input);
+  return engines
+    .filter(({ member: { host }, reading }) => {
+      return !groupModels.has(host) && (!reading.isBusy || pending.has(host));
+    })
+    .filter((engine) => !profile.models.some((model) => isWarm(engine, model)))
+    .map(({ member: { host }, reading: { fabricDomain } }) => {
+      const model = pending.get(host) ?? spares.findScarcest(fabricDomain).name;
+      spares.add(fabricDomain, model);
+      return { host, model };
+    });
+}
+
+/** Members of groups and warm spares of each model in each fabric domain. */
+class SpareCounts {
+  readonly #models: readonly EngineModel[];
+  readonly #members = new Map<string, number>();
+  readonly #spares = new Map<string, number>();
+
+  constructor({ profile, engines, groupModels }: StagingInput) {
+    this.#models = profile.models;
+    for (const engine of engines) {
+      const { fabricDomain } = engine.reading;
+      const served = groupModels.get(engine.member.host);
+      if (served !== undefined) {
+        increment(this.#members, formatKey(fabricDomain, served));
+        continue;
+      }
+      profile.models
+        .filter((model) => isWarm(engine, model))
+        .forEach(({ name }) => {
+          this.add(fabricDomain, name);
+        });
+    }
+  }
+
+  add(domain: string, model: string): void {
+    increment(this.#spares, formatKey(domain, model));
+  }
+
+  /** The model with the most members for each spare, counting the one that is to be staged. */
+  findScarcest(domain: string): EngineModel {
+    const membersPerSpare = ({ name }: EngineModel): number => {
+      const key = formatKey(domain, name);
+      return (this.#members.get(key) ?? 0) / ((this.#spares.get(key) ?? 0) + 1);
+    };
+    return this.#models.reduce((scarcest, model) =>
+      membersPerSpare(model) > membersPerSpare(scarcest) ? model : scarcest,
+    );
+  }
+}
+
+function formatKey(domain: string, model: string): string {
+  return `${domain} ${model}`;
+}
+
+function increment(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
 /** Orders a member of a group to stage a model that it does not serve. */
