Log and measure where the time of a late request went

A request that missed the objectives of its route had no log line unless it also failed or was repeated, so waiting in the gateway, waiting for a connection, the time to the first byte and pauses could not be told apart. Late requests now have the line 'request ended' with these four times, and the wait is a metric.

--- a/__tests__/direct/upstream-attempt.test.ts
+++ b/__tests__/direct/upstream-attempt.test.ts
@@ -79,6 +79,7 @@
       connections.find(address, 1),
       { method: 'POST', path: '/', headers: [], body: Buffer.alloc(bodyBytes, 'a') },
       {
+        onStart: () => undefined,
         onHead: () => undefined,
         onData: () => undefined,
         onEnd: () => undefined,
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -3,6 +3,7 @@
 import type { CrashLedger } from './crash-ledger.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { Dialect, RawHeaders } from './dialect.js';
+import type { RequestTimes } from './request-times.js';
 import type { RequestPermits } from './request-permits.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { TargetChooser } from './target.js';
@@ -58,8 +59,7 @@
   /** Key of the last target; undefined if the request was sent to none. */
   readonly target: string | undefined;
   readonly duration: Milliseconds;
-  /** Time to the first byte forwarded to the caller; undefined if there was none. */
-  readonly firstByte: Milliseconds | undefined;
+  readonly times: RequestTimes;
   /** Time for which the last attempt ran on its upstream, excluding most of its queueing there; undefined if no data arrived. */
   readonly runDuration: Milliseconds | undefined;
 }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -14,6 +14,7 @@
   SharedDeliveryDependencies,
   ReceivedRequest,
 } from './delivery-types.js';
+import { RequestTimer } from './request-times.js';
 import type { TrackedStream } from './stream-progress.js';
 import type { Target } from './target.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
@@ -43,8 +44,8 @@
   #target: Target | undefined;
   /** Key of the last target, for the log. */
   #lastTarget: string | undefined;
-  #timer: NodeJS.Timeout | undefined;
-  #firstByte: Milliseconds | undefined;
+  #wakeTimer: NodeJS.Timeout | undefined;
+  readonly #timer: RequestTimer;
   #sentAt: Milliseconds = 0;
   /** Whether the response headers of the current attempt have arrived. */
   #hasResponseHead = false;
@@ -63,6 +64,7 @@
     this.#responseWriter = responseWriter;
     this.#dependencies = dependencies;
     this.#onOutcome = onOutcome;
+    this.#timer = new RequestTimer(request.startedAt);
     const { service, model, route, startedAt, deadline } = request;
     const isRetryable =
       route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
@@ -145,10 +147,10 @@
   }
 
   #schedule(): void {
-    clearTimeout(this.#timer);
+    clearTimeout(this.#wakeTimer);
     const { wakeAt } = this.#controller;
     if (wakeAt !== undefined) {
-      this.#timer = setTimeout(
+      this.#wakeTimer = setTimeout(
         () => {
           this.#handle({ type: 'ticked', now: this.#now() });
         },
@@ -205,6 +207,7 @@
     this.#target = target;
     this.#lastTarget = target.key;
     this.#sentAt = this.#now();
+    this.#timer.noteAssigned(this.#sentAt);
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
     loads.noteSent(target);
@@ -221,6 +224,9 @@
       dispatcher,
       { method, path, headers, body },
       {
+        onStart: () => {
+          this.#timer.noteWritten(this.#now());
+        },
         onHead: (status, answerHeaders, raw) => {
           this.#handleHead(attempt, target, status, answerHeaders, raw);
         },
@@ -318,7 +324,7 @@
     this.#stream?.noteBytes(now);
     this.#responseWriter.push(bytes);
     if (this.#responseWriter.isPassedOn) {
-      this.#firstByte ??= now - this.#request.startedAt;
+      this.#timer.noteForwarded(now);
       this.#handle({ type: 'passedOn' });
       if (this.#responseWriter.isSlow) {
         attempt.pause();
@@ -385,7 +391,7 @@
   }
 
   #conclude(result: string): void {
-    clearTimeout(this.#timer);
+    clearTimeout(this.#wakeTimer);
     this.#releaseTarget();
     const now = this.#now();
     this.#onOutcome({
@@ -393,7 +399,7 @@
       attempts: this.#controller.attemptCount,
       target: this.#lastTarget,
       duration: now - this.#request.startedAt,
-      firstByte: this.#firstByte,
+      times: this.#timer.read(),
       runDuration: this.#measureRun(now),
     });
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -30,6 +30,7 @@
 import { DocumentGuard } from './document-guard.js';
 import type { GatewayPosition } from './head-subset.js';
 import { RequestPermits } from './request-permits.js';
+import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
 import { StreamProgress } from './stream-progress.js';
@@ -340,15 +341,12 @@
   ): void {
     this.#deliveries.delete(delivery);
     this.#options.metrics.noteOutcome(route.name, outcome);
-    if (outcome.result !== 'whole' || outcome.attempts > 1) {
+    const { result, attempts, target, times } = outcome;
+    if (result !== 'whole' || attempts > 1 || !isInTime(times, route)) {
       const names = { requestId, route: route.name, service: service.name };
-      const times = {
-        duration: Math.round(outcome.duration),
-        firstByte: outcome.firstByte === undefined ? null : Math.round(outcome.firstByte),
-      };
-      const { result, attempts, target } = outcome;
+      const durations = { duration: Math.round(outcome.duration), ...describeTimes(times) };
       this.#log.info(
-        { ...names, result, attempts, target, ...times, ...this.#guard.describe() },
+        { ...names, result, attempts, target, ...durations, ...this.#guard.describe() },
         'request ended',
       );
     }
@@ -365,6 +363,18 @@
   }
 }
 
+/** Log fields in whole milliseconds; null for what did not happen. */
+function describeTimes({ assigned, written, firstByte, longestPause }: RequestTimes): object {
+  const round = (time: Milliseconds | undefined): number | null =>
+    time === undefined ? null : Math.round(time);
+  return {
+    assigned: round(assigned),
+    written: round(written),
+    firstByte: round(firstByte),
+    longestPause: round(longestPause),
+  };
+}
+
 function listAddresses({ engineGroups, instances }: RoutingView): ReadonlySet<string> {
   const heads = [...engineGroups.values()].map(({ members }) => members[0]?.address ?? '');
   return new Set([...heads, ...[...instances.values()].map(({ address }) => address)]);
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -14,6 +14,7 @@
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
   readonly #firstByte: Histogram<'route'>;
+  readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
 
   constructor(registry: Registry) {
@@ -49,6 +50,13 @@
       buckets: durationBuckets,
       registers,
     });
+    this.#assigned = new Histogram({
+      name: 'pistachiospoke_request_wait_seconds',
+      help: 'Time from the head of a request until it was assigned to an upstream.',
+      labelNames: ['route'],
+      buckets: durationBuckets,
+      registers,
+    });
     this.#duration = new Histogram({
       name: 'pistachiospoke_request_seconds',
       help: 'Time from the head of a request to its final answer.',
@@ -66,14 +74,17 @@
     this.#sentToLimited.inc({ service });
   }
 
-  noteOutcome(route: string, { result, attempts, duration, firstByte }: DeliveryOutcome): void {
+  noteOutcome(route: string, { result, attempts, duration, times }: DeliveryOutcome): void {
     this.#ended.inc({ route, result });
     this.#duration.observe({ route }, duration / millisecondsPerSecond);
     if (attempts > 1) {
       this.#repeats.inc({ route }, attempts - 1);
     }
-    if (firstByte !== undefined) {
-      this.#firstByte.observe({ route }, firstByte / millisecondsPerSecond);
+    if (times.firstByte !== undefined) {
+      this.#firstByte.observe({ route }, times.firstByte / millisecondsPerSecond);
+    }
+    if (times.assigned !== undefined) {
+      this.#assigned.observe({ route }, times.assigned / millisecondsPerSecond);
     }
   }
 }
--- a/src/gateway/direct/upstream-attempt.ts
+++ b/src/gateway/direct/upstream-attempt.ts
@@ -6,6 +6,8 @@
 
 /** Callbacks of an attempt; none is called after `cancel` or `discard`. */
 export interface AttemptListener {
+  /** The request is being written to a connection. */
+  readonly onStart: () => void;
   readonly onHead: (status: number, headers: IncomingHttpHeaders, rawHeaders: string[]) => void;
   readonly onData: (bytes: Buffer) => void;
   /** The response is complete. */
@@ -68,7 +70,9 @@
         this.#controller = controller;
         if (this.#isOver) {
           controller.abort(new Error('the attempt was aborted before it was sent'));
+          return;
         }
+        this.#listener.onStart();
       },
       onResponseStart: (controller, status, headers) => {
         if (!this.#isOver) {
