Do not send waiting requests to a group whose head no longer serves it

Change: a group whose head answers that it does not serve it gets nothing for 400 ms, within which control withdraws or reopens it. An attempt whose connection never opened no longer spends the retry budget: nothing arrived.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -158,6 +158,25 @@
     expect(effects).toMatchObject([{ failure: { retryAfterMilliseconds: 1798 } }]);
   });
 
+  /** Guards against callers that are refused while groups serve: connections that could not be opened had spent the retry budget. */
+  it('does not spend the retry budget after an attempt that was never sent', () => {
+    const session = new Session();
+    session.repeats = 0;
+    session.controller.handle({ type: 'started', now: 0 });
+    const resent = session.controller.handle({ type: 'unreachable', now: 100 });
+    expect(describeEffects(resent)).toEqual(['send b 5900']);
+    const again = session.controller.handle({ type: 'refused', now: 200 });
+    expect(describeEffects(again)).toEqual(['fail overloaded']);
+  });
+
+  it('spends the retry budget after an attempt that was refused', () => {
+    const session = new Session();
+    session.repeats = 0;
+    session.controller.handle({ type: 'started', now: 0 });
+    const effects = session.controller.handle({ type: 'refused', now: 100 });
+    expect(describeEffects(effects)).toEqual(['fail retryBudgetSpent']);
+  });
+
   /** Guards against a duplicate booking: the connection breaks after the request has run, and a second upstream runs it again. */
   it('is not retried if it may have run and is not retryable', () => {
     const { controller } = new Session({ isRetryable: false });
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -217,4 +217,15 @@
     expect(chooser.isStillServing({ ...target, key: 'small/4' })).toBe(false);
     expect(chooser.isStillServing({ ...target, key: 'small/9' })).toBe(false);
   });
+
+  /** Guards against requests that are sent one after the other to a group that is gone after all hosts restarted, until the retry budget is spent. */
+  it('gives a group whose head does not serve it no requests until control has heard of it', () => {
+    const { loads, choose } = createChooser();
+    loads.noteClosed({ key: 'small/1' }, 0);
+    expect(choose()).toBe('small/2');
+    loads.noteClosed({ key: 'small/2' }, 0);
+    expect(choose()).toBe('none');
+    expect(choose([], 100, true)).toBe('none');
+    expect(choose(['small/2'], 500)).toBe('small/1');
+  });
 });
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -114,6 +114,8 @@
   readonly #options: DeliveryOptions;
   readonly #dependencies: DeliveryDependencies;
   readonly #tried = new Set<string>();
+  /** Upstreams that the request may have reached; only further ones spend the retry budget. */
+  readonly #reached = new Set<string>();
   #phase: Phase;
   /** Whether an attempt before the current one may have run. */
   #mayHaveRun = false;
@@ -179,6 +181,7 @@
       case 'stalled':
         return this.#handleStalledTarget(event.stalled, event.now);
       case 'unreachable':
+        return this.#resendUnsent(event.now);
       case 'refused':
         return this.#resendUnstarted(event.now);
       case 'failed':
@@ -222,7 +225,7 @@
       return [];
     }
     if (!this.#dependencies.isSent()) {
-      return [{ type: 'cancel' }, ...this.#resendUnstarted(now)];
+      return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
     }
     if (!this.#options.isRetryable) {
       return [];
@@ -245,6 +248,14 @@
     return [];
   }
 
+  /** Sends a request whose current attempt never left to another upstream. */
+  #resendUnsent(now: Milliseconds): readonly DeliveryEffect[] {
+    if (this.#phase.type === 'running') {
+      this.#reached.delete(this.#phase.target.key);
+    }
+    return this.#resendUnstarted(now);
+  }
+
   /** Sends a request whose current attempt certainly did not run to another upstream. */
   #resendUnstarted(now: Milliseconds): readonly DeliveryEffect[] {
     if (!this.#mayRetry(now)) {
@@ -286,7 +297,7 @@
       return [];
     }
     if (!this.#dependencies.isSent()) {
-      return [{ type: 'cancel' }, ...this.#resendUnstarted(now)];
+      return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
     }
     return this.#replaceAttempt({ type: 'cancel' }, now, () => {
       return this.#dependencies.choose(new Set([...this.#tried, ...stalled]), now, true);
@@ -337,7 +348,7 @@
   }
 
   #send(target: Target, now: Milliseconds): DeliveryEffect {
-    if (this.#tried.size > 0 && !this.#dependencies.spendRetry()) {
+    if (this.#reached.size > 0 && !this.#dependencies.spendRetry()) {
       return this.#giveUp('retryBudgetSpent', now);
     }
     return this.#start(target, now);
@@ -345,6 +356,7 @@
 
   #start(target: Target, now: Milliseconds): DeliveryEffect {
     this.#tried.add(target.key);
+    this.#reached.add(target.key);
     this.#phase = { type: 'running', target };
     return { type: 'send', target, remaining: this.#options.deadline - now };
   }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -267,6 +267,9 @@
     }
     if (facts.isNotRun) {
       this.#logEvent('upstream did not run the request', { status });
+      if (facts.isMisdirected) {
+        loads.noteClosed(target, this.#now());
+      }
       attempt.discard();
       this.#releaseTarget();
       this.#handle({ type: 'refused', now: this.#now() });
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -10,6 +10,11 @@
 const loadLifetime: Milliseconds = 1000;
 /** Delay before a group that was full is probed with a request; about the time until the response headers, which report the load. */
 const probeInterval: Milliseconds = 300;
+/**
+ * Time for which a group gets no requests after its head answered that it does not serve them. The sidecar of the head reports that to
+ * control, which withdraws the group within this time or orders the head to open again.
+ */
+const closedDuration: Milliseconds = 400;
 /** Time for which an upstream is avoided, while there are others, after it was unreachable or interrupted a response. */
 const suspicionDuration: Milliseconds = 1000;
 
@@ -25,6 +30,7 @@
   reportedAt: Milliseconds;
   slots: number | undefined;
   suspectedUntil: Milliseconds;
+  closedUntil: Milliseconds;
 }
 
 export class TargetLoads {
@@ -63,6 +69,20 @@
     this.#find(key).suspectedUntil = now + suspicionDuration;
   }
 
+  /**
+   * Records that the upstream answered that it does not serve the group or instance that was meant.
+   * Load pattern: all hosts restart at once. Gateways learn the groups of before from control, and hundreds of requests wait for them; the
+   * first one that each head answers tells that its group is gone. Sent all the same, the others would spend the retry budget there and be
+   * refused a moment before new groups open.
+   */
+  noteClosed({ key }: Pick<Target, 'key'>, now: Milliseconds): void {
+    this.#find(key).closedUntil = now + closedDuration;
+  }
+
+  isClosed(target: Target, now: Milliseconds): boolean {
+    return this.#find(target.key).closedUntil > now;
+  }
+
   isSuspected(target: Target, now: Milliseconds): boolean {
     return this.#find(target.key).suspectedUntil > now;
   }
@@ -125,6 +145,7 @@
       reportedAt: Number.NEGATIVE_INFINITY,
       slots: undefined,
       suspectedUntil: Number.NEGATIVE_INFINITY,
+      closedUntil: Number.NEGATIVE_INFINITY,
     };
     this.#loads.set(key, load);
     return load;
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -79,7 +79,7 @@
   ): TargetChoice {
     const { loads, permits } = this.#options;
     const targets = this.listTargets(service, model);
-    const all = targets.filter(({ key }) => !tried.has(key));
+    const all = targets.filter((target) => !tried.has(target.key) && !loads.isClosed(target, now));
     if (all.length === 0) {
       return { type: 'none' };
     }
