--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -174,6 +174,7 @@
         return;
       case 'finish':
         this.#responseWriter.finish();
+        this.#timer.noteForwarded(this.#now());
         if (this.#responseWriter.isSuccess) {
           this.#dependencies.crashLedger.noteAnswered(this.#requestDigest, this.#now());
         }
