Send to a full head when an own request ends there, and probe only without one

Cause: each gateway probed each head that was full at its last report every 0.3 s. With 17 gateways the probes alone exceed the 30 requests a second that a head completes, and up to one probe of each gateway waits at each head.

--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -30,6 +30,8 @@
   /** Factor of the load in the middle third of the duration. */
   readonly burst: number;
   readonly duration: Milliseconds;
+  /** Longest time to the first event that is in time. */
+  readonly objective?: Milliseconds;
   /** Whether gateways know their positions. */
   readonly knowPositions: boolean;
 }
@@ -54,7 +56,7 @@
 const meanWork: Milliseconds = 1200;
 /** Time from the start of a request to its first event. */
 const prefillTime: Milliseconds = 40;
-const objective: Milliseconds = 500;
+const defaultObjective: Milliseconds = 500;
 const maximumWait: Milliseconds = 500;
 const tick: Milliseconds = 5;
 const model = 'small';
@@ -194,6 +196,7 @@
       if (request === undefined) {
         return;
       }
+      const { objective = defaultObjective } = this.#options;
       const isInTime = now + prefillTime - request.arrivedAt <= objective;
       this.#counts[isInTime ? 'inTime' : 'late'] += 1;
       head.running.push({ request, endsAt: now + meanWork * drawExponential(this.#work) });
--- a/__tests__/direct/placement.test.ts
+++ b/__tests__/direct/placement.test.ts
@@ -73,4 +73,25 @@
       expect(simulatePlacement({ ...burst, ...layout }).longestQueue).toBeLessThan(24);
     },
   );
+
+  // Guards against a burst in which most responses are late though the slots of all heads are in use: each of many gateways sent a probe to
+  // each full head every 0.3 s, and the probes waited there longer than the objective.
+  it.each([
+    { gateways: 17, heads: 5, burst: 1.6 },
+    { gateways: 17, heads: 5, burst: 2.2 },
+    { gateways: 17, heads: 2, burst: 1.6 },
+  ])(
+    'keeps what can be served in time: $gateways gateways, $heads heads, $burst times the load',
+    (layout) => {
+      const { requests, inTime } = simulatePlacement({
+        ...usual,
+        ...layout,
+        duration: 30_000,
+        objective: 300,
+      });
+      const load = usual.load * layout.burst;
+      const possible = (usual.load * 2 + Math.min(1, load)) / (usual.load * 2 + load);
+      expect(inTime / requests).toBeGreaterThan(0.9 * possible);
+    },
+  );
 });
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -103,8 +103,9 @@
    * Whether the target can accept one more request, with at most `limit` per slot.
    * Load pattern: a burst, or all callers returning after a restart, with gateways that each know only their own requests. If a group without
    * a report counted as empty, each gateway would send it all waiting requests until the responses, which are late then, report that it is
-   * full; every request would wait in its queue. So a group that has never responded gets one request, and one that was full at its last
-   * report gets one after `probeInterval`; the response reports its load.
+   * full; every request would wait in its queue. So a group that has never responded gets one request. To one that was full at its last
+   * report, a gateway with requests there sends another when one of them ends; a gateway without any sends one after `probeInterval`, and
+   * the response reports the load. If all gateways probed, the probes of tens of them alone would exceed what a head completes.
    */
   hasCapacity(target: Target, limit: number, now: Milliseconds): boolean {
     const { own, reportedAt, unanswered, hasAnswered } = this.#find(target.key);
@@ -115,8 +116,7 @@
     if (this.utilization(target, now) < limit) {
       return true;
     }
-    const isFullOfOwn = own >= limit * this.#slotsOf(target);
-    return target.isGroup && !isFullOfOwn && !isAsked && now - reportedAt > probeInterval;
+    return target.isGroup && own === 0 && now - reportedAt > probeInterval;
   }
 
   /** Drops targets that no longer exist and have no requests in flight. */
