End npm start with an error if a program ends before the groups serve

Started beside another instance, every program ended with addressInUse and the launcher still printed 'groups: ready', because the other instance answered. It now prints the last log line of the program that ended, which names the address, stops the rest and exits with 1 (tried with port 8400 taken).

--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -3,7 +3,7 @@
  * stand-in engines. Stops all processes on SIGINT. Not part of the system, whose processes never start one another.
  */
 import { spawn, spawnSync } from 'node:child_process';
-import { createWriteStream, mkdirSync, readdirSync, rmSync } from 'node:fs';
+import { createWriteStream, mkdirSync, readFileSync, readdirSync, rmSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 const examples = 'examples/local';
@@ -16,6 +16,7 @@
 
 const children = [];
 let isStopping = false;
+let isReady = false;
 
 function runOnce(command, args) {
   const { status } = spawnSync(command, args, { stdio: 'inherit' });
@@ -33,9 +34,12 @@
   child.stdout.pipe(log);
   child.stderr.pipe(log);
   const ended = new Promise((resolve) => {
-    child.once('exit', (code, signal) => {
+    child.once('close', (code, signal) => {
       if (!isStopping) {
         console.error(`${name} ended (${signal ?? code}); see ${runFolder}/${name}.log`);
+        log.end(() => {
+          stopUnlessReady(name);
+        });
       }
       resolve();
     });
@@ -43,6 +47,16 @@
   children.push({ name, child, ended });
 }
 
+/** A program that ends during the start would leave a deployment that only seems to serve, for example through another instance. */
+function stopUnlessReady(name) {
+  if (isReady || isStopping) {
+    return;
+  }
+  const lastLine = readFileSync(`${runFolder}/${name}.log`, 'utf8').trimEnd().split('\n').at(-1);
+  console.error(`not started: ${lastLine}`);
+  void stopAll(1);
+}
+
 function startSettings(folder, program) {
   const pattern = new RegExp(`^${program.replace('pistachiospoke-', '')}-.*\\.jsonc$`);
   const files = readdirSync(folder).filter((name) => pattern.test(name));
@@ -52,7 +66,7 @@
   return files.length;
 }
 
-async function stopAll() {
+async function stopAll(status = 0) {
   if (isStopping) {
     return;
   }
@@ -69,7 +83,7 @@
     }
   }
   console.log('stopped');
-  process.exit(0);
+  process.exit(status);
 }
 
 async function waitFor(what, check) {
@@ -85,7 +99,7 @@
     await sleep(pollInterval);
   }
   console.error(`${what}: not ready after ${readyTimeout / 1000} s; see ${runFolder}/`);
-  await stopAll();
+  await stopAll(1);
 }
 
 function applyConfiguration() {
@@ -159,6 +173,7 @@
 await waitFor('configuration', applyConfiguration);
 await waitFor('groups', isAnswering);
 if (!isStopping) {
+  isReady = true;
   console.log(`
 Try:
 
