Form a group of idle engines by its value against a group's capacity

Cause: a group had to gain 0.1 concurrent requests for each of its engines.

Change: the threshold is 1.2% of the capacity of a group.

The new test fails before.

--- a/__tests__/engines/spares.test.ts
+++ b/__tests__/engines/spares.test.ts
@@ -99,4 +99,26 @@
       .map(({ model }) => model);
     expect(models.toSorted()).toEqual(['large', 'large', 'small']);
   });
+
+  // Guards against survivors of a group that stand by beside a spare of their model while the other groups of the model fill up.
+  it('form a group with the survivors of another, also where groups are large', () => {
+    const groups = [
+      ...createGroups('large', 12, 1).slice(0, 3),
+      ...createGroups('small', 6, 5),
+      ...createGroups('small', 6, 9).slice(0, 1),
+    ];
+    const idle = Array.from({ length: 6 }, (_, index): TestEngine => {
+      return { host: `s${index}`, domain: 'd1', lastModel: 'small', staged: 'large' };
+    });
+    const { place } = planGroups(
+      groups.map(({ view }) => view),
+      [...groups.flatMap(({ engines }) => engines), ...idle],
+      new Map([
+        ['large', 12],
+        ['small', 72],
+      ]),
+      { services: [{ name: 'engines', maximumConnections: 400, engine: profile }] },
+    );
+    expect(place.map(({ model }) => model)).toEqual(['small']);
+  });
 });
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -23,10 +23,11 @@
  */
 const drainCost = 0.8;
 /**
- * Value per engine, in concurrent requests, that a group must exceed once there is traffic. Below it the engines stay idle: an idle
- * engine whose host has the weights of several models can replace a lost member sooner than one that first has to leave a group.
+ * Value, as a fraction of the capacity of one group, that a group must exceed once there is traffic. Below it the engines stay idle: an
+ * idle engine whose host has the weights of several models can replace a lost member sooner than one that first has to leave a group.
+ * Relative to a group, not to an engine: a value per engine would leave a whole group of many engines idle where one of few is formed.
  */
-const minimumValuePerEngine = 0.1;
+const minimumValueShare = 0.012;
 /**
  * Fraction of its gain that a group loses for each group of the same model in its fabric domain. This spreads a model over domains,
  * because a fabric domain fails as a whole.
@@ -101,7 +102,8 @@
     return undefined;
   }
   const value = computeValue(input, domain, model, chosen, groupsToDrain);
-  const isWorthwhile = value > (input.hasTraffic ? minimumValuePerEngine : 0);
+  const minimumValue = input.hasTraffic ? minimumValueShare * input.needs.groupCapacity : 0;
+  const isWorthwhile = value * model.groupSize > minimumValue;
   return isWorthwhile
     ? { model, domain, members: chosen, groupsToDrain, value, coverage }
     : undefined;
--- a/src/engines/model-needs.ts
+++ b/src/engines/model-needs.ts
@@ -44,6 +44,11 @@
     });
   }
 
+  /** Concurrent requests for which one group of any model is planned. */
+  get groupCapacity(): number {
+    return this.#capacity(1);
+  }
+
   /** Adds a group of the model. */
   add(model: string): void {
     this.#groups.set(model, this.#count(model) + 1);
