Leave a group that is gone alone until control withdraws or reopens it

Now the time is 2 s, ends early when control orders the group to open, and the first request after it is a probe. The new tests fail before.

--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -225,7 +225,22 @@
     expect(choose()).toBe('small/2');
     loads.noteClosed({ key: 'small/2' }, 0);
     expect(choose()).toBe('none');
-    expect(choose([], 100, true)).toBe('none');
-    expect(choose(['small/2'], 500)).toBe('small/1');
+    expect(choose([], 1000, true)).toBe('none');
+    loads.noteReopening({ key: 'small/1' });
+    expect(choose([], 1000)).toBe('small/1');
+    expect(choose(['small/1'], 5000)).toBe('small/2');
+  });
+
+  /** Guards against a second wave of requests to a group that is gone, once the first answer that it is gone has expired. */
+  it('probes such a group with one request', () => {
+    const { loads, chooser, choose } = createChooser();
+    const target = findTarget(chooser, 'small/1');
+    loads.noteSent(target);
+    loads.noteAnswered(target);
+    loads.noteClosed(target, 0);
+    loads.noteDone(target, true);
+    expect(choose(['small/2'], 5000)).toBe('small/1');
+    loads.noteSent(target);
+    expect(choose(['small/2'], 5000)).toBe('full');
   });
 });
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -228,6 +228,11 @@
     const instances = [...view.instances.values()].map(formatIdentity);
     const keys = new Set([...view.engineGroups.keys(), ...instances]);
     this.#loads.retain(keys);
+    for (const { name, phase } of view.engineGroups.values()) {
+      if (phase === 'opening') {
+        this.#loads.noteReopening({ key: name });
+      }
+    }
     this.#progress.retain(keys);
     this.#permits.retain(listIdentities(view));
     this.#connections.retain(listAddresses(view));
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -11,10 +11,10 @@
 /** Delay before a group that was full is probed with a request; about the time until the response headers, which report the load. */
 const probeInterval: Milliseconds = 300;
 /**
- * Time for which a group gets no requests after its head answered that it does not serve them. The sidecar of the head reports that to
- * control, which withdraws the group within this time or orders the head to open again.
+ * Longest time for which a group gets no requests after its head answered that it does not serve them. Control withdraws the group or
+ * orders the head to open again within this time, also if all hosts have restarted and it first has to elect a leader.
  */
-const closedDuration: Milliseconds = 400;
+const closedDuration: Milliseconds = 2000;
 /** Time for which an upstream is avoided, while there are others, after it was unreachable or interrupted a response. */
 const suspicionDuration: Milliseconds = 1000;
 
@@ -76,7 +76,15 @@
    * refused a moment before new groups open.
    */
   noteClosed({ key }: Pick<Target, 'key'>, now: Milliseconds): void {
-    this.#find(key).closedUntil = now + closedDuration;
+    const load = this.#find(key);
+    load.closedUntil = now + closedDuration;
+    // The next request to it is a probe again.
+    load.hasAnswered = false;
+  }
+
+  /** Records that control has ordered the group to open again. */
+  noteReopening({ key }: Pick<Target, 'key'>): void {
+    this.#find(key).closedUntil = Number.NEGATIVE_INFINITY;
   }
 
   isClosed(target: Target, now: Milliseconds): boolean {
