Let spares hold the weights of two models before the first request

Cause: a host holds one staged model and the model of its last group.

Change: before the first request, once the first groups are open and their domain is calm, spares join a group in place of members. The members that are released stand by with both models.

Domains of 10 engines have no spares then. No promise was broken.

--- a/__tests__/engines/spares.test.ts
+++ b/__tests__/engines/spares.test.ts
@@ -79,6 +79,46 @@
     },
   );
 
+  it.each([1, 2, 3])('hold both models before the first request, seed %d', (seed) => {
+    const world = createWorld(seed);
+    world.run(12_000);
+    expect(countServing(world)).toBe(72);
+    const members = new Set(
+      world.openGroups.flatMap((group) => group.members.map(({ host }) => host)),
+    );
+    const spares = world.hosts.filter(({ name }) => !members.has(name));
+    const held = spares.map(({ engine: { lastModel, staged } }) => {
+      return new Set([...staged, ...(lastModel === undefined ? [] : [lastModel])]).size;
+    });
+    expect(held).toEqual(Array.from({ length: 9 }, () => 2));
+    expect(world.violations).toEqual([]);
+  });
+
+  // Guards against a group that stays incomplete because the only spares left in its domain hold the other model.
+  it.each(['large', 'small'])(
+    'replace lost members of the %s model one after the other',
+    (model) => {
+      const world = createWorld(1);
+      world.run(12_000);
+      world.hasTraffic = true;
+      world.run(settlingTime);
+      const before = countServing(world);
+      for (let loss = 0; loss < 3; loss += 1) {
+        const group = world.openGroups.find((each) => {
+          const head = world.hosts.find(({ name }) => name === each.members[0]?.host);
+          return each.model === model && head?.domain === 'd0';
+        });
+        const victim = world.hosts.find(({ name }) => name === group?.members[1]?.host);
+        if (victim === undefined) {
+          throw new Error(`no group of the ${model} model`);
+        }
+        world.killEngine(victim);
+        world.run(replacementTime);
+        expect(countServing(world)).toBe(before);
+      }
+    },
+  );
+
   it('hold the weights of the models that most members of groups serve', () => {
     const groups = [...createGroups('large', 4, 1), ...createGroups('small', 2, 5)];
     const spares = ['s0', 's1', 's2'].map((host): TestEngine => {
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -8,6 +8,7 @@
   listDomains,
   type AvailableEngine,
 } from './available-engines.js';
+import { isNewcomer } from './spare-exchange.js';
 import type { GroupView } from './types.js';
 
 /** Lists the groups that could be formed and computes the value of each. */
@@ -96,7 +97,7 @@
     ({ openGroup }) => openGroup !== undefined && groupsToDrain.includes(openGroup),
   );
   const chosen = [...noDrainNeeded, ...drainedEngines]
-    .sort((one, other) => estimateReadyTime(one, model) - estimateReadyTime(other, model))
+    .sort((one, other) => compareMembers(one, other, model, input.hasTraffic))
     .slice(0, model.groupSize);
   if (chosen.length < model.groupSize) {
     return undefined;
@@ -109,6 +110,18 @@
     : undefined;
 }
 
+/** The soonest engines first; before the first request, when time is cheap, spares that were never in a group come before them. */
+function compareMembers(
+  one: AvailableEngine,
+  other: AvailableEngine,
+  model: EngineModel,
+  hasTraffic: boolean,
+): number {
+  const newcomers = Number(isNewcomer(other, model)) - Number(isNewcomer(one, model));
+  const sooner = estimateReadyTime(one, model) - estimateReadyTime(other, model);
+  return hasTraffic || newcomers === 0 ? sooner : newcomers;
+}
+
 function computeValue(
   { needs, profile, slowGroups, countInDomain }: CandidateInput,
   domain: string,
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -1,5 +1,6 @@
 import type { EngineProfile, RoutedService } from '../routing/index.js';
 import { findBestCandidate, type Candidate } from './candidates.js';
+import { chooseExchanges } from './spare-exchange.js';
 import type { ModelNeeds } from './model-needs.js';
 import type { AvailableEngine } from './available-engines.js';
 import type { GroupAdvance, GroupView, NewEngineGroup } from './types.js';
@@ -49,7 +50,11 @@
     const candidateInput = { profile, available, needs, hasTraffic, slowGroups, countInDomain };
     const best = findBestCandidate(candidateInput);
     if (best === undefined) {
-      return { place, drain };
+      const isStable = !hasTraffic && place.length + drain.length === 0;
+      return {
+        place,
+        drain: isStable ? chooseExchanges({ ...input, models: profile.models }) : drain,
+      };
     }
     if (best.members.every(({ timeUntilFree }) => timeUntilFree === 0)) {
       place.push(describeGroup(best, service, input.nextNumber + place.length));
