Bound what a packed document unpacks to, and simplify the order of members

A small packed text could unpack to more than the memory of a host; it is refused beyond 64 MiB, as is one that is damaged. No change of behaviour elsewhere.

--- a/__tests__/control/large-documents.test.ts
+++ b/__tests__/control/large-documents.test.ts
@@ -1,5 +1,6 @@
 // Guards against a leader that loses its term to a large routing document.
 import { setImmediate as nextTurn } from 'node:timers/promises';
+import { deflateRawSync } from 'node:zlib';
 
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
@@ -13,9 +14,14 @@
 import {
   ControlStateMachine,
   formatCommand,
+  parseCommand,
   type CommandAnswer,
 } from '../../src/control/state/index.js';
-import { checkRoutingDocument, type RoutingDocument } from '../../src/routing/index.js';
+import {
+  checkRoutingDocument,
+  packDocument,
+  type RoutingDocument,
+} from '../../src/routing/index.js';
 import { RpcClientPool } from '../../src/wire/index.js';
 import { createDocument, streamRoute } from '../routing/documents.js';
 
@@ -108,4 +114,16 @@
     const result = await control.routing.put(invalid);
     expect(result.err && result.val.code).toBe('invalidRouting');
   });
+
+  it('is refused if its packed form is damaged or unpacks to more than a host can hold', () => {
+    const { body, source } = packDocument(createLargeDocument(1));
+    const bomb = deflateRawSync(Buffer.alloc(65 * 1024 * 1024)).toString('base64');
+    for (const document of [
+      { body: body.slice(0, -8), source },
+      { body, source: bomb },
+    ]) {
+      const parsed = parseCommand(JSON.stringify({ type: 'putRouting', at: 0, document }));
+      expect(parsed.err && parsed.val.code).toBe('invalidCommand');
+    }
+  });
 });
--- a/src/engines/candidates.ts
+++ b/src/engines/candidates.ts
@@ -117,9 +117,11 @@
   model: EngineModel,
   hasTraffic: boolean,
 ): number {
-  const newcomers = Number(isNewcomer(other, model)) - Number(isNewcomer(one, model));
-  const sooner = estimateReadyTime(one, model) - estimateReadyTime(other, model);
-  return hasTraffic || newcomers === 0 ? sooner : newcomers;
+  const isOneFirst = !hasTraffic && isNewcomer(one, model);
+  const isOtherFirst = !hasTraffic && isNewcomer(other, model);
+  return isOneFirst === isOtherFirst
+    ? estimateReadyTime(one, model) - estimateReadyTime(other, model)
+    : Number(isOtherFirst) - Number(isOneFirst);
 }
 
 function computeValue(
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -1,8 +1,8 @@
 import type { EngineProfile, RoutedService } from '../routing/index.js';
+import type { AvailableEngine } from './available-engines.js';
 import { findBestCandidate, type Candidate } from './candidates.js';
-import { chooseExchanges } from './spare-exchange.js';
 import type { ModelNeeds } from './model-needs.js';
-import type { AvailableEngine } from './available-engines.js';
+import { chooseExchanges } from './spare-exchange.js';
 import type { GroupAdvance, GroupView, NewEngineGroup } from './types.js';
 
 /** Decides which groups to form now, and which open groups to drain because their engines are of more use in another group. */
@@ -50,11 +50,9 @@
     const candidateInput = { profile, available, needs, hasTraffic, slowGroups, countInDomain };
     const best = findBestCandidate(candidateInput);
     if (best === undefined) {
-      const isStable = !hasTraffic && place.length + drain.length === 0;
-      return {
-        place,
-        drain: isStable ? chooseExchanges({ ...input, models: profile.models }) : drain,
-      };
+      const mayExchange = !hasTraffic && place.length === 0 && drain.length === 0;
+      const exchanges = mayExchange ? chooseExchanges({ ...input, models: profile.models }) : [];
+      return { place, drain: [...drain, ...exchanges] };
     }
     if (best.members.every(({ timeUntilFree }) => timeUntilFree === 0)) {
       place.push(describeGroup(best, service, input.nextNumber + place.length));
--- a/src/engines/spare-exchange.ts
+++ b/src/engines/spare-exchange.ts
@@ -1,6 +1,5 @@
 import type { EngineModel } from '../routing/index.js';
-import type { AvailableEngine } from './available-engines.js';
-import { listDomains } from './available-engines.js';
+import { listDomains, type AvailableEngine } from './available-engines.js';
 import type { GroupAdvance, GroupView } from './types.js';
 
 /** Chooses groups to form anew before the first request, so that spare engines hold the weights of two models. */
--- a/src/routing/check.ts
+++ b/src/routing/check.ts
@@ -1,5 +1,4 @@
 import { Err, Ok, type Result } from 'ts-results';
-
 import { z } from 'zod';
 
 import { createFailure, parseItems, type Failure } from '../common/index.js';
--- a/src/routing/packed-document.ts
+++ b/src/routing/packed-document.ts
@@ -11,6 +11,9 @@
 /** The fastest level; a higher one saves little on routes and takes several times as long. */
 const compressionLevel = 1;
 
+/** Longer texts are refused, so that a small packed text cannot use up the memory of a host. */
+const maximumTextBytes = 64 * 1024 * 1024;
+
 /** A compressed document. The operator's source text is separate, because watchers do not need it. */
 export interface PackedDocument {
   /** The document without its source, as base64. */
@@ -62,5 +65,6 @@
 }
 
 function decompress(text: string): string {
-  return inflateRawSync(Buffer.from(text, 'base64')).toString();
+  const options = { maxOutputLength: maximumTextBytes };
+  return inflateRawSync(Buffer.from(text, 'base64'), options).toString();
 }
