End all waits of a request before its caller leaves

Cause: each wait of a request began anew.

Change: waits that begin within 1.8 s of the start of a request end with these 1.8 s, so that the caller is told when to come back. The new test fails before.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -169,6 +169,25 @@
     expect(describeEffects(again)).toEqual(['fail overloaded']);
   });
 
+  /**
+   * Guards against callers that leave without being told when to come back: after a restart of all hosts each wait of a request began anew,
+   * first for the document, then for a group, then for another group after the first had gone.
+   */
+  it('is refused before its caller leaves, however many upstreams it waited for', () => {
+    const session = new Session();
+    session.targets = [];
+    const { controller } = session;
+    controller.handle({ type: 'started', now: 1100 });
+    session.targets = ['a'];
+    controller.handle({ type: 'targetsChanged', now: 1200 });
+    session.targets = [];
+    controller.handle({ type: 'refused', now: 1250 });
+    expect(controller.wakeAt).toBe(1800);
+    expect(describeEffects(controller.handle({ type: 'ticked', now: 1800 }))).toEqual([
+      'fail noServingGroup',
+    ]);
+  });
+
   it('spends the retry budget after an attempt that was refused', () => {
     const session = new Session();
     session.repeats = 0;
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -152,13 +152,23 @@
     }
   }
 
-  /** Time at which a waiting request fails. One that waited for any upstream and then found all full does not wait longer in total. */
-  #findWaitEnd({ waitingSince, reasonSince, code }: WaitingPhase): Milliseconds {
-    const { deadline, startedAt } = this.#options;
-    const time = deadline - startedAt;
+  /**
+   * Time at which a waiting request fails. A caller without a response leaves after two seconds and is not told when to come back, so all
+   * waits that begin before `maximumWait` has passed end with it.
+   */
+  #findWaitEnd(phase: WaitingPhase): Milliseconds {
     if (this.#isPassedOn) {
-      return waitingSince + maximumResumeWait;
+      return phase.waitingSince + maximumResumeWait;
     }
+    const latest = this.#options.startedAt + maximumWait;
+    const end = this.#findOwnWaitEnd(phase);
+    return phase.waitingSince < latest ? Math.min(end, latest) : end;
+  }
+
+  /** A request that waited for any upstream and then found all full does not wait longer in total. */
+  #findOwnWaitEnd({ waitingSince, reasonSince, code }: WaitingPhase): Milliseconds {
+    const { deadline, startedAt } = this.#options;
+    const time = deadline - startedAt;
     const without = Math.min(maximumWait, time * maximumShareWithoutUpstream);
     if (code === 'noServingGroup') {
       return waitingSince + without;
