Share the engine profile of tests and bench, and the look-up of a group's domain

The bench's shapes and the test of spares each wrote the figures of the test profile again, and two planner modules the look-up of a group's fabric domain. One function serves both in each case. The objectives that a late request is held against are those of the route type, not a type of their own. No behaviour changes; no assertion was touched.

--- a/__tests__/engines/spares.test.ts
+++ b/__tests__/engines/spares.test.ts
@@ -2,23 +2,13 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandomSource } from '../../src/common/index.js';
-import type { EngineProfile } from '../../src/routing/index.js';
-import { engineProfile } from '../routing/documents.js';
+import { createEngineProfile } from '../routing/documents.js';
 import { EngineSimulation } from './engine-simulation.js';
 import { createGroupView, createMembers, planGroups, type TestEngine } from './fixtures.js';
 
 const domains = ['d0', 'd1', 'd2'];
-const [large, small] = engineProfile.models;
-
 /** A fabric domain of 27 engines has room for a group of 12, two of 6 and three spares. */
-const profile: EngineProfile = {
-  ...engineProfile,
-  slots: 34,
-  models: [
-    ...(large === undefined ? [] : [{ ...large, groupSize: 12 }]),
-    ...(small === undefined ? [] : [{ ...small, groupSize: 6 }]),
-  ],
-};
+const profile = createEngineProfile({ slots: 34, loadsPerSecond: 3, groupSizes: [12, 6] });
 
 /** Groups are exchanged between the models once the demand is known. */
 const settlingTime = 6000;
--- a/__tests__/routing/documents.ts
+++ b/__tests__/routing/documents.ts
@@ -2,31 +2,51 @@
 
 /** Routing documents for tests. */
 
-export const engineProfile: EngineProfile = {
+/** The figures of a profile in which simulated deployments differ. */
+export interface EngineShape {
+  readonly slots: number;
+  readonly loadsPerSecond: number;
+  /** Engines in a group of the large and of the small model. */
+  readonly groupSizes: readonly [large: number, small: number];
+}
+
+export function createEngineProfile({
+  slots,
+  loadsPerSecond,
+  groupSizes: [largeSize, smallSize],
+}: EngineShape): EngineProfile {
+  return {
+    slots,
+    openDuration: 300,
+    loadsPerSecond,
+    concurrentLoads: 6,
+    stagedModels: 1,
+    models: [
+      {
+        name: 'large',
+        groupSize: largeSize,
+        share: 0.5,
+        pace: 1,
+        loadDuration: 16_000,
+        stagedJoinDuration: 1600,
+      },
+      {
+        name: 'small',
+        groupSize: smallSize,
+        share: 0.5,
+        pace: 0.6,
+        loadDuration: 12_000,
+        stagedJoinDuration: 1100,
+      },
+    ],
+  };
+}
+
+export const engineProfile = createEngineProfile({
   slots: 24,
-  openDuration: 300,
   loadsPerSecond: 3,
-  concurrentLoads: 6,
-  stagedModels: 1,
-  models: [
-    {
-      name: 'large',
-      groupSize: 4,
-      share: 0.5,
-      pace: 1,
-      loadDuration: 16_000,
-      stagedJoinDuration: 1600,
-    },
-    {
-      name: 'small',
-      groupSize: 2,
-      share: 0.5,
-      pace: 0.6,
-      loadDuration: 12_000,
-      stagedJoinDuration: 1100,
-    },
-  ],
-};
+  groupSizes: [4, 2],
+});
 
 export const streamRoute: Route = {
   name: 'draft',
--- a/bench/engines/deployments.ts
+++ b/bench/engines/deployments.ts
@@ -1,4 +1,5 @@
 import type { EngineProfile } from '../../src/routing/index.js';
+import { createEngineProfile } from '../../__tests__/routing/documents.js';
 
 /** Shapes of deployments with engines: the sizes of models and fabric domains, and the demand. */
 
@@ -17,46 +18,12 @@
   readonly demands: readonly DemandCase[];
 }
 
-function createProfile(
-  slots: number,
-  largeSize: number,
-  smallSize: number,
-  loadsPerSecond: number,
-): EngineProfile {
-  const shared = { share: 0.5 };
-  return {
-    slots,
-    openDuration: 300,
-    loadsPerSecond,
-    concurrentLoads: 6,
-    stagedModels: 1,
-    models: [
-      {
-        ...shared,
-        name: 'large',
-        groupSize: largeSize,
-        pace: 1,
-        loadDuration: 16_000,
-        stagedJoinDuration: 1600,
-      },
-      {
-        ...shared,
-        name: 'small',
-        groupSize: smallSize,
-        pace: 0.6,
-        loadDuration: 12_000,
-        stagedJoinDuration: 1100,
-      },
-    ],
-  };
-}
-
 /** Three fabric domains each. */
 export const deploymentShapes: readonly DeploymentShape[] = [
   {
     label: 'domains of 10, groups of 4 and 2',
     domainSize: 10,
-    profile: createProfile(24, 4, 2, 3),
+    profile: createEngineProfile({ slots: 24, loadsPerSecond: 3, groupSizes: [4, 2] }),
     demands: [
       { label: 'usual', large: 25, small: 52 },
       { label: 'burst of the large model', large: 40, small: 52 },
@@ -66,7 +33,7 @@
   {
     label: 'domains of 19, groups of 8 and 4',
     domainSize: 19,
-    profile: createProfile(34, 8, 4, 6),
+    profile: createEngineProfile({ slots: 34, loadsPerSecond: 6, groupSizes: [8, 4] }),
     demands: [
       { label: 'usual', large: 22, small: 80 },
       { label: 'burst of the small model', large: 22, small: 130 },
@@ -75,7 +42,7 @@
   {
     label: 'domains of 27, groups of 12 and 6',
     domainSize: 27,
-    profile: createProfile(34, 12, 6, 6.8),
+    profile: createEngineProfile({ slots: 34, loadsPerSecond: 6.8, groupSizes: [12, 6] }),
     demands: [
       { label: 'usual', large: 16, small: 95 },
       { label: 'burst of the small model', large: 16, small: 160 },
--- a/src/engines/available-engines.ts
+++ b/src/engines/available-engines.ts
@@ -97,6 +97,14 @@
   }
 }
 
+/** Fabric domain of a group, by the fabric domains of hosts; undefined if its head does not answer. */
+export function findDomainOfGroup(
+  { group }: GroupView,
+  domains: ReadonlyMap<string, string>,
+): string | undefined {
+  return domains.get(group.members[0]?.host ?? '');
+}
+
 /** Fabric domains of the engines. */
 export function listDomains(available: readonly AvailableEngine[]): readonly string[] {
   return [...new Set(available.map(({ engine }) => engine.reading.fabricDomain))];
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -1,5 +1,5 @@
 import type { EngineProfile, RoutedService } from '../routing/index.js';
-import type { AvailableEngine } from './available-engines.js';
+import { findDomainOfGroup, type AvailableEngine } from './available-engines.js';
 import { findBestCandidate, type Candidate } from './candidates.js';
 import type { ModelNeeds } from './model-needs.js';
 import { chooseExchanges } from './spare-exchange.js';
@@ -72,8 +72,8 @@
 
 function countByDomain({ activeGroups, domains }: FormationInput): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const { group } of activeGroups) {
-    const key = formatDomainModelKey(domains.get(group.members[0]?.host ?? '') ?? '', group.model);
+  for (const view of activeGroups) {
+    const key = formatDomainModelKey(findDomainOfGroup(view, domains) ?? '', view.group.model);
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
   return counts;
--- a/src/engines/spare-exchange.ts
+++ b/src/engines/spare-exchange.ts
@@ -1,5 +1,5 @@
 import type { EngineModel } from '../routing/index.js';
-import { listDomains, type AvailableEngine } from './available-engines.js';
+import { findDomainOfGroup, listDomains, type AvailableEngine } from './available-engines.js';
 import type { GroupAdvance, GroupView } from './types.js';
 
 /** Chooses groups to form anew before the first request, so that spare engines hold the weights of two models. */
@@ -31,7 +31,7 @@
 function chooseInDomain(domain: string, input: ExchangeInput): readonly GroupAdvance[] {
   const local = input.available.filter(({ engine }) => engine.reading.fabricDomain === domain);
   const groups = input.activeGroups.filter(
-    ({ group }) => input.domains.get(group.members[0]?.host ?? '') === domain,
+    (view) => findDomainOfGroup(view, input.domains) === domain,
   );
   const idle = local.filter(({ openGroup }) => openGroup === undefined);
   const isCalm =
--- a/src/gateway/direct/request-times.ts
+++ b/src/gateway/direct/request-times.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '../../common/index.js';
+import type { Route } from '../../routing/index.js';
 
 /** Measures where the time of one request goes; performs no I/O. */
 
@@ -14,12 +15,6 @@
   readonly longestPause: Milliseconds;
 }
 
-/** What a route asks of its responses. */
-export interface RouteObjectives {
-  readonly objective?: Milliseconds;
-  readonly longestPause?: Milliseconds;
-}
-
 export class RequestTimer {
   readonly #startedAt: Milliseconds;
   #assignedAt: Milliseconds | undefined;
@@ -61,7 +56,7 @@
 /** Whether a response met the objectives of its route. */
 export function isInTime(
   { firstByte, longestPause }: RequestTimes,
-  objectives: RouteObjectives,
+  objectives: Pick<Route, 'objective' | 'longestPause'>,
 ): boolean {
   const { objective = Infinity, longestPause: pauseObjective = Infinity } = objectives;
   return firstByte !== undefined && firstByte <= objective && longestPause <= pauseObjective;
