Log and measure pauses and departures that upstreams announce in responses

Cause: neither logs nor metrics told a 503 with Retry-After from any other 503, and nothing showed where requests go during a pause, so the hypotheses of the incident could not be told apart.

UpstreamObserver, split off Delivery, records what response headers say of their upstream: a line and a counter for each pause and each upstream that leaves, and a line and a counter for each request that is sent to such an upstream all the same. Which upstream is chosen does not depend on any of it yet.

--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -298,4 +298,16 @@
     expect(readResponse(421, {}).isMisdirected).toBe(true);
     expect(readResponse(503, {}).isMisdirected).toBe(false);
   });
+
+  it('of an answer say how long the upstream wants a pause, and whether it leaves', () => {
+    const { readResponse } = platformDialect;
+    const readPause = (text: string, status = 503) =>
+      readResponse(status, { 'retry-after': text }).retryAfter;
+    expect(['3', '0.25', '0'].map((text) => readPause(text))).toEqual([3000, 250, 0]);
+    expect(['', 'soon', '-1'].map((text) => readPause(text))).toEqual(Array(3).fill(undefined));
+    expect(readPause('3', 429)).toBeUndefined();
+    expect(readResponse(200, { 'server-leaving': '1' }).isLeaving).toBe(true);
+    expect(readResponse(200, { 'server-leaving': '0' }).isLeaving).toBe(false);
+    expect(readResponse(200, {}).isLeaving).toBe(false);
+  });
 });
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -9,6 +9,7 @@
 import type { TargetChooser } from './target.js';
 import type { TargetLoads } from './target-loads.js';
 import type { UpstreamConnections } from './upstream-connections.js';
+import type { UpstreamObserver } from './upstream-observer.js';
 
 /** Inputs and outcome of a delivery. */
 
@@ -40,12 +41,11 @@
   readonly crashWatch: CrashWatch;
   readonly crashLedger: CrashLedger;
   readonly permits: RequestPermits;
+  readonly observer: UpstreamObserver;
   /** Called for each request sent to an upstream with a known rate limit. */
   readonly onSentToLimited: (service: RoutedService) => void;
   /** Connections that this gateway may open to one instance of a service. */
   readonly connectionLimit: (service: RoutedService) => number;
-  /** Called when a target has reported its load, so that a waiting request may be sent. */
-  readonly onCapacityChanged: () => void;
   readonly spendRetry: (service: string) => boolean;
   readonly clock: Clock;
   readonly log: RateLimitedLog;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -7,7 +7,6 @@
   type DeliveryEffect,
   type DeliveryEvent,
 } from './delivery-controller.js';
-import type { ResponseMetadata } from './dialect.js';
 import { lowestFailureStatus, type ResponseWriter } from './response-writer.js';
 import type {
   DeliveryOutcome,
@@ -194,8 +193,16 @@
   }
 
   #send(target: Target, remaining: Milliseconds): void {
-    const { connections, connectionLimit, dialect, loads, onSentToLimited, permits, progress } =
-      this.#dependencies;
+    const {
+      connections,
+      connectionLimit,
+      dialect,
+      loads,
+      observer,
+      onSentToLimited,
+      permits,
+      progress,
+    } = this.#dependencies;
     const { method, path, rawHeaders, body, service, account, route, resumeAfter } = this.#request;
     const isFirst = this.#controller.attemptCount === 1 && !this.#responseWriter.isPassedOn;
     const headers = dialect.writeUpstreamHeaders(rawHeaders, {
@@ -227,6 +234,7 @@
       {
         onStart: () => {
           this.#timer.noteWritten(this.#now());
+          observer.noteWritten(target, this.#request.requestId);
         },
         onHead: (status, answerHeaders, raw) => {
           this.#handleHead(attempt, target, status, answerHeaders, raw);
@@ -252,22 +260,18 @@
     headers: IncomingHttpHeaders,
     raw: string[],
   ): void {
-    const { dialect, loads, onCapacityChanged } = this.#dependencies;
+    const { dialect, loads, observer } = this.#dependencies;
+    const { requestId } = this.#request;
     const facts = dialect.readResponse(status, headers);
     this.#hasResponseHead = true;
-    loads.noteAnswered(target);
-    this.#noteRateLimit(target, facts);
-    if (facts.load !== undefined) {
-      loads.noteLoad(target, facts.load, this.#now());
-      onCapacityChanged();
-    }
-    if (facts.requestId !== undefined && facts.requestId !== this.#request.requestId) {
+    observer.noteResponse(target, facts, { requestId, sentAt: this.#sentAt });
+    if (facts.requestId !== undefined && facts.requestId !== requestId) {
       // A late response to an earlier request on this connection. The outcome of the present request is unknown.
       this.#abortAttempt(attempt, 'response belongs to another request');
       return;
     }
     if (facts.isNotRun) {
-      this.#logEvent('upstream did not run the request', { status });
+      this.#logEvent('upstream did not run the request', { status, retryAfter: facts.retryAfter });
       if (facts.isMisdirected) {
         loads.noteClosed(target, this.#now());
       }
@@ -287,27 +291,6 @@
     }
   }
 
-  /** Ignores responses from another upstream or to another request: their rate limit may not be that of the target. */
-  #noteRateLimit(target: Target, facts: ResponseMetadata): void {
-    const { isMisdirected, requestId, requestsPerSecond } = facts;
-    if (isMisdirected || (requestId !== undefined && requestId !== this.#request.requestId)) {
-      return;
-    }
-    const upstream = formatIdentity(target.instance);
-    const isChanged = this.#dependencies.permits.noteAnswer(
-      upstream,
-      requestsPerSecond,
-      this.#sentAt,
-      this.#now(),
-    );
-    if (isChanged) {
-      this.#logEvent('upstream rate limit changed', {
-        upstream,
-        requestsPerSecond: requestsPerSecond ?? null,
-      });
-    }
-  }
-
   /** Returns whether the request was sent to another upstream instead of forwarding this failure. */
   #tryReplaceFailure(attempt: UpstreamAttempt, status: number): boolean {
     const target = this.#target?.key;
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -45,6 +45,10 @@
   readonly isMisdirected: boolean;
   /** Rate limit of the upstream across all gateways; undefined if the response contains none. */
   readonly requestsPerSecond: number | undefined;
+  /** How long the upstream, which rejected the request, wants no others from this host; undefined if it does not say. */
+  readonly retryAfter: Milliseconds | undefined;
+  /** Whether the upstream is shutting down. */
+  readonly isLeaving: boolean;
 }
 
 /** Header names and values alternating, as in Node's `rawHeaders`. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -36,7 +36,9 @@
 import { StreamProgress } from './stream-progress.js';
 import { TargetChooser } from './target.js';
 import { TargetLoads } from './target-loads.js';
+import { UpstreamAvailability } from './upstream-availability.js';
 import { UpstreamConnections } from './upstream-connections.js';
+import { UpstreamObserver } from './upstream-observer.js';
 import { probeUpstream } from './upstream-probe.js';
 
 /** HTTP server of a gateway that sends requests directly to upstreams. */
@@ -70,6 +72,7 @@
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
   readonly #crashLedger = new CrashLedger();
+  readonly #availability = new UpstreamAvailability();
   readonly #permits: RequestPermits;
   readonly #retryBudget: SharedRetryBudget;
   readonly #dependencies: SharedDeliveryDependencies;
@@ -105,6 +108,17 @@
       connections: this.#connections,
       crashLedger: this.#crashLedger,
       permits: this.#permits,
+      observer: new UpstreamObserver({
+        loads: this.#loads,
+        permits: this.#permits,
+        availability: this.#availability,
+        metrics: options.metrics,
+        clock,
+        log: this.#log,
+        onCapacityChanged: () => {
+          this.#retryWaiting();
+        },
+      }),
       onSentToLimited: ({ name }) => {
         this.#options.metrics.noteSentToLimited(name);
       },
@@ -122,9 +136,6 @@
         random,
       }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
-      onCapacityChanged: () => {
-        this.#retryWaiting();
-      },
       spendRetry: (service) => this.#retryBudget.spend(service),
     };
     this.#stallWatch = new StallWatch({
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 
 import type { DeliveryOutcome } from './delivery-types.js';
+import type { Unavailability } from './upstream-availability.js';
 
 /** Metrics of a direct gateway; docs/METRICS.md lists the names. */
 
@@ -13,6 +14,9 @@
   readonly #repeats: Counter<'route'>;
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
+  readonly #pauses: Counter<'service'>;
+  readonly #leaving: Counter<'service'>;
+  readonly #sentToUnavailable: Counter<'service' | 'reason'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
@@ -43,6 +47,24 @@
       labelNames: ['service'],
       registers,
     });
+    this.#pauses = new Counter({
+      name: 'pistachiospoke_upstream_pauses_total',
+      help: 'Pauses that upstreams asked for when they rejected requests, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.#leaving = new Counter({
+      name: 'pistachiospoke_upstreams_leaving_total',
+      help: 'Upstreams that announced in a response that they are shutting down, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.#sentToUnavailable = new Counter({
+      name: 'pistachiospoke_requests_to_unavailable_upstreams_total',
+      help: 'Requests sent to upstreams that had asked for a pause or were leaving, by service and reason.',
+      labelNames: ['service', 'reason'],
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'pistachiospoke_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer.',
@@ -74,6 +96,18 @@
     this.#sentToLimited.inc({ service });
   }
 
+  notePause(service: string): void {
+    this.#pauses.inc({ service });
+  }
+
+  noteLeaving(service: string): void {
+    this.#leaving.inc({ service });
+  }
+
+  noteSentToUnavailable(service: string, reason: Unavailability): void {
+    this.#sentToUnavailable.inc({ service, reason });
+  }
+
   noteOutcome(route: string, { result, attempts, duration, times }: DeliveryOutcome): void {
     this.#ended.inc({ route, result });
     this.#duration.observe({ route }, duration / millisecondsPerSecond);
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -33,5 +33,11 @@
 export { TargetChooser, type Target, type TargetChoice } from './target.js';
 export { TargetLoads } from './target-loads.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
+export { UpstreamAvailability, type Unavailability } from './upstream-availability.js';
 export { UpstreamConnections } from './upstream-connections.js';
+export {
+  UpstreamObserver,
+  type AnsweredRequest,
+  type UpstreamObserverOptions,
+} from './upstream-observer.js';
 export { probeUpstream, type ProbeVerdict } from './upstream-probe.js';
--- /dev/null
+++ b/src/gateway/direct/upstream-observer.ts
@@ -0,0 +1,96 @@
+import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
+import { formatIdentity } from '../../routing/index.js';
+import type { DirectMetrics } from './direct-metrics.js';
+import type { ResponseMetadata } from './dialect.js';
+import type { RequestPermits } from './request-permits.js';
+import type { Target } from './target.js';
+import type { TargetLoads } from './target-loads.js';
+import type { UpstreamAvailability } from './upstream-availability.js';
+
+/** Records what the headers of responses say about the upstreams that sent them. */
+
+/** The request that a response answers. */
+export interface AnsweredRequest {
+  readonly requestId: string | undefined;
+  readonly sentAt: Milliseconds;
+}
+
+export interface UpstreamObserverOptions {
+  readonly loads: TargetLoads;
+  readonly permits: RequestPermits;
+  readonly availability: UpstreamAvailability;
+  readonly metrics: DirectMetrics;
+  readonly clock: Clock;
+  readonly log: RateLimitedLog;
+  /** Called when a target has reported its load, so that a waiting request may be sent. */
+  readonly onCapacityChanged: () => void;
+}
+
+export class UpstreamObserver {
+  readonly #options: UpstreamObserverOptions;
+
+  constructor(options: UpstreamObserverOptions) {
+    this.#options = options;
+  }
+
+  /** Records that a request is being written to a connection of the target. */
+  noteWritten(target: Target, requestId: string | undefined): void {
+    const { availability, metrics, clock, log } = this.#options;
+    const upstream = formatIdentity(target.instance);
+    const reason = availability.findUnavailability(upstream, clock.monotonic());
+    if (reason !== undefined) {
+      metrics.noteSentToUnavailable(target.service, reason);
+      log.info({ upstream, reason, requestId }, 'request sent to an unavailable upstream');
+    }
+  }
+
+  noteResponse(target: Target, facts: ResponseMetadata, request: AnsweredRequest): void {
+    const { loads, clock, onCapacityChanged } = this.#options;
+    loads.noteAnswered(target);
+    this.#noteAvailability(target, facts);
+    this.#noteRateLimit(target, facts, request);
+    if (facts.load !== undefined) {
+      loads.noteLoad(target, facts.load, clock.monotonic());
+      onCapacityChanged();
+    }
+  }
+
+  /** A late response to an earlier request counts too: it comes on a connection to the same process. */
+  #noteAvailability(
+    target: Target,
+    { retryAfter: pause, isLeaving, requestId }: ResponseMetadata,
+  ): void {
+    const { availability, metrics, clock, log } = this.#options;
+    const { key, service, instance } = target;
+    const upstream = formatIdentity(instance);
+    const fields = { upstream, target: key, service, requestId };
+    if (pause !== undefined && availability.notePause(upstream, pause, clock.monotonic())) {
+      metrics.notePause(service);
+      log.info({ ...fields, pause }, 'upstream asked for a pause');
+    }
+    if (isLeaving && availability.noteLeaving(upstream)) {
+      metrics.noteLeaving(service);
+      log.info(fields, 'upstream is leaving');
+    }
+  }
+
+  /** Ignores responses from another upstream or to another request: their rate limit may not be that of the target. */
+  #noteRateLimit(
+    target: Target,
+    { isMisdirected, requestId: answeredId, requestsPerSecond }: ResponseMetadata,
+    { requestId, sentAt }: AnsweredRequest,
+  ): void {
+    if (isMisdirected || (answeredId !== undefined && answeredId !== requestId)) {
+      return;
+    }
+    const { permits, clock, log } = this.#options;
+    const upstream = formatIdentity(target.instance);
+    if (permits.noteAnswer(upstream, requestsPerSecond, sentAt, clock.monotonic())) {
+      const fields = { upstream, target: target.key, requestId };
+      log.info(
+        { ...fields, requestsPerSecond: requestsPerSecond ?? null },
+        'upstream rate limit changed',
+      );
+    }
+  }
+}
