--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -286,6 +286,99 @@
   });
 });
 
+/** Rejects a request as not run and asks for a pause of this many seconds. */
+function rejectWithPause(response: ServerResponse, seconds: number): void {
+  response.writeHead(503, { 'x-not-executed': '1', 'retry-after': String(seconds) }).end();
+}
+
+describe('an upstream that asks for a pause', () => {
+  function acceptAll(_: IncomingMessage, response: ServerResponse): void {
+    response.end('done');
+  }
+
+  // Guards against sending an upstream requests in the pause it asked for, because it has none in flight and looks the least loaded.
+  it('gets no requests until the pause is over', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    first.handle = (_, response) => {
+      rejectWithPause(response, 600);
+    };
+    second.handle = acceptAll;
+    for (let count = 0; count < 12; count += 1) {
+      expect((await call('POST', '/book/7').answer).body).toBe('done');
+    }
+    expect(first.received).toHaveLength(1);
+  });
+
+  // Guards against an upstream that is lost for good, because its pause is never taken to be over.
+  it('gets requests again after the pause', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      if (first.received.length === 1) {
+        rejectWithPause(response, 0.3);
+        return;
+      }
+      response.end('done');
+    };
+    expect((await call('GET', '/lookup/7').answer).status).toBe(503);
+    await waitFor('an answer', async () => (await call('GET', '/lookup/7').answer).body === 'done');
+  });
+
+  // Guards against requests that reach an upstream in its pause because they had waited for a connection when it asked for one.
+  it('gets no requests that were waiting for a connection', async () => {
+    const connections = 2;
+    const services = [{ name: 'desk', maximumConnections: connections }];
+    const table = new RouteTable(createDocument({ services }));
+    changeView({ table, instances: new Map([createInstance('i-1', first)]) });
+    const held: ServerResponse[] = [];
+    first.handle = (_, response) => {
+      held.push(response);
+    };
+    second.handle = acceptAll;
+    const calls = Array.from({ length: 8 }, () => call('POST', '/book/7').answer);
+    await waitFor('requests on all connections', () => held.length === connections);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    held.forEach((response) => {
+      rejectWithPause(response, 600);
+    });
+    const answers = await Promise.all(calls);
+    expect(answers.map(({ body }) => body)).toEqual(Array(8).fill('done'));
+    expect(first.received).toHaveLength(connections);
+  });
+
+  // Guards against callers that wait in vain until their deadline, and are then told to retry before any upstream accepts requests.
+  it('is not waited for if its pause outlasts the wait; the caller learns when it ends', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      rejectWithPause(response, 600);
+    };
+    await call('GET', '/lookup/7').answer;
+    const answer = await call('GET', '/lookup/7').answer;
+    expect(answer.status).toBe(503);
+    expect(JSON.parse(answer.body)).toMatchObject({ error: { name: 'upstreamsPaused' } });
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(590);
+    expect(first.received).toHaveLength(1);
+  });
+
+  // Guards against a pause that is forgotten when the upstream is missing from the routing state for a moment.
+  it('gets no requests after it was missing from the routing state', async () => {
+    const instances = new Map([createInstance('i-1', first)]);
+    changeView({ instances });
+    first.handle = (_, response) => {
+      rejectWithPause(response, 600);
+    };
+    await call('GET', '/lookup/7').answer;
+    changeView({ instances: new Map() });
+    changeView({ instances });
+    expect((await call('GET', '/lookup/7').answer).status).toBe(503);
+    expect(first.received).toHaveLength(1);
+  });
+});
+
 describe('streams', () => {
   const stream = { 'content-type': 'text/event-stream', 'x-response-seal': 'first' };
 
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -1,6 +1,6 @@
 import { join } from 'node:path';
 
-import { ProgramGroup, reservePort, type RunningProgram } from '../support/index.js';
+import { ProgramGroup, reservePort, waitFor, type RunningProgram } from '../support/index.js';
 import { TestEngine } from './test-engine.js';
 
 /** Runs the built programs for the platform as processes, with a test engine next to each sidecar. */
@@ -72,6 +72,19 @@
     return call(`http://${address}${path}`, { method, ...(body === undefined ? {} : { body }) });
   }
 
+  /** Resends a manifest until control accepts it. */
+  async applyManifest(version: number): Promise<void> {
+    await waitFor(`manifest ${version} to be accepted`, async () => {
+      const { status } = await this.callControl(0, 'POST', '/Config.Put', this.manifest(version));
+      return status === 200;
+    });
+  }
+
+  /** The engines that serve as the heads of open groups. */
+  findHeads(): readonly TestEngine[] {
+    return this.engines.filter((engine) => engine.isOpen);
+  }
+
   /** Requests a stream through the gateway with the given index. */
   async stream(requestId: string, { gateway = 0, body = '{}' } = {}): Promise<CallResult> {
     return call(`http://${this.#gatewayAddresses[gateway] ?? ''}/draft/1`, {
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -18,6 +18,16 @@
   readonly peers?: readonly string[];
 }
 
+/** A request as the engine answered it. */
+export interface ReceivedRequest {
+  readonly id: string;
+  /** Arrival time in milliseconds of the monotonic clock. */
+  readonly at: number;
+  /** Pause in milliseconds that the engine asked for as it rejected the request. */
+  readonly pause: number | undefined;
+}
+
+const millisecondsPerSecond = 1000;
 const joinDuration = 30;
 const openDuration = 30;
 const eventInterval = 20;
@@ -37,8 +47,12 @@
   readonly crashes: string[] = [];
   /** Advertised rate limit in requests per second; undefined for none. */
   rateLimit: number | undefined;
+  /** Pause in seconds that the engine asks for while it rejects every request; undefined while it accepts them. */
+  retryAfter: number | undefined;
   /** Arrival time of each request, in milliseconds of the monotonic clock. */
   readonly arrivals: number[] = [];
+  /** The requests that asked for this engine, in order of arrival. */
+  readonly received: ReceivedRequest[] = [];
   /** Delay of the report in milliseconds. */
   reportDelay = 0;
   readonly #host: string;
@@ -208,6 +222,14 @@
       response.writeHead(421, { 'x-instance-id': this.id, 'x-not-executed': '1' }).end();
       return;
     }
+    const pause =
+      this.retryAfter === undefined ? undefined : this.retryAfter * millisecondsPerSecond;
+    this.received.push({ id, at: performance.now(), pause });
+    if (pause !== undefined) {
+      const headers = { 'x-not-executed': '1', 'retry-after': String(this.retryAfter) };
+      response.writeHead(503, { 'x-attempt-id': id, ...headers }).end();
+      return;
+    }
     this.runs.push(id);
     if (body.includes(crashingContent)) {
       void this.#crashDuring(id, response);
