Send an upstream nothing in the pause that it asked for by Retry-After

The two heads that rejected everything got several times as many requests as before, each of which cost a retry, until the retry budget was spent.

Cause: a 503 was decoded as 'not run' for the one request that got it. Retry-After was not read, and nothing was remembered of the upstream, which had no request in flight and so looked the least loaded to the next request. Class: what a rejection says about its upstream is dropped with the request.

Change: gateways remember the pause of each start of an upstream, also while it is missing from the routing state. TargetChooser, which first sends, retries, moved, urgent and resumed requests all go through, excludes it; an attempt that still waits for a connection there is withdrawn and does not count as one. The first request after a pause is a probe. If all upstreams are paused beyond what the request may wait, and no group is about to open, it is rejected at once (2015 upstreamsPaused) with the time until the first pause ends.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -14,6 +14,8 @@
   targets: string[] = ['a', 'b', 'c'];
   isFull = false;
   isSent = true;
+  readonly paused = new Set<string>();
+  pausedUntil = 0;
   repeats = 10;
   isQuarantined = false;
   readonly controller: DeliveryController;
@@ -25,6 +27,7 @@
       {
         choose: (tried) => this.#choose(tried),
         isStillServing: ({ key }) => !this.lost.has(key),
+        isAvailable: ({ key }) => !this.paused.has(key),
         isSent: () => this.isSent,
         spendRetry: () => {
           this.repeats -= 1;
@@ -36,10 +39,14 @@
   }
 
   #choose(tried: ReadonlySet<string>): TargetChoice {
-    const key = this.targets.find((each) => !tried.has(each) && !this.lost.has(each));
+    const untried = this.targets.filter((each) => !tried.has(each) && !this.lost.has(each));
+    const key = untried.find((each) => !this.paused.has(each));
     if (this.isFull) {
       return { type: 'full' };
     }
+    if (untried.length > 0 && key === undefined) {
+      return { type: 'paused', until: this.pausedUntil };
+    }
     return key === undefined ? { type: 'none' } : { type: 'target', target: createTarget(key) };
   }
 }
@@ -90,6 +97,36 @@
     expect(session.controller.handle({ type: 'failed', now: 100 })).toEqual([]);
   });
 
+  // Guards against callers that wait for the end of a pause although they would be refused before it.
+  it.each([
+    [1000, []],
+    [1001, ['fail upstreamsPaused']],
+  ])('waits for a pause that ends at %i only if it can wait that long', (until, expected) => {
+    const session = new Session({ deadline: 6000, startedAt: 500 });
+    session.targets.forEach((key) => session.paused.add(key));
+    session.pausedUntil = until;
+    const { controller } = session;
+    expect(describeEffects(controller.handle({ type: 'started', now: 500 }))).toEqual(expected);
+    if (controller.isWaiting) {
+      session.paused.clear();
+      const effects = controller.handle({ type: 'targetsChanged', now: 1000 });
+      expect(describeEffects(effects)).toEqual(['send a 5000']);
+    }
+  });
+
+  // Guards against refusing a caller for an attempt that was never sent: its upstream asked for a pause while it waited for a connection.
+  it('goes to another upstream if its upstream asks for a pause before it is sent', () => {
+    const session = new Session({ attempts: 1, isRetryable: false });
+    const { controller } = session;
+    controller.handle({ type: 'started', now: 0 });
+    session.paused.add('a');
+    expect(controller.handle({ type: 'targetsChanged', now: 50 })).toEqual([]);
+    session.isSent = false;
+    const effects = controller.handle({ type: 'targetsChanged', now: 100 });
+    expect(describeEffects(effects)).toEqual(['cancel', 'send b 5900']);
+    expect(controller.attemptCount).toBe(1);
+  });
+
   // Guards against callers that wait at a stalled upstream until their deadlines, and whose requests run when it resumes, after they have
   // left. The host of a head is frozen, and nothing reports it; requests moved only on information from control.
   it('moves to another upstream when its upstream stalls', () => {
--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -7,6 +7,7 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type GatewayPosition,
   type Target,
 } from '../../src/gateway/direct/index.js';
@@ -240,7 +241,9 @@
 ): Gateway {
   const loads = new TargetLoads();
   const permits = new RequestPermits(1, 0);
-  const options = { readView: () => view, loads, permits, readPosition: () => place, random };
+  const availability = new UpstreamAvailability();
+  const shared = { loads, availability, permits, random };
+  const options = { ...shared, readView: () => view, readPosition: () => place };
   return { name, loads, chooser: new TargetChooser(options), waiting: [] };
 }
 
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -5,6 +5,7 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type Target,
 } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, EnginePhase } from '../../src/routing/index.js';
@@ -37,8 +38,10 @@
     instances: new Map([createInstance('a'), createInstance('bb'), createInstance('ccc', true)]),
   };
   const permits = new RequestPermits(1, 0);
+  const availability = new UpstreamAvailability();
   const random = createRandomSource(1);
-  const chooser = new TargetChooser({ readView: () => view, loads, permits, random });
+  const options = { readView: () => view, loads, availability, permits, random };
+  const chooser = new TargetChooser(options);
   const choose = (tried: readonly string[] = [], now = 0, isUrgent = false): string => {
     if (engines === undefined) {
       throw new Error('the document has no service');
@@ -47,7 +50,7 @@
     const choice = chooser.choose(question, now);
     return choice.type === 'target' ? choice.target.key : choice.type;
   };
-  return { loads, permits, chooser, choose };
+  return { loads, availability, permits, chooser, choose, view };
 }
 
 function findTarget(chooser: TargetChooser, key: string): Target {
@@ -72,6 +75,32 @@
     expect(choose(['small/2'], 40, true)).toBe('full');
   });
 
+  // Guards against choosing an upstream in the pause it asked for, also for requests that any upstream is good enough for.
+  it('excludes an upstream that asked for a pause, until the pause is over', () => {
+    const { availability, choose } = createChooser();
+    availability.notePause('i-small/1', 3000, 0);
+    availability.notePause('i-small/1', 1000, 500);
+    expect(choose([], 600)).toBe('small/2');
+    expect(choose(['small/2'], 2999)).toBe('paused');
+    expect(choose(['small/2'], 2999, true)).toBe('paused');
+    expect(choose(['small/2'], 3000)).toBe('small/1');
+  });
+
+  // Guards against rejecting requests for the pause of one group while another group of the model is about to open.
+  it('is "paused" only if no other group can serve soon', () => {
+    const { availability, loads, chooser, choose, view } = createChooser();
+    availability.notePause('i-small/1', 3000, 0);
+    expect(choose(['small/2'])).toBe('paused');
+    expect(choose(['small/1', 'small/2'])).toBe('none');
+    loads.noteClosed(findTarget(chooser, 'small/2'), 0);
+    expect(choose()).toBe('none');
+    loads.noteReopening({ key: 'small/2' });
+    availability.notePause('i-small/2', 2000, 0);
+    expect(choose()).toBe('paused');
+    view.engineGroups.set(...createGroup('small/5', 'opening'));
+    expect(choose()).toBe('none');
+  });
+
   it('is among open groups of the model only', () => {
     const { choose } = createChooser();
     expect(choose(['small/1'])).toBe('small/2');
@@ -193,6 +222,7 @@
     const chooser = new TargetChooser({
       readView: read,
       loads,
+      availability: new UpstreamAvailability(),
       permits: new RequestPermits(1, 0),
       random,
     });
--- a/src/common/result-codes/attempt-codes.ts
+++ b/src/common/result-codes/attempt-codes.ts
@@ -114,6 +114,14 @@
     'The gateway has no routing document that control vouches for now.',
     'Wait for the time in Retry-After; another gateway may have one.',
   ),
+  upstreamsPaused: createResultCode(
+    2015,
+    503,
+    'notRun',
+    true,
+    'Every upstream that could take the request has asked the gateway for a pause.',
+    'Wait for the time in Retry-After.',
+  ),
   answerLost: createResultCode(
     2101,
     502,
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -1,6 +1,7 @@
 import {
   assertNever,
   createFailure,
+  resultCodes,
   type Failure,
   type Milliseconds,
   type ResultCodeName,
@@ -49,6 +50,8 @@
   ) => TargetChoice;
   /** Whether the target still serves what it was chosen for; true while it drains. */
   readonly isStillServing: (target: Target) => boolean;
+  /** Whether the target accepts requests from this gateway. */
+  readonly isAvailable: (target: Target, now: Milliseconds) => boolean;
   /** Whether the current attempt may have reached its upstream; false while its connection is still being opened. */
   readonly isSent: () => boolean;
   /** Takes one retry from the budget of the service; false if the budget is spent. */
@@ -231,13 +234,12 @@
    * another group at once; any other keeps waiting for the response of its upstream.
    */
   #handleLostTarget(target: Target, now: Milliseconds): readonly DeliveryEffect[] {
-    if (this.#dependencies.isStillServing(target)) {
-      return [];
+    const { isSent, isStillServing, isAvailable } = this.#dependencies;
+    const isServing = isStillServing(target);
+    if (!isSent()) {
+      return isServing && isAvailable(target, now) ? [] : this.#withdraw(target, now);
     }
-    if (!this.#dependencies.isSent()) {
-      return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
-    }
-    if (!this.#options.isRetryable) {
+    if (isServing || !this.#options.isRetryable) {
       return [];
     }
     this.#mayHaveRun = true;
@@ -258,6 +260,12 @@
     return [];
   }
 
+  /** Takes back an attempt that still waits for a connection; it does not count as one. */
+  #withdraw(target: Target, now: Milliseconds): readonly DeliveryEffect[] {
+    this.#tried.delete(target.key);
+    return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
+  }
+
   /** Sends a request whose current attempt never left to another upstream. */
   #resendUnsent(now: Milliseconds): readonly DeliveryEffect[] {
     if (this.#phase.type === 'running') {
@@ -347,16 +355,34 @@
       case 'none':
         this.#phase = { ...waiting, code: 'noServingGroup' };
         return [];
-      case 'full': {
-        const reasonSince = waiting.code === 'noServingGroup' ? now : waiting.reasonSince;
-        this.#phase = { ...waiting, reasonSince, code: 'overloaded' };
+      case 'full':
+        this.#phase = waitWhileBusy(waiting, 'overloaded', now);
         return [];
-      }
+      case 'paused':
+        return this.#waitForPause(
+          waitWhileBusy(waiting, 'upstreamsPaused', now),
+          choice.until,
+          now,
+        );
       case 'target':
         return [this.#send(choice.target, now)];
     }
   }
 
+  /** Waits for the end of a pause at `until`, or rejects the request at once if it could not wait that long. */
+  #waitForPause(
+    phase: WaitingPhase,
+    until: Milliseconds,
+    now: Milliseconds,
+  ): readonly DeliveryEffect[] {
+    const latest = Math.min(this.#findWaitEnd(phase), this.#options.deadline - minimumRun);
+    if (until > latest) {
+      return [this.#giveUp('upstreamsPaused', now, until)];
+    }
+    this.#phase = phase;
+    return [];
+  }
+
   #send(target: Target, now: Milliseconds): DeliveryEffect {
     if (this.#reached.size > 0 && !this.#dependencies.spendRetry()) {
       return this.#giveUp('retryBudgetSpent', now);
@@ -371,15 +397,18 @@
     return { type: 'send', target, remaining: this.#options.deadline - now };
   }
 
-  /** Ends the request with a failure; the failure says "not run" only if no attempt can have run. */
-  #giveUp(code: ResultCodeName, now: Milliseconds): DeliveryEffect {
+  /**
+   * Ends the request with a failure; the failure says "not run" only if no attempt can have run.
+   * `availableAt`: earliest time at which a retry can succeed, as far as known.
+   */
+  #giveUp(code: ResultCodeName, now: Milliseconds, availableAt = now): DeliveryEffect {
     this.#phase = { type: 'over' };
     if (this.#isPassedOn) {
       return { type: 'cut', failure: createFailure(code, '') };
     }
-    const isKnownNotRun = !this.#mayHaveRun && isNotRun(code);
+    const isKnownNotRun = !this.#mayHaveRun && resultCodes[code].outcome === 'notRun';
     const failure = isKnownNotRun
-      ? createFailure(code, '', chooseRetryAfter(this.#options.deadline - now))
+      ? createFailure(code, '', chooseRetryAfter(this.#options.deadline - now, availableAt - now))
       : createFailure(isReportedUnchanged(code) ? code : 'answerLost', '');
     return { type: 'fail', failure };
   }
@@ -389,11 +418,17 @@
   return { type: 'waiting', waitingSince: now, reasonSince: now, code };
 }
 
+/** A request that waited for any upstream starts to wait anew for one that can accept it. */
+function waitWhileBusy(
+  waiting: WaitingPhase,
+  code: 'overloaded' | 'upstreamsPaused',
+  now: Milliseconds,
+): WaitingPhase {
+  const reasonSince = waiting.code === 'noServingGroup' ? now : waiting.reasonSince;
+  return { ...waiting, reasonSince, code };
+}
+
 /** Codes that the caller receives unchanged even if the request may have run; all others are replaced with `answerLost`. */
 function isReportedUnchanged(code: ResultCodeName): boolean {
   return code === 'deadlineAfterStart' || code === 'requestQuarantined';
 }
-
-function isNotRun(code: ResultCodeName): boolean {
-  return code === 'overloaded' || code === 'noServingGroup' || code === 'retryBudgetSpent';
-}
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -73,6 +73,7 @@
       {
         choose: (tried, now, isUrgent) => chooser.choose({ service, model, tried, isUrgent }, now),
         isStillServing: (target) => chooser.isStillServing(target),
+        isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
         spendRetry: () => dependencies.spendRetry(service.name),
         isQuarantined: (now) => {
@@ -109,6 +110,13 @@
     }
   }
 
+  /** An upstream accepts no more requests. Affects a request that is assigned to it but not sent yet. */
+  noteUpstreamUnavailable(): void {
+    if (this.#attempt?.isSent === false) {
+      this.#handle({ type: 'targetsChanged', now: this.#now() });
+    }
+  }
+
   /** The named targets have stalled. */
   noteStalled(stalled: ReadonlySet<string>): void {
     const before = this.#target?.key;
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -118,6 +118,11 @@
         onCapacityChanged: () => {
           this.#retryWaiting();
         },
+        onUnavailable: () => {
+          for (const delivery of this.#deliveries) {
+            delivery.noteUpstreamUnavailable();
+          }
+        },
       }),
       onSentToLimited: ({ name }) => {
         this.#options.metrics.noteSentToLimited(name);
@@ -131,6 +136,7 @@
       chooser: new TargetChooser({
         readView,
         loads: this.#loads,
+        availability: this.#availability,
         permits: this.#permits,
         readPosition: () => this.#position,
         random,
--- a/src/gateway/direct/retry-after.ts
+++ b/src/gateway/direct/retry-after.ts
@@ -9,7 +9,23 @@
 const minimumDelay: Milliseconds = 200;
 const maximumDelay: Milliseconds = 2000;
 
-/** Returns the delay before the retry of a caller that is refused with this much time remaining. */
-export function chooseRetryAfter(remaining: Milliseconds): Milliseconds {
-  return Math.min(maximumDelay, Math.max(minimumDelay, Math.round(remaining * remainingTimeShare)));
+/**
+ * Refused callers return over this share of their remaining time, those with the least time first. If all returned at the moment at which
+ * upstreams accept requests again, the upstreams would be overloaded at once.
+ */
+const returnSpread = 0.1;
+
+/**
+ * Returns the delay before the retry of a caller that is refused with this much time remaining.
+ * `unavailableFor`: time for which a retry is known to be refused as well.
+ */
+export function chooseRetryAfter(
+  remaining: Milliseconds,
+  unavailableFor: Milliseconds = 0,
+): Milliseconds {
+  const usual = Math.round(remaining * remainingTimeShare);
+  const delay = Math.min(maximumDelay, Math.max(minimumDelay, usual));
+  return delay >= unavailableFor
+    ? delay
+    : Math.ceil(unavailableFor) + Math.round(remaining * returnSpread);
 }
--- a/src/gateway/direct/target-loads.ts
+++ b/src/gateway/direct/target-loads.ts
@@ -82,6 +82,11 @@
     load.hasAnswered = false;
   }
 
+  /** Records that the upstream asked for a pause. The first request after it is a probe, so that not all that wait by then follow at once. */
+  notePause({ key }: Pick<Target, 'key'>): void {
+    this.#find(key).hasAnswered = false;
+  }
+
   /** Records that control has ordered the group to open again. */
   noteReopening({ key }: Pick<Target, 'key'>): void {
     this.#find(key).closedUntil = Number.NEGATIVE_INFINITY;
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -11,6 +11,7 @@
 import { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
 import type { RequestPermits } from './request-permits.js';
 import type { TargetLoads } from './target-loads.js';
+import type { UpstreamAvailability } from './upstream-availability.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
 
@@ -38,10 +39,14 @@
   readonly isUrgent?: boolean;
 }
 
-/** `full`: all possible targets are at their limits. `none`: there is no possible target. */
+/**
+ * `full`: all possible targets are at their limits. `paused`: all possible targets have asked for pauses, and none is about to open; the
+ * first pause ends at `until`. `none`: there is no possible target.
+ */
 export type TargetChoice =
   | { readonly type: 'target'; readonly target: Target }
   | { readonly type: 'full' }
+  | { readonly type: 'paused'; readonly until: Milliseconds }
   | { readonly type: 'none' };
 
 /**
@@ -55,6 +60,7 @@
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
+  readonly availability: UpstreamAvailability;
   readonly permits: RequestPermits;
   /** Position of this gateway; undefined while unknown, or if no other gateways share the targets. */
   readonly readPosition?: () => GatewayPosition | undefined;
@@ -79,9 +85,13 @@
   ): TargetChoice {
     const { loads, permits } = this.#options;
     const targets = this.listTargets(service, model);
-    const all = targets.filter((target) => !tried.has(target.key) && !loads.isClosed(target, now));
+    const all = targets.filter((target) => {
+      return (
+        !tried.has(target.key) && !loads.isClosed(target, now) && this.isAvailable(target, now)
+      );
+    });
     if (all.length === 0) {
-      return { type: 'none' };
+      return this.#describeAbsence(targets, { service, model, tried }, now);
     }
     const preferred = this.#findPreferred(service, targets);
     for (const { key, instance } of all) {
@@ -100,6 +110,29 @@
     return best === undefined ? { type: 'full' } : { type: 'target', target: best };
   }
 
+  /** Without a target, tells whether only pauses are the reason. Groups that are about to open make the wait worthwhile. */
+  #describeAbsence(
+    targets: readonly Target[],
+    { service, model, tried }: TargetCriteria,
+    now: Milliseconds,
+  ): TargetChoice {
+    const { loads, availability, readView } = this.#options;
+    const untried = targets.filter(({ key }) => !tried.has(key));
+    const possible = untried.length > 0 ? untried : targets;
+    const ends = possible.map((target) => {
+      const upstream = formatIdentity(target.instance);
+      return loads.isClosed(target, now) ? undefined : availability.pausedUntil(upstream, now);
+    });
+    const isOpening = [...readView().engineGroups.values()].some((group) => {
+      const isWanted = group.service === service.name && group.model === model;
+      return isWanted && (group.phase === 'joining' || group.phase === 'opening');
+    });
+    const until = Math.min(...ends.filter((end) => end !== undefined));
+    return ends.length === 0 || ends.includes(undefined) || isOpening
+      ? { type: 'none' }
+      : { type: 'paused', until };
+  }
+
   #findLeastLoaded(targets: readonly Target[], now: Milliseconds): Target | undefined {
     const { loads, random } = this.#options;
     const ranked = targets
@@ -127,6 +160,11 @@
     return known?.service === service && isSameStart(known, instance);
   }
 
+  /** Whether the upstream accepts requests from this gateway. */
+  isAvailable({ instance }: Target, now: Milliseconds): boolean {
+    return this.#options.availability.pausedUntil(formatIdentity(instance), now) === undefined;
+  }
+
   listTargets(service: RoutedService, model: string | undefined): readonly Target[] {
     const { engineGroups, instances } = this.#options.readView();
     if (service.engine !== undefined) {
--- a/src/gateway/direct/upstream-availability.ts
+++ b/src/gateway/direct/upstream-availability.ts
@@ -18,11 +18,11 @@
   readonly #pausedUntil = new LRUCache<string, Milliseconds>({ max: maximumUpstreams });
   readonly #leaving = new LRUCache<string, true>({ max: maximumUpstreams });
 
-  /** Records that the upstream asked for a pause of this length. Returns whether it was not paused before. */
+  /** Records that the upstream asked for a pause of this length. Returns whether a pause begins. */
   notePause(upstream: string, duration: Milliseconds, now: Milliseconds): boolean {
     const before = this.pausedUntil(upstream, now);
     this.#pausedUntil.set(upstream, Math.max(before ?? 0, now + duration));
-    return before === undefined;
+    return before === undefined && duration > 0;
   }
 
   /** Records that the upstream is shutting down, which it does not take back. Returns whether that was unknown. */
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -24,6 +24,8 @@
   readonly log: RateLimitedLog;
   /** Called when a target has reported its load, so that a waiting request may be sent. */
   readonly onCapacityChanged: () => void;
+  /** Called when an upstream accepts no more requests; those that are not sent yet must go elsewhere. */
+  readonly onUnavailable: () => void;
 }
 
 export class UpstreamObserver {
@@ -60,13 +62,15 @@
     target: Target,
     { retryAfter: pause, isLeaving, requestId }: ResponseMetadata,
   ): void {
-    const { availability, metrics, clock, log } = this.#options;
+    const { loads, availability, metrics, clock, log, onUnavailable } = this.#options;
     const { key, service, instance } = target;
     const upstream = formatIdentity(instance);
     const fields = { upstream, target: key, service, requestId };
     if (pause !== undefined && availability.notePause(upstream, pause, clock.monotonic())) {
       metrics.notePause(service);
       log.info({ ...fields, pause }, 'upstream asked for a pause');
+      loads.notePause(target);
+      onUnavailable();
     }
     if (isLeaving && availability.noteLeaving(upstream)) {
       metrics.noteLeaving(service);
