Failing tests: upstreams that say in a response that they are leaving get requests afterwards

Over HTTP at one gateway: after an answer, after a rejection, after a late answer to an earlier request.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -379,6 +379,33 @@
   });
 });
 
+describe('an upstream that says in a response that it is leaving', () => {
+  const leaving = { 'server-leaving': '1' };
+
+  // Guards against sending requests to an upstream that is shutting down, because only control's word on it counts.
+  it.each([
+    ['an answer', 200, {}],
+    ['a rejection', 503, { 'x-not-executed': '1' }],
+    ['an answer to an earlier request', 200, { 'x-attempt-id': 'r-0' }],
+  ])('gets no more requests after %s', async (_, status, headers) => {
+    const instances = new Map([createInstance('i-1', first)]);
+    changeView({ instances });
+    first.handle = (_request, response) => {
+      response.writeHead(status, { ...leaving, ...headers }).end('done');
+    };
+    second.handle = (_request, response) => {
+      response.end('of the other');
+    };
+    await call('GET', '/lookup/7').answer;
+    changeView({ instances: new Map() });
+    changeView({ instances: new Map([...instances, createInstance('i-2', second)]) });
+    for (let count = 0; count < 8; count += 1) {
+      expect((await call('POST', '/book/7').answer).body).toBe('of the other');
+    }
+    expect(first.received).toHaveLength(1);
+  });
+});
+
 describe('streams', () => {
   const stream = { 'content-type': 'text/event-stream', 'x-response-seal': 'first' };
 
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -25,6 +25,8 @@
   readonly at: number;
   /** Pause in milliseconds that the engine asked for as it rejected the request. */
   readonly pause: number | undefined;
+  /** Whether the response says that the engine is leaving. */
+  readonly isLeaving: boolean;
 }
 
 const millisecondsPerSecond = 1000;
@@ -49,6 +51,8 @@
   rateLimit: number | undefined;
   /** Pause in seconds that the engine asks for while it rejects every request; undefined while it accepts them. */
   retryAfter: number | undefined;
+  /** Whether each response says that the engine is leaving. */
+  isLeaving = false;
   /** Arrival time of each request, in milliseconds of the monotonic clock. */
   readonly arrivals: number[] = [];
   /** The requests that asked for this engine, in order of arrival. */
@@ -215,6 +219,10 @@
     }
   }
 
+  get #leavingHeader(): Readonly<Record<string, string>> {
+    return this.isLeaving ? { 'server-leaving': '1' } : {};
+  }
+
   #stream(request: IncomingMessage, body: string, response: ServerResponse): void {
     const id = String(request.headers['x-attempt-id']);
     this.arrivals.push(performance.now());
@@ -224,10 +232,11 @@
     }
     const pause =
       this.retryAfter === undefined ? undefined : this.retryAfter * millisecondsPerSecond;
-    this.received.push({ id, at: performance.now(), pause });
+    const { isLeaving } = this;
+    this.received.push({ id, at: performance.now(), pause, isLeaving });
     if (pause !== undefined) {
       const headers = { 'x-not-executed': '1', 'retry-after': String(this.retryAfter) };
-      response.writeHead(503, { 'x-attempt-id': id, ...headers }).end();
+      response.writeHead(503, { 'x-attempt-id': id, ...headers, ...this.#leavingHeader }).end();
       return;
     }
     this.runs.push(id);
@@ -239,6 +248,7 @@
       'content-type': 'text/event-stream',
       'x-attempt-id': id,
       'x-response-seal': `seal-of-${this.id}`,
+      ...this.#leavingHeader,
       ...(this.rateLimit === undefined ? {} : { 'server-limit': String(this.rateLimit) }),
     });
     let next = Number(request.headers['last-event-id'] ?? 0) + 1;
