Send an upstream nothing after it said in a response that it is leaving

Callers would see: requests sent to upstreams that end under them, up to the time at which control has heard of it and told the gateways; for a gateway that is cut off from control, without end.

Cause: Server-Leaving was decoded for logs only; whether an upstream leaves was control's word alone. Class: as of the pauses, what a response says about its upstream is dropped with the request.

Change: a gateway remembers each start of an upstream that said so, also while it is missing from the routing state, and TargetChooser treats it as a drained one; attempts that still wait for a connection there are withdrawn. Requests that run there go on.

--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -86,6 +86,16 @@
     expect(choose(['small/2'], 3000)).toBe('small/1');
   });
 
+  // Guards against sending requests to an upstream that is shutting down until control says so too.
+  it('excludes an upstream that is leaving, for good', () => {
+    const { availability, choose } = createChooser();
+    availability.noteLeaving('i-small/1');
+    expect(choose()).toBe('small/2');
+    expect(choose(['small/2'], 1e6, true)).toBe('none');
+    availability.notePause('i-small/2', 3000, 0);
+    expect(choose([], 10)).toBe('paused');
+  });
+
   // Guards against rejecting requests for the pause of one group while another group of the model is about to open.
   it('is "paused" only if no other group can serve soon', () => {
     const { availability, loads, chooser, choose, view } = createChooser();
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -83,8 +83,10 @@
     { service, model, tried, isUrgent = false }: TargetCriteria,
     now: Milliseconds,
   ): TargetChoice {
-    const { loads, permits } = this.#options;
-    const targets = this.listTargets(service, model);
+    const { loads, availability, permits } = this.#options;
+    const targets = this.listTargets(service, model).filter(({ instance }) => {
+      return !availability.isLeaving(formatIdentity(instance));
+    });
     const all = targets.filter((target) => {
       return (
         !tried.has(target.key) && !loads.isClosed(target, now) && this.isAvailable(target, now)
@@ -162,7 +164,8 @@
 
   /** Whether the upstream accepts requests from this gateway. */
   isAvailable({ instance }: Target, now: Milliseconds): boolean {
-    return this.#options.availability.pausedUntil(formatIdentity(instance), now) === undefined;
+    const upstream = formatIdentity(instance);
+    return this.#options.availability.findUnavailability(upstream, now) === undefined;
   }
 
   listTargets(service: RoutedService, model: string | undefined): readonly Target[] {
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -75,6 +75,7 @@
     if (isLeaving && availability.noteLeaving(upstream)) {
       metrics.noteLeaving(service);
       log.info(fields, 'upstream is leaving');
+      onUnavailable();
     }
   }
 
