--- a/__tests__/attempts/attempts.test.ts
+++ b/__tests__/attempts/attempts.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import type { AttemptOrder } from '../../src/model/index.js';
+import { formatAttemptName, type AttemptOrder } from '../../src/model/index.js';
 import {
   AttemptController,
   createRequestId,
@@ -31,7 +31,7 @@
   attempts: AttemptController,
   sent: AttemptOrder,
   now: number,
-  changes: { isWhole?: boolean; isDraining?: boolean } = {},
+  changes: { isWhole?: boolean; isDraining?: boolean; concurrency?: number } = {},
 ): string {
   const group = { fencingNumber: 7, isWhole: true, isDraining: false, concurrency: 1, ...changes };
   const effects = attempts.handle({
@@ -120,6 +120,65 @@
   });
 });
 
+describe('attempts at an upstream that rejects a request and asks for a pause', () => {
+  const pause = 2000;
+
+  /** Starts an attempt that arrived at the given time, and returns the effects of its rejection by the upstream. */
+  function rejectByUpstream(attempts: AttemptController, arrivedAt: number, now: number) {
+    const key = formatAttemptName(order(arrivedAt).name);
+    attempts.handle({ type: 'confirmed', now, key, code: 'ok' });
+    const headers = [{ name: 'retry-after', value: String(pause / 1000) }];
+    return attempts.handle({ type: 'upstreamHead', now, key, status: 503, headers });
+  }
+
+  function listRefusals(effects: readonly AttemptEffect[]): readonly string[] {
+    return effects.flatMap((effect) => {
+      const isRefusal = effect.type === 'send' && effect.message.type === 'refused';
+      return isRefusal ? describeFirst([effect]) : [];
+    });
+  }
+
+  // Guards against handing an upstream requests in the pause it asked for.
+  it('are refused until the pause is over', () => {
+    const attempts = new AttemptController(incarnation);
+    arrive(attempts, order(100), 100, { concurrency: 4 });
+    rejectByUpstream(attempts, 100, 110);
+    expect(arrive(attempts, order(200), 200, { concurrency: 4 })).toBe('upstreamsPaused');
+    const [end, next] = [110 + pause, 111 + pause];
+    expect(arrive(attempts, order(end), end, { concurrency: 4 })).toBe('confirm');
+    expect(arrive(attempts, order(next), next, { concurrency: 4 })).toBe('confirm');
+  });
+
+  // Guards against attempts that wait in the queue for a pause that outlasts their wait, and against starting them in the pause.
+  it('are refused at once if they are queued and can not wait that long', () => {
+    const attempts = new AttemptController(incarnation);
+    arrive(attempts, order(100), 100);
+    const urgent = order(101, { account: 'other', remaining: pause / 2 });
+    expect(arrive(attempts, urgent, 101)).toBe('keepAlive');
+    const patient = order(102, { account: 'third', remaining: 2 * pause });
+    expect(arrive(attempts, patient, 102)).toBe('keepAlive');
+    const effects = rejectByUpstream(attempts, 100, 110);
+    expect(listRefusals(effects)).toEqual(['upstreamsPaused']);
+    const key = formatAttemptName(order(100).name);
+    const ended = attempts.handle({ type: 'upstreamEnded', now: 111, key, code: 'ok' });
+    expect(ended.filter(({ type }) => type === 'confirm')).toEqual([]);
+    const afterwards = attempts.handle({ type: 'tick', now: 110 + pause });
+    expect(afterwards.filter(({ type }) => type === 'confirm')).toHaveLength(1);
+  });
+
+  // Guards against an attempt that reaches the upstream in the pause because its leases were being confirmed when the pause began.
+  it('are refused if the pause begins while they are being confirmed', () => {
+    const attempts = new AttemptController(incarnation);
+    arrive(attempts, order(100), 100, { concurrency: 4 });
+    arrive(attempts, order(101), 101, { concurrency: 4 });
+    rejectByUpstream(attempts, 100, 110);
+    const key = formatAttemptName(order(101).name);
+    const effects = attempts.handle({ type: 'confirmed', now: 120, key, code: 'ok' });
+    expect(listRefusals(effects)).toEqual(['upstreamsPaused']);
+    expect(effects.filter(({ type }) => type === 'startUpstream')).toEqual([]);
+  });
+});
+
 describe('a resume buffer', () => {
   it('keeps the last bytes and reports their first offset', () => {
     const buffer = new ResumeBuffer(5);
--- a/__tests__/requests/whole-path.test.ts
+++ b/__tests__/requests/whole-path.test.ts
@@ -18,6 +18,38 @@
   cleanup = new Cleanup();
 });
 
+// Guards against sending requests to an upstream in the pause it asked for, and against refusing callers whom another group could serve.
+describe('an upstream beside a sidecar that rejects a request and asks for a pause', () => {
+  it('gets no more requests in the pause, while other groups serve the callers', async () => {
+    let rejected = 0;
+    const paused = await startUpstream((request, response) => {
+      request.resume();
+      rejected += 1;
+      response.writeHead(503, { 'retry-after': '600' }).end('{}');
+    }, cleanup);
+    const serving = await startUpstream((request, response) => {
+      request.resume();
+      response.writeHead(200, { 'content-type': 'application/json' }).end('{}');
+    }, cleanup);
+    const watched = new FakeWatched();
+    const groups = await Promise.all(
+      [paused, serving].map(async (upstream, index) => {
+        const sidecar = await startSidecar(upstream, admit(modelGroup('', index + 1)), cleanup);
+        return modelGroup(sidecar.address, index + 1);
+      }),
+    );
+    watched.set(groups);
+    const { url } = await startGateway(watched, cleanup);
+    const statuses: number[] = [];
+    for (let count = 0; count < 24; count += 1) {
+      const messages = [{ role: 'user', content: `question ${count}` }];
+      statuses.push((await chat(url, { messages })).status);
+    }
+    expect(rejected).toBe(1);
+    expect(statuses.filter((status) => status !== 200)).toEqual([503]);
+  });
+});
+
 describe('the path of a request through gateway, sidecar and upstream', () => {
   it('answers streamed and not streamed', async () => {
     const upstream = await startUpstream((request, response) => {
