Refuse attempts at a sidecar in the pause that its upstream asked for

Callers saw: 503 of one upstream, request after request, while other groups could serve them.

Cause: as at the gateways that send directly: a sidecar passed the 503 on and remembered nothing of it, so it handed the upstream each further attempt. Found by looking for the cause of the incident on the other path.

Change: a sidecar keeps the pause of its upstream. Attempts that arrive, or whose leases were being confirmed, are refused as not run (2015); queued ones too, at once, unless their wait outlasts the pause; the others start after it. Gateways prefer other groups until then. Gateways have to be updated before sidecars: an older one takes the new code for an internal failure.

--- a/src/gateway/attempt-follower.ts
+++ b/src/gateway/attempt-follower.ts
@@ -232,6 +232,9 @@
       return this.#abandon(refusal.code);
     }
     this.#noteAlive(refusal.load, now);
+    if (refusal.code === 'upstreamsPaused') {
+      this.#dependencies.loads.notePause(this.target.group, refusal.retryAfter, now);
+    }
     return this.#endNotRun(refusal.code, refusal.retryAfter);
   }
 
--- a/src/gateway/load-tracker.ts
+++ b/src/gateway/load-tracker.ts
@@ -23,6 +23,8 @@
   averageFirstToken: Milliseconds | undefined;
   failures: number;
   avoidedUntil: Milliseconds;
+  /** End of the pause that the upstream of the group asked for. */
+  pausedUntil: Milliseconds;
 }
 
 /**
@@ -71,6 +73,12 @@
     entry.failures += 1;
   }
 
+  /** The upstream of the group asked for a pause. Unlike a failure, an answer to an earlier attempt does not end it. */
+  notePause(group: GroupName, pause: Milliseconds, now: Milliseconds): void {
+    const entry = this.#entry(group);
+    entry.pausedUntil = Math.max(entry.pausedUntil, now + pause);
+  }
+
   /** Records the time from sending an attempt to its first byte. */
   noteFirstToken(group: GroupName, duration: Milliseconds): void {
     const entry = this.#entry(group);
@@ -79,7 +87,8 @@
   }
 
   isAvoided(group: GroupName, now: Milliseconds): boolean {
-    return now < (this.#entries.get(group)?.avoidedUntil ?? 0);
+    const { avoidedUntil = 0, pausedUntil = 0 } = this.#entries.get(group) ?? {};
+    return now < Math.max(avoidedUntil, pausedUntil);
   }
 
   /** Estimated load of a group with one more attempt, as a fraction of its capacity. */
@@ -135,6 +144,7 @@
       averageFirstToken: undefined,
       failures: 0,
       avoidedUntil: 0,
+      pausedUntil: 0,
     };
     this.#entries.set(group, created);
     return created;
--- a/src/sidecar/attempts/attempt-controller.ts
+++ b/src/sidecar/attempts/attempt-controller.ts
@@ -10,13 +10,13 @@
   type Incarnation,
   type Load,
 } from '../../model/index.js';
-import type { AdmissionController } from './admission-controller.js';
 import { checkArrival } from './arrival-check.js';
 import { AttemptOutbox } from './attempt-outbox.js';
 import { AttemptRecord } from './attempt-record.js';
 import { AttemptRegistry } from './attempt-registry.js';
 import { GroupAdmissions } from './group-admissions.js';
 import { defaultAttemptLimits, type AttemptLimits } from './limits.js';
+import { UpstreamPause } from './upstream-pause.js';
 import type {
   AttemptEffect,
   AttemptEvent,
@@ -41,6 +41,7 @@
   readonly #registry: AttemptRegistry;
   readonly #outbox = new AttemptOutbox();
   readonly #admissions: GroupAdmissions;
+  readonly #pause = new UpstreamPause();
   #revision = 0;
   #isDraining = false;
 
@@ -116,8 +117,12 @@
       isDraining: this.#isDraining,
       wallNow: event.wallNow,
     });
-    return check.type === 'refused'
-      ? this.#refuseArrival(event, check.code, shortRetryAfter)
+    if (check.type === 'refused') {
+      return this.#refuseArrival(event, check.code, shortRetryAfter);
+    }
+    const pause = this.#pause.remaining(event.now);
+    return pause > 0
+      ? this.#refuseArrival(event, 'upstreamsPaused', pause)
       : this.#admit(event, check.group);
   }
 
@@ -182,6 +187,10 @@
     if (event.code !== 'ok') {
       return this.#refuseAdmitted(record, event.code, shortRetryAfter, event.now);
     }
+    const pause = this.#pause.remaining(event.now);
+    if (pause > 0) {
+      return this.#refuseAdmitted(record, 'upstreamsPaused', pause, event.now);
+    }
     record.transition('groupConfirmed', event.now);
     const load = this.#admissions.readLoad(record.order.group);
     return [
@@ -197,7 +206,23 @@
     }
     const { status, headers, now } = event;
     record.setHead({ status, headers });
-    return this.#outbox.send(record, { type: 'head', status, headers }, now);
+    this.#pause.noteHead(status, headers, now);
+    return [
+      ...this.#outbox.send(record, { type: 'head', status, headers }, now),
+      ...this.#refuseOutwaited(now),
+    ];
+  }
+
+  /** Refuses queued attempts whose wait would end before the pause of the upstream. */
+  #refuseOutwaited(now: Milliseconds): readonly AttemptEffect[] {
+    const pause = this.#pause.remaining(now);
+    if (pause === 0) {
+      return [];
+    }
+    return [...this.#admissions].flatMap(([, admission]) => {
+      const keys = admission.expire(now + pause);
+      return keys.flatMap((key) => this.#refuseQueued(key, 'upstreamsPaused', pause, now));
+    });
   }
 
   #handleData(event: EventOf<'upstreamData'>): readonly AttemptEffect[] {
@@ -301,7 +326,8 @@
     const effects: AttemptEffect[] = [];
     for (const [group, admission] of this.#admissions) {
       for (const key of admission.expire(now)) {
-        effects.push(...this.#refuseExpired(key, admission, now));
+        const retryAfter = admission.estimateRetryAfter();
+        effects.push(...this.#refuseQueued(key, 'overloaded', retryAfter, now));
       }
       effects.push(...this.#startNext(group, now));
     }
@@ -312,14 +338,14 @@
     return effects;
   }
 
-  #refuseExpired(
+  #refuseQueued(
     key: AttemptKey,
-    admission: AdmissionController,
+    code: ResultCodeName,
+    retryAfter: Milliseconds,
     now: Milliseconds,
   ): readonly AttemptEffect[] {
     const record = this.#registry.find(key);
-    const retryAfter = admission.estimateRetryAfter();
-    return record === undefined ? [] : this.#refuseAdmitted(record, 'overloaded', retryAfter, now);
+    return record === undefined ? [] : this.#refuseAdmitted(record, code, retryAfter, now);
   }
 
   /** Stops an attempt past its deadline or without a subscriber for too long; otherwise sends a keep-alive when due. */
@@ -340,6 +366,9 @@
   }
 
   #startNext(group: GroupName, now: Milliseconds): readonly AttemptEffect[] {
+    if (this.#pause.remaining(now) > 0) {
+      return [];
+    }
     const started = this.#admissions.forGroup(group).startNext(now);
     return started.flatMap((key) => {
       const record = this.#registry.find(key);
