Failing test: a sidecar asks its engine for its id in the pause that it asked for

The question waits for a slot of the engine or is rejected like any request, and comes every 0.1 s while the id is unknown: 5 questions where 1 may come.

--- a/__tests__/platform/engine-client.test.ts
+++ b/__tests__/platform/engine-client.test.ts
@@ -13,12 +13,16 @@
   server = undefined;
 });
 
+async function listen(port: number, listener: RequestListener): Promise<void> {
+  server = createServer(listener);
+  const listening = server.listen(port, '127.0.0.1');
+  await new Promise((resolve) => listening.once('listening', resolve));
+}
+
 async function readStatusType(listener?: RequestListener): Promise<string> {
   const port = await reservePort();
   if (listener !== undefined) {
-    server = createServer(listener);
-    const listening = server.listen(port, '127.0.0.1');
-    await new Promise((resolve) => listening.once('listening', resolve));
+    await listen(port, listener);
   }
   const client = createEngineClient(`127.0.0.1:${port}`);
   const { type } = await client.readStatus();
@@ -43,3 +47,34 @@
     expect(await readStatusType(() => undefined)).toBe('unanswered');
   });
 });
+
+// Guards against asking an engine for its id again and again in the pause that it asked for when it rejected the question.
+describe('reading the id of an engine that rejects the question and asks for a pause', () => {
+  it('sends no question until the pause is over, or the engine has started again', async () => {
+    const port = await reservePort();
+    let questions = 0;
+    const reject: RequestListener = (request, response) => {
+      if (request.url === '/report') {
+        response.end();
+        return;
+      }
+      questions += 1;
+      response.writeHead(503, { 'retry-after': '600' }).end();
+    };
+    await listen(port, reject);
+    const client = createEngineClient(`127.0.0.1:${port}`);
+    await client.readStatus();
+    for (let count = 0; count < 5; count += 1) {
+      expect(await client.readInstance()).toBeUndefined();
+    }
+    expect(questions).toBe(1);
+    server?.closeAllConnections();
+    await new Promise((resolve) => server?.close(resolve));
+    await listen(port, (_, response) => {
+      response.writeHead(200, { 'x-instance-id': 'i-2' }).end();
+    });
+    await client.readStatus();
+    expect(await client.readInstance()).toBe('i-2');
+    await client.close();
+  });
+});
