Soak of pauses and departures while processes are stopped, killed and frozen

Built programs: gateways, control hosts and sidecars, with engines that reject requests and ask for pauses (single ones and all heads at once), say that they are leaving and end. SIGTERM, SIGKILL, SIGSTOP and SIGHUP to gateways, kills of sidecars and control hosts and changes of the configuration come in series and overlap; callers keep their connections until the process is gone. From what engines and callers saw: requests in pauses, requests to leaving engines, attempts, wrong or lost answers, refusals although a head could serve, and callers that stay refused afterwards.

First runs showed two faults of the soak itself: a rejection in the last millisecond of a pause counted as wrong (the time since when a head was usable is compared with the start of the request now), and the 1 s of grace of the test deployment was shorter than a wait and a stream (5 s here, as a real deployment has).

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -10,6 +10,14 @@
 const initialControlCount = 3;
 const host = 'desk.example';
 const apiKey = 'key-1';
+export const streamPath = '/draft/1';
+
+interface RunningGateway {
+  readonly name: string;
+  readonly address: string;
+  readonly settingsFile: string;
+  program: RunningProgram;
+}
 
 interface Ports {
   readonly internal: number;
@@ -30,15 +38,27 @@
   readonly #control = new Map<string, RunningProgram>();
   readonly #sidecars: RunningProgram[] = [];
   readonly #settingsFiles = new Map<string, string>();
-  readonly #gatewayAddresses: string[] = [];
+  readonly #gateways: RunningGateway[] = [];
+  readonly #graceMilliseconds: number;
 
-  private constructor(group: ProgramGroup, ports: Ports, engines: readonly TestEngine[]) {
+  private constructor(
+    group: ProgramGroup,
+    ports: Ports,
+    engines: readonly TestEngine[],
+    graceMilliseconds: number,
+  ) {
     this.group = group;
     this.#ports = ports;
     this.engines = engines;
+    this.#graceMilliseconds = graceMilliseconds;
   }
 
-  static async start(engineCount: number, gatewayCount = 1): Promise<PlatformDeployment> {
+  /** `graceMilliseconds`: how long a stopping gateway finishes requests. */
+  static async start(
+    engineCount: number,
+    gatewayCount = 1,
+    graceMilliseconds = 1000,
+  ): Promise<PlatformDeployment> {
     const group = await ProgramGroup.create();
     const ports = { internal: await reservePort(), operators: await reservePort() };
     const engines = await Promise.all(
@@ -46,7 +66,7 @@
         return new TestEngine(`i-${index}`, '127.0.0.1', await reservePort());
       }),
     );
-    const deployment = new PlatformDeployment(group, ports, engines);
+    const deployment = new PlatformDeployment(group, ports, engines, graceMilliseconds);
     await Promise.all(engines.map((engine) => engine.open()));
     await deployment.#startControl();
     await deployment.#startSidecars();
@@ -87,19 +107,33 @@
 
   /** Requests a stream through the gateway with the given index. */
   async stream(requestId: string, { gateway = 0, body = '{}' } = {}): Promise<CallResult> {
-    return call(`http://${this.#gatewayAddresses[gateway] ?? ''}/draft/1`, {
+    return call(`http://${this.gatewayAddress(gateway)}${streamPath}`, {
       method: 'POST',
       body,
-      headers: {
-        host,
-        authorization: `Bearer ${apiKey}`,
-        'x-attempt-id': requestId,
-        'x-deadline-ms': '20000',
-        'x-model': 'small',
-      },
+      headers: createStreamHeaders(requestId),
     });
   }
 
+  gatewayAddress(index: number): string {
+    return this.#gateways[index]?.address ?? '';
+  }
+
+  gatewayProgram(index: number): RunningProgram {
+    const program = this.#gateways[index]?.program;
+    if (program === undefined) {
+      throw new Error(`no gateway with index ${index}`);
+    }
+    return program;
+  }
+
+  /** Starts a gateway that has ended again, at its address. */
+  restartGateway(index: number): void {
+    const gateway = this.#gateways[index];
+    if (gateway !== undefined) {
+      gateway.program = this.#runGateway(gateway.name, gateway.settingsFile);
+    }
+  }
+
   manifest(version: number): string {
     const model = { name: 'small', size: 2, share: 1, pace: 1, load_s: 1, warm_s: 0.1 };
     return JSON.stringify({
@@ -228,20 +262,35 @@
   }
 
   async startGateway(): Promise<void> {
-    const name = `gateway-${this.#gatewayAddresses.length + 1}`;
+    const name = `gateway-${this.#gateways.length + 1}`;
     const listen = `127.0.0.1:${await reservePort()}`;
-    this.#gatewayAddresses.push(listen);
     const settings = {
       name,
       failureDomain: 'z0',
       listen,
       readiness: `127.0.0.1:${await reservePort()}`,
       seeds: this.#seeds,
-      bounds: { graceMilliseconds: 1000 },
+      bounds: { graceMilliseconds: this.#graceMilliseconds },
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
-    this.group.start('platform/gateway', ['--settings', file], { label: name });
+    const program = this.#runGateway(name, file);
+    this.#gateways.push({ name, address: listen, settingsFile: file, program });
   }
+
+  #runGateway(name: string, settingsFile: string): RunningProgram {
+    return this.group.start('platform/gateway', ['--settings', settingsFile], { label: name });
+  }
+}
+
+/** Headers of a request for a stream, as a caller sends them. */
+export function createStreamHeaders(requestId: string): Readonly<Record<string, string>> {
+  return {
+    host,
+    authorization: `Bearer ${apiKey}`,
+    'x-attempt-id': requestId,
+    'x-deadline-ms': '20000',
+    'x-model': 'small',
+  };
 }
 
 function nameSidecar(index: number): string {
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -21,6 +21,8 @@
 /** A request as the engine answered it. */
 export interface ReceivedRequest {
   readonly id: string;
+  /** Id of the start of the engine that received it. */
+  readonly engine: string;
   /** Arrival time in milliseconds of the monotonic clock. */
   readonly at: number;
   /** Pause in milliseconds that the engine asked for as it rejected the request. */
@@ -66,6 +68,7 @@
   #group: GroupMembership | undefined;
   #staged: readonly string[] = [];
   #orderCount = 0;
+  #openedAt: number | undefined;
 
   constructor(id: string, host: string, port: number) {
     this.#initialId = id;
@@ -86,6 +89,11 @@
     return this.#group?.state === 'open';
   }
 
+  /** Time since when it serves its group, in milliseconds of the monotonic clock; undefined if it does not. */
+  get openSince(): number | undefined {
+    return this.isOpen ? this.#openedAt : undefined;
+  }
+
   get peers(): readonly string[] {
     return this.#group?.peers ?? [];
   }
@@ -117,19 +125,26 @@
     });
   }
 
-  async #crashDuring(id: string, response: ServerResponse): Promise<void> {
-    this.crashes.push(id);
-    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-attempt-id': id });
-    response.flushHeaders();
+  /** Ends and starts again with a new id, without weights or a group. */
+  async restart(): Promise<void> {
     await this.crash();
     this.#startCount += 1;
     this.#staged = [];
     this.#orderCount = 0;
+    this.retryAfter = undefined;
+    this.isLeaving = false;
     this.#restartTimer = setTimeout(() => {
       void this.open();
     }, restartDelay);
   }
 
+  async #crashDuring(id: string, response: ServerResponse): Promise<void> {
+    this.crashes.push(id);
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-attempt-id': id });
+    response.flushHeaders();
+    await this.restart();
+  }
+
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     let body = '';
     for await (const chunk of request) {
@@ -216,6 +231,7 @@
     const currentGroup = this.#group;
     if (currentGroup !== undefined && currentGroup.name === group && currentGroup.epoch === epoch) {
       currentGroup.state = state;
+      this.#openedAt = state === 'open' ? performance.now() : undefined;
     }
   }
 
@@ -233,7 +249,7 @@
     const pause =
       this.retryAfter === undefined ? undefined : this.retryAfter * millisecondsPerSecond;
     const { isLeaving } = this;
-    this.received.push({ id, at: performance.now(), pause, isLeaving });
+    this.received.push({ id, engine: this.id, at: performance.now(), pause, isLeaving });
     if (pause !== undefined) {
       const headers = { 'x-not-executed': '1', 'retry-after': String(this.retryAfter) };
       response.writeHead(503, { 'x-attempt-id': id, ...headers, ...this.#leavingHeader }).end();
--- /dev/null
+++ b/__tests__/processes/platform-availability-soak.test.ts
@@ -0,0 +1,65 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { createRandomSource } from '../../src/common/index.js';
+import { PlatformDeployment } from '../platform/deployment.js';
+import { GatewayLives } from '../platform/soak/gateway-lives.js';
+import { SoakCallers } from '../platform/soak/soak-callers.js';
+import { SoakFaults } from '../platform/soak/soak-faults.js';
+import { countOutcomes, describeOutcome, findFaults } from '../platform/soak/soak-judge.js';
+import { waitFor } from '../support/index.js';
+
+/** Size and length of a soak; longer and larger ones are started by hand, see docs/DEVELOPERS.md. */
+const firstSeed = Number(process.env.PISTACHIOSPOKE_SOAK_FIRST_SEED ?? 1);
+const seedCount = Number(process.env.PISTACHIOSPOKE_SOAK_SEEDS ?? 2);
+const gatewayCount = Number(process.env.PISTACHIOSPOKE_SOAK_GATEWAYS ?? 3);
+const engineCount = Number(process.env.PISTACHIOSPOKE_SOAK_ENGINES ?? 8);
+const callerCount = Number(process.env.PISTACHIOSPOKE_SOAK_CALLERS ?? 12);
+const duration = Number(process.env.PISTACHIOSPOKE_SOAK_MILLISECONDS ?? 12_000);
+const meanFaultInterval = Number(process.env.PISTACHIOSPOKE_SOAK_FAULT_INTERVAL ?? 500);
+/** Longer than a request may wait and run. */
+const grace = 5000;
+/** Time without faults in which callers must be served again. */
+const recoveryTime = 8000;
+
+const seeds = Array.from({ length: seedCount }, (_, index) => firstSeed + index);
+let deployment: PlatformDeployment | undefined;
+
+afterEach(async () => {
+  await deployment?.stop();
+});
+
+/**
+ * Guards against upstreams that get requests in the pause they asked for or after they said that they are leaving, and against callers
+ * that lose answers or stay refused, while pauses, departures, restarts, signals and changes overlap.
+ */
+describe('a deployment whose upstreams pause and leave while its processes are stopped, killed and frozen', () => {
+  it.each(seeds)(
+    'sends them nothing in pauses and after departures, seed %i',
+    async (seed) => {
+      const random = createRandomSource(seed);
+      const lives = new GatewayLives(gatewayCount);
+      const running = await PlatformDeployment.start(engineCount, gatewayCount, grace);
+      deployment = running;
+      await running.applyManifest(5);
+      await waitFor('open groups', () => running.findHeads().length >= engineCount / 4);
+      const callers = new SoakCallers(running, lives, random, callerCount);
+      const faults = new SoakFaults({ deployment: running, lives, random });
+      await faults.run(duration, meanFaultInterval);
+      await pause(recoveryTime);
+      const calmSince = performance.now();
+      await pause(recoveryTime / 4);
+      await callers.stop();
+      const { engines } = running;
+      const { results } = callers;
+      const outcomes = countOutcomes(results);
+      console.log(JSON.stringify({ seed, outcomes, faults: faults.log.length }));
+      expect(findFaults({ engines, lives, results }), faults.log.join('\n')).toEqual([]);
+      const last = results.filter(({ startedAt }) => startedAt >= calmSince).map(describeOutcome);
+      expect(last.length).toBeGreaterThan(0);
+      expect(new Set(last), faults.log.join('\n')).toEqual(new Set(['200']));
+    },
+    120_000 + 2 * duration,
+  );
+});
