Log pauses of upstreams at sidecars, and name the steps that tell a pause from an absence

Cause: on the path through sidecars only the result code of refused attempts showed a pause, not when the upstream asked for it and for how long. TargetChooser had two reasons in one expression.

--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -83,10 +83,8 @@
     { service, model, tried, isUrgent = false }: TargetCriteria,
     now: Milliseconds,
   ): TargetChoice {
-    const { loads, availability, permits } = this.#options;
-    const targets = this.listTargets(service, model).filter(({ instance }) => {
-      return !availability.isLeaving(formatIdentity(instance));
-    });
+    const { loads, permits } = this.#options;
+    const targets = this.listTargets(service, model);
     const all = targets.filter((target) => {
       return (
         !tried.has(target.key) && !loads.isClosed(target, now) && this.isAvailable(target, now)
@@ -118,21 +116,33 @@
     { service, model, tried }: TargetCriteria,
     now: Milliseconds,
   ): TargetChoice {
-    const { loads, availability, readView } = this.#options;
-    const untried = targets.filter(({ key }) => !tried.has(key));
-    const possible = untried.length > 0 ? untried : targets;
-    const ends = possible.map((target) => {
-      const upstream = formatIdentity(target.instance);
-      return loads.isClosed(target, now) ? undefined : availability.pausedUntil(upstream, now);
+    const { availability } = this.#options;
+    const staying = targets.filter(({ instance }) => {
+      return !availability.isLeaving(formatIdentity(instance));
     });
-    const isOpening = [...readView().engineGroups.values()].some((group) => {
+    const untried = staying.filter(({ key }) => !tried.has(key));
+    const possible = untried.length > 0 ? untried : staying;
+    const pauseEnds = possible.map((target) => this.#findPauseEnd(target, now));
+    const until = Math.min(...pauseEnds.filter((end) => end !== undefined));
+    const isPaused = pauseEnds.length > 0 && !pauseEnds.includes(undefined);
+    return isPaused && !this.#isGroupOpening(service, model)
+      ? { type: 'paused', until }
+      : { type: 'none' };
+  }
+
+  /** Undefined if the target has asked for no pause, or is closed and may be opened again by control. */
+  #findPauseEnd(target: Target, now: Milliseconds): Milliseconds | undefined {
+    const { loads, availability } = this.#options;
+    return loads.isClosed(target, now)
+      ? undefined
+      : availability.pausedUntil(formatIdentity(target.instance), now);
+  }
+
+  #isGroupOpening(service: RoutedService, model: string | undefined): boolean {
+    return [...this.#options.readView().engineGroups.values()].some((group) => {
       const isWanted = group.service === service.name && group.model === model;
       return isWanted && (group.phase === 'joining' || group.phase === 'opening');
     });
-    const until = Math.min(...ends.filter((end) => end !== undefined));
-    return ends.length === 0 || ends.includes(undefined) || isOpening
-      ? { type: 'none' }
-      : { type: 'paused', until };
   }
 
   #findLeastLoaded(targets: readonly Target[], now: Milliseconds): Target | undefined {
--- a/src/sidecar/attempts/attempt-controller.ts
+++ b/src/sidecar/attempts/attempt-controller.ts
@@ -16,7 +16,7 @@
 import { AttemptRegistry } from './attempt-registry.js';
 import { GroupAdmissions } from './group-admissions.js';
 import { defaultAttemptLimits, type AttemptLimits } from './limits.js';
-import { UpstreamPause } from './upstream-pause.js';
+import { readPause, UpstreamPause } from './upstream-pause.js';
 import type {
   AttemptEffect,
   AttemptEvent,
@@ -206,7 +206,7 @@
     }
     const { status, headers, now } = event;
     record.setHead({ status, headers });
-    this.#pause.noteHead(status, headers, now);
+    this.#pause.note(readPause(status, headers) ?? 0, now);
     return [
       ...this.#outbox.send(record, { type: 'head', status, headers }, now),
       ...this.#refuseOutwaited(now),
--- a/src/sidecar/attempts/upstream-pause.ts
+++ b/src/sidecar/attempts/upstream-pause.ts
@@ -6,16 +6,21 @@
 /** Status with which an upstream rejects a request; only there `Retry-After` applies to all requests of this sidecar. */
 const unavailableStatus = 503;
 
+/** The pause that a response asks for; undefined if it asks for none. */
+export function readPause(
+  status: number,
+  headers: readonly HeaderField[],
+): Milliseconds | undefined {
+  const field = headers.find(({ name }) => name.toLowerCase() === 'retry-after');
+  return status === unavailableStatus ? parseRetryAfter(field?.value) : undefined;
+}
+
 export class UpstreamPause {
   #until: Milliseconds = Number.NEGATIVE_INFINITY;
 
-  /** Reads the head of a response. A pause is never shortened. */
-  noteHead(status: number, headers: readonly HeaderField[], now: Milliseconds): void {
-    const field = headers.find(({ name }) => name.toLowerCase() === 'retry-after');
-    const pause = parseRetryAfter(field?.value);
-    if (status === unavailableStatus && pause !== undefined) {
-      this.#until = Math.max(this.#until, now + pause);
-    }
+  /** A pause is never shortened. */
+  note(pause: Milliseconds, now: Milliseconds): void {
+    this.#until = Math.max(this.#until, now + pause);
   }
 
   /** Time until the pause is over; 0 if there is none. */
--- a/src/sidecar/attempts/upstream-relay.ts
+++ b/src/sidecar/attempts/upstream-relay.ts
@@ -8,6 +8,7 @@
 } from '../../common/index.js';
 import type { AttemptEvent, AttemptKey, UpstreamRequest } from './messages.js';
 import type { UpstreamClient } from './upstream-client.js';
+import { readPause } from './upstream-pause.js';
 
 /** Dependencies of the relay. */
 export interface UpstreamRelayOptions {
@@ -62,6 +63,10 @@
       const response = await upstream.start(request, signal);
       hasHead = true;
       const { status, headers } = response;
+      const pause = readPause(status, headers);
+      if (pause !== undefined) {
+        logger.info({ attempt: key, pause }, 'upstream asked for a pause');
+      }
       handle({ type: 'upstreamHead', now: this.#now(), key, status, headers });
       for await (const bytes of response.chunks) {
         handle({ type: 'upstreamData', now: this.#now(), key, bytes });
