--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -6,26 +6,12 @@
   type Milliseconds,
   type ResultCodeName,
 } from '../../common/index.js';
-import { maximumWait } from './maximum-wait.js';
+import { findWaitEnd, startWaiting, waitWhileBusy, type WaitingPhase } from './delivery-wait.js';
 import { chooseRetryAfter } from './retry-after.js';
 import type { Target, TargetChoice } from './target.js';
 
 /** State machine that leads one request to exactly one final response; performs no I/O. */
 
-/**
- * Longest time that a request waits while all upstreams are full: long enough for a slot to become free, and short enough to leave the
- * caller of a refused request time for a retry.
- */
-const maximumWaitWhileFull: Milliseconds = 500;
-/** Largest share of its total time that a request waits while all upstreams are full. */
-const maximumShareWhileFull = 0.15;
-/**
- * Largest share of its total time that a request waits while there is no upstream at all; callers wait about as long before they retry.
- * The wait also ends when the caller would give up (`maximumWait`). A group whose weights are available locally is repaired within that time.
- */
-const maximumShareWithoutUpstream = 0.3;
-/** A partly forwarded stream waits longer, because a refusal would lose it. Callers give up after a pause of two seconds. */
-const maximumResumeWait: Milliseconds = 1500;
 /** With less remaining time than this, no attempt is worth starting. */
 const minimumRun: Milliseconds = 30;
 
@@ -100,16 +86,6 @@
   | { readonly type: 'cut'; readonly failure: Failure }
   | { readonly type: 'fail'; readonly failure: Failure };
 
-interface WaitingPhase {
-  readonly type: 'waiting';
-  /** Start of the wait for any upstream. */
-  readonly waitingSince: Milliseconds;
-  /** Time since when the reason has been the present one. */
-  readonly reasonSince: Milliseconds;
-  /** Reason for the wait, as the result code of the failure if it does not end in time. */
-  readonly code: ResultCodeName;
-}
-
 type Phase =
   WaitingPhase | { readonly type: 'running'; readonly target: Target } | { readonly type: 'over' };
 
@@ -147,7 +123,10 @@
   get wakeAt(): Milliseconds | undefined {
     switch (this.#phase.type) {
       case 'waiting':
-        return Math.min(this.#options.deadline, this.#findWaitEnd(this.#phase));
+        return Math.min(
+          this.#options.deadline,
+          findWaitEnd(this.#phase, this.#options, this.#isPassedOn),
+        );
       case 'running':
         return this.#options.deadline;
       case 'over':
@@ -155,31 +134,6 @@
     }
   }
 
-  /**
-   * Time at which a waiting request fails. A caller without a response leaves after two seconds and is not told when to come back, so all
-   * waits that begin before `maximumWait` has passed end with it.
-   */
-  #findWaitEnd(phase: WaitingPhase): Milliseconds {
-    if (this.#isPassedOn) {
-      return phase.waitingSince + maximumResumeWait;
-    }
-    const latest = this.#options.startedAt + maximumWait;
-    const end = this.#findOwnWaitEnd(phase);
-    return phase.waitingSince < latest ? Math.min(end, latest) : end;
-  }
-
-  /** A request that waited for any upstream and then found all full does not wait longer in total. */
-  #findOwnWaitEnd({ waitingSince, reasonSince, code }: WaitingPhase): Milliseconds {
-    const { deadline, startedAt } = this.#options;
-    const time = deadline - startedAt;
-    const without = Math.min(maximumWait, time * maximumShareWithoutUpstream);
-    if (code === 'noServingGroup') {
-      return waitingSince + without;
-    }
-    const whileFull = Math.min(maximumWaitWhileFull, time * maximumShareWhileFull);
-    return Math.min(reasonSince + whileFull, waitingSince + without);
-  }
-
   handle(event: DeliveryEvent): readonly DeliveryEffect[] {
     if (this.#phase.type === 'over') {
       return [];
@@ -254,7 +208,7 @@
       const isSent = this.#mayHaveRun || (phase.type === 'running' && this.#dependencies.isSent());
       return [...cancel, this.#giveUp(isSent ? 'deadlineAfterStart' : 'overloaded', now)];
     }
-    if (phase.type === 'waiting' && now >= this.#findWaitEnd(phase)) {
+    if (phase.type === 'waiting' && now >= findWaitEnd(phase, this.#options, this.#isPassedOn)) {
       return [this.#giveUp(phase.code, now)];
     }
     return [];
@@ -375,7 +329,10 @@
     until: Milliseconds,
     now: Milliseconds,
   ): readonly DeliveryEffect[] {
-    const latest = Math.min(this.#findWaitEnd(phase), this.#options.deadline - minimumRun);
+    const latest = Math.min(
+      findWaitEnd(phase, this.#options, this.#isPassedOn),
+      this.#options.deadline - minimumRun,
+    );
     if (until > latest) {
       return [this.#giveUp('upstreamsPaused', now, until)];
     }
@@ -414,20 +371,6 @@
   }
 }
 
-function startWaiting(now: Milliseconds, code: ResultCodeName): WaitingPhase {
-  return { type: 'waiting', waitingSince: now, reasonSince: now, code };
-}
-
-/** A request that waited for any upstream starts to wait anew for one that can accept it. */
-function waitWhileBusy(
-  waiting: WaitingPhase,
-  code: 'overloaded' | 'upstreamsPaused',
-  now: Milliseconds,
-): WaitingPhase {
-  const reasonSince = waiting.code === 'noServingGroup' ? now : waiting.reasonSince;
-  return { ...waiting, reasonSince, code };
-}
-
 /** Codes that the caller receives unchanged even if the request may have run; all others are replaced with `answerLost`. */
 function isReportedUnchanged(code: ResultCodeName): boolean {
   return code === 'deadlineAfterStart' || code === 'requestQuarantined';
