Ask the only group again when it could not confirm its leases for a moment

Callers saw: 503 with code 3001 (notWhole) while the only group held all its leases, because one sidecar got no processor time for 0.3 s.

Cause: a lead that can not confirm its members within 250 ms refuses, so that the gateway takes another group at once; a gateway without another group took the refusal for final. Class: a refusal that is true for a moment, taken as final.

Change: after notWhole a gateway that has no other group waits 50 ms, twice as long each time, and asks the same group again, within its five attempts and the deadline; a group that control withdraws ends the wait. These attempts reach no upstream, so they do not spend the retry budget. Beside a group that is really lost the refusal comes after up to 2 s instead of 0.25 s.

--- a/__tests__/gateway/decisions.test.ts
+++ b/__tests__/gateway/decisions.test.ts
@@ -194,6 +194,30 @@
     expect(types(effects)).toEqual(['dropStream', 'ask']);
   });
 
+  // Guards against refusing callers while the only group can not confirm its leases for a moment, and against waiting for a lost group.
+  it('is sent to the only group again when it was not whole, until the group is withdrawn', () => {
+    const watched = new FakeWatched();
+    let view = watched.set([modelGroup('10.0.0.1:1')]);
+    const loads = new LoadTracker();
+    const request = new RequestController(facts, {
+      router: new Router(() => view, loads),
+      loads,
+      retryBudget: new RetryBudget(),
+      random: createRandomSource(1),
+      limits: defaultRequestLimits,
+    });
+    const refusal = { code: 'notWhole', load, retryAfter: 1000, configurationRevision: 1 } as const;
+    request.handle({ type: 'arrived', now: 0 });
+    const refused = request.handle({ type: 'refused', stream: 1, now: 250, refusal });
+    expect(types(refused)).toEqual(['dropStream']);
+    expect(request.handle({ type: 'tick', now: 299 })).toEqual([]);
+    expect(types(request.handle({ type: 'tick', now: 300 }))).toEqual(['run']);
+    request.handle({ type: 'refused', stream: 2, now: 550, refusal });
+    view = watched.set([]);
+    const [last] = request.handle({ type: 'tick', now: 650 });
+    expect(last?.type === 'answerFailure' && last.failure.code).toBe('noServingGroup');
+  });
+
   // The first attempt is lost and the second is refused. If the result of the last attempt is reported for the request,
   // the caller is told "not run", sends it again, and it runs twice.
   it('is unknown when an earlier attempt may have run', () => {
--- a/src/gateway/request-controller.ts
+++ b/src/gateway/request-controller.ts
@@ -47,6 +47,12 @@
   'unknownGroup',
 ]);
 
+/**
+ * Refusals after which the same group may accept the request a moment later. `notWhole`: the lead could not confirm the leases of all
+ * members in time, for example because a sidecar stalled. If the group is really lost, control withdraws it, which ends the wait.
+ */
+const temporaryCodes: ReadonlySet<ResultCodeName> = new Set([...staleViewCodes, 'notWhole']);
+
 /**
  * Results of attempts that never arrived. They indicate a connection problem only, so the group may be tried again,
  * although other groups are preferred. Such a retry does not use the retry budget, because no upstream did any work.
@@ -251,7 +257,7 @@
     }
     const decision = router.choose(this.#facts.route, this.#tried, now);
     if (decision.type === 'none') {
-      return staleViewCodes.has(code) ? this.#postpone(now) : this.#fail(code, retryAfter);
+      return temporaryCodes.has(code) ? this.#postpone(now) : this.#fail(code, retryAfter);
     }
     if (!neverArrivedCodes.has(code) && !retryBudget.spend(this.#facts.account)) {
       return this.#fail(code === 'overloaded' ? code : 'retryBudgetSpent', retryAfter);
@@ -259,7 +265,7 @@
     return this.#send(decision.target, decision.revision, now);
   }
 
-  /** Waits for a newer view; all groups may then be tried again. */
+  /** Waits for a newer view, or for a group to be whole again; all groups may then be tried again. */
   #postpone(now: Milliseconds): readonly RequestEffect[] {
     this.#lifecycle.step('postpone');
     this.#tried.clear();
