Hold a request back until control has recorded the crash that it was in flight at

Callers would see: upstreams crash one after the other under a request that a gateway without control goes on to send, and under one that several callers send at once.

Cause: three recorded crashes put a request into quarantine, but a gateway that had just seen a crash sent the same request again before the record, and without end while control was not heard. Class: something is risked again before the first outcome is known to all.

Change: CrashLedger keeps the requests of crashes that control has not recorded; they wait for the record, or a complete answer, as long as for a free slot, and are then rejected as not run (2016). The simulated gateways wait in the same way.

--- a/__tests__/direct/crash-ledger.test.ts
+++ b/__tests__/direct/crash-ledger.test.ts
@@ -61,7 +61,7 @@
     ledger.setQuarantined(new Set(['a', 'b']), 1000);
     expect(ledger.takePending()).toEqual({ crashes: [], answered: ['a'] });
     const now = 1000 + afterQuarantineDelay;
-    expect([ledger.isQuarantined('a', now), ledger.isQuarantined('b', now)]).toEqual([false, true]);
+    expect([ledger.assess('a', now), ledger.assess('b', now)]).toEqual(['harmless', 'quarantined']);
   });
 });
 
@@ -69,11 +69,50 @@
   it('is enforced after a delay, and until control ends it', () => {
     const ledger = new CrashLedger();
     ledger.setQuarantined(new Set(['a']), 0);
-    expect(ledger.isQuarantined('a', 10)).toBe(false);
+    expect(ledger.assess('a', 10)).toBe('harmless');
     // A further state change must not restart the delay.
     ledger.setQuarantined(new Set(['a', 'b']), 300);
-    expect(ledger.isQuarantined('a', afterQuarantineDelay)).toBe(true);
+    expect(ledger.assess('a', afterQuarantineDelay)).toBe('quarantined');
     ledger.setQuarantined(new Set(['b']), afterQuarantineDelay);
-    expect(ledger.isQuarantined('a', 2 * afterQuarantineDelay)).toBe(false);
+    expect(ledger.assess('a', 2 * afterQuarantineDelay)).toBe('harmless');
+  });
+});
+
+// Guards against sending a request that crashes upstreams again before control knows of the crash, without end while control is not heard.
+describe('a request that was in flight at a crash', () => {
+  const none = { crashes: [], answered: [] };
+
+  it('is held back until control has recorded the crash', () => {
+    const ledger = new CrashLedger();
+    ledger.noteCrash('i-1', ['a', 'b'], 0);
+    const pending = ledger.takePending() ?? none;
+    expect(ledger.assess('a', 10)).toBe('unrecorded');
+    ledger.restorePending(pending);
+    expect(ledger.assess('a', 60_000)).toBe('unrecorded');
+    const again = ledger.takePending() ?? none;
+    ledger.noteCrash('i-2', ['b'], 60_010);
+    ledger.noteRecorded(again);
+    expect([ledger.assess('a', 60_020), ledger.assess('b', 60_020)]).toEqual([
+      'harmless',
+      'unrecorded',
+    ]);
+    ledger.noteRecorded(ledger.takePending() ?? none);
+    expect([ledger.assess('b', 60_030), ledger.hasSuspicions]).toEqual(['harmless', false]);
+  });
+
+  it('is not held back once an upstream has answered it completely', () => {
+    const ledger = new CrashLedger();
+    ledger.noteCrash('i-1', ['a'], 0);
+    ledger.noteAnswered('a', 10);
+    expect([ledger.assess('a', 20), ledger.hasSuspicions]).toEqual(['harmless', false]);
+  });
+
+  it('is not held back for a crash whose report was dropped', () => {
+    const ledger = new CrashLedger();
+    for (let upstream = 0; upstream <= 500; upstream += 1) {
+      ledger.noteCrash(`i-${upstream}`, [`request-${upstream}`], 0);
+    }
+    expect(ledger.assess('request-0', 10)).toBe('harmless');
+    expect(ledger.assess('request-1', 10)).toBe('unrecorded');
   });
 });
--- a/__tests__/direct/crash-world.ts
+++ b/__tests__/direct/crash-world.ts
@@ -11,6 +11,9 @@
 /** Upper bound on the delay of a message between a gateway and control. */
 const longestMessageDelay: Milliseconds = 50;
 const restartDuration: Milliseconds = 3000;
+/** Longest wait of a request for control to record a crash, and the interval at which the gateway looks. */
+const maximumWait: Milliseconds = 500;
+const retryInterval: Milliseconds = 50;
 /** Time from the start of a crashing request to the crash. */
 const crashDelay: Milliseconds = 50;
 
@@ -119,8 +122,20 @@
     }
   }
 
-  #send(request: string, gateway: SimulatedGateway, attempt: number): void {
-    if (gateway.ledger.isQuarantined(request, this.now)) {
+  #send(
+    request: string,
+    gateway: SimulatedGateway,
+    attempt: number,
+    waitingSince = this.now,
+  ): void {
+    const assessment = gateway.ledger.assess(request, this.now);
+    if (assessment === 'unrecorded' && this.now - waitingSince < maximumWait) {
+      this.#schedule(retryInterval, () => {
+        this.#send(request, gateway, attempt, waitingSince);
+      });
+      return;
+    }
+    if (assessment !== 'harmless') {
       gateway.rejected.push(request);
       return;
     }
@@ -162,6 +177,7 @@
         return;
       }
       this.#commit(pending);
+      gateway.ledger.noteRecorded(pending);
     });
   }
 
--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -2,6 +2,7 @@
 
 import {
   DeliveryController,
+  type CrashAssessment,
   type DeliveryEffect,
   type DeliveryOptions,
   type TargetChoice,
@@ -17,7 +18,7 @@
   readonly paused = new Set<string>();
   pausedUntil = 0;
   repeats = 10;
-  isQuarantined = false;
+  assessment: CrashAssessment = 'harmless';
   readonly controller: DeliveryController;
 
   constructor(facts: Partial<DeliveryOptions> = {}) {
@@ -33,7 +34,7 @@
           this.repeats -= 1;
           return this.repeats >= 0;
         },
-        isQuarantined: () => this.isQuarantined,
+        assessCrashes: () => this.assessment,
       },
     );
   }
@@ -97,6 +98,27 @@
     expect(session.controller.handle({ type: 'failed', now: 100 })).toEqual([]);
   });
 
+  // Guards against crashing another upstream before control knows of the first crash, and against refusing harmless requests for it.
+  it('waits until control has recorded a crash that it was in flight at', () => {
+    const session = new Session();
+    session.assessment = 'unrecorded';
+    const { controller } = session;
+    expect(controller.handle({ type: 'started', now: 0 })).toEqual([]);
+    session.assessment = 'harmless';
+    const sent = controller.handle({ type: 'targetsChanged', now: 100 });
+    expect(describeEffects(sent)).toEqual(['send a 5900']);
+    session.assessment = 'unrecorded';
+    expect(controller.handle({ type: 'failed', now: 200 })).toEqual([]);
+    expect(controller.handle({ type: 'broken', now: 300 })).toEqual([]);
+    const failed = controller.handle({ type: 'ticked', now: controller.wakeAt ?? 0 });
+    expect(describeEffects(failed)).toEqual(['fail answerLost']);
+    const fresh = new Session();
+    fresh.assessment = 'unrecorded';
+    fresh.controller.handle({ type: 'started', now: 0 });
+    const refused = fresh.controller.handle({ type: 'ticked', now: fresh.controller.wakeAt ?? 0 });
+    expect(describeEffects(refused)).toEqual(['fail crashUnrecorded']);
+  });
+
   // Guards against callers that wait for the end of a pause although they would be refused before it.
   it.each([
     [1000, []],
@@ -319,14 +341,14 @@
   // Guards against sending a quarantined request to another upstream on any of the sending paths.
   it('is not sent once it is quarantined, and fails immediately without a retry delay', () => {
     const fresh = new Session();
-    fresh.isQuarantined = true;
+    fresh.assessment = 'quarantined';
     const [answer] = fresh.controller.handle({ type: 'started', now: 0 });
     expect(answer).toMatchObject({ type: 'fail', failure: { code: 'requestQuarantined' } });
     expect(answer).not.toHaveProperty('failure.retryAfterMilliseconds');
 
     const broken = new Session();
     broken.controller.handle({ type: 'started', now: 0 });
-    broken.isQuarantined = true;
+    broken.assessment = 'quarantined';
     expect(describeEffects(broken.controller.handle({ type: 'broken', now: 10 }))).toEqual([
       'fail requestQuarantined',
     ]);
@@ -334,13 +356,13 @@
     const waiting = new Session();
     waiting.isFull = true;
     waiting.controller.handle({ type: 'started', now: 0 });
-    waiting.isQuarantined = true;
+    waiting.assessment = 'quarantined';
     const woken = waiting.controller.handle({ type: 'targetsChanged', now: 10 });
     expect(describeEffects(woken)).toEqual(['fail requestQuarantined']);
 
     const lost = new Session();
     lost.controller.handle({ type: 'started', now: 0 });
-    lost.isQuarantined = true;
+    lost.assessment = 'quarantined';
     lost.lost.add('a');
     const moved = lost.controller.handle({ type: 'targetsChanged', now: 10 });
     expect(describeEffects(moved)).toEqual(['cancel', 'fail requestQuarantined']);
@@ -349,7 +371,7 @@
   it('keeps its running attempt when it is quarantined, since a complete answer would clear it', () => {
     const stalled = new Session();
     stalled.controller.handle({ type: 'started', now: 0 });
-    stalled.isQuarantined = true;
+    stalled.assessment = 'quarantined';
     const event = { type: 'stalled', now: 10, stalled: new Set(['a']) } as const;
     expect(stalled.controller.handle(event)).toEqual([]);
     expect(stalled.controller.handle({ type: 'failed', now: 20 })).toEqual([]);
--- a/src/common/result-codes/attempt-codes.ts
+++ b/src/common/result-codes/attempt-codes.ts
@@ -122,6 +122,14 @@
     'Every upstream that could take the request has asked the gateway for a pause.',
     'Wait for the time in Retry-After.',
   ),
+  crashUnrecorded: createResultCode(
+    2016,
+    503,
+    'notRun',
+    true,
+    'An upstream crashed while it ran this request, and control has not recorded that yet.',
+    'Wait for the time in Retry-After; another gateway may take it.',
+  ),
   answerLost: createResultCode(
     2101,
     502,
--- a/src/gateway/direct/crash-ledger.ts
+++ b/src/gateway/direct/crash-ledger.ts
@@ -30,12 +30,21 @@
   readonly requests: readonly string[];
 }
 
+/**
+ * What is known of a request. `quarantined`: it crashed several upstreams. `unrecorded`: an upstream crashed while it ran, and control has not
+ * recorded that yet. Sent again now, a request that crashes upstreams would crash another one before any gateway knows of this one, and a
+ * gateway that is cut off from control would go on without end.
+ */
+export type CrashAssessment = 'harmless' | 'unrecorded' | 'quarantined';
+
 export class CrashLedger {
   readonly #answeredAt = new LRUCache<string, Milliseconds>({ max: maximumTrackedRequests });
   /** Requests that this gateway had in flight on an upstream that crashed. */
   readonly #suspects = new LRUCache<string, true>({ max: maximumTrackedRequests });
   /** Time at which this gateway received each quarantine, by request. */
   #quarantinedAt: ReadonlyMap<string, Milliseconds> = new Map();
+  /** Requests that were in flight at a crash that control has not recorded yet. */
+  readonly #unrecorded = new LRUCache<string, true>({ max: maximumTrackedRequests });
   #pendingCrashes = new Map<string, Set<string>>();
   #pendingAnswered = new Set<string>();
 
@@ -47,6 +56,7 @@
     }
     for (const request of suspected) {
       this.#suspects.set(request, true);
+      this.#unrecorded.set(request, true);
     }
     const known = this.#pendingCrashes.get(upstream) ?? [];
     this.#pendingCrashes.set(upstream, new Set([...known, ...suspected]));
@@ -56,6 +66,7 @@
   /** Records a complete response, which shows that the request does not crash every upstream that runs it. */
   noteAnswered(request: string, now: Milliseconds): void {
     this.#answeredAt.set(request, now);
+    this.#unrecorded.delete(request);
     if (this.#suspects.delete(request) || this.#quarantinedAt.has(request)) {
       this.#pendingAnswered.add(request);
     }
@@ -74,19 +85,21 @@
     }
   }
 
-  /** Lets callers skip computing a digest while no request is quarantined. */
-  get hasQuarantined(): boolean {
-    return this.#quarantinedAt.size > 0;
+  /** Lets callers skip computing a digest while no request is suspected. */
+  get hasSuspicions(): boolean {
+    return this.#quarantinedAt.size > 0 || this.#unrecorded.size > 0;
   }
 
-  /** Whether the quarantine of a request is in force and no recent complete response contradicts it. */
-  isQuarantined(request: string, now: Milliseconds): boolean {
+  /** Whether a request may be sent to an upstream. */
+  assess(request: string, now: Milliseconds): CrashAssessment {
+    if (this.#isAnswered(request, now)) {
+      return 'harmless';
+    }
     const receivedAt = this.#quarantinedAt.get(request);
-    return (
-      receivedAt !== undefined &&
-      now - receivedAt >= quarantineDelay &&
-      !this.#isAnswered(request, now)
-    );
+    if (receivedAt !== undefined && now - receivedAt >= quarantineDelay) {
+      return 'quarantined';
+    }
+    return this.#unrecorded.has(request) ? 'unrecorded' : 'harmless';
   }
 
   /** Removes and returns everything to be reported; undefined if there is nothing. */
@@ -113,11 +126,25 @@
     this.#pendingAnswered = new Set([...answered, ...this.#pendingAnswered]);
   }
 
+  /** Control has recorded the report. Requests with further crashes stay unrecorded. */
+  noteRecorded({ crashes }: Pick<PendingCrashes, 'crashes'>): void {
+    const pending = new Set([...this.#pendingCrashes.values()].flatMap((each) => [...each]));
+    for (const request of crashes.flatMap(({ requests }) => requests)) {
+      if (!pending.has(request)) {
+        this.#unrecorded.delete(request);
+      }
+    }
+  }
+
   #limitPending(): void {
-    const excess = this.#pendingCrashes.size - maximumPendingCrashes;
-    for (const upstream of [...this.#pendingCrashes.keys()].slice(0, Math.max(0, excess))) {
+    const excess = Math.max(0, this.#pendingCrashes.size - maximumPendingCrashes);
+    const dropped = [...this.#pendingCrashes].slice(0, excess);
+    for (const [upstream] of dropped) {
       this.#pendingCrashes.delete(upstream);
     }
+    this.noteRecorded({
+      crashes: dropped.map(([upstream, requests]) => ({ upstream, requests: [...requests] })),
+    });
   }
 
   #isAnswered(request: string, now: Milliseconds): boolean {
--- a/src/gateway/direct/crash-reporter.ts
+++ b/src/gateway/direct/crash-reporter.ts
@@ -17,6 +17,8 @@
   readonly takePending: () => PendingCrashes | undefined;
   /** Queues a report again if the leader may not have recorded it; safe because the leader counts each crash once. */
   readonly restorePending: (pending: PendingCrashes) => void;
+  /** Called once the leader has recorded a report. */
+  readonly onRecorded: (pending: PendingCrashes) => void;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
 }
@@ -42,7 +44,7 @@
   }
 
   async #report(): Promise<void> {
-    const { findLeader, takePending, restorePending, logger } = this.#options;
+    const { findLeader, takePending, restorePending, onRecorded, logger } = this.#options;
     const leader = findLeader();
     const pending = this.#isReporting || leader === '' ? undefined : takePending();
     if (pending === undefined) {
@@ -51,6 +53,7 @@
     this.#isReporting = true;
     try {
       await this.#send(leader, pending);
+      onRecorded(pending);
     } catch (error) {
       restorePending(pending);
       logger.debug({ leader, error: String(error) }, 'failed to report crashes');
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -7,6 +7,7 @@
   type ResultCodeName,
 } from '../../common/index.js';
 import { findWaitEnd, startWaiting, waitWhileBusy, type WaitingPhase } from './delivery-wait.js';
+import type { CrashAssessment } from './crash-ledger.js';
 import { chooseRetryAfter } from './retry-after.js';
 import type { Target, TargetChoice } from './target.js';
 
@@ -42,8 +43,8 @@
   readonly isSent: () => boolean;
   /** Takes one retry from the budget of the service; false if the budget is spent. */
   readonly spendRetry: () => boolean;
-  /** Whether the request is quarantined because upstreams crashed while running it. */
-  readonly isQuarantined: (now: Milliseconds) => boolean;
+  /** What is known of crashes of upstreams that ran the request. */
+  readonly assessCrashes: (now: Milliseconds) => CrashAssessment;
 }
 
 /** Inputs of the state machine. */
@@ -283,7 +284,7 @@
     choose: () => TargetChoice,
   ): readonly DeliveryEffect[] {
     const isAllowed = this.#options.isRetryable && this.#mayRetry(now);
-    if (!isAllowed || this.#dependencies.isQuarantined(now)) {
+    if (!isAllowed || this.#dependencies.assessCrashes(now) !== 'harmless') {
       return [];
     }
     const choice = choose();
@@ -299,11 +300,20 @@
   }
 
   #tryToSend(now: Milliseconds): readonly DeliveryEffect[] {
-    if (this.#dependencies.isQuarantined(now)) {
-      return [this.#giveUp('requestQuarantined', now)];
-    }
     const phase = this.#phase;
     const waiting = phase.type === 'waiting' ? phase : startWaiting(now, 'noServingGroup');
+    switch (this.#dependencies.assessCrashes(now)) {
+      case 'quarantined':
+        return [this.#giveUp('requestQuarantined', now)];
+      case 'unrecorded':
+        this.#phase = waitWhileBusy(waiting, 'crashUnrecorded', now);
+        return [];
+      case 'harmless':
+        return this.#sendToChoice(waiting, now);
+    }
+  }
+
+  #sendToChoice(waiting: WaitingPhase, now: Milliseconds): readonly DeliveryEffect[] {
     const choice = this.#dependencies.choose(this.#tried, now, this.#mayHaveRun);
     switch (choice.type) {
       case 'none':
--- a/src/gateway/direct/delivery-wait.ts
+++ b/src/gateway/direct/delivery-wait.ts
@@ -38,10 +38,10 @@
   return { type: 'waiting', waitingSince: now, reasonSince: now, code };
 }
 
-/** A request that waited for any upstream starts to wait anew for one that can accept it. */
+/** A request that waited for any upstream starts to wait anew for a reason that passes sooner. */
 export function waitWhileBusy(
   waiting: WaitingPhase,
-  code: 'overloaded' | 'upstreamsPaused',
+  code: 'overloaded' | 'upstreamsPaused' | 'crashUnrecorded',
   now: Milliseconds,
 ): WaitingPhase {
   const reasonSince = waiting.code === 'noServingGroup' ? now : waiting.reasonSince;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -76,8 +76,10 @@
         isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
         spendRetry: () => dependencies.spendRetry(service.name),
-        isQuarantined: (now) => {
-          return crashLedger.hasQuarantined && crashLedger.isQuarantined(this.#requestDigest, now);
+        assessCrashes: (now) => {
+          return crashLedger.hasSuspicions
+            ? crashLedger.assess(this.#requestDigest, now)
+            : 'harmless';
         },
       },
     );
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -72,6 +72,9 @@
     restorePending: (pending) => {
       gateway.crashLedger.restorePending(pending);
     },
+    onRecorded: (pending) => {
+      gateway.crashLedger.noteRecorded(pending);
+    },
   });
   const connections: ManagedPart = {
     name: 'connections',
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -1,5 +1,10 @@
 export { admitRequest, type Admission, type AdmissionInput, type Admitted } from './admission.js';
-export { CrashLedger, type PendingCrashes, type UpstreamCrash } from './crash-ledger.js';
+export {
+  CrashLedger,
+  type CrashAssessment,
+  type PendingCrashes,
+  type UpstreamCrash,
+} from './crash-ledger.js';
 export { CrashWatch, type CrashWatchOptions } from './crash-watch.js';
 export { Delivery } from './delivery.js';
 export type { DeliveryOutcome, ReceivedRequest } from './delivery-types.js';
