Share the checks of pauses and departures between tests, and simplify what the crash ledger releases

Read as a newcomer: the two process tests and the soak stated the same bounds twice, parseRetryAfter shared its file name with the choice of Retry-After for callers, and the ledger reported dropped crashes as recorded. No behaviour or bound changes.

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -100,6 +100,12 @@
     });
   }
 
+  /** Applies the first manifest and waits until at least so many groups are open. */
+  async waitForGroups(groupCount: number): Promise<void> {
+    await this.applyManifest(5);
+    await waitFor(`${groupCount} open groups`, () => this.findHeads().length >= groupCount);
+  }
+
   /** The engines that serve as the heads of open groups. */
   findHeads(): readonly TestEngine[] {
     return this.engines.filter((engine) => engine.isOpen);
--- a/__tests__/platform/soak/soak-faults.ts
+++ b/__tests__/platform/soak/soak-faults.ts
@@ -2,6 +2,7 @@
 
 import type { RandomSource } from '../../../src/common/index.js';
 import type { PlatformDeployment } from '../deployment.js';
+import { drainTime } from '../received-requests.js';
 import type { TestEngine } from '../test-engine.js';
 import type { GatewayLives } from './gateway-lives.js';
 
@@ -36,8 +37,6 @@
   'configurationChange',
 ];
 
-/** How long an engine that is leaving goes on to serve, in milliseconds. */
-export const drainTime = 2000;
 const controlCount = 3;
 const restartDelay = 300;
 
--- a/__tests__/platform/soak/soak-judge.ts
+++ b/__tests__/platform/soak/soak-judge.ts
@@ -1,17 +1,13 @@
 import { z } from 'zod';
 
+import { listLate, listPauses, maximumInPause } from '../received-requests.js';
 import type { ReceivedRequest, TestEngine } from '../test-engine.js';
 import type { GatewayLives } from './gateway-lives.js';
 import { idSeparator, type CallerResult } from './soak-callers.js';
-import { drainTime } from './soak-faults.js';
 import { settlingTime } from './usable-head.js';
 
 /** Finds what must not happen in a soak, from what engines and callers have seen. */
 
-/** Time after a rejection from which a pause must be kept, in milliseconds. */
-const reactionTime = 500;
-/** Most requests from one life of a gateway in the rest of a pause. */
-const maximumInPause = 2;
 /** Most engines to which one request may be sent: `attempts` of the route. */
 const maximumAttempts = 3;
 const eventCount = 20;
@@ -76,33 +72,26 @@
 }
 
 function findRequestsInPauses({ engines, lives }: SoakRecord): readonly string[] {
-  return groupReceived(engines).flatMap((requests) =>
-    requests.flatMap(({ id, engine, at, pause = 0 }) => {
-      const end = at + pause;
-      const count = requests.filter((each) => each.at > at + reactionTime && each.at < end).length;
-      const isExcused = lives.wasFrozen(lifeOf(id), at, end);
-      return count <= maximumInPause || isExcused
-        ? []
-        : [`${engine} got ${count} requests from gateway ${lifeOf(id)} in a pause of ${pause} ms`];
-    }),
-  );
-}
-
-function findRequestsToLeavingEngines({ engines, lives }: SoakRecord): readonly string[] {
   return groupReceived(engines).flatMap((requests) => {
-    const told = requests.find(({ isLeaving }) => isLeaving);
-    if (told === undefined) {
-      return [];
-    }
-    const late = requests.filter(({ id, at }) => {
-      return at > told.at + drainTime && !lives.wasFrozen(lifeOf(id), told.at, at);
+    const broken = listPauses(requests).filter(({ id, from, until, count }) => {
+      return count > maximumInPause && !lives.wasFrozen(lifeOf(id), from, until);
     });
-    return late.map(({ id, engine, at }) => {
-      return `${engine} got ${id} ${Math.round(at - told.at)} ms after it had said that it is leaving`;
+    return broken.map(({ id, from, until, count }) => {
+      const length = Math.round(until - from);
+      return `${count} requests from gateway ${lifeOf(id)} in the pause of ${length} ms that ${id} got`;
     });
   });
 }
 
+function findRequestsToLeavingEngines({ engines, lives }: SoakRecord): readonly string[] {
+  return groupReceived(engines)
+    .flatMap(listLate)
+    .filter(({ request: { id, at }, toldAt }) => !lives.wasFrozen(lifeOf(id), toldAt, at))
+    .map(({ request: { id, engine, at }, toldAt }) => {
+      return `${engine} got ${id} ${Math.round(at - toldAt)} ms after it had said that it is leaving`;
+    });
+}
+
 function findTooManyAttempts({ engines }: SoakRecord): readonly string[] {
   const counts = new Map<string, number>();
   for (const { id } of engines.flatMap(({ received }) => received)) {
--- a/__tests__/processes/platform-availability-soak.test.ts
+++ b/__tests__/processes/platform-availability-soak.test.ts
@@ -8,7 +8,6 @@
 import { SoakCallers } from '../platform/soak/soak-callers.js';
 import { SoakFaults } from '../platform/soak/soak-faults.js';
 import { countOutcomes, describeOutcome, findFaults } from '../platform/soak/soak-judge.js';
-import { waitFor } from '../support/index.js';
 
 /** Size and length of a soak; longer and larger ones are started by hand, see docs/DEVELOPERS.md. */
 const firstSeed = Number(process.env.PISTACHIOSPOKE_SOAK_FIRST_SEED ?? 1);
@@ -42,8 +41,7 @@
       const lives = new GatewayLives(gatewayCount);
       const running = await PlatformDeployment.start(engineCount, gatewayCount, grace);
       deployment = running;
-      await running.applyManifest(5);
-      await waitFor('open groups', () => running.findHeads().length >= engineCount / 4);
+      await running.waitForGroups(engineCount / 4);
       const callers = new SoakCallers(running, lives, random, callerCount);
       const faults = new SoakFaults({ deployment: running, lives, random });
       await faults.run(duration, meanFaultInterval);
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -36,4 +36,4 @@
 export { LogRateLimiter, type LogRateLimits } from './log-rate-limiter.js';
 export { digest } from './digest.js';
 export { parseJson } from './json.js';
-export { parseRetryAfter } from './retry-after.js';
+export { parseRetryAfter } from './parse-retry-after.js';
--- a/src/gateway/direct/crash-ledger.ts
+++ b/src/gateway/direct/crash-ledger.ts
@@ -127,24 +127,26 @@
   }
 
   /** Control has recorded the report. Requests with further crashes stay unrecorded. */
-  noteRecorded({ crashes }: Pick<PendingCrashes, 'crashes'>): void {
-    const pending = new Set([...this.#pendingCrashes.values()].flatMap((each) => [...each]));
-    for (const request of crashes.flatMap(({ requests }) => requests)) {
-      if (!pending.has(request)) {
-        this.#unrecorded.delete(request);
-      }
-    }
+  noteRecorded({ crashes }: PendingCrashes): void {
+    this.#release(crashes.flatMap(({ requests }) => requests));
   }
 
   #limitPending(): void {
     const excess = Math.max(0, this.#pendingCrashes.size - maximumPendingCrashes);
-    const dropped = [...this.#pendingCrashes].slice(0, excess);
-    for (const [upstream] of dropped) {
+    for (const [upstream, requests] of [...this.#pendingCrashes].slice(0, excess)) {
       this.#pendingCrashes.delete(upstream);
+      this.#release(requests);
+    }
+  }
+
+  /** Holds requests back no longer, unless another crash of theirs is to be reported. */
+  #release(requests: Iterable<string>): void {
+    const pending = new Set([...this.#pendingCrashes.values()].flatMap((each) => [...each]));
+    for (const request of requests) {
+      if (!pending.has(request)) {
+        this.#unrecorded.delete(request);
+      }
     }
-    this.noteRecorded({
-      crashes: dropped.map(([upstream, requests]) => ({ upstream, requests: [...requests] })),
-    });
   }
 
   #isAnswered(request: string, now: Milliseconds): boolean {
