--- a/__tests__/processes/platform-availability-soak.test.ts
+++ b/__tests__/processes/platform-availability-soak.test.ts
@@ -1,3 +1,4 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { afterEach, describe, expect, it } from 'vitest';
@@ -24,6 +25,8 @@
 /** Time without faults in which callers must be served again. */
 const recoveryTime = 8000;
 
+const nanosecondsPerMillisecond = 1e6;
+
 const seeds = Array.from({ length: seedCount }, (_, index) => firstSeed + index);
 let deployment: PlatformDeployment | undefined;
 
@@ -44,6 +47,8 @@
       const running = await PlatformDeployment.start(engineCount, gatewayCount, grace);
       deployment = running;
       await running.waitForGroups(initialGroups);
+      const stalls = monitorEventLoopDelay();
+      stalls.enable();
       const callers = new SoakCallers(running, lives, random, callerCount);
       const faults = new SoakFaults({ deployment: running, lives, random });
       await faults.run(duration, meanFaultInterval);
@@ -54,7 +59,9 @@
       const { engines } = running;
       const { results } = callers;
       const outcomes = countOutcomes(results);
-      console.log(JSON.stringify({ seed, outcomes, faults: faults.log.length }));
+      // The engines and callers share this process; where it stalls, their times of arrival are late.
+      const longestStall = Math.round(stalls.max / nanosecondsPerMillisecond);
+      console.log(JSON.stringify({ seed, outcomes, faults: faults.log.length, longestStall }));
       expect(findFaults({ engines, lives, results }), faults.log.join('\n')).toEqual([]);
       const last = results.filter(({ startedAt }) => startedAt >= calmSince).map(describeOutcome);
       expect(last.length).toBeGreaterThan(0);
