Do not hold back the retry of an attempt that broke off, and wait for a record as long as for a group

Callers would see: 502 and answers cut in the middle after a mass failure. A retry that found no group at once was held back when the crash became known, and the wait ended after half a second, before the next group opened.

Cause: my hold of applied to retries too, and used the short wait for a full upstream.

--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -284,7 +284,7 @@
     choose: () => TargetChoice,
   ): readonly DeliveryEffect[] {
     const isAllowed = this.#options.isRetryable && this.#mayRetry(now);
-    if (!isAllowed || this.#dependencies.assessCrashes(now) !== 'harmless') {
+    if (!isAllowed || this.#dependencies.assessCrashes(now) === 'quarantined') {
       return [];
     }
     const choice = choose();
@@ -302,15 +302,16 @@
   #tryToSend(now: Milliseconds): readonly DeliveryEffect[] {
     const phase = this.#phase;
     const waiting = phase.type === 'waiting' ? phase : startWaiting(now, 'noServingGroup');
-    switch (this.#dependencies.assessCrashes(now)) {
-      case 'quarantined':
-        return [this.#giveUp('requestQuarantined', now)];
-      case 'unrecorded':
-        this.#phase = waitWhileBusy(waiting, 'crashUnrecorded', now);
-        return [];
-      case 'harmless':
-        return this.#sendToChoice(waiting, now);
+    const assessment = this.#dependencies.assessCrashes(now);
+    if (assessment === 'quarantined') {
+      return [this.#giveUp('requestQuarantined', now)];
+    }
+    // Most requests that were in flight at a crash are harmless, so the retry that follows it does not wait for the record.
+    if (assessment === 'unrecorded' && !this.#mayHaveRun) {
+      this.#phase = { ...waiting, code: 'crashUnrecorded' };
+      return [];
     }
+    return this.#sendToChoice(waiting, now);
   }
 
   #sendToChoice(waiting: WaitingPhase, now: Milliseconds): readonly DeliveryEffect[] {
--- a/src/gateway/direct/delivery-wait.ts
+++ b/src/gateway/direct/delivery-wait.ts
@@ -38,13 +38,13 @@
   return { type: 'waiting', waitingSince: now, reasonSince: now, code };
 }
 
-/** A request that waited for any upstream starts to wait anew for a reason that passes sooner. */
+/** A request that waited for any upstream starts to wait anew for one that can accept it. */
 export function waitWhileBusy(
   waiting: WaitingPhase,
-  code: 'overloaded' | 'upstreamsPaused' | 'crashUnrecorded',
+  code: 'overloaded' | 'upstreamsPaused',
   now: Milliseconds,
 ): WaitingPhase {
-  const reasonSince = waiting.code === 'noServingGroup' ? now : waiting.reasonSince;
+  const reasonSince = isLongWait(waiting.code) ? now : waiting.reasonSince;
   return { ...waiting, reasonSince, code };
 }
 
@@ -72,9 +72,14 @@
 ): Milliseconds {
   const time = deadline - startedAt;
   const without = Math.min(maximumWait, time * maximumShareWithoutUpstream);
-  if (code === 'noServingGroup') {
+  if (isLongWait(code)) {
     return waitingSince + without;
   }
   const whileFull = Math.min(maximumWaitWhileFull, time * maximumShareWhileFull);
   return Math.min(reasonSince + whileFull, waitingSince + without);
 }
+
+/** Whether the request waits for control: for a group, or for the record of a crash. */
+function isLongWait(code: ResultCodeName): boolean {
+  return code === 'noServingGroup' || code === 'crashUnrecorded';
+}
