--- a/__tests__/control/engine-metrics.test.ts
+++ b/__tests__/control/engine-metrics.test.ts
@@ -15,6 +15,7 @@
   isSettling: false,
   loadsAllowed: 0,
   pendingStaging: new Map(),
+  evacuations: new Map(),
   demand: new Map([['large', 12]]),
   nextNumber: 3,
 };
--- a/__tests__/direct/targets.ts
+++ b/__tests__/direct/targets.ts
@@ -5,6 +5,7 @@
     key,
     service: 'engines',
     isGroup: true,
+    failureDomain: undefined,
     instance: { id: `i-${key}` },
     address: '10.0.0.1:1',
     slots: 24,
--- a/__tests__/engines/engine-simulation.ts
+++ b/__tests__/engines/engine-simulation.ts
@@ -439,6 +439,7 @@
       isSettling: false,
       loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(this.#profile, this.now) : 5,
       pendingStaging: this.#staging,
+      evacuations: new Map(),
       demand: this.hasTraffic ? (this.#options.demand ?? new Map()) : new Map(),
       nextNumber: this.state.fencingNumber + 1,
     });
--- a/__tests__/engines/fixtures.ts
+++ b/__tests__/engines/fixtures.ts
@@ -96,6 +96,7 @@
     isSettling: false,
     loadsAllowed: 0,
     pendingStaging: new Map(),
+    evacuations: new Map(),
     demand,
     nextNumber: 100,
     ...changes,
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -53,6 +53,8 @@
   readonly #loadBudget = new LoadBudget();
   #staging = new Map<string, string>();
   readonly #settling = new Settling();
+  /** When this host first knew of each evacuation in force. */
+  #evacuationsKnownSince = new Map<string, Milliseconds>();
   readonly #pacing = new PlanPacing();
   #hasTraffic = false;
   #isScheduled = false;
@@ -168,6 +170,7 @@
       loadsAllowed: this.#countLoads(profile, engines, now),
       pendingStaging: this.#staging,
       demand: isDemandSettled ? demand : new Map(),
+      evacuations: this.#describeEvacuations(state.routing, now),
       nextNumber: state.fencingNumber + 1,
     };
   }
@@ -184,6 +187,20 @@
     return this.#loadBudget.countAllowed(profile, now);
   }
 
+  /** Also drops the evacuations that have ended. */
+  #describeEvacuations(
+    { evacuations }: RoutingState,
+    now: Milliseconds,
+  ): ReadonlyMap<string, Milliseconds> {
+    const before = this.#evacuationsKnownSince;
+    this.#evacuationsKnownSince = new Map(
+      [...evacuations.keys()].map((domain) => [domain, before.get(domain) ?? now]),
+    );
+    return new Map(
+      [...this.#evacuationsKnownSince].map(([domain, since]) => [domain, now - since]),
+    );
+  }
+
   /** Also drops the phases of removed groups. */
   #describeGroups(groups: readonly EngineGroup[], now: Milliseconds): readonly GroupView[] {
     const before = this.#phases;
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -4,11 +4,13 @@
   crashSuspectSchema,
   departedInstanceSchema,
   engineGroupSchema,
+  evacuationSchema,
   instanceSchema,
   packDocument,
   type CrashSuspect,
   type DepartedInstance,
   type EngineGroup,
+  type Evacuation,
   type Instance,
   type RoutingDocument,
 } from '../../routing/index.js';
@@ -26,6 +28,8 @@
   readonly engineGroupsIndex: number;
   /** Requests that were in flight when upstreams crashed, by request digest. */
   readonly suspects: ReadonlyMap<string, CrashSuspect>;
+  /** Evacuations in force, by failure domain. */
+  readonly evacuations: ReadonlyMap<string, Evacuation>;
 }
 
 /** State before the first command. */
@@ -36,6 +40,7 @@
   engineGroups: new Map(),
   engineGroupsIndex: 0,
   suspects: new Map(),
+  evacuations: new Map(),
 };
 
 /** Snapshot format of the state, with maps as arrays. */
@@ -50,6 +55,8 @@
     engineGroupsIndex: z.int().min(0),
     /** Absent from snapshots written by earlier versions. */
     suspects: z.array(crashSuspectSchema).exactOptional(),
+    /** Absent from snapshots written by earlier versions. */
+    evacuations: z.array(evacuationSchema).exactOptional(),
   })
   .readonly();
 
@@ -64,6 +71,7 @@
     instances: [...state.instances.values()],
     engineGroups: [...state.engineGroups.values()],
     suspects: [...state.suspects.values()],
+    evacuations: [...state.evacuations.values()],
   };
 }
 
@@ -80,5 +88,6 @@
     instances: new Map(stored.instances.map((instance) => [instance.id, instance])),
     engineGroups: new Map(stored.engineGroups.map((group) => [group.name, group])),
     suspects: new Map((stored.suspects ?? []).map((suspect) => [suspect.request, suspect])),
+    evacuations: new Map((stored.evacuations ?? []).map((each) => [each.failureDomain, each])),
   };
 }
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -42,6 +42,8 @@
   readonly pendingStaging: ReadonlyMap<string, string>;
   /** Measured demand in concurrent requests, by model; empty until all gateways have reported theirs. */
   readonly demand: ReadonlyMap<string, number>;
+  /** Time since this leader has known of each evacuation in force, by failure domain. */
+  readonly evacuations: ReadonlyMap<string, Milliseconds>;
   /** First number for the names of new groups. */
   readonly nextNumber: number;
 }
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -12,6 +12,16 @@
   readonly timeLimit: Milliseconds | undefined;
   /** Undefined if the request is not for a model. */
   readonly model: string | undefined;
+  /** Undefined if the caller does not say. */
+  readonly tokens: TokenCounts | undefined;
+}
+
+/** Work of a request for a model. */
+export interface TokenCounts {
+  /** Tokens to read. */
+  readonly prompt: number;
+  /** Tokens to write at most. */
+  readonly answer: number;
 }
 
 /** Values that the gateway adds to a request for the upstream. */
@@ -49,6 +59,8 @@
   readonly retryAfter: Milliseconds | undefined;
   /** Whether the upstream is shutting down. */
   readonly isLeaving: boolean;
+  /** How much longer the upstream is cold; undefined if it does not say. */
+  readonly coldFor: Milliseconds | undefined;
 }
 
 /** Header names and values alternating, as in Node's `rawHeaders`. */
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -21,6 +21,7 @@
   Dialect,
   RawHeaders,
   UpstreamRequestOptions,
+  TokenCounts,
   UpstreamLoad,
 } from './dialect.js';
 export { ResponseWriter, dropConnectionFields } from './response-writer.js';
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -25,6 +25,8 @@
   readonly instance: InstanceIdentity;
   /** `ip:port`. */
   readonly address: string;
+  /** Undefined if unknown. */
+  readonly failureDomain: string | undefined;
   /** Requests that it processes concurrently; undefined if unknown. */
   readonly slots: number | undefined;
 }
@@ -185,7 +187,7 @@
       return [...engineGroups.values()]
         .filter((group) => group.service === service.name && group.model === model)
         .filter(({ phase }) => phase === 'open')
-        .flatMap((group) => describeGroup(group, slots) ?? []);
+        .flatMap((group) => describeGroup(group, slots, instances) ?? []);
     }
     return [...instances.values()]
       .filter((instance) => instance.service === service.name && !instance.isDraining)
@@ -195,14 +197,22 @@
         isGroup: false,
         instance: identityOf(instance),
         address: instance.address,
+        failureDomain: instance.failureDomain,
         slots: undefined,
       }));
   }
 }
 
-function describeGroup({ name, service, members }: EngineGroup, slots: number): Target | undefined {
+function describeGroup(
+  { name, service, members }: EngineGroup,
+  slots: number,
+  instances: RoutingView['instances'],
+): Target | undefined {
   const head = members[0];
-  return head === undefined
-    ? undefined
-    : { key: name, service, isGroup: true, instance: head.instance, address: head.address, slots };
+  if (head === undefined) {
+    return undefined;
+  }
+  const { instance, address } = head;
+  const failureDomain = head.failureDomain ?? instances.get(instance.id)?.failureDomain;
+  return { key: name, service, isGroup: true, instance, address, failureDomain, slots };
 }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -30,6 +30,7 @@
   type DirectGatewayProcess,
   type RawHeaders,
   type UpstreamRequestOptions,
+  type TokenCounts,
   type UpstreamLoad,
   dropConnectionFields,
 } from './direct/index.js';
--- a/src/routing/schema.ts
+++ b/src/routing/schema.ts
@@ -71,11 +71,22 @@
   })
   .readonly();
 
+/** How long an instance is cold after its start, and the rate that all gateways together may send it meanwhile. */
+const coldProfile = z
+  .strictObject({
+    /** Milliseconds. */
+    duration: z.number().gt(0),
+    requestsPerSecond: z.number().gt(0),
+  })
+  .readonly();
+
 const routedService = z
   .strictObject({
     name,
     /** Maximum number of connections that one instance accepts from all callers together. */
     maximumConnections: z.int().min(1),
+    /** Present if an instance is cold for a while after its start. */
+    cold: coldProfile.exactOptional(),
     /** Present if the instances are engines that form groups. */
     engine: engineProfile.exactOptional(),
   })
@@ -102,6 +113,15 @@
   })
   .readonly();
 
+/** Latency between two failure domains, the same in both directions. */
+const domainDelay = z
+  .strictObject({
+    between: z.tuple([z.string(), z.string()]).readonly(),
+    /** One way, in milliseconds. */
+    delay: duration,
+  })
+  .readonly();
+
 /** A complete routing document. The operator chooses its version; the highest version is in effect. */
 export const routingDocumentSchema = z
   .strictObject({
@@ -111,6 +131,8 @@
     /** Absent if callers need no key. */
     accounts: z.array(routedAccount).readonly().exactOptional(),
     callers: callerBounds,
+    /** Absent if the operator declares none. */
+    domainDelays: z.array(domainDelay).readonly().exactOptional(),
     /** The operator's source text, returned unchanged when the document is read. */
     source: z.string(),
   })
@@ -123,6 +145,17 @@
     instance: storedIdentitySchema,
     /** `ip:port` of the engine. */
     address: name,
+    /** Absent from groups that an earlier version placed. */
+    failureDomain: z.string().exactOptional(),
+  })
+  .readonly();
+
+/** A failure domain whose upstreams should get no requests because an operator evacuates it. */
+export const evacuationSchema = z
+  .strictObject({
+    failureDomain: name,
+    /** Wall time, in milliseconds, at which the leader took the order. */
+    startedAt: z.number(),
   })
   .readonly();
 
@@ -210,6 +243,9 @@
 export type EngineProfile = z.infer<typeof engineProfile>;
 export type RoutedService = z.infer<typeof routedService>;
 export type RoutedAccount = z.infer<typeof routedAccount>;
+export type ColdProfile = z.infer<typeof coldProfile>;
+export type DomainDelay = z.infer<typeof domainDelay>;
+export type Evacuation = z.infer<typeof evacuationSchema>;
 export type CallerBounds = z.infer<typeof callerBounds>;
 export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
 export type EngineMember = z.infer<typeof engineMember>;
--- a/src/watch/routing-state-tracker.ts
+++ b/src/watch/routing-state-tracker.ts
@@ -2,6 +2,7 @@
 import {
   RouteTable,
   type EngineGroup,
+  type Evacuation,
   type Instance,
   type RoutingDocument,
 } from '../routing/index.js';
@@ -17,6 +18,8 @@
   readonly engineGroups: ReadonlyMap<string, EngineGroup>;
   /** Digests of the requests that must not be sent to upstreams. */
   readonly quarantined: ReadonlySet<string>;
+  /** Evacuations in force, by failure domain. */
+  readonly evacuations: ReadonlyMap<string, Evacuation>;
   /** False until the first complete state has arrived. */
   readonly isSynchronized: boolean;
   /** When a control host in contact with a quorum last confirmed that this state is current; undefined if that never happened. */
@@ -53,6 +56,7 @@
   instances: new Map(),
   engineGroups: new Map(),
   quarantined: new Set(),
+  evacuations: new Map(),
   isSynchronized: false,
   confirmedAt: undefined,
   leader: '',
