Form groups outside evacuated failure domains first, then drain the groups inside

Cause: the planner read no evacuations, so groups in an evacuated domain stayed open, counted as capacity, and engines there were placed and staged like any others.

Change: a group with a member in an evacuated domain is no capacity, and engines there are not available, staged or counted on. A joining group is removed, an opening one closed. Open groups are drained when the model's open groups elsewhere serve its demand, when no group of the model is being or can be formed elsewhere, or 2 s after the evacuation became known. Without reports of demand (a new leader) only the 2 s apply. Followers count the time as well, so that a new leader does not start over. Members of placed groups name their failure domain, so that a new leader knows evacuated groups before their engines have reported.

Where no domain is evacuated, decisions are the same except for the failure domain in members.

--- a/__tests__/engines/engine-simulation.ts
+++ b/__tests__/engines/engine-simulation.ts
@@ -114,6 +114,7 @@
   readonly #ready = new Map<string, Set<string>>();
   readonly #leaving = new InstanceSet();
   readonly #loads = new LoadBudget();
+  readonly #evacuations = new Map<string, Milliseconds>();
   #staging: ReadonlyMap<string, string> = new Map();
 
   constructor(options: SimulationOptions) {
@@ -187,6 +188,15 @@
     this.#leaving.add(host.engine.identity);
   }
 
+  /** Evacuates a failure domain, which is the same as the fabric domain here. */
+  evacuate(domain: string): void {
+    this.#evacuations.set(domain, this.now);
+  }
+
+  endEvacuation(domain: string): void {
+    this.#evacuations.delete(domain);
+  }
+
   /** Another control host becomes leader. It has the replicated state but no reports. */
   changeLeader(): void {
     this.#directory = new EngineDirectory();
@@ -259,7 +269,7 @@
   #report(host: SimulatedHost): void {
     const { controller } = host;
     const facts: EngineFacts = {
-      failureDomain: 'a',
+      failureDomain: host.domain,
       address: '10.0.0.1:1',
       service: 'engines',
       ...(controller.reading === undefined ? {} : { reading: controller.reading }),
@@ -439,7 +449,9 @@
       isSettling: false,
       loadsAllowed: this.hasTraffic ? this.#loads.countAllowed(this.#profile, this.now) : 5,
       pendingStaging: this.#staging,
-      evacuations: new Map(),
+      evacuations: new Map(
+        [...this.#evacuations].map(([domain, since]) => [domain, this.now - since]),
+      ),
       demand: this.hasTraffic ? (this.#options.demand ?? new Map()) : new Map(),
       nextNumber: this.state.fencingNumber + 1,
     });
--- a/__tests__/engines/fixtures.ts
+++ b/__tests__/engines/fixtures.ts
@@ -14,6 +14,8 @@
 export interface TestEngine {
   readonly host: string;
   readonly domain?: string;
+  /** The same as the fabric domain if absent. */
+  readonly failureDomain?: string;
   readonly lastModel: string;
   readonly staged: string;
   readonly slowdown?: number;
@@ -23,6 +25,7 @@
 
 export function createEngineView(engine: TestEngine): [string, EngineView] {
   const { host, domain = 'd0', lastModel, staged, slowdown = 1, group } = engine;
+  const { failureDomain = domain } = engine;
   const reading = {
     instance: { id: `i-${host}` },
     fabricDomain: domain,
@@ -34,7 +37,7 @@
     slowdown,
   };
   const facts = {
-    failureDomain: 'a',
+    failureDomain,
     address: '10.0.0.1:1',
     service: 'engines',
     reading,
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -53,7 +53,7 @@
   readonly #loadBudget = new LoadBudget();
   #staging = new Map<string, string>();
   readonly #settling = new Settling();
-  /** When this host first knew of each evacuation in force. */
+  /** When this host first knew of each evacuation in force, also as a follower, so that a new leader does not start over. */
   #evacuationsKnownSince = new Map<string, Milliseconds>();
   readonly #pacing = new PlanPacing();
   #hasTraffic = false;
@@ -90,6 +90,7 @@
 
   /** Schedules a step because something may have changed. Several calls before the next plan is allowed result in one step. */
   notify(): void {
+    this.#updateEvacuations();
     if (
       this.#isScheduled ||
       this.#timer === undefined ||
@@ -170,7 +171,7 @@
       loadsAllowed: this.#countLoads(profile, engines, now),
       pendingStaging: this.#staging,
       demand: isDemandSettled ? demand : new Map(),
-      evacuations: this.#describeEvacuations(state.routing, now),
+      evacuations: this.#describeEvacuations(now),
       nextNumber: state.fencingNumber + 1,
     };
   }
@@ -187,15 +188,21 @@
     return this.#loadBudget.countAllowed(profile, now);
   }
 
-  /** Also drops the evacuations that have ended. */
-  #describeEvacuations(
-    { evacuations }: RoutingState,
-    now: Milliseconds,
-  ): ReadonlyMap<string, Milliseconds> {
+  /** Also drops the evacuations that have ended. Called after each applied command. */
+  #updateEvacuations(): void {
+    const { readState, clock } = this.#options;
+    const now = clock.monotonic();
     const before = this.#evacuationsKnownSince;
     this.#evacuationsKnownSince = new Map(
-      [...evacuations.keys()].map((domain) => [domain, before.get(domain) ?? now]),
+      [...readState().routing.evacuations.keys()].map((domain) => [
+        domain,
+        before.get(domain) ?? now,
+      ]),
     );
+  }
+
+  #describeEvacuations(now: Milliseconds): ReadonlyMap<string, Milliseconds> {
+    this.#updateEvacuations();
     return new Map(
       [...this.#evacuationsKnownSince].map(([domain, since]) => [domain, now - since]),
     );
--- a/src/engines/form-groups.ts
+++ b/src/engines/form-groups.ts
@@ -28,6 +28,8 @@
 export interface FormationDecision {
   readonly place: readonly NewEngineGroup[];
   readonly drain: readonly GroupAdvance[];
+  /** Models of the groups that are placed, or whose engines are reserved until they are free. */
+  readonly models: readonly string[];
 }
 
 /**
@@ -40,6 +42,7 @@
   const { profile, needs, hasTraffic, slowGroups, service } = input;
   const place: NewEngineGroup[] = [];
   const drain: GroupAdvance[] = [];
+  const models: string[] = [];
   const counts = countByDomain(input);
   const countInDomain = (domain: string, model: string): number =>
     counts.get(formatDomainModelKey(domain, model)) ?? 0;
@@ -52,13 +55,14 @@
     if (best === undefined) {
       const mayExchange = !hasTraffic && place.length === 0 && drain.length === 0;
       const exchanges = mayExchange ? chooseExchanges({ ...input, models: profile.models }) : [];
-      return { place, drain: [...drain, ...exchanges] };
+      return { place, drain: [...drain, ...exchanges], models };
     }
     if (best.members.every(({ timeUntilFree }) => timeUntilFree === 0)) {
       place.push(describeGroup(best, service, input.nextNumber + place.length));
     }
     drain.push(...best.groupsToDrain.map((view) => describeDrain(view, best)));
     needs.add(best.model.name);
+    models.push(best.model.name);
     best.groupsToDrain
       .filter(({ group }) => !slowGroups.has(group.name))
       .forEach(({ group }) => {
--- a/src/engines/group-transitions.ts
+++ b/src/engines/group-transitions.ts
@@ -6,6 +6,7 @@
   type EngineMembership,
 } from '../routing/index.js';
 import { determineEngineStatus } from './engine-status.js';
+import { isEvacuated } from './evacuated-groups.js';
 import type { EngineView, GroupAdvance, GroupRemoval, GroupView, PlannerInput } from './types.js';
 
 /** Decides the next phase of each placed group, or its removal. */
@@ -35,6 +36,10 @@
 
 export function decideTransition(view: GroupView, input: PlannerInput): GroupTransition {
   const { group } = view;
+  const evacuated = isEvacuated(group, input) ? decideEvacuatedTransition(group) : undefined;
+  if (evacuated !== undefined) {
+    return evacuated;
+  }
   const statuses = group.members.map((member) => determineMemberStatus(member, group, input));
   switch (group.phase) {
     case 'joining':
@@ -103,6 +108,20 @@
   }
 }
 
+/** A group that does not serve yet is given up. Undefined if the group has served; when it is drained depends on other groups. */
+function decideEvacuatedTransition(group: EngineGroup): GroupTransition | undefined {
+  switch (group.phase) {
+    case 'joining':
+      return remove(group, 'its failure domain is evacuated');
+    case 'opening':
+      return advance(group, 'closing', 'its failure domain is evacuated');
+    case 'open':
+    case 'draining':
+    case 'closing':
+      return undefined;
+  }
+}
+
 /** A joining group was never ordered to open, so it can be removed at any time. */
 function decideJoiningTransition(
   { group, phaseAge }: GroupView,
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -2,6 +2,7 @@
 import { formGroups } from './form-groups.js';
 import { ModelNeeds } from './model-needs.js';
 import { determineEngineStatus } from './engine-status.js';
+import { chooseEvacuationDrains, isEvacuated, isInEvacuatedDomain } from './evacuated-groups.js';
 import { decideTransition } from './group-transitions.js';
 import { findAvailableEngines, findSlowGroups } from './available-engines.js';
 import { chooseStaging } from './staging.js';
@@ -64,7 +65,9 @@
   const engines = [...input.engines.values()].flatMap((view) => {
     return view.facts.service === service.name ? (toAnsweringEngine(view, input) ?? []) : [];
   });
-  const activeGroups = groups.filter(({ group }) => isActive(group.phase));
+  // An evacuated group still serves, but is no capacity to count on, and its engines are used only once it has drained.
+  const usableGroups = groups.filter(({ group }) => !isEvacuated(group, input));
+  const activeGroups = usableGroups.filter(({ group }) => isActive(group.phase));
   const slowGroups = findSlowGroups(engines, activeGroups);
   const fullSpeedGroups = activeGroups.filter(({ group }) => !slowGroups.has(group.name));
   const needs = new ModelNeeds(
@@ -77,11 +80,13 @@
   const domains = new Map(
     engines.map(({ member, reading }) => [member.host, reading.fabricDomain]),
   );
-  const available = findAvailableEngines(engines, groups);
+  const available = findAvailableEngines(engines, groups).filter(
+    ({ openGroup }) => openGroup === undefined || usableGroups.includes(openGroup),
+  );
   const mayDrain = !hasTraffic || input.demand.size > 0;
   const sharedInput = { service, profile, available, activeGroups, slowGroups, needs, domains };
-  const { place, drain } = input.isSettling
-    ? { place: [], drain: [] }
+  const { place, drain, models } = input.isSettling
+    ? { place: [], drain: [], models: [] }
     : formGroups({ ...sharedInput, hasTraffic, mayDrain, nextNumber });
   const groupModels = new Map(
     [...activeGroups.map(({ group }) => group), ...place].flatMap(({ members, model }) =>
@@ -97,22 +102,43 @@
     isSettling: input.isSettling,
     pending: input.pendingStaging,
   });
-  return { place, stage, advance: drain };
+  const openGroups = fullSpeedGroups.filter(({ group }) => group.phase === 'open');
+  const evacuationDrains = chooseEvacuationDrains({
+    ...input,
+    service,
+    groups,
+    openNeeds: new ModelNeeds(
+      profile,
+      engines.length,
+      openGroups.map(({ group }) => group),
+      input.demand,
+    ),
+    modelsInFormation: new Set([...models, ...listModelsInFormation(activeGroups)]),
+    mayDrainEarly: mayDrain && !input.isSettling,
+  });
+  return { place, stage, advance: [...drain, ...evacuationDrains] };
+}
+
+function listModelsInFormation(activeGroups: readonly GroupView[]): readonly string[] {
+  return activeGroups.flatMap(({ group: { phase, model } }) => (phase === 'open' ? [] : [model]));
 }
 
 function isActive(phase: EnginePhase): boolean {
   return phase === 'joining' || phase === 'opening' || phase === 'open';
 }
 
-/** Undefined if the engine does not answer or is shutting down. */
+/** Undefined if the engine does not answer, is shutting down, or is in an evacuated failure domain. */
 function toAnsweringEngine(view: EngineView, input: PlannerInput): AnsweringEngine | undefined {
   const { facts, host } = view;
-  const { address, service, lastModel } = facts;
+  const { address, service, lastModel, failureDomain } = facts;
   const status = determineEngineStatus(view);
   if (status.type !== 'answering' || input.leaving.has(status.reading.instance)) {
     return undefined;
   }
+  if (isInEvacuatedDomain(view, input)) {
+    return undefined;
+  }
   const { reading } = status;
-  const member = { host, instance: reading.instance, address };
+  const member = { host, instance: reading.instance, address, failureDomain };
   return { member, service, reading, lastModel };
 }
