Move the choice of an upstream to src/dispatch

Cause: both upstream paths are to use one choice of upstreams, and src/gateway/direct is one of the two.

Change: target.ts, target-loads.ts and head-subset.ts move to src/dispatch with an index file. What they need of permits and availability is described there by interfaces, so that src/dispatch imports nothing of a gateway. UpstreamLoad moves along from dialect.ts. The index of src/gateway/direct no longer exports them. No behaviour changes.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
+import type { TargetChoice } from '../../src/dispatch/index.js';
 import {
   DeliveryController,
   type CrashAssessment,
   type DeliveryEffect,
   type DeliveryOptions,
-  type TargetChoice,
 } from '../../src/gateway/direct/index.js';
 import { createTarget } from './targets.js';
 
--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -4,13 +4,12 @@
   type RandomSource,
 } from '../../src/common/index.js';
 import {
-  RequestPermits,
   TargetChooser,
   TargetLoads,
-  UpstreamAvailability,
   type GatewayPosition,
   type Target,
-} from '../../src/gateway/direct/index.js';
+} from '../../src/dispatch/index.js';
+import { RequestPermits, UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, RoutedService } from '../../src/routing/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { engineProfile } from '../routing/documents.js';
--- a/__tests__/direct/placement.test.ts
+++ b/__tests__/direct/placement.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { choosePreferredTargets } from '../../src/gateway/direct/index.js';
+import { choosePreferredTargets } from '../../src/dispatch/index.js';
 import { simulatePlacement, type PlacementOptions } from './placement-simulation.js';
 
 type Layout = Pick<PlacementOptions, 'gateways' | 'heads'>;
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -1,13 +1,8 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandomSource } from '../../src/common/index.js';
-import {
-  RequestPermits,
-  TargetChooser,
-  TargetLoads,
-  UpstreamAvailability,
-  type Target,
-} from '../../src/gateway/direct/index.js';
+import { TargetChooser, TargetLoads, type Target } from '../../src/dispatch/index.js';
+import { RequestPermits, UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, EnginePhase } from '../../src/routing/index.js';
 import { emptyRoutingView } from '../../src/watch/index.js';
 import { createDocument } from '../routing/documents.js';
--- a/__tests__/direct/targets.ts
+++ b/__tests__/direct/targets.ts
@@ -1,4 +1,4 @@
-import type { Target } from '../../src/gateway/direct/index.js';
+import type { Target } from '../../src/dispatch/index.js';
 
 export function createTarget(key: string): Target {
   return {
--- a/src/gateway/direct/target-loads.ts
+++ b/src/dispatch/target-loads.ts
@@ -1,9 +1,15 @@
-import type { Milliseconds } from '../../common/index.js';
-import type { UpstreamLoad } from './dialect.js';
+import type { Milliseconds } from '../common/index.js';
 import type { Target } from './target.js';
 
 /** Tracks the load of each target as one gateway knows it; performs no I/O. */
 
+/** Load of an upstream as it reports it. */
+export interface UpstreamLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
 /** Slots assumed for an upstream that has not reported their number. */
 const defaultSlots = 8;
 /** Time after which the load reported by an instance of a plain service no longer counts. */
--- a/src/gateway/direct/target.ts
+++ b/src/dispatch/target.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, RandomSource } from '../../common/index.js';
+import type { Milliseconds, RandomSource } from '../common/index.js';
 import {
   formatIdentity,
   identityOf,
@@ -6,12 +6,11 @@
   type EngineGroup,
   type InstanceIdentity,
   type RoutedService,
-} from '../../routing/index.js';
-import type { RoutingView } from '../../watch/index.js';
+} from '../routing/index.js';
+import type { RoutingView } from '../watch/index.js';
 import { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
-import type { RequestPermits } from './request-permits.js';
 import type { TargetLoads } from './target-loads.js';
-import type { UpstreamAvailability } from './upstream-availability.js';
+import type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
 
@@ -63,7 +62,7 @@
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
   readonly availability: UpstreamAvailability;
-  readonly permits: RequestPermits;
+  readonly permits: UpstreamPermits;
   /** Position of this gateway; undefined while unknown, or if no other gateways share the targets. */
   readonly readPosition?: () => GatewayPosition | undefined;
   readonly random: RandomSource;
--- a/src/gateway/direct/crash-watch.ts
+++ b/src/gateway/direct/crash-watch.ts
@@ -1,7 +1,7 @@
 import { pause, type RateLimitedLog, type Clock, type Milliseconds } from '../../common/index.js';
+import type { Target } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { CrashLedger } from './crash-ledger.js';
-import type { Target } from './target.js';
 import type { ProbeVerdict } from './upstream-probe.js';
 
 /** Probes upstreams that interrupted responses, and records a crash for those that no longer accept connections. */
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -6,10 +6,10 @@
   type Milliseconds,
   type ResultCodeName,
 } from '../../common/index.js';
+import type { Target, TargetChoice } from '../../dispatch/index.js';
 import { findWaitEnd, startWaiting, waitWhileBusy, type WaitingPhase } from './delivery-wait.js';
 import type { CrashAssessment } from './crash-ledger.js';
 import { chooseRetryAfter } from './retry-after.js';
-import type { Target, TargetChoice } from './target.js';
 
 /** State machine that leads one request to exactly one final response; performs no I/O. */
 
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import { assertNever, digest, type Milliseconds } from '../../common/index.js';
+import type { Target } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import {
   DeliveryController,
@@ -15,7 +16,6 @@
 } from './delivery-types.js';
 import { RequestTimer } from './request-times.js';
 import type { TrackedStream } from './stream-progress.js';
-import type { Target } from './target.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
 
 /** Forwards one request to upstreams and the response to the caller, executing the decisions of the controller. */
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -1,13 +1,13 @@
 import type { Logger } from 'pino';
 
 import type { ManagedPart, Milliseconds } from '../../common/index.js';
+import type { GatewayPosition } from '../../dispatch/index.js';
 import { RoutingService, type DemandAnswer } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import {
   decodeUpstreamLimits,
   encodeUpstreamLimits,
   type RpcClientPool,
 } from '../../wire/index.js';
-import type { GatewayPosition } from './head-subset.js';
 import type { GrantedPermits, PermitReport } from './request-permits.js';
 
 /**
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import type { Milliseconds } from '../../common/index.js';
+import type { UpstreamLoad } from '../../dispatch/index.js';
 
 /** Interface to the headers that a deployment's callers and upstreams use; an adapter implements it. */
 
@@ -37,13 +38,6 @@
   readonly resumeAfter: string | undefined;
 }
 
-/** Load of an upstream as it reports it. */
-export interface UpstreamLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** What the status and headers of an upstream's response mean. */
 export interface ResponseMetadata {
   /** Whether the upstream did not run the request and never will. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -13,6 +13,7 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
+import { TargetChooser, TargetLoads, type GatewayPosition } from '../../dispatch/index.js';
 import { formatIdentity, listIdentities } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
@@ -28,14 +29,11 @@
 import type { Dialect } from './dialect.js';
 import { ResponseWriter } from './response-writer.js';
 import { DocumentGuard } from './document-guard.js';
-import type { GatewayPosition } from './head-subset.js';
 import { RequestPermits } from './request-permits.js';
 import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
 import { StreamProgress } from './stream-progress.js';
-import { TargetChooser } from './target.js';
-import { TargetLoads } from './target-loads.js';
 import { UpstreamAvailability } from './upstream-availability.js';
 import { UpstreamConnections } from './upstream-connections.js';
 import { UpstreamObserver } from './upstream-observer.js';
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -22,7 +22,6 @@
   RawHeaders,
   UpstreamRequestOptions,
   TokenCounts,
-  UpstreamLoad,
 } from './dialect.js';
 export { ResponseWriter, dropConnectionFields } from './response-writer.js';
 export { DirectGateway, type DirectGatewayOptions } from './direct-gateway.js';
@@ -32,12 +31,9 @@
   type DirectGatewayProcess,
 } from './direct-gateway-process.js';
 export { DirectMetrics } from './direct-metrics.js';
-export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
 export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export { SharedRetryBudget, type RetryLimit } from './shared-retry-budget.js';
 export { TrackedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
-export { TargetChooser, type Target, type TargetChoice } from './target.js';
-export { TargetLoads } from './target-loads.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
 export { UpstreamAvailability, type Unavailability } from './upstream-availability.js';
 export { UpstreamConnections } from './upstream-connections.js';
--- a/src/gateway/direct/stall-watch.ts
+++ b/src/gateway/direct/stall-watch.ts
@@ -1,7 +1,7 @@
 import type { RateLimitedLog, Clock } from '../../common/index.js';
+import type { TargetLoads } from '../../dispatch/index.js';
 import type { Delivery } from './delivery.js';
 import { StreamProgress } from './stream-progress.js';
-import type { TargetLoads } from './target-loads.js';
 
 /** Reacts to stalled targets: new requests avoid them while there are others, and retryable requests in flight there move elsewhere. */
 
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -1,10 +1,9 @@
 import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
+import type { Target, TargetLoads } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
 import type { RequestPermits } from './request-permits.js';
-import type { Target } from './target.js';
-import type { TargetLoads } from './target-loads.js';
 import type { UpstreamAvailability } from './upstream-availability.js';
 
 /** Records what the headers of responses say about the upstreams that sent them. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -31,7 +31,6 @@
   type RawHeaders,
   type UpstreamRequestOptions,
   type TokenCounts,
-  type UpstreamLoad,
   dropConnectionFields,
 } from './direct/index.js';
 export { readBody } from './shell/body.js';
