Move RequestPermits to src/dispatch

Both paths to upstreams share the decisions that go to this folder. RequestPermits is the first; no behaviour changes.

--- a/__tests__/direct/limit-world.ts
+++ b/__tests__/direct/limit-world.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds, RandomSource } from '../../src/common/index.js';
 import { PermitAllocator, type PermitAnswer } from '../../src/control/routing/index.js';
-import { RequestPermits } from '../../src/gateway/direct/index.js';
+import { RequestPermits } from '../../src/dispatch/index.js';
 
 /** Simulates gateways that share the rate limit of an upstream through the leader of control. */
 
--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -3,8 +3,8 @@
   type Milliseconds,
   type RandomSource,
 } from '../../src/common/index.js';
+import { RequestPermits } from '../../src/dispatch/index.js';
 import {
-  RequestPermits,
   TargetChooser,
   TargetLoads,
   UpstreamAvailability,
--- a/__tests__/direct/request-permits.test.ts
+++ b/__tests__/direct/request-permits.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { RequestPermits } from '../../src/gateway/direct/index.js';
+import { RequestPermits } from '../../src/dispatch/index.js';
 
 const upstream = 'i-1';
 
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandomSource } from '../../src/common/index.js';
+import { RequestPermits } from '../../src/dispatch/index.js';
 import {
-  RequestPermits,
   TargetChooser,
   TargetLoads,
   UpstreamAvailability,
--- /dev/null
+++ b/src/dispatch/index.ts
@@ -0,0 +1,1 @@
+export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
--- a/src/gateway/direct/request-permits.ts
+++ b/src/dispatch/request-permits.ts
@@ -1,5 +1,5 @@
-import type { Milliseconds } from '../../common/index.js';
-import { lowestPermitRate, UpstreamLimits, type UpstreamLimit } from '../../routing/index.js';
+import type { Milliseconds } from '../common/index.js';
+import { lowestPermitRate, UpstreamLimits, type UpstreamLimit } from '../routing/index.js';
 
 /** Tracks the permits of one gateway for requests to rate-limited upstreams; free of I/O. */
 
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -1,10 +1,10 @@
 import type { RateLimitedLog, Clock, Milliseconds } from '../../common/index.js';
+import type { RequestPermits } from '../../dispatch/index.js';
 import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { CrashLedger } from './crash-ledger.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { Dialect, RawHeaders } from './dialect.js';
 import type { RequestTimes } from './request-times.js';
-import type { RequestPermits } from './request-permits.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { TargetChooser } from './target.js';
 import type { TargetLoads } from './target-loads.js';
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 
 import type { ManagedPart, Milliseconds } from '../../common/index.js';
+import type { GrantedPermits, PermitReport } from '../../dispatch/index.js';
 import { RoutingService, type DemandAnswer } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import {
   decodeUpstreamLimits,
@@ -8,7 +9,6 @@
   type RpcClientPool,
 } from '../../wire/index.js';
 import type { GatewayPosition } from './head-subset.js';
-import type { GrantedPermits, PermitReport } from './request-permits.js';
 
 /**
  * Reports the concurrent demand for each model and the known upstream rate limits to the leader of control. The answer contains the number of
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -13,6 +13,7 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
+import { RequestPermits } from '../../dispatch/index.js';
 import { formatIdentity, listIdentities } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
@@ -29,7 +30,6 @@
 import { ResponseWriter } from './response-writer.js';
 import { DocumentGuard } from './document-guard.js';
 import type { GatewayPosition } from './head-subset.js';
-import { RequestPermits } from './request-permits.js';
 import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -33,7 +33,6 @@
 } from './direct-gateway-process.js';
 export { DirectMetrics } from './direct-metrics.js';
 export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
-export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export { SharedRetryBudget, type RetryLimit } from './shared-retry-budget.js';
 export { TrackedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
 export { TargetChooser, type Target, type TargetChoice } from './target.js';
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, RandomSource } from '../../common/index.js';
+import type { RequestPermits } from '../../dispatch/index.js';
 import {
   formatIdentity,
   identityOf,
@@ -9,7 +10,6 @@
 } from '../../routing/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
-import type { RequestPermits } from './request-permits.js';
 import type { TargetLoads } from './target-loads.js';
 import type { UpstreamAvailability } from './upstream-availability.js';
 
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -1,8 +1,8 @@
 import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
+import type { RequestPermits } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
-import type { RequestPermits } from './request-permits.js';
 import type { Target } from './target.js';
 import type { TargetLoads } from './target-loads.js';
 import type { UpstreamAvailability } from './upstream-availability.js';
