--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -4,12 +4,13 @@
   type RandomSource,
 } from '../../src/common/index.js';
 import {
+  RequestPermits,
   TargetChooser,
   TargetLoads,
   type GatewayPosition,
   type Target,
 } from '../../src/dispatch/index.js';
-import { RequestPermits, UpstreamAvailability } from '../../src/gateway/direct/index.js';
+import { UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, RoutedService } from '../../src/routing/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { engineProfile } from '../routing/documents.js';
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
+export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export {
   TargetChooser,
   type Target,
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -31,7 +31,6 @@
   type DirectGatewayProcess,
 } from './direct-gateway-process.js';
 export { DirectMetrics } from './direct-metrics.js';
-export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export { SharedRetryBudget, type RetryLimit } from './shared-retry-budget.js';
 export { TrackedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
