--- /dev/null
+++ b/src/dispatch/urgency-queue.ts
@@ -0,0 +1,162 @@
+import type { Milliseconds } from '../common/index.js';
+import { AccountUsage } from './account-usage.js';
+import { ArrivalRates } from './arrival-rates.js';
+import { orderByRank, type RankedEntry, type Tier } from './rank.js';
+import type { DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+import { ServiceShares } from './service-shares.js';
+import { SlotRate } from './slot-rate.js';
+
+/**
+ * A refusal after this share of the objective costs the caller more than one at once. Until then a request is refused as soon as it is not
+ * expected to leave the queue in time; after that, waiting to the end costs no more than a refusal.
+ */
+const harmlessShare = 1 / 8;
+
+export interface UrgencyQueueOptions<Entry extends QueueEntry> {
+  /** Expected time from sending the request to the first byte of its response. */
+  readonly expectedStart: (entry: Entry) => Milliseconds;
+  /** Weight of an account at this gateway: its share of the work, relative to the other accounts. */
+  readonly weightOf: (account: string) => number;
+}
+
+/**
+ * Orders requests by rank: those that can still meet their objective before late ones, then by priority, then fairly among accounts by
+ * work, then by objective. A class or account that is served far less often than all requests goes first until it no longer is.
+ */
+export class UrgencyQueue<Entry extends QueueEntry> implements RequestQueue<Entry> {
+  readonly #options: UrgencyQueueOptions<Entry>;
+  readonly #waiting = new Map<string, Entry>();
+  readonly #usage = new AccountUsage();
+  readonly #shares = new ServiceShares();
+  readonly #slots = new SlotRate();
+  readonly #arrivals = new ArrivalRates();
+
+  constructor(options: UrgencyQueueOptions<Entry>) {
+    this.#options = options;
+  }
+
+  get length(): number {
+    return this.#waiting.size;
+  }
+
+  offer(entry: Entry, now: Milliseconds): void {
+    this.#arrivals.note(entry, now);
+    this.#waiting.set(entry.id, entry);
+  }
+
+  /** Asks once for each combination of upstreams that requests have tried. */
+  next(now: Milliseconds, isServable: (entry: Entry) => boolean): Entry | undefined {
+    const unservable = new Set<string>();
+    for (const { entry } of this.#order(now)) {
+      if (!unservable.has(entry.tried) && isServable(entry)) {
+        this.#take(entry, now);
+        return entry;
+      }
+      unservable.add(entry.tried);
+    }
+    this.#slots.setScarce(this.#waiting.size > 0, now);
+    return undefined;
+  }
+
+  expire(now: Milliseconds): readonly DroppedEntry<Entry>[] {
+    const dropped: DroppedEntry<Entry>[] = [];
+    let position = 0;
+    for (const ranked of this.#order(now)) {
+      const { entry } = ranked;
+      const expectedWait = this.#estimateWait(ranked, position, now);
+      if (now >= entry.refuseAt) {
+        dropped.push({ entry, reason: 'waitedTooLong', position, expectedWait });
+      } else if (isFresh(entry, now) && now + expectedWait > entry.refuseAt) {
+        dropped.push({ entry, reason: 'noRoomInTime', position, expectedWait });
+      } else {
+        position += 1;
+      }
+    }
+    for (const { entry } of dropped) {
+      this.withdraw(entry.id);
+      this.#shares.noteRefused(listClasses(entry), now);
+    }
+    if (this.#waiting.size === 0) {
+      this.#slots.setScarce(false, now);
+    }
+    return dropped;
+  }
+
+  withdraw(id: string): void {
+    this.#waiting.delete(id);
+  }
+
+  #take(entry: Entry, now: Milliseconds): void {
+    this.#waiting.delete(entry.id);
+    this.#usage.charge(entry.account, this.#costOf(entry), now);
+    this.#shares.noteServed(listClasses(entry), now);
+    this.#slots.noteTaken(now);
+    if (this.#waiting.size === 0) {
+      this.#slots.setScarce(false, now);
+    }
+  }
+
+  #order(now: Milliseconds): readonly RankedEntry<Entry>[] {
+    return orderByRank([...this.#waiting.values()], {
+      findTier: (entry) => this.#findTier(entry, now),
+      tagOf: (account) => this.#usage.read(account, now),
+      costOf: (entry) => this.#costOf(entry),
+    });
+  }
+
+  #findTier(entry: Entry, now: Milliseconds): Tier {
+    if (listClasses(entry).some((name) => this.#shares.isStarved(name, now))) {
+      return 'starved';
+    }
+    return now <= this.#findLatestStart(entry) ? 'inTime' : 'late';
+  }
+
+  /** Latest time at which the request can be sent and meet its objective. */
+  #findLatestStart(entry: Entry): Milliseconds {
+    return entry.objectiveAt === undefined
+      ? Infinity
+      : entry.objectiveAt - this.#options.expectedStart(entry);
+  }
+
+  #costOf(entry: Entry): number {
+    return entry.work / this.#options.weightOf(entry.account);
+  }
+
+  /**
+   * Requests that arrive later and rank before this one also take slots: the more urgent ones, and all that are in time once it is late.
+   */
+  #estimateWait(
+    { entry, tier }: RankedEntry<Entry>,
+    position: number,
+    now: Milliseconds,
+  ): Milliseconds {
+    const freed = 1 / this.#slots.readInterval(now);
+    const whole = (position + 1) / freed;
+    if (tier === 'starved') {
+      return whole;
+    }
+    const usage = this.#usage.read(entry.account, now);
+    const before = this.#arrivals.read(({ priority, account }) => {
+      const isPreferred = account !== entry.account && this.#usage.read(account, now) < usage;
+      return priority < entry.priority || (priority === entry.priority && isPreferred);
+    }, now);
+    const wait = estimateWaitBehind(position, freed - before);
+    return now + wait <= this.#findLatestStart(entry)
+      ? wait
+      : estimateWaitBehind(position, freed - this.#arrivals.read(() => true, now));
+  }
+}
+
+function estimateWaitBehind(position: number, slotsPerMillisecond: number): Milliseconds {
+  const slots = position + 1;
+  return slotsPerMillisecond > 0 ? (slots + Math.sqrt(slots)) / slotsPerMillisecond : Infinity;
+}
+
+/** Whether a refusal now costs the caller no more than one on arrival. */
+function isFresh({ arrivedAt, objectiveAt, refuseAt }: QueueEntry, now: Milliseconds): boolean {
+  return now - arrivedAt <= ((objectiveAt ?? refuseAt) - arrivedAt) * harmlessShare;
+}
+
+function listClasses({ route, account }: QueueEntry): readonly string[] {
+  return [`route ${route}`, `account ${account}`];
+}
