--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -9,3 +9,6 @@
 } from './target.js';
 export { TargetLoads, type UpstreamLoad } from './target-loads.js';
 export type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
+export { NewestFirstQueue } from './newest-first-queue.js';
+export type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+export { UrgencyQueue, type UrgencyQueueOptions } from './urgency-queue.js';
