Order waiting requests by urgency at gateways that send directly, and refuse at once what gets no slot in time

Cause: requests for which there is no slot waited outside any order. The newest was tried first, a new one passed all that waited, and all were held for half a second before they were refused.

Change: with the setting admission.order "urgency", a request asks the queue of its service and model for a slot (QueuePlace, WaitingRequests). A new request is sent directly only if nothing waits. The queue is asked when a slot may be free, when the routing view changes and at the retry interval; requests that wait for a group join it together, so they are ordered before slots are given out. Refused callers return over the last third of the usual delay. "newest" is the default, with the same code path as before. DeliveryOutcome has a file of its own, which ends the circular imports of delivery-types.ts, direct-metrics.ts and upstream-observer.ts.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -9,7 +9,7 @@
 import { routingGatewaySettingsSchema } from '../../src/settings/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { platformDialect } from '../../platform/wire/requests.js';
-import { createDocument } from '../routing/documents.js';
+import { createDocument, engineProfile, streamRoute } from '../routing/documents.js';
 import { reservePort, waitFor } from '../support/index.js';
 import { TestUpstream } from './upstream.js';
 
@@ -89,16 +89,7 @@
   };
 }
 
-beforeEach(async () => {
-  await Promise.all([first.open(), second.open()]);
-  first.received.length = 0;
-  second.received.length = 0;
-  view = {
-    ...emptyRoutingView,
-    table: new RouteTable(createDocument()),
-    isSynchronized: true,
-    confirmedAt: Number.POSITIVE_INFINITY,
-  };
+async function openGateway(order: 'newest' | 'urgency'): Promise<void> {
   const settings = routingGatewaySettingsSchema.parse({
     name: 'gateway-1',
     failureDomain: 'a',
@@ -107,6 +98,7 @@
     seeds: { addresses: ['127.0.0.1:1'], port: 1 },
     // Allows a retry for each request, since none of these tests is about the retry limit.
     bounds: { graceMilliseconds: 100, repeatShare: 1 },
+    admission: { order },
   });
   gateway = new DirectGateway({
     settings,
@@ -123,6 +115,19 @@
   });
   gateway.setPosition({ gateways: 1, position: 0 });
   await gateway.open();
+}
+
+beforeEach(async () => {
+  await Promise.all([first.open(), second.open()]);
+  first.received.length = 0;
+  second.received.length = 0;
+  view = {
+    ...emptyRoutingView,
+    table: new RouteTable(createDocument()),
+    isSynchronized: true,
+    confirmedAt: Number.POSITIVE_INFINITY,
+  };
+  await openGateway('newest');
 });
 
 afterEach(async () => {
@@ -535,3 +540,48 @@
     expect((await answer).status).toBe(200);
   });
 });
+
+describe('requests that wait for a slot', () => {
+  const stream = { 'content-type': 'text/event-stream' };
+
+  beforeEach(async () => {
+    await gateway.close();
+    const urgentRoute = { ...streamRoute, name: 'digest', pathPrefix: '/digest/', priority: 0 };
+    const { routes } = createDocument();
+    // Without a priority of its own, which would replace those of the routes.
+    const accounts = [{ name: 'branch', keys: ['key-1'] }];
+    view = {
+      ...view,
+      table: new RouteTable(createDocument({ routes: [...routes, urgentRoute], accounts })),
+      engineGroups: new Map([createGroup('small/1', first)]),
+    };
+    await openGateway('urgency');
+  });
+
+  /** Guards against urgent callers that wait behind newer ones: with the newest first, the slot went to the request that came last. */
+  it('get it in the order of their priorities', async () => {
+    const { slots } = engineProfile;
+    let finish = (): void => undefined;
+    first.handle = ({ url }, response) => {
+      if (url === '/draft/1') {
+        response.writeHead(200, { ...stream, 'x-instance-load': `${slots},0,${slots}` });
+        response.write('id: 1\ndata: token 1\n\n');
+        finish = () => response.end();
+      } else {
+        response.writeHead(200, stream);
+        response.end('id: 1\ndata: token 1\n\n');
+      }
+    };
+    const headers = { 'x-model': 'small' };
+    const running = call('POST', '/draft/1', headers);
+    await waitFor('the request at the upstream', () => first.received.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    const urgent = call('POST', '/digest/1', headers);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    const usual = call('POST', '/draft/2', headers);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    finish();
+    await Promise.all([running.answer, urgent.answer, usual.answer]);
+    expect(first.received.map(({ url }) => url)).toEqual(['/draft/1', '/digest/1', '/draft/2']);
+  });
+});
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,3 +1,5 @@
 export { NewestFirstQueue } from './newest-first-queue.js';
 export type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+export { ReturnSchedule } from './return-schedule.js';
+export { StartTimes } from './start-times.js';
 export { UrgencyQueue, type UrgencyQueueOptions } from './urgency-queue.js';
--- a/src/dispatch/newest-first-queue.ts
+++ b/src/dispatch/newest-first-queue.ts
@@ -28,7 +28,12 @@
       .map((entry, position) => ({ entry, position }))
       .filter(({ entry }) => now >= entry.refuseAt);
     this.#waiting = this.#waiting.filter(({ refuseAt }) => now < refuseAt);
-    return dropped.map((drop) => ({ ...drop, reason: 'waitedTooLong', expectedWait: 0 }));
+    return dropped.map((drop) => ({
+      ...drop,
+      reason: 'waitedTooLong',
+      expectedWait: 0,
+      slotInterval: 0,
+    }));
   }
 
   withdraw(id: string): void {
--- a/src/dispatch/request-queue.ts
+++ b/src/dispatch/request-queue.ts
@@ -37,6 +37,8 @@
   readonly position: number;
   /** Infinite if it would never have left. */
   readonly expectedWait: Milliseconds;
+  /** Mean time between two slots that become free. */
+  readonly slotInterval: Milliseconds;
 }
 
 /** The caller of `offer` calls `next` until it returns undefined and then `expire`, so that nothing is refused while there is a free slot. */
--- a/src/dispatch/urgency-queue.ts
+++ b/src/dispatch/urgency-queue.ts
@@ -2,7 +2,7 @@
 import { AccountUsage } from './account-usage.js';
 import { ArrivalRates } from './arrival-rates.js';
 import { orderByRank, type RankedEntry, type Tier } from './rank.js';
-import type { DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+import type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
 import { ServiceShares } from './service-shares.js';
 import { SlotRate } from './slot-rate.js';
 
@@ -59,26 +59,24 @@
   }
 
   expire(now: Milliseconds): readonly DroppedEntry<Entry>[] {
+    const slotInterval = this.#slots.readInterval(now);
     const dropped: DroppedEntry<Entry>[] = [];
     let position = 0;
     for (const ranked of this.#order(now)) {
       const { entry } = ranked;
       const expectedWait = this.#estimateWait(ranked, position, now);
-      if (now >= entry.refuseAt) {
-        dropped.push({ entry, reason: 'waitedTooLong', position, expectedWait });
-      } else if (isFresh(entry, now) && now + expectedWait > entry.refuseAt) {
-        dropped.push({ entry, reason: 'noRoomInTime', position, expectedWait });
-      } else {
+      const reason = findDropReason(entry, expectedWait, now);
+      if (reason === undefined) {
         position += 1;
+      } else {
+        dropped.push({ entry, reason, position, expectedWait, slotInterval });
+        this.#shares.noteRefused(listClasses(entry), now);
       }
     }
     for (const { entry } of dropped) {
-      this.withdraw(entry.id);
-      this.#shares.noteRefused(listClasses(entry), now);
-    }
-    if (this.#waiting.size === 0) {
-      this.#slots.setScarce(false, now);
+      this.#waiting.delete(entry.id);
     }
+    this.#noteLength(now);
     return dropped;
   }
 
@@ -86,14 +84,19 @@
     this.#waiting.delete(id);
   }
 
+  /** Slots are not scarce once nothing waits for them. */
+  #noteLength(now: Milliseconds): void {
+    if (this.#waiting.size === 0) {
+      this.#slots.setScarce(false, now);
+    }
+  }
+
   #take(entry: Entry, now: Milliseconds): void {
     this.#waiting.delete(entry.id);
     this.#usage.charge(entry.account, this.#costOf(entry), now);
     this.#shares.noteServed(listClasses(entry), now);
     this.#slots.noteTaken(now);
-    if (this.#waiting.size === 0) {
-      this.#slots.setScarce(false, now);
-    }
+    this.#noteLength(now);
   }
 
   #order(now: Milliseconds): readonly RankedEntry<Entry>[] {
@@ -152,6 +155,17 @@
   return slotsPerMillisecond > 0 ? (slots + Math.sqrt(slots)) / slotsPerMillisecond : Infinity;
 }
 
+function findDropReason(
+  entry: QueueEntry,
+  expectedWait: Milliseconds,
+  now: Milliseconds,
+): DropReason | undefined {
+  if (now >= entry.refuseAt) {
+    return 'waitedTooLong';
+  }
+  return isFresh(entry, now) && now + expectedWait > entry.refuseAt ? 'noRoomInTime' : undefined;
+}
+
 /** Whether a refusal now costs the caller no more than one on arrival. */
 function isFresh({ arrivedAt, objectiveAt, refuseAt }: QueueEntry, now: Milliseconds): boolean {
   return now - arrivedAt <= ((objectiveAt ?? refuseAt) - arrivedAt) * harmlessShare;
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -27,13 +27,21 @@
   readonly deadline: Milliseconds;
 }
 
+/**
+ * `queued`: the request goes by its rank among those that wait, and waits until `refuseAt` at most. `atOnce`: it is sent now or not at all.
+ * `urgent`: it has already waited at another upstream, and is sent even if all upstreams are full.
+ */
+export type ChoiceMode =
+  | { readonly type: 'queued'; readonly refuseAt: Milliseconds }
+  | { readonly type: 'atOnce' }
+  | { readonly type: 'urgent' };
+
 /** Queries and actions that the controller depends on. */
 export interface DeliveryDependencies {
-  /** `isUrgent`: the request has already waited at another upstream, and is sent even if all upstreams are full. */
   readonly choose: (
     tried: ReadonlySet<string>,
     now: Milliseconds,
-    isUrgent: boolean,
+    mode: ChoiceMode,
   ) => TargetChoice;
   /** Whether the target still serves what it was chosen for; true while it drains. */
   readonly isStillServing: (target: Target) => boolean;
@@ -52,6 +60,12 @@
   | { readonly type: 'started'; readonly now: Milliseconds }
   /** Groups or instances changed, or a slot became free. */
   | { readonly type: 'targetsChanged'; readonly now: Milliseconds }
+  /** The request is not expected to get a slot in time. */
+  | {
+      readonly type: 'slotRefused';
+      readonly now: Milliseconds;
+      readonly retryAfter: Milliseconds;
+    }
   /** The time given by `wakeAt` has come. */
   | { readonly type: 'ticked'; readonly now: Milliseconds }
   /** No connection could be opened, so nothing was sent. */
@@ -124,10 +138,7 @@
   get wakeAt(): Milliseconds | undefined {
     switch (this.#phase.type) {
       case 'waiting':
-        return Math.min(
-          this.#options.deadline,
-          findWaitEnd(this.#phase, this.#options, this.#isPassedOn),
-        );
+        return this.#findRefusalTime(this.#phase);
       case 'running':
         return this.#options.deadline;
       case 'over':
@@ -144,6 +155,10 @@
         return this.#tryToSend(event.now);
       case 'targetsChanged':
         return this.#handleTargets(event.now);
+      case 'slotRefused':
+        return this.#phase.type === 'waiting'
+          ? [this.#giveUp('overloaded', event.now, event.retryAfter)]
+          : [];
       case 'ticked':
         return this.#handleTick(event.now);
       case 'stalled':
@@ -257,7 +272,7 @@
       return [];
     }
     return this.#replaceAttempt({ type: 'discard' }, now, () => {
-      return this.#dependencies.choose(this.#tried, now, false);
+      return this.#dependencies.choose(this.#tried, now, { type: 'atOnce' });
     });
   }
 
@@ -273,7 +288,9 @@
       return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
     }
     return this.#replaceAttempt({ type: 'cancel' }, now, () => {
-      return this.#dependencies.choose(new Set([...this.#tried, ...stalled]), now, true);
+      return this.#dependencies.choose(new Set([...this.#tried, ...stalled]), now, {
+        type: 'urgent',
+      });
     });
   }
 
@@ -295,6 +312,10 @@
     return [ending, this.#start(choice.target, now)];
   }
 
+  #findRefusalTime(phase: WaitingPhase): Milliseconds {
+    return Math.min(this.#options.deadline, findWaitEnd(phase, this.#options, this.#isPassedOn));
+  }
+
   #mayRetry(now: Milliseconds): boolean {
     return this.#tried.size < this.#options.attempts && this.#options.deadline - now > minimumRun;
   }
@@ -315,13 +336,17 @@
   }
 
   #sendToChoice(waiting: WaitingPhase, now: Milliseconds): readonly DeliveryEffect[] {
-    const choice = this.#dependencies.choose(this.#tried, now, this.#mayHaveRun);
+    const busy = waitWhileBusy(waiting, 'overloaded', now);
+    const mode: ChoiceMode = this.#mayHaveRun
+      ? { type: 'urgent' }
+      : { type: 'queued', refuseAt: this.#findRefusalTime(busy) };
+    const choice = this.#dependencies.choose(this.#tried, now, mode);
     switch (choice.type) {
       case 'none':
         this.#phase = { ...waiting, code: 'noServingGroup' };
         return [];
       case 'full':
-        this.#phase = waitWhileBusy(waiting, 'overloaded', now);
+        this.#phase = busy;
         return [];
       case 'paused':
         return this.#waitForPause(
@@ -345,7 +370,8 @@
       this.#options.deadline - minimumRun,
     );
     if (until > latest) {
-      return [this.#giveUp('upstreamsPaused', now, until)];
+      const retryAfter = chooseRetryAfter(this.#options.deadline - now, until - now);
+      return [this.#giveUp('upstreamsPaused', now, retryAfter)];
     }
     this.#phase = phase;
     return [];
@@ -367,16 +393,20 @@
 
   /**
    * Ends the request with a failure; the failure says "not run" only if no attempt can have run.
-   * `availableAt`: earliest time at which a retry can succeed, as far as known.
+   * `retryAfter`: when the caller should retry if the request did not run.
    */
-  #giveUp(code: ResultCodeName, now: Milliseconds, availableAt = now): DeliveryEffect {
+  #giveUp(
+    code: ResultCodeName,
+    now: Milliseconds,
+    retryAfter = chooseRetryAfter(this.#options.deadline - now),
+  ): DeliveryEffect {
     this.#phase = { type: 'over' };
     if (this.#isPassedOn) {
       return { type: 'cut', failure: createFailure(code, '') };
     }
     const isKnownNotRun = !this.#mayHaveRun && resultCodes[code].outcome === 'notRun';
     const failure = isKnownNotRun
-      ? createFailure(code, '', chooseRetryAfter(this.#options.deadline - now, availableAt - now))
+      ? createFailure(code, '', retryAfter)
       : createFailure(isReportedUnchanged(code) ? code : 'answerLost', '');
     return { type: 'fail', failure };
   }
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -2,16 +2,16 @@
 import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { CrashLedger } from './crash-ledger.js';
 import type { CrashWatch } from './crash-watch.js';
-import type { Dialect, RawHeaders } from './dialect.js';
-import type { RequestTimes } from './request-times.js';
+import type { Dialect, RawHeaders, TokenCounts } from './dialect.js';
 import type { RequestPermits } from './request-permits.js';
 import type { StreamProgress } from './stream-progress.js';
 import type { TargetChooser } from './target.js';
 import type { TargetLoads } from './target-loads.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 import type { UpstreamObserver } from './upstream-observer.js';
+import type { WaitingRequests } from './waiting-requests.js';
 
-/** Inputs and outcome of a delivery. */
+/** Inputs of a delivery. */
 
 /** A request whose body has been read completely. */
 export interface ReceivedRequest {
@@ -25,6 +25,7 @@
   readonly service: RoutedService;
   readonly account: RoutedAccount | undefined;
   readonly model: string | undefined;
+  readonly tokens: TokenCounts | undefined;
   /** Identifier of the last event that the caller has received. */
   readonly resumeAfter: string | undefined;
   readonly startedAt: Milliseconds;
@@ -47,19 +48,8 @@
   /** Connections that this gateway may open to one instance of a service. */
   readonly connectionLimit: (service: RoutedService) => number;
   readonly spendRetry: (service: string) => boolean;
+  /** Undefined if waiting requests are served newest first. */
+  readonly waiting: WaitingRequests | undefined;
   readonly clock: Clock;
   readonly log: RateLimitedLog;
 }
-
-/** How a delivery ended, for logs and metrics. */
-export interface DeliveryOutcome {
-  /** `whole` for a complete response, `left` if the caller disconnected, otherwise the name of a result code. */
-  readonly result: string;
-  readonly attempts: number;
-  /** Key of the last target; undefined if the request was sent to none. */
-  readonly target: string | undefined;
-  readonly duration: Milliseconds;
-  readonly times: RequestTimes;
-  /** Time for which the last attempt ran on its upstream, excluding most of its queueing there; undefined if no data arrived. */
-  readonly runDuration: Milliseconds | undefined;
-}
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -4,19 +4,19 @@
 import { formatIdentity } from '../../routing/index.js';
 import {
   DeliveryController,
+  type ChoiceMode,
   type DeliveryEffect,
   type DeliveryEvent,
 } from './delivery-controller.js';
 import { lowestFailureStatus, type ResponseWriter } from './response-writer.js';
-import type {
-  DeliveryOutcome,
-  SharedDeliveryDependencies,
-  ReceivedRequest,
-} from './delivery-types.js';
+import type { DeliveryOutcome } from './delivery-outcome.js';
+import type { SharedDeliveryDependencies, ReceivedRequest } from './delivery-types.js';
+import { QueuePlace } from './queue-place.js';
 import { RequestTimer } from './request-times.js';
 import type { TrackedStream } from './stream-progress.js';
-import type { Target } from './target.js';
+import type { Target, TargetChoice } from './target.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
+import type { SlotRefusal } from './waiting-requests.js';
 
 /** Forwards one request to upstreams and the response to the caller, executing the decisions of the controller. */
 
@@ -37,6 +37,8 @@
   readonly #dependencies: SharedDeliveryDependencies;
   readonly #responseWriter: ResponseWriter;
   readonly #controller: DeliveryController;
+  /** Undefined if waiting requests are served newest first. */
+  readonly #place: QueuePlace | undefined;
   readonly #onOutcome: (outcome: DeliveryOutcome) => void;
   #attempt: UpstreamAttempt | undefined;
   #stream: TrackedStream | undefined;
@@ -64,14 +66,15 @@
     this.#dependencies = dependencies;
     this.#onOutcome = onOutcome;
     this.#timer = new RequestTimer(request.startedAt);
-    const { service, model, route, startedAt, deadline } = request;
+    const { service, route, startedAt, deadline } = request;
     const isRetryable =
       route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
     const { chooser, crashLedger } = dependencies;
+    this.#place = this.#createPlace();
     this.#controller = new DeliveryController(
       { isRetryable, attempts: route.attempts, startedAt, deadline },
       {
-        choose: (tried, now, isUrgent) => chooser.choose({ service, model, tried, isUrgent }, now),
+        choose: (tried, now, mode) => this.#choose(tried, now, mode),
         isStillServing: (target) => chooser.isStillServing(target),
         isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
@@ -85,6 +88,39 @@
     );
   }
 
+  #createPlace(): QueuePlace | undefined {
+    const { waiting, chooser } = this.#dependencies;
+    const { service, model } = this.#request;
+    return waiting === undefined
+      ? undefined
+      : new QueuePlace({
+          request: this.#request,
+          waiting,
+          choose: (tried, now) => chooser.choose({ service, model, tried }, now),
+          onChanged: () => {
+            this.#handle({ type: 'targetsChanged', now: this.#now() });
+          },
+          onRefused: (refusal) => {
+            this.#handleRefusal(refusal);
+          },
+        });
+  }
+
+  #choose(tried: ReadonlySet<string>, now: Milliseconds, mode: ChoiceMode): TargetChoice {
+    if (mode.type === 'queued' && this.#place !== undefined) {
+      return this.#place.choose(tried, mode.refuseAt, now);
+    }
+    const { service, model } = this.#request;
+    const isUrgent = mode.type === 'urgent';
+    return this.#dependencies.chooser.choose({ service, model, tried, isUrgent }, now);
+  }
+
+  #handleRefusal({ reason, position, expectedWait, retryAfter }: SlotRefusal): void {
+    const wait = Number.isFinite(expectedWait) ? Math.round(expectedWait) : null;
+    this.#logEvent('no slot for the request', { reason, position, expectedWait: wait, retryAfter });
+    this.#handle({ type: 'slotRefused', now: this.#now(), retryAfter });
+  }
+
   /** Identifies the content of the request; equal for repeated requests, also at other gateways. */
   get #requestDigest(): string {
     const { account, method, path, body } = this.#request;
@@ -97,6 +133,11 @@
     return this.#controller.isWaiting;
   }
 
+  /** Whether it waits in a queue, and is told when there is a slot for it. */
+  get isQueued(): boolean {
+    return this.#place?.isQueued ?? false;
+  }
+
   start(): void {
     this.#handle({ type: 'started', now: this.#now() });
   }
@@ -153,6 +194,7 @@
       this.#execute(effect);
     }
     this.#schedule();
+    this.#place?.settle(this.#now());
   }
 
   #schedule(): void {
@@ -161,6 +203,7 @@
     if (wakeAt !== undefined) {
       this.#wakeTimer = setTimeout(
         () => {
+          this.#dependencies.waiting?.dispatch(this.#now());
           this.#handle({ type: 'ticked', now: this.#now() });
         },
         Math.max(1, Math.ceil(wakeAt - this.#now())),
@@ -317,7 +360,10 @@
 
   #handleData(attempt: UpstreamAttempt, bytes: Buffer): void {
     const now = this.#now();
-    this.#firstDataAt ??= now;
+    if (this.#firstDataAt === undefined) {
+      this.#firstDataAt = now;
+      this.#place?.noteStarted(now - this.#sentAt);
+    }
     this.#stream?.noteBytes(now);
     this.#responseWriter.push(bytes);
     if (this.#responseWriter.isPassedOn) {
@@ -389,6 +435,7 @@
 
   #conclude(result: string): void {
     clearTimeout(this.#wakeTimer);
+    this.#place?.leave();
     this.#releaseTarget();
     const now = this.#now();
     this.#onOutcome({
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -23,7 +23,8 @@
 import { CrashWatch } from './crash-watch.js';
 import { DemandMeter } from './demand-meter.js';
 import { Delivery } from './delivery.js';
-import type { DeliveryOutcome, SharedDeliveryDependencies } from './delivery-types.js';
+import type { DeliveryOutcome } from './delivery-outcome.js';
+import type { SharedDeliveryDependencies } from './delivery-types.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
 import { ResponseWriter } from './response-writer.js';
@@ -40,6 +41,7 @@
 import { UpstreamConnections } from './upstream-connections.js';
 import { UpstreamObserver } from './upstream-observer.js';
 import { probeUpstream } from './upstream-probe.js';
+import { WaitingRequests } from './waiting-requests.js';
 
 /** HTTP server of a gateway that sends requests directly to upstreams. */
 
@@ -77,6 +79,8 @@
   readonly #retryBudget: SharedRetryBudget;
   readonly #dependencies: SharedDeliveryDependencies;
   readonly #deliveries = new Set<Delivery>();
+  /** Undefined if waiting requests are served newest first. */
+  readonly #waiting: WaitingRequests | undefined;
   readonly #demand: DemandMeter;
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
@@ -99,8 +103,13 @@
     this.#demand = new DemandMeter(clock.monotonic());
     this.#permits = new RequestPermits(gateways, clock.monotonic());
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
+    this.#waiting =
+      settings.admission.order === 'urgency'
+        ? new WaitingRequests({ weightOf: () => 1 })
+        : undefined;
     this.#dependencies = {
       dialect,
+      waiting: this.#waiting,
       clock,
       log: this.#log,
       loads: this.#loads,
@@ -263,9 +272,11 @@
   }
 
   #notifyDeliveries(): void {
-    for (const delivery of this.#deliveries) {
-      delivery.noteTargetsChanged();
-    }
+    this.#collectWaiting(() => {
+      for (const delivery of this.#deliveries) {
+        delivery.noteTargetsChanged();
+      }
+    });
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -328,6 +339,7 @@
         service,
         account,
         model: facts.model,
+        tokens: facts.tokens,
         resumeAfter: readLastEventId(call),
         startedAt,
         deadline: startedAt + Math.min(route.timeout, facts.timeLimit ?? route.timeout),
@@ -376,11 +388,26 @@
     this.#retryWaiting();
   }
 
-  /** Starts with the newest request: it can still meet its objective, and those that have waited long are late in any case. */
+  /**
+   * Without queues, starts with the newest request: it can still meet its objective, and those that have waited long are late in any case.
+   */
   #retryWaiting(): void {
-    const waiting = [...this.#deliveries].filter((delivery) => delivery.isWaiting);
-    for (const delivery of waiting.reverse()) {
-      delivery.noteTargetsChanged();
+    this.#collectWaiting(() => {
+      const waiting = [...this.#deliveries].filter(({ isWaiting, isQueued }) => {
+        return isWaiting && !isQueued;
+      });
+      for (const delivery of waiting.reverse()) {
+        delivery.noteTargetsChanged();
+      }
+    });
+  }
+
+  /** Runs an action in which requests ask for upstreams; with queues, they are served by rank afterwards. */
+  #collectWaiting(action: () => void): void {
+    if (this.#waiting === undefined) {
+      action();
+    } else {
+      this.#waiting.collect(action, this.#options.clock.monotonic());
     }
   }
 }
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 
-import type { DeliveryOutcome } from './delivery-types.js';
+import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { Unavailability } from './upstream-availability.js';
 
 /** Metrics of a direct gateway; docs/METRICS.md lists the names. */
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -7,9 +7,11 @@
 } from './crash-ledger.js';
 export { CrashWatch, type CrashWatchOptions } from './crash-watch.js';
 export { Delivery } from './delivery.js';
-export type { DeliveryOutcome, ReceivedRequest } from './delivery-types.js';
+export type { DeliveryOutcome } from './delivery-outcome.js';
+export type { ReceivedRequest } from './delivery-types.js';
 export {
   DeliveryController,
+  type ChoiceMode,
   type DeliveryEffect,
   type DeliveryEvent,
   type DeliveryOptions,
@@ -33,6 +35,7 @@
 } from './direct-gateway-process.js';
 export { DirectMetrics } from './direct-metrics.js';
 export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
+export { QueuePlace, type QueuePlaceOptions } from './queue-place.js';
 export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export { SharedRetryBudget, type RetryLimit } from './shared-retry-budget.js';
 export { TrackedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
@@ -47,3 +50,9 @@
   type UpstreamObserverOptions,
 } from './upstream-observer.js';
 export { probeUpstream, type ProbeVerdict } from './upstream-probe.js';
+export {
+  WaitingRequests,
+  type SlotRefusal,
+  type WaitingRequest,
+  type WaitingRequestsOptions,
+} from './waiting-requests.js';
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -27,7 +27,9 @@
   engineSidecarSettingsSchema,
   type EngineSidecarSettings,
 } from './engine-sidecar-settings.js';
+export { addControlAddresses } from './common-settings.js';
 export {
+  routingGatewaySettingsObject,
   routingGatewaySettingsSchema,
   type RoutingGatewaySettings,
 } from './routing-gateway-settings.js';
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -29,22 +29,37 @@
   .readonly()
   .prefault({});
 
-/** Settings of a gateway that sends requests directly to upstreams. */
-export const routingGatewaySettingsSchema = z
+/** How requests wait for a slot of an upstream. */
+const admission = z
   .strictObject({
-    /** Unique among gateways. */
-    name: nameSchema,
-    failureDomain: nameSchema,
-    /** Address on which callers connect. */
-    listen: listenAddress,
-    /** Address for the readiness checks of the load balancer in front of the gateway. */
-    readiness: listenAddress,
-    /** The control hosts. */
-    seeds: requiredSeedSettings,
-    bounds,
-    metricsPage: metricsPageSettings,
-    log: logSettings,
+    /**
+     * `newest`: the newest request first, regardless of accounts and priorities. `urgency`: by objective, priority and account; requests
+     * that are not expected to get a slot in time are refused at once.
+     */
+    order: z.enum(['newest', 'urgency']).default('newest'),
   })
+  .readonly()
+  .prefault({});
+
+/** As in the settings file; adapters add settings of their own. */
+export const routingGatewaySettingsObject = z.strictObject({
+  /** Unique among gateways. */
+  name: nameSchema,
+  failureDomain: nameSchema,
+  /** Address on which callers connect. */
+  listen: listenAddress,
+  /** Address for the readiness checks of the load balancer in front of the gateway. */
+  readiness: listenAddress,
+  /** The control hosts. */
+  seeds: requiredSeedSettings,
+  bounds,
+  admission,
+  metricsPage: metricsPageSettings,
+  log: logSettings,
+});
+
+/** Settings of a gateway that sends requests directly to upstreams. */
+export const routingGatewaySettingsSchema = routingGatewaySettingsObject
   .readonly()
   .transform(addControlAddresses);
 
