--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -11,4 +11,6 @@
 export type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 export { NewestFirstQueue } from './newest-first-queue.js';
 export type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+export { ReturnSchedule } from './return-schedule.js';
+export { StartTimes } from './start-times.js';
 export { UrgencyQueue, type UrgencyQueueOptions } from './urgency-queue.js';
