Bound the requests that cold upstreams get from all gateways

Cause: a start is cold for a while, and nothing limited what gateways send to it meanwhile. The permits of named limits do not bound a sliding second: up to two seconds of them can be used within one, and without control each gateway keeps a share in addition to permits in flight.

Change: RequestPermits and PermitAllocator now also cover cold upstreams. A gateway paces its requests to each cold upstream at a rate that the leader grants for 1.5 s with the answer to a demand report. It uses a share of its own only 3 s after the last answer, and the leader gives that share to others while the answer that the gateway acknowledged last is younger than 1.5 s. A new leader waits until nobody can use what its predecessor granted. No clocks are compared, nothing is logged to the replicated log. A start is cold for the declared duration from when a gateway first hears of it; heartbeats (cold_left_ms), responses and the end of an evacuation replace that, the latest statement wins. A report is sent early (100 ms at most) where a cold upstream has no rate. Requests answered 421 are given back. Placement ranks a cold upstream as a quarter busier. Without the setting coldUpstreams or a declared duration nothing changes.

x-cold-ms: 0 now decodes to 0 (warm), as it is a statement too; before, it was dropped. The test of heartbeats expects the new field coldFor.

--- a/__tests__/direct/limit-world.ts
+++ b/__tests__/direct/limit-world.ts
@@ -112,7 +112,10 @@
       if (this.isLeaderless) {
         return;
       }
-      const answer: PermitAnswer = this.#allocator.allocate({ gateway: name, ...report }, this.now);
+      const answer: PermitAnswer = this.#allocator.allocate(
+        { gateway: name, ...report, cold: undefined },
+        this.now,
+      );
       this.#schedule(this.#random.integerBelow(maximumDelay), () => {
         permits.applyGrant(answer, report.reportedAt, this.now);
       });
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -25,7 +25,7 @@
   return [id, { ...instance, isDraining }] as const;
 }
 
-function createChooser() {
+function createChooser(permits = new RequestPermits(1, 0)) {
   const loads = new TargetLoads();
   const view = {
     ...emptyRoutingView,
@@ -37,7 +37,6 @@
     ]),
     instances: new Map([createInstance('a'), createInstance('bb'), createInstance('ccc', true)]),
   };
-  const permits = new RequestPermits(1, 0);
   const availability = new UpstreamAvailability();
   const random = createRandomSource(1);
   const options = { readView: () => view, loads, availability, permits, random };
@@ -62,6 +61,22 @@
 }
 
 describe('the choice of an upstream', () => {
+  // Guards against requests that wait at a cold upstream while a warm one is nearly idle, and against a cold one that is never used.
+  it('prefers a warm upstream to a cold one until it is busier', () => {
+    const permits = new RequestPermits(1, 0, { overrun: 1.5, slack: 5 });
+    const { chooser, loads, choose } = createChooser(permits);
+    const profile = { duration: 3000, requestsPerSecond: 32 };
+    permits.listStarts(new Map([['i-small/1', profile]]), 0);
+    const rates = new Map([['i-small/1', 32]]);
+    const cold = { term: 1, number: 1, gateways: 1, rates, notices: [] };
+    permits.applyGrant({ limits: [], permits: new Map(), cold }, 1100, 1100);
+    const warm = findTarget(chooser, 'small/2');
+    loads.noteLoad(warm, { running: 1, waiting: 0, slots: 10 }, 1200);
+    expect(choose([], 1200)).toBe('small/2');
+    loads.noteLoad(warm, { running: 4, waiting: 0, slots: 10 }, 1210);
+    expect(choose([], 1210)).toBe('small/1');
+  });
+
   // Guards against choosing a rate-limited upstream as the least loaded one without a permit.
   it('excludes a rate-limited upstream without a permit', () => {
     const { permits, choose } = createChooser();
--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -122,11 +122,22 @@
           isDraining: true,
         },
         sequence: 4,
+        coldFor: 0,
       },
     });
     expect(decodeHeartbeat('i-1', '{"service":"desk"}').type).toBe('unreadable');
   });
 
+  // Guards against a cold runner that control takes for a warm one.
+  it('say how much longer the runner is cold', () => {
+    expect(decode({ cold_left_ms: 1234 })).toMatchObject({ value: { coldFor: 1234 } });
+    const { coldFor } = platformDialect.readResponse(200, { 'x-cold-ms': '700' });
+    expect(coldFor).toBe(700);
+    expect(platformDialect.readResponse(200, { 'x-cold-ms': '0' }).coldFor).toBe(0);
+    expect(platformDialect.readResponse(200, { 'x-cold-ms': 'soon' }).coldFor).toBeUndefined();
+    expect(platformDialect.readResponse(200, {}).coldFor).toBeUndefined();
+  });
+
   it('contain the start time of the runner if it sends one', () => {
     const born = 1_764_728_000_123;
     expect(decode({ born })).toMatchObject({ value: { instance: { startedAt: born } } });
--- a/bench/leader/client-roles.ts
+++ b/bench/leader/client-roles.ts
@@ -235,7 +235,13 @@
     findLeader: () => watcher.read().leader,
     measure: () => demand,
     onPosition: () => undefined,
-    takePermitReport: () => ({ limits: [], wanted: new Map(), returned: new Map(), reportedAt: 0 }),
+    takePermitReport: () => ({
+      limits: [],
+      wanted: new Map(),
+      returned: new Map(),
+      cold: undefined,
+      reportedAt: 0,
+    }),
     onPermits: () => undefined,
   });
   watcher.open();
--- a/src/control/routing/permit-allocator.ts
+++ b/src/control/routing/permit-allocator.ts
@@ -1,7 +1,9 @@
 import type { Milliseconds } from '../../common/index.js';
+import { ColdRecords, type ColdAnswer, type ColdReport } from '../../dispatch/index.js';
 import { lowestPermitRate, UpstreamLimits, type UpstreamLimit } from '../../routing/index.js';
+import { ColdAllocator } from './cold-allocator.js';
 
-/** Allocates request permits for rate-limited upstreams to gateways, on the leader; free of I/O. */
+/** Allocates requests for rate-limited and for cold upstreams to gateways, on the leader; free of I/O. */
 
 const millisecondsPerSecond = 1000;
 /** A gateway that has not requested permits for this long no longer shares the limit; gateways report about twice a second. */
@@ -24,6 +26,14 @@
   readonly wanted: ReadonlyMap<string, number>;
   /** Permits that expired unused since the previous report. */
   readonly returned: ReadonlyMap<string, number>;
+  /** Absent if the gateway does not limit cold upstreams, or this control host cannot confirm that it leads. */
+  readonly cold?: ColdRequest | undefined;
+}
+
+export interface ColdRequest {
+  readonly report: ColdReport;
+  /** Term of this leader. */
+  readonly term: number;
 }
 
 /** Answer to a permit request. */
@@ -31,14 +41,19 @@
   readonly limits: readonly UpstreamLimit[];
   /** Number of permits granted for each upstream. */
   readonly permits: ReadonlyMap<string, number>;
+  readonly cold: ColdAnswer | undefined;
 }
 
 /** Keeps one token bucket per rate-limited upstream, because a fixed share of a low limit can be far below one request per gateway. */
 export class PermitAllocator {
   readonly #limits = new UpstreamLimits();
   readonly #buckets = new Map<string, PermitBucket>();
+  /** Kept over changes of the leadership: statements stay true, and every control host sees when a domain returns. */
+  readonly #coldRecords = new ColdRecords();
+  #cold: ColdAllocator | undefined;
 
-  allocate({ gateway, limits, wanted, returned }: PermitRequest, now: Milliseconds): PermitAnswer {
+  allocate(request: PermitRequest, now: Milliseconds): PermitAnswer {
+    const { gateway, limits, wanted, returned, cold } = request;
     this.#limits.merge(limits, now);
     const permits = new Map<string, number>();
     for (const [upstream, count] of returned) {
@@ -56,12 +71,24 @@
         permits.set(upstream, granted);
       }
     }
-    return { limits: this.#limits.list(now), permits };
+    const coldAnswer = cold === undefined ? undefined : this.#allocateCold(gateway, cold, now);
+    return { limits: this.#limits.list(now), permits, cold: coldAnswer };
+  }
+
+  /** An upstream stated how much longer it is cold. */
+  noteCold(upstream: string, coldFor: Milliseconds, now: Milliseconds): void {
+    this.#coldRecords.merge({ upstream, coldFor, age: 0 }, now);
+  }
+
+  /** The failure domain of this upstream is back in service. */
+  noteReturned(upstream: string, duration: Milliseconds, now: Milliseconds): void {
+    this.#coldRecords.noteReturned(upstream, duration, now);
   }
 
   /** Drops the limits and buckets of upstreams that are not listed. */
   retain(upstreams: ReadonlySet<string>): void {
     this.#limits.retain(upstreams);
+    this.#cold?.retain(upstreams);
     for (const upstream of this.#buckets.keys()) {
       if (!upstreams.has(upstream)) {
         this.#buckets.delete(upstream);
@@ -76,6 +103,20 @@
   clear(): void {
     this.#buckets.clear();
     this.#limits.retain(new Set());
+    this.#cold = undefined;
+  }
+
+  #allocateCold(gateway: string, { report, term }: ColdRequest, now: Milliseconds): ColdAnswer {
+    if (this.#cold?.term !== term) {
+      this.#cold = new ColdAllocator(term, now);
+    }
+    this.#coldRecords.list(new Map(), now);
+    for (const notice of report.notices) {
+      this.#coldRecords.merge(notice, now);
+    }
+    const asked = report.upstreams.map(({ upstream }) => upstream);
+    const notices = this.#coldRecords.describe(asked, now);
+    return { ...this.#cold.allocate(gateway, report, now), notices };
   }
 
   #findBucket(upstream: string, now: Milliseconds): PermitBucket {
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -26,26 +26,31 @@
   announcementSchema,
   checkRoutingDocument,
   formatIdentity,
+  listColdProfiles,
   listIdentities,
+  listReturned,
   type Announcement,
   type RoutingDocument,
 } from '../../routing/index.js';
 import {
+  decodeColdReport,
   decodeUpstreamLimits,
+  encodeColdAnswer,
   encodeUpstreamLimits,
   type RpcClientPool,
 } from '../../wire/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState } from '../state/index.js';
+import { leadershipStaleness } from './cold-allocator.js';
 import { CrashRecorder } from './crash-recorder.js';
 import { DemandEstimator } from './demand-estimator.js';
 import { EngineLoop } from './engine-loop.js';
 import { EngineMetrics } from './engine-metrics.js';
 import { EngineReportService } from './engine-report-service.js';
-import { InstanceTracker } from './instance-tracker.js';
+import { InstanceTracker, type AnnouncementVerdict } from './instance-tracker.js';
 import { InstanceRecorder } from './instance-recorder.js';
 import { LeaderClient } from './leader-client.js';
-import { PermitAllocator } from './permit-allocator.js';
+import { PermitAllocator, type ColdRequest } from './permit-allocator.js';
 import { RoutingHub, type ControlStatus } from './routing-hub.js';
 
 /** Routing on a control host: routing documents, instance announcements, engine groups, and watches. */
@@ -92,6 +97,8 @@
   readonly #unusableCount: Counter;
   #timer: NodeJS.Timeout | undefined;
   #leader = '';
+  /** Evacuations in the last state, to see which domains return. */
+  #evacuations: ControlState['routing']['evacuations'] = new Map();
 
   constructor(options: RoutingControlOptions) {
     this.#options = options;
@@ -158,6 +165,7 @@
   /** Called after each applied command. */
   handleStateChange(state: ControlState): void {
     this.#hub.publish(state.index, state.routing);
+    this.#noteReturned(state);
     this.#engines.notify();
   }
 
@@ -244,6 +252,7 @@
         limits: decodeUpstreamLimits(limits),
         wanted: new Map(Object.entries(wanted)),
         returned: new Map(Object.entries(returned)),
+        cold: this.#readColdRequest(report),
       },
       now,
     );
@@ -252,9 +261,38 @@
       position: this.#demand.findPosition(gateway),
       limits: encodeUpstreamLimits(allocated.limits),
       permits: Object.fromEntries(allocated.permits),
+      ...(allocated.cold === undefined ? {} : { cold: encodeColdAnswer(allocated.cold) }),
     };
   }
 
+  /** Undefined if the gateway does not ask, or another control host may lead and grant as well. */
+  #readColdRequest({ cold }: DemandReport): ColdRequest | undefined {
+    const { log } = this.#options;
+    const view = log.view();
+    const isLeading = view.type === 'leader' && log.staleness() < leadershipStaleness;
+    return cold === undefined || !isLeading
+      ? undefined
+      : { report: decodeColdReport(cold), term: view.term };
+  }
+
+  /** Instances of a domain that is back in service come back cold. */
+  #noteReturned({ routing }: ControlState): void {
+    const before = { evacuations: this.#evacuations };
+    this.#evacuations = routing.evacuations;
+    const returned = listReturned(before, routing);
+    if (returned.length === 0) {
+      return;
+    }
+    const profiles = listColdProfiles(routing, routing.document);
+    const now = this.#options.clock.monotonic();
+    for (const upstream of returned) {
+      const duration = profiles.get(upstream)?.duration;
+      if (duration !== undefined) {
+        this.#permits.noteReturned(upstream, duration, now);
+      }
+    }
+  }
+
   async *#watch(request: RoutingWatchRequest): AsyncIterable<RoutingWatchResponse> {
     const { watcher, kind } = request;
     const { logger } = this.#options;
@@ -312,6 +350,7 @@
       readState().routing,
       clock.monotonic(),
     );
+    this.#noteCold(announcement, verdict);
     switch (verdict.type) {
       case 'known':
         return new Ok(undefined);
@@ -331,6 +370,14 @@
     }
   }
 
+  #noteCold(announcement: Announcement, verdict: AnnouncementVerdict): void {
+    const isUsed = verdict.type === 'known' || verdict.type === 'record';
+    if (isUsed && announcement.type === 'present' && announcement.coldFor !== undefined) {
+      const upstream = formatIdentity(announcement.instance);
+      this.#permits.noteCold(upstream, announcement.coldFor, this.#options.clock.monotonic());
+    }
+  }
+
   #removeSilent(): void {
     const { log, clock, readState, instanceSilence, logger } = this.#options;
     if (log.view().type !== 'leader') {
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -229,8 +229,8 @@
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
     loads.noteSent(target);
+    permits.noteSent(formatIdentity(target.instance), this.#sentAt);
     if (permits.isLimited(formatIdentity(target.instance))) {
-      permits.noteSent(formatIdentity(target.instance), this.#sentAt);
       onSentToLimited(service);
     }
     this.#stream =
@@ -364,6 +364,9 @@
   #releaseTarget(): void {
     if (this.#target !== undefined) {
       this.#dependencies.loads.noteDone(this.#target, this.#hasResponseHead);
+      if (this.#attempt?.isSent === false) {
+        this.#dependencies.permits.noteUnsent(formatIdentity(this.#target.instance));
+      }
       this.#target = undefined;
     }
     this.#stream?.end();
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -4,7 +4,9 @@
 import type { GrantedPermits, PermitReport } from '../../dispatch/index.js';
 import { RoutingService, type DemandAnswer } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import {
+  decodeColdAnswer,
   decodeUpstreamLimits,
+  encodeColdReport,
   encodeUpstreamLimits,
   type RpcClientPool,
 } from '../../wire/index.js';
@@ -17,6 +19,8 @@
 
 const reportInterval: Milliseconds = 500;
 const reportTimeout: Milliseconds = 1000;
+/** How often it is checked whether a report is due early. */
+const earlyCheckInterval: Milliseconds = 50;
 
 /** Options of the reporter. */
 export interface DemandReporterOptions {
@@ -28,6 +32,8 @@
   /** Called with the position of this gateway among those that have reported recently. */
   readonly onPosition: (position: GatewayPosition) => void;
   readonly takePermitReport: () => PermitReport;
+  /** Whether permits should be requested before the next regular report; absent if that is never needed. */
+  readonly isPermitReportDue?: (() => boolean) | undefined;
   readonly onPermits: (granted: GrantedPermits, reportedAt: Milliseconds) => void;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
@@ -37,6 +43,7 @@
   readonly name = 'demand reporter';
   readonly #options: DemandReporterOptions;
   #reporting: NodeJS.Timeout | undefined;
+  #checking: NodeJS.Timeout | undefined;
 
   constructor(options: DemandReporterOptions) {
     this.#options = options;
@@ -44,18 +51,28 @@
 
   open(): void {
     this.#reporting = setInterval(() => {
-      void this.#report();
+      void this.#report(this.#options.measure());
     }, reportInterval);
+    const { isPermitReportDue } = this.#options;
+    if (isPermitReportDue !== undefined) {
+      this.#checking = setInterval(() => {
+        if (isPermitReportDue()) {
+          // Demand is measured over whole intervals; a report without any leaves the last one in force.
+          void this.#report(new Map());
+        }
+      }, earlyCheckInterval);
+    }
   }
 
   close(): void {
     clearInterval(this.#reporting);
+    clearInterval(this.#checking);
   }
 
-  async #report(): Promise<void> {
-    const { findLeader, measure, takePermitReport, onPosition, onPermits, logger } = this.#options;
+  async #report(demand: ReadonlyMap<string, number>): Promise<void> {
+    const { findLeader, takePermitReport, onPosition, onPermits, logger } = this.#options;
     const leader = findLeader();
-    const requests = Object.fromEntries(measure());
+    const requests = Object.fromEntries(demand);
     if (leader === '') {
       return;
     }
@@ -72,7 +89,7 @@
   #send(
     leader: string,
     requests: Readonly<Record<string, number>>,
-    { limits, wanted, returned }: PermitReport,
+    { limits, wanted, returned, cold }: PermitReport,
   ): Promise<DemandAnswer> {
     const { gateway, clients } = this.#options;
     return clients.client(RoutingService, leader).reportDemand(
@@ -82,6 +99,7 @@
         limits: encodeUpstreamLimits(limits),
         wanted: Object.fromEntries(wanted),
         returned: Object.fromEntries(returned),
+        ...(cold === undefined ? {} : { cold: encodeColdReport(cold) }),
       },
       { timeoutMs: reportTimeout },
     );
@@ -91,6 +109,11 @@
 function decodePermits({
   limits,
   permits,
-}: Pick<DemandAnswer, 'limits' | 'permits'>): GrantedPermits {
-  return { limits: decodeUpstreamLimits(limits), permits: new Map(Object.entries(permits)) };
+  cold,
+}: Pick<DemandAnswer, 'limits' | 'permits' | 'cold'>): GrantedPermits {
+  return {
+    limits: decodeUpstreamLimits(limits),
+    permits: new Map(Object.entries(permits)),
+    cold: cold === undefined ? undefined : decodeColdAnswer(cold),
+  };
 }
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -59,6 +59,10 @@
     onPosition: (position) => {
       gateway.setPosition(position);
     },
+    isPermitReportDue:
+      settings.coldUpstreams === undefined
+        ? undefined
+        : () => gateway.permits.isReportDue(clock.monotonic()),
     takePermitReport: () => gateway.permits.takeReport(clock.monotonic()),
     onPermits: (granted, reportedAt) => {
       gateway.permits.applyGrant(granted, reportedAt, clock.monotonic());
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -14,9 +14,14 @@
   type RandomSource,
 } from '../../common/index.js';
 import { RequestPermits } from '../../dispatch/index.js';
-import { formatIdentity, listIdentities } from '../../routing/index.js';
+import {
+  formatIdentity,
+  listColdProfiles,
+  listIdentities,
+  listReturned,
+} from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
-import type { RoutingView } from '../../watch/index.js';
+import { emptyRoutingView, type RoutingView } from '../../watch/index.js';
 import { readBody } from '../shell/body.js';
 import { admitRequest, type Admitted } from './admission.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
@@ -85,6 +90,7 @@
   #gateways: number;
   #position: GatewayPosition | undefined;
   #isStopping = false;
+  #lastView = emptyRoutingView;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -97,7 +103,7 @@
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
     this.#gateways = gateways;
     this.#demand = new DemandMeter(clock.monotonic());
-    this.#permits = new RequestPermits(gateways, clock.monotonic());
+    this.#permits = new RequestPermits(gateways, clock.monotonic(), settings.coldUpstreams);
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
     this.#dependencies = {
       dialect,
@@ -252,6 +258,7 @@
     }
     this.#progress.retain(keys);
     this.#permits.retain(listIdentities(view));
+    this.#noteStarts(view);
     this.#connections.retain(listAddresses(view));
     this.#crashLedger.setQuarantined(view.quarantined, this.#options.clock.monotonic());
     const callers = view.table?.document.callers;
@@ -262,6 +269,17 @@
     this.#notifyDeliveries();
   }
 
+  #noteStarts(view: RoutingView): void {
+    const now = this.#options.clock.monotonic();
+    this.#permits.listStarts(listColdProfiles(view, view.table?.document), now);
+    const returned = listReturned(this.#lastView, view);
+    this.#lastView = view;
+    if (returned.length > 0) {
+      this.#permits.noteReturned(returned, now);
+      this.#options.logger.info({ upstreams: returned }, 'returned upstreams count as cold');
+    }
+  }
+
   #notifyDeliveries(): void {
     for (const delivery of this.#deliveries) {
       delivery.noteTargetsChanged();
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -14,6 +14,7 @@
   readonly #repeats: Counter<'route'>;
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
+  readonly #sentToCold: Counter<'service'>;
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
@@ -47,6 +48,12 @@
       labelNames: ['service'],
       registers,
     });
+    this.#sentToCold = new Counter({
+      name: 'pistachiospoke_requests_to_cold_upstreams_total',
+      help: 'Requests sent to upstreams while they counted as cold, by service.',
+      labelNames: ['service'],
+      registers,
+    });
     this.#pauses = new Counter({
       name: 'pistachiospoke_upstream_pauses_total',
       help: 'Pauses that upstreams asked for when they rejected requests, by service.',
@@ -96,6 +103,10 @@
     this.#sentToLimited.inc({ service });
   }
 
+  noteSentToCold(service: string): void {
+    this.#sentToCold.inc({ service });
+  }
+
   notePause(service: string): void {
     this.#pauses.inc({ service });
   }
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -59,6 +59,9 @@
 /** Instances of plain services complete a request in a few hundredths of a second, so one may queue behind each running one. */
 const requestsPerInstanceSlot = 2;
 
+/** Utilization that a cold upstream is ranked with in addition to its own. */
+const coldUtilization = 0.25;
+
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
@@ -148,13 +151,20 @@
   }
 
   #findLeastLoaded(targets: readonly Target[], now: Milliseconds): Target | undefined {
-    const { loads, random } = this.#options;
+    const { random } = this.#options;
     const ranked = targets
-      .map((target) => ({ target, use: loads.utilization(target, now), draw: random.fraction() }))
+      .map((target) => ({ target, use: this.#weigh(target, now), draw: random.fraction() }))
       .sort((one, other) => one.use - other.use || one.draw - other.draw);
     return ranked[0]?.target;
   }
 
+  /** A cold upstream takes longer for the same work, so it ranks as if more of it were in use. */
+  #weigh(target: Target, now: Milliseconds): number {
+    const { loads, permits } = this.#options;
+    const isCold = permits.isCold(formatIdentity(target.instance), now);
+    return loads.utilization(target, now) + (isCold ? coldUtilization : 0);
+  }
+
   /** All instances of a plain service are preferred: they are few, and complete requests too quickly to be overloaded by other gateways. */
   #findPreferred({ engine }: RoutedService, targets: readonly Target[]): ReadonlySet<string> {
     const keys = targets.map(({ key }) => key);
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -37,8 +37,12 @@
 
   /** Records that a request is being written to a connection of the target. */
   noteWritten(target: Target, requestId: string | undefined): void {
-    const { availability, metrics, clock, log } = this.#options;
+    const { availability, metrics, clock, log, permits } = this.#options;
     const upstream = formatIdentity(target.instance);
+    permits.noteWritten(upstream, clock.monotonic());
+    if (permits.isCold(upstream, clock.monotonic())) {
+      metrics.noteSentToCold(target.service);
+    }
     const reason = availability.findUnavailability(upstream, clock.monotonic());
     if (reason !== undefined) {
       metrics.noteSentToUnavailable(target.service, reason);
@@ -51,6 +55,7 @@
     loads.noteAnswered(target);
     this.#noteAvailability(target, facts);
     this.#noteRateLimit(target, facts, request);
+    this.#noteCold(target, facts, request);
     if (facts.load !== undefined) {
       loads.noteLoad(target, facts.load, clock.monotonic());
       onCapacityChanged();
@@ -79,6 +84,26 @@
     }
   }
 
+  #noteCold(
+    { key, instance }: Target,
+    { isMisdirected, requestId: answeredId, coldFor }: ResponseMetadata,
+    { requestId }: AnsweredRequest,
+  ): void {
+    const { permits, clock, log } = this.#options;
+    const upstream = formatIdentity(instance);
+    if (isMisdirected) {
+      permits.noteMisdirected(upstream);
+      return;
+    }
+    const isOther = answeredId !== undefined && answeredId !== requestId;
+    if (coldFor === undefined || isOther) {
+      return;
+    }
+    if (permits.noteCold(upstream, coldFor, clock.monotonic())) {
+      log.info({ upstream, target: key, requestId, coldFor }, 'upstream is cold');
+    }
+  }
+
   /** Ignores responses from another upstream or to another request: their rate limit may not be that of the target. */
   #noteRateLimit(
     target: Target,
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,4 +1,5 @@
 export { checkRoutingDocument } from './check.js';
+export { listColdProfiles, listReturned } from './cold-starts.js';
 export { listIdentities } from './identities.js';
 export {
   announcementSchema,
--- a/src/routing/instances.ts
+++ b/src/routing/instances.ts
@@ -40,6 +40,8 @@
       instance: instanceSchema,
       /** Increases with each announcement of one start, so that a delayed one can be recognized. */
       sequence: z.int(),
+      /** How much longer the instance stays cold, in milliseconds; absent if it does not say. Never recorded in the log. */
+      coldFor: z.number().min(0).exactOptional(),
     })
     .readonly(),
   z.strictObject({ type: z.literal('leaving'), ...identityFields }).readonly(),
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -29,6 +29,16 @@
   .readonly()
   .prefault({});
 
+/** How far the rate that a service declares for cold upstreams may be exceeded in any second, over all gateways. */
+const coldUpstreams = z
+  .strictObject({
+    /** Factor on the declared rate. */
+    overrun: z.number().min(0),
+    /** Requests in addition. */
+    slack: z.number().min(0),
+  })
+  .readonly();
+
 /** Settings of a gateway that sends requests directly to upstreams. */
 export const routingGatewaySettingsSchema = z
   .strictObject({
@@ -42,6 +52,8 @@
     /** The control hosts. */
     seeds: requiredSeedSettings,
     bounds,
+    /** Absent if requests to cold upstreams are not limited. */
+    coldUpstreams: coldUpstreams.exactOptional(),
     metricsPage: metricsPageSettings,
     log: logSettings,
   })
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -8,6 +8,12 @@
   encodeGroupHealth,
   encodeHostFacts,
 } from './codecs.js';
+export {
+  decodeColdAnswer,
+  decodeColdReport,
+  encodeColdAnswer,
+  encodeColdReport,
+} from './cold-upstreams.js';
 export { compressionThreshold } from './compression.js';
 export { StreamIdleTimeout } from './stream-idle-timeout.js';
 export { decodeUpstreamLimits, encodeUpstreamLimits } from './upstream-limits.js';
