--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -19,9 +19,14 @@
   TargetLoads,
   type GatewayPosition,
 } from '../../dispatch/index.js';
-import { formatIdentity, listIdentities } from '../../routing/index.js';
+import {
+  formatIdentity,
+  listColdProfiles,
+  listIdentities,
+  listReturned,
+} from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
-import type { RoutingView } from '../../watch/index.js';
+import { emptyRoutingView, type RoutingView } from '../../watch/index.js';
 import { readBody } from '../shell/body.js';
 import { admitRequest, type Admitted } from './admission.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
@@ -91,6 +96,7 @@
   #gateways: number;
   #position: GatewayPosition | undefined;
   #isStopping = false;
+  #lastView = emptyRoutingView;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -103,7 +109,7 @@
     const { repeatShare, repeatBurst, gateways } = settings.bounds;
     this.#gateways = gateways;
     this.#demand = new DemandMeter(clock.monotonic());
-    this.#permits = new RequestPermits(gateways, clock.monotonic());
+    this.#permits = new RequestPermits(gateways, clock.monotonic(), settings.coldUpstreams);
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
     this.#waiting =
       settings.admission.order === 'urgency'
@@ -263,6 +269,7 @@
     }
     this.#progress.retain(keys);
     this.#permits.retain(listIdentities(view));
+    this.#noteStarts(view);
     this.#connections.retain(listAddresses(view));
     this.#crashLedger.setQuarantined(view.quarantined, this.#options.clock.monotonic());
     const callers = view.table?.document.callers;
@@ -273,6 +280,17 @@
     this.#notifyDeliveries();
   }
 
+  #noteStarts(view: RoutingView): void {
+    const now = this.#options.clock.monotonic();
+    this.#permits.listStarts(listColdProfiles(view, view.table?.document), now);
+    const returned = listReturned(this.#lastView, view);
+    this.#lastView = view;
+    if (returned.length > 0) {
+      this.#permits.noteReturned(returned, now);
+      this.#options.logger.info({ upstreams: returned }, 'returned upstreams count as cold');
+    }
+  }
+
   #notifyDeliveries(): void {
     this.#collectWaiting(() => {
       for (const delivery of this.#deliveries) {
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -29,6 +29,16 @@
   .readonly()
   .prefault({});
 
+/** How far the rate that a service declares for cold upstreams may be exceeded in any second, over all gateways. */
+const coldUpstreams = z
+  .strictObject({
+    /** Factor on the declared rate. */
+    overrun: z.number().min(0),
+    /** Requests in addition. */
+    slack: z.number().min(0),
+  })
+  .readonly();
+
 /** How requests wait for a slot of an upstream. */
 const admission = z
   .strictObject({
@@ -54,6 +64,8 @@
   seeds: requiredSeedSettings,
   bounds,
   admission,
+  /** Absent if requests to cold upstreams are not limited. */
+  coldUpstreams: coldUpstreams.exactOptional(),
   metricsPage: metricsPageSettings,
   log: logSettings,
 });
