--- a/src/dispatch/upstream-permission.ts
+++ b/src/dispatch/upstream-permission.ts
@@ -8,6 +8,8 @@
   maySend: (upstream: string, now: Milliseconds) => boolean;
   /** Counts a request that is eligible for the upstream. */
   noteWanted: (upstream: string) => void;
+  /** Whether the upstream counts as cold. */
+  isCold: (upstream: string, now: Milliseconds) => boolean;
 }
 
 /** Pauses and departures that upstreams have announced. */
