Take orders to evacuate failure domains into the replicated log, and tell gateways of them

Cause: operators had no way to empty a failure domain before they work on it; both calls were answered 404.

Change: any control host takes the two orders, stamps them with the number of opposite orders that it has applied, and forwards them to the leader as the command setEvacuation. A start whose stamp is out of date changes nothing, so an order that was delayed inside control can not undo a later one. An order that reverses another within 2 s is refused with 503 and Retry-After, because it may be a late duplicate.

A repeated order is proposed to the log as well: the host that receives it may be behind and take an ended evacuation for one in force.

--- a/__tests__/control/large-documents.test.ts
+++ b/__tests__/control/large-documents.test.ts
@@ -63,6 +63,7 @@
       name: 'alone',
       listVoters: () => [],
       readState: () => this.machine.read(),
+      failureDomains: undefined,
       instanceSilence: 1000,
       registry: new Registry(),
     });
--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -9,6 +9,11 @@
 } from '../../src/control/state/index.js';
 import type { RoutingWatchResponse } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
 import { routingDocumentSchema, unpackBody } from '../../src/routing/index.js';
+import {
+  decodeRoutingEvents,
+  RoutingStateTracker,
+  type RoutingView,
+} from '../../src/watch/index.js';
 import type { MessageQueue } from '../../src/wire/index.js';
 import { createDocument } from '../routing/documents.js';
 
@@ -63,6 +68,59 @@
   return cases;
 }
 
+function orderEvacuation(action: 'start' | 'end', failureDomain: string): Command {
+  const stamp = action === 'start' ? 0 : 1;
+  return { type: 'setEvacuation', at: 0, failureDomain, action, stamp };
+}
+
+/** The last state of a watcher that has received all messages of the queue. */
+async function readView(queue: MessageQueue<RoutingWatchResponse>): Promise<RoutingView> {
+  queue.close();
+  const tracker = new RoutingStateTracker();
+  tracker.handle({ type: 'connected' });
+  for await (const response of queue) {
+    decodeRoutingEvents(response, 0).forEach((event) => tracker.handle(event));
+  }
+  return tracker.read();
+}
+
+describe('evacuations on routing watches', () => {
+  // Guards against a restarted gateway that isn't told of an evacuation in force, and sends requests to the domain.
+  it('are part of the initial state of a gateway', async () => {
+    const hub = new RoutingHub();
+    const state = apply(initialControlState, orderEvacuation('start', 'a'));
+    hub.publish(state.index, state.routing);
+    const view = await readView(hub.subscribe(0, status));
+    expect(view.isSynchronized).toBe(true);
+    expect([...view.evacuations.values()]).toEqual([{ failureDomain: 'a', startedAt: 0 }]);
+  });
+
+  // Guards against a gateway that isn't told of the start or the end of an evacuation while it watches.
+  it('are sent to gateways when they start and end', async () => {
+    const hub = new RoutingHub();
+    const first = hub.subscribe(0, status);
+    const second = hub.subscribe(0, status);
+    const started = apply(
+      apply(initialControlState, orderEvacuation('start', 'a')),
+      orderEvacuation('start', 'b'),
+    );
+    hub.publish(started.index, started.routing);
+    expect([...(await readView(first)).evacuations.keys()]).toEqual(['a', 'b']);
+    const ended = apply(started, orderEvacuation('end', 'a'));
+    hub.publish(ended.index, ended.routing);
+    expect([...(await readView(second)).evacuations.keys()]).toEqual(['b']);
+  });
+
+  // Guards against waking hundreds of sidecars for changes that they have no use for.
+  it('are not sent to sidecars', async () => {
+    const hub = new RoutingHub();
+    const queue = hub.subscribe(0, status, 'h-1');
+    const state = apply(initialControlState, orderEvacuation('start', 'a'));
+    hub.publish(state.index, state.routing);
+    expect(await readAll(queue)).toEqual(['synchronized', 'sign']);
+  });
+});
+
 describe('routing watches', () => {
   /**
    * Guards against a restarted gateway that refuses requests for half a second although it has the newest document. The status that
--- a/src/common/result-codes/attempt-codes.ts
+++ b/src/common/result-codes/attempt-codes.ts
@@ -130,6 +130,14 @@
     'An upstream crashed while it ran this request, and control has not recorded that yet.',
     'Wait for the time in Retry-After; another gateway may take it.',
   ),
+  domainsEvacuated: createResultCode(
+    2017,
+    503,
+    'notRun',
+    true,
+    'Operators have evacuated every failure domain with upstreams of the service.',
+    'Wait for the time in Retry-After; operators end the evacuation.',
+  ),
   answerLost: createResultCode(
     2101,
     502,
--- a/src/control/routing/index.ts
+++ b/src/control/routing/index.ts
@@ -9,6 +9,7 @@
   type AnnouncementVerdict,
   type InstanceChanges,
 } from './instance-tracker.js';
+export { EvacuationControl, type EvacuationControlOptions } from './evacuation-control.js';
 export { InstanceRecorder } from './instance-recorder.js';
 export { LoadBudget } from './load-budget.js';
 export { PermitAllocator, type PermitAnswer, type PermitRequest } from './permit-allocator.js';
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -36,12 +36,13 @@
   type RpcClientPool,
 } from '../../wire/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
-import type { CommandAnswer, ControlState } from '../state/index.js';
+import type { CommandAnswer, ControlState, EvacuationAction } from '../state/index.js';
 import { CrashRecorder } from './crash-recorder.js';
 import { DemandEstimator } from './demand-estimator.js';
 import { EngineLoop } from './engine-loop.js';
 import { EngineMetrics } from './engine-metrics.js';
 import { EngineReportService } from './engine-report-service.js';
+import { EvacuationControl } from './evacuation-control.js';
 import { InstanceTracker } from './instance-tracker.js';
 import { InstanceRecorder } from './instance-recorder.js';
 import { LeaderClient } from './leader-client.js';
@@ -72,6 +73,8 @@
   readonly readState: () => ControlState;
   /** An instance that has not announced itself for this long gets no new requests. */
   readonly instanceSilence: Milliseconds;
+  /** All failure domains of the deployment; undefined where operators order no evacuations. */
+  readonly failureDomains: readonly string[] | undefined;
   /** Registry for the metrics page. */
   readonly registry: Registry;
 }
@@ -83,6 +86,7 @@
   readonly #instances = new InstanceTracker();
   readonly #recorder: InstanceRecorder;
   readonly #crashes: CrashRecorder;
+  readonly #evacuations: EvacuationControl;
   readonly #demand = new DemandEstimator();
   readonly #permits = new PermitAllocator();
   readonly #reports: EngineReportService;
@@ -103,6 +107,7 @@
     });
     this.#recorder = new InstanceRecorder(options.submitter);
     this.#crashes = new CrashRecorder(options);
+    this.#evacuations = new EvacuationControl(options);
     this.#leaderClient = new LeaderClient(options);
     this.#engines = new EngineLoop({
       ...options,
@@ -222,6 +227,19 @@
     return this.#leaderClient.announce(leader, announcement);
   }
 
+  /** Whether operators can order evacuations in this deployment. */
+  get canEvacuate(): boolean {
+    return this.#evacuations.isConfigured;
+  }
+
+  /** Starts or ends the evacuation of a failure domain; resolves once the order is committed, with whether it changed anything. */
+  setEvacuation(
+    failureDomain: string,
+    action: EvacuationAction,
+  ): Promise<Result<boolean, Failure>> {
+    return this.#evacuations.set(failureDomain, action);
+  }
+
   /** Counts and logs an unusable announcement; returns the failure for its sender. */
   refuseAnnouncement(id: string, reason: string, text: string): Failure {
     this.#unusableCount.inc();
--- a/src/control/routing/routing-hub.ts
+++ b/src/control/routing/routing-hub.ts
@@ -8,6 +8,7 @@
   listQuarantined,
   packDocument,
   type EngineGroup,
+  type Evacuation,
   type Instance,
 } from '../../routing/index.js';
 import { MessageQueue } from '../../wire/index.js';
@@ -205,6 +206,7 @@
   return [
     ...[...state.instances.values()].map(describeInstance),
     ...[...state.engineGroups.values()].map(describeGroup),
+    ...[...state.evacuations.values()].map(describeEvacuation),
     ...[...listQuarantined(state.suspects)].map(describeQuarantined),
   ];
 }
@@ -220,6 +222,10 @@
       event: { case: 'engineGroupRemoved', value: group.name },
       audience: listHosts(group),
     })),
+    ...listMapChanges(before.evacuations, after.evacuations, describeEvacuation, (ended) => ({
+      event: { case: 'evacuationEnded', value: ended.failureDomain },
+      audience: 'gateways',
+    })),
     ...listQuarantineChanges(before.suspects, after.suspects),
   ];
 }
@@ -287,6 +293,13 @@
   };
 }
 
+function describeEvacuation(evacuation: Evacuation): Change {
+  return {
+    event: { case: 'evacuation', value: JSON.stringify(evacuation) },
+    audience: 'gateways',
+  };
+}
+
 function listHosts({ members }: EngineGroup): readonly string[] {
   return members.map(({ host }) => host);
 }
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -97,6 +97,7 @@
       submitter: this.#submitter,
       findAddress,
       describe: () => this.#describeView(),
+      setEvacuation: (failureDomain, action) => this.routing.setEvacuation(failureDomain, action),
     });
     this.#reports = new ReportService({
       ...shared,
@@ -124,6 +125,7 @@
       listVoters: () => this.#listVoters().map(({ address }) => address),
       readState: () => this.#machine.read(),
       instanceSilence: settings.timeouts.instanceSilenceMilliseconds,
+      failureDomains: settings.evacuation?.failureDomains,
       registry: this.#registry,
     });
     this.#membership = new MembershipManager({
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -25,6 +25,7 @@
   viewSchemas,
   type Command,
   type CommandAnswer,
+  type EvacuationAction,
   type ViewKind,
 } from '../state/index.js';
 import { noQuorumRetryDelay, type CommandSubmitter } from './command-submitter.js';
@@ -43,6 +44,11 @@
   readonly clients: RpcClientPool;
   readonly findAddress: (name: string) => string | undefined;
   readonly describe: () => ViewSource;
+  /** Starts or ends an evacuation; the value is whether that changed anything. */
+  readonly setEvacuation: (
+    failureDomain: string,
+    action: EvacuationAction,
+  ) => Promise<Result<boolean, Failure>>;
 }
 
 export class OperatorService {
@@ -54,7 +60,7 @@
 
   /** Handles a command from outside control. */
   submit(text: string): Promise<SubmitResponse> {
-    return this.#runCommand(text, (command) => this.#options.submitter.submit(command));
+    return this.#runCommand(text, (command) => this.#submit(command));
   }
 
   /** Handles a command forwarded by another control host. */
@@ -85,6 +91,16 @@
     }
   }
 
+  /** An evacuation order is stamped by the control host that receives it, so its own stamp is not used. */
+  async #submit(command: Command): Promise<Result<CommandAnswer, Failure>> {
+    if (command.type !== 'setEvacuation') {
+      return this.#options.submitter.submit(command);
+    }
+    const { failureDomain, action } = command;
+    const result = await this.#options.setEvacuation(failureDomain, action);
+    return result.map((isChanged) => ({ type: 'evacuationSet', isChanged }));
+  }
+
   async #runCommand(
     text: string,
     execute: (command: Command) => Promise<Result<CommandAnswer, Failure>>,
--- a/src/control/standby-control.ts
+++ b/src/control/standby-control.ts
@@ -11,6 +11,12 @@
 export class StandbyControl {
   readonly leaderName = undefined;
   readonly isLeader = false;
+  readonly canEvacuate: boolean;
+
+  /** `canEvacuate`: whether the deployment has evacuations. */
+  constructor(canEvacuate: boolean) {
+    this.canEvacuate = canEvacuate;
+  }
 
   put(): Promise<Result<number, Failure>> {
     return refuse();
@@ -24,6 +30,10 @@
     return refuse();
   }
 
+  setEvacuation(): Promise<Result<boolean, Failure>> {
+    return refuse();
+  }
+
   refuseAnnouncement(_id: string, reason: string): Failure {
     return createFailure('unusableAnnouncement', reason);
   }
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -2,6 +2,7 @@
 import { applyChange } from './apply-change.js';
 import { applyNoteCrashes } from './apply-crashes.js';
 import { applyClaimKey, applySettleClaim } from './apply-claim.js';
+import { applySetEvacuation } from './apply-evacuation.js';
 import { applyPlanEngineGroups } from './apply-engine-groups.js';
 import { applyPlaceGroups } from './apply-placement.js';
 import { applyRecordInstances } from './apply-instances.js';
@@ -39,6 +40,8 @@
       return applyPlanEngineGroups(state, command);
     case 'noteCrashes':
       return applyNoteCrashes(state, command);
+    case 'setEvacuation':
+      return applySetEvacuation(state, command);
     default:
       return assertNever(command);
   }
--- a/src/control/state/commands.ts
+++ b/src/control/state/commands.ts
@@ -181,6 +181,23 @@
   })
   .readonly();
 
+/** What an operator orders for a failure domain: that its upstreams get no more requests, or that they get requests again. */
+export const evacuationActions = ['start', 'end'] as const;
+
+const setEvacuation = z
+  .strictObject({
+    type: z.literal('setEvacuation'),
+    at: z.number(),
+    failureDomain: z.string().min(1),
+    action: z.enum(evacuationActions),
+    /**
+     * Number of opposite orders for the domain that the receiving control host had applied when this one arrived; set by that host.
+     * It identifies an order that was delayed inside control until after an opposite one.
+     */
+    stamp: z.int().min(0),
+  })
+  .readonly();
+
 /** Any command of the replicated log. */
 export const commandSchema = z.discriminatedUnion('type', [
   applyConfiguration,
@@ -193,9 +210,11 @@
   recordInstances,
   planEngineGroups,
   noteCrashes,
+  setEvacuation,
 ]);
 
 export type Command = z.infer<typeof commandSchema>;
+export type EvacuationAction = (typeof evacuationActions)[number];
 export type GroupPlacement = z.infer<typeof groupPlacement>;
 
 /** A change made by an operator. */
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -1,9 +1,22 @@
 export { decodeCommandAnswer, encodeCommandAnswer } from './answer-text.js';
 export { applyCommand } from './apply.js';
 export { crashLifetimeMilliseconds, hasExpiredCrash } from './apply-crashes.js';
+export {
+  assessEvacuationOrder,
+  stampEvacuationOrder,
+  turnInterval,
+  type EvacuationOrder,
+  type EvacuationVerdict,
+} from './apply-evacuation.js';
 export { maximumAnswers, maximumHistory } from './apply-change.js';
 export { ClaimRegister, claimLifetimeMilliseconds } from './claim-register.js';
-export { commandSchema, type Change, type Command, type GroupPlacement } from './commands.js';
+export {
+  commandSchema,
+  type Change,
+  type Command,
+  type EvacuationAction,
+  type GroupPlacement,
+} from './commands.js';
 export { applyHostOverride } from './host-override.js';
 export { checkSubmittedCommand, formatCommand, parseCommand } from './parse-command.js';
 export { ControlStateMachine, type StateListener } from './state-machine.js';
@@ -30,4 +43,4 @@
   type WatcherView,
 } from './views.js';
 export { decodeSnapshot, encodeSnapshot } from './snapshot.js';
-export { initialRoutingState, type RoutingState } from './routing-state.js';
+export { initialRoutingState, type EvacuationHistory, type RoutingState } from './routing-state.js';
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -16,6 +16,19 @@
 } from '../../routing/index.js';
 import { storedDocumentSchema } from './commands.js';
 
+/** The evacuation orders for a failure domain that took effect; kept after its evacuation has ended. */
+const evacuationHistorySchema = z
+  .strictObject({
+    failureDomain: z.string(),
+    starts: z.int().min(0),
+    ends: z.int().min(0),
+    /** Wall time, in milliseconds, of the last of them. */
+    changedAt: z.number(),
+  })
+  .readonly();
+
+export type EvacuationHistory = z.infer<typeof evacuationHistorySchema>;
+
 /** The part of the replicated state that routing uses. */
 export interface RoutingState {
   /** Undefined until the first document is applied. */
@@ -30,6 +43,8 @@
   readonly suspects: ReadonlyMap<string, CrashSuspect>;
   /** Evacuations in force, by failure domain. */
   readonly evacuations: ReadonlyMap<string, Evacuation>;
+  /** By failure domain; domains that were never evacuated are absent. */
+  readonly evacuationHistory: ReadonlyMap<string, EvacuationHistory>;
 }
 
 /** State before the first command. */
@@ -41,6 +56,7 @@
   engineGroupsIndex: 0,
   suspects: new Map(),
   evacuations: new Map(),
+  evacuationHistory: new Map(),
 };
 
 /** Snapshot format of the state, with maps as arrays. */
@@ -57,6 +73,8 @@
     suspects: z.array(crashSuspectSchema).exactOptional(),
     /** Absent from snapshots written by earlier versions. */
     evacuations: z.array(evacuationSchema).exactOptional(),
+    /** Absent from snapshots written by earlier versions. */
+    evacuationHistory: z.array(evacuationHistorySchema).exactOptional(),
   })
   .readonly();
 
@@ -72,6 +90,7 @@
     engineGroups: [...state.engineGroups.values()],
     suspects: [...state.suspects.values()],
     evacuations: [...state.evacuations.values()],
+    evacuationHistory: [...state.evacuationHistory.values()],
   };
 }
 
@@ -89,5 +108,8 @@
     engineGroups: new Map(stored.engineGroups.map((group) => [group.name, group])),
     suspects: new Map((stored.suspects ?? []).map((suspect) => [suspect.request, suspect])),
     evacuations: new Map((stored.evacuations ?? []).map((each) => [each.failureDomain, each])),
+    evacuationHistory: new Map(
+      (stored.evacuationHistory ?? []).map((each) => [each.failureDomain, each]),
+    ),
   };
 }
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -57,6 +57,15 @@
     'expected electionMilliseconds of at least three times heartbeatMilliseconds',
   );
 
+/** Evacuations of failure domains; absent where operators do not order any. */
+const evacuation = z
+  .strictObject({
+    /** All failure domains of the deployment; orders for other ones are refused. */
+    failureDomains: z.array(nameSchema).min(1).readonly(),
+  })
+  .readonly()
+  .optional();
+
 /** Settings of pistachiospoke-control. */
 export const controlSettingsSchema = z
   .strictObject({
@@ -73,6 +82,7 @@
     dataFolder: z.string().min(1),
     /** Number of control hosts whose disks may be lost at once. Requires 2n + 1 voters, as soon as there are enough control hosts. */
     toleratedLosses: z.int().min(0).max(maximumToleratedLosses).default(1),
+    evacuation,
     timeouts,
     shutdown: shutdownSettings,
     log: logSettings,
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -29,6 +29,15 @@
   .readonly()
   .prefault({});
 
+/** Evacuations of failure domains; without this section an evacuation takes effect as soon as it is known. */
+const evacuation = z
+  .strictObject({
+    /** Longest time from the acknowledgement of an evacuation until no request may reach an upstream in the domain. */
+    limitMilliseconds: z.int().min(1).max(600_000),
+  })
+  .readonly()
+  .optional();
+
 /** Settings of a gateway that sends requests directly to upstreams. */
 export const routingGatewaySettingsSchema = z
   .strictObject({
@@ -42,6 +51,7 @@
     /** The control hosts. */
     seeds: requiredSeedSettings,
     bounds,
+    evacuation,
     metricsPage: metricsPageSettings,
     log: logSettings,
   })
--- a/src/watch/decode-routing-event.ts
+++ b/src/watch/decode-routing-event.ts
@@ -2,6 +2,7 @@
 import type { RoutingWatchResponse } from '../generated/pistachiospoke/v1/routing_pb.js';
 import {
   engineGroupSchema,
+  evacuationSchema,
   instanceSchema,
   routingDocumentSchema,
   unpackBody,
@@ -45,6 +46,14 @@
       return { type: 'requestQuarantined', index, request: event.value };
     case 'requestReleased':
       return { type: 'requestReleased', index, request: event.value };
+    case 'evacuation':
+      return {
+        type: 'evacuation',
+        index,
+        evacuation: evacuationSchema.parse(JSON.parse(event.value)),
+      };
+    case 'evacuationEnded':
+      return { type: 'evacuationEnded', index, failureDomain: event.value };
     case 'synchronized':
       return { type: 'synchronized', index, version: Number(event.value.version) };
     case 'sign': {
--- a/src/watch/routing-state-tracker.ts
+++ b/src/watch/routing-state-tracker.ts
@@ -40,6 +40,12 @@
   | { readonly type: 'engineGroupRemoved'; readonly index: number; readonly name: string }
   | { readonly type: 'requestQuarantined'; readonly index: number; readonly request: string }
   | { readonly type: 'requestReleased'; readonly index: number; readonly request: string }
+  | { readonly type: 'evacuation'; readonly index: number; readonly evacuation: Evacuation }
+  | {
+      readonly type: 'evacuationEnded';
+      readonly index: number;
+      readonly failureDomain: string;
+    }
   | { readonly type: 'synchronized'; readonly index: number; readonly version: number }
   | {
       /** Periodic status message of the control host. */
@@ -67,6 +73,7 @@
   readonly instances: Map<string, Instance>;
   readonly engineGroups: Map<string, EngineGroup>;
   readonly quarantined: Set<string>;
+  readonly evacuations: Map<string, Evacuation>;
 }
 
 /**
@@ -91,6 +98,7 @@
           instances: new Map(),
           engineGroups: new Map(),
           quarantined: new Set(),
+          evacuations: new Map(),
         };
         return 'unchanged';
       case 'document':
@@ -119,6 +127,14 @@
         return this.#change(event.index, ({ quarantined }) => {
           quarantined.delete(event.request);
         });
+      case 'evacuation':
+        return this.#change(event.index, ({ evacuations }) => {
+          evacuations.set(event.evacuation.failureDomain, event.evacuation);
+        });
+      case 'evacuationEnded':
+        return this.#change(event.index, ({ evacuations }) => {
+          evacuations.delete(event.failureDomain);
+        });
       case 'synchronized':
         return this.#synchronize(event.index, event.version);
       case 'sign':
@@ -150,6 +166,7 @@
       instances: new Map(this.#view.instances),
       engineGroups: new Map(this.#view.engineGroups),
       quarantined: new Set(this.#view.quarantined),
+      evacuations: new Map(this.#view.evacuations),
     };
     change(collected);
     this.#view = { ...this.#view, ...collected };
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -185,6 +185,12 @@
       case 'requestReleased':
         logger.info({ address, request: event.request }, 'request released from quarantine');
         return;
+      case 'evacuation':
+        logger.warn({ address, ...event.evacuation }, 'evacuation of a failure domain announced');
+        return;
+      case 'evacuationEnded':
+        logger.info({ address, failureDomain: event.failureDomain }, 'evacuation ended');
+        return;
     }
   }
 
