Send nothing to evacuated failure domains from gateways that send directly

Cause: gateways did not know evacuations.

In the grace period the upstreams of the domain are used only if no other can take the request. When the evacuation takes effect, attempts that wait for a connection are withdrawn; running ones go on. Metrics count withdrawals and requests sent during an evacuation.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -1,9 +1,10 @@
 import { request as sendRequest, type IncomingMessage, type ServerResponse } from 'node:http';
 
+import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import { createLogger, createRandomSource, systemClock } from '../../src/common/index.js';
+import { createRandomSource, systemClock } from '../../src/common/index.js';
 import { DirectGateway, DirectMetrics } from '../../src/gateway/direct/index.js';
 import { RouteTable, type EngineGroup, type Instance } from '../../src/routing/index.js';
 import { routingGatewaySettingsSchema } from '../../src/settings/index.js';
@@ -25,6 +26,8 @@
 const second = new TestUpstream();
 let gateway: DirectGateway;
 let view: RoutingView;
+let registry: Registry;
+const logLines: string[] = [];
 const listeners = new Set<(changed: RoutingView) => void>();
 
 function changeView(changes: Partial<RoutingView>): void {
@@ -93,6 +96,8 @@
   await Promise.all([first.open(), second.open()]);
   first.received.length = 0;
   second.received.length = 0;
+  registry = new Registry();
+  logLines.length = 0;
   view = {
     ...emptyRoutingView,
     table: new RouteTable(createDocument()),
@@ -107,6 +112,7 @@
     seeds: { addresses: ['127.0.0.1:1'], port: 1 },
     // Allows a retry for each request, since none of these tests is about the retry limit.
     bounds: { graceMilliseconds: 100, repeatShare: 1 },
+    evacuation: { limitMilliseconds: 500 },
   });
   gateway = new DirectGateway({
     settings,
@@ -116,10 +122,10 @@
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    metrics: new DirectMetrics(new Registry()),
+    metrics: new DirectMetrics(registry),
     clock: systemClock,
     random: createRandomSource(1),
-    logger: createLogger('test', 'silent'),
+    logger: pino({ level: 'info' }, { write: (line) => logLines.push(line) }),
   });
   gateway.setPosition({ gateways: 1, position: 0 });
   await gateway.open();
@@ -379,6 +385,98 @@
   });
 });
 
+describe('an upstream in an evacuated failure domain', () => {
+  function evacuate(...domains: readonly string[]): void {
+    const evacuations = domains.map((failureDomain) => {
+      return [failureDomain, { failureDomain, startedAt: 0 }] as const;
+    });
+    changeView({ evacuations: new Map(evacuations) });
+  }
+
+  function placeInDomain(domain: string, [id, instance]: [string, Instance]): [string, Instance] {
+    return [id, { ...instance, failureDomain: domain }];
+  }
+
+  async function readValues(name: string): Promise<readonly object[] | undefined> {
+    return (await registry.getSingleMetric(name)?.get())?.values;
+  }
+
+  function waitForEffect(): Promise<boolean> {
+    return waitFor('the evacuation to be in effect', () =>
+      logLines.some((line) => line.includes('evacuation in effect')),
+    );
+  }
+
+  // Guards against requests that reach an evacuated domain late because they had waited for a connection when the evacuation took effect,
+  // and against ending requests that already run there.
+  it('gets no requests that were waiting for a connection, and keeps those that run', async () => {
+    const connections = 2;
+    const services = [{ name: 'desk', maximumConnections: connections }];
+    const table = new RouteTable(createDocument({ services }));
+    changeView({ table, instances: new Map([placeInDomain('a', createInstance('i-1', first))]) });
+    const held: ServerResponse[] = [];
+    first.handle = (_, response) => {
+      held.push(response);
+    };
+    second.handle = (_, response) => {
+      response.end('of the other');
+    };
+    const calls = Array.from({ length: 8 }, () => call('POST', '/book/7').answer);
+    await waitFor('requests on all connections', () => held.length === connections);
+    evacuate('a');
+    changeView({
+      instances: new Map([
+        placeInDomain('a', createInstance('i-1', first)),
+        placeInDomain('b', createInstance('i-2', second)),
+      ]),
+    });
+    await waitForEffect();
+    await waitFor('requests at the other domain', () => second.received.length === 6);
+    held.forEach((response) => response.end('of the evacuated'));
+    const bodies = (await Promise.all(calls)).map(({ body }) => body).sort();
+    expect(bodies.filter((body) => body === 'of the evacuated')).toHaveLength(connections);
+    expect(bodies.filter((body) => body === 'of the other')).toHaveLength(6);
+    expect(first.received).toHaveLength(connections);
+    expect(await readValues('pistachiospoke_evacuation_withdrawals_total')).toEqual([
+      { labels: {}, value: 6 },
+    ]);
+  });
+
+  // Guards against callers that wait in vain, or that are told only that nothing serves them, while every domain is evacuated; and against
+  // a domain that gets no requests after the end.
+  it('is not waited for if every domain is evacuated; the caller learns why', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.end('done');
+    };
+    evacuate('a');
+    expect((await call('GET', '/lookup/7').answer).body).toBe('done');
+    await waitForEffect();
+    const answer = await call('GET', '/lookup/7').answer;
+    expect(answer.status).toBe(503);
+    expect(JSON.parse(answer.body)).toMatchObject({ error: { name: 'domainsEvacuated' } });
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(first.received).toHaveLength(1);
+    evacuate();
+    expect((await call('GET', '/lookup/7').answer).body).toBe('done');
+  });
+
+  // Guards against a count that doesn't show requests sent during an evacuation, or shows some after it took effect.
+  it('is counted in the metrics for requests sent to it', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      response.end('done');
+    };
+    evacuate('a');
+    await call('GET', '/lookup/7').answer;
+    await waitForEffect();
+    await call('GET', '/lookup/7').answer;
+    expect(await readValues('pistachiospoke_requests_to_evacuated_domains_total')).toEqual([
+      { labels: { standing: 'closing' }, value: 1 },
+    ]);
+  });
+});
+
 describe('an upstream that says in a response that it is leaving', () => {
   const leaving = { 'server-leaving': '1' };
 
--- /dev/null
+++ b/src/dispatch/index.ts
@@ -0,0 +1,7 @@
+export {
+  Evacuations,
+  splitByStanding,
+  type DomainStanding,
+  type EvacuationChanges,
+  type KnownEvacuations,
+} from './evacuations.js';
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -329,6 +329,8 @@
           choice.until,
           now,
         );
+      case 'evacuated':
+        return [this.#giveUp('domainsEvacuated', now)];
       case 'target':
         return [this.#send(choice.target, now)];
     }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -112,11 +112,17 @@
     }
   }
 
-  /** An upstream accepts no more requests. Affects a request that is assigned to it but not sent yet. */
-  noteUpstreamUnavailable(): void {
-    if (this.#attempt?.isSent === false) {
-      this.#handle({ type: 'targetsChanged', now: this.#now() });
+  /**
+   * An upstream accepts no more requests. Affects a request that is assigned to it but not sent yet; returns whether its attempt was
+   * withdrawn.
+   */
+  noteUpstreamUnavailable(): boolean {
+    const attempt = this.#attempt;
+    if (attempt?.isSent !== false) {
+      return false;
     }
+    this.#handle({ type: 'targetsChanged', now: this.#now() });
+    return this.#attempt !== attempt;
   }
 
   /** The named targets have stalled. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -13,6 +13,7 @@
   type Milliseconds,
   type RandomSource,
 } from '../../common/index.js';
+import { Evacuations } from '../../dispatch/index.js';
 import { formatIdentity, listIdentities } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
@@ -27,6 +28,7 @@
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
 import { ResponseWriter } from './response-writer.js';
+import { EvacuationWatch } from './evacuation-watch.js';
 import { DocumentGuard } from './document-guard.js';
 import type { GatewayPosition } from './head-subset.js';
 import { RequestPermits } from './request-permits.js';
@@ -81,6 +83,7 @@
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
+  readonly #evacuationWatch: EvacuationWatch;
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
@@ -99,6 +102,14 @@
     this.#demand = new DemandMeter(clock.monotonic());
     this.#permits = new RequestPermits(gateways, clock.monotonic());
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
+    const evacuations = new Evacuations(settings.evacuation?.limitMilliseconds ?? 0);
+    this.#evacuationWatch = new EvacuationWatch({
+      evacuations,
+      withdraw: () => this.#withdrawUnsent(),
+      metrics: options.metrics,
+      clock,
+      logger,
+    });
     this.#dependencies = {
       dialect,
       clock,
@@ -112,6 +123,7 @@
         loads: this.#loads,
         permits: this.#permits,
         availability: this.#availability,
+        evacuations,
         metrics: options.metrics,
         clock,
         log: this.#log,
@@ -119,9 +131,7 @@
           this.#retryWaiting();
         },
         onUnavailable: () => {
-          for (const delivery of this.#deliveries) {
-            delivery.noteUpstreamUnavailable();
-          }
+          this.#withdrawUnsent();
         },
       }),
       onSentToLimited: ({ name }) => {
@@ -138,6 +148,7 @@
         loads: this.#loads,
         availability: this.#availability,
         permits: this.#permits,
+        evacuations,
         readPosition: () => this.#position,
         random,
       }),
@@ -236,12 +247,14 @@
     }
     this.#unsubscribe?.();
     this.#stallWatch.close();
+    this.#evacuationWatch.close();
     clearInterval(this.#waitingRetryTimer);
     await closeServer(this.#server);
     this.#connections.close();
   }
 
   #applyView(view: RoutingView): void {
+    this.#evacuationWatch.applyView(view);
     const instances = [...view.instances.values()].map(formatIdentity);
     const keys = new Set([...view.engineGroups.keys(), ...instances]);
     this.#loads.retain(keys);
@@ -262,6 +275,11 @@
     this.#notifyDeliveries();
   }
 
+  /** Withdraws the attempts that wait for a connection to an upstream that gets no more requests; returns their number. */
+  #withdrawUnsent(): number {
+    return [...this.#deliveries].filter((delivery) => delivery.noteUpstreamUnavailable()).length;
+  }
+
   #notifyDeliveries(): void {
     for (const delivery of this.#deliveries) {
       delivery.noteTargetsChanged();
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -17,6 +17,8 @@
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
+  readonly #sentToEvacuated: Counter<'standing'>;
+  readonly #withdrawn: Counter;
   readonly #firstByte: Histogram<'route'>;
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
@@ -65,6 +67,17 @@
       labelNames: ['service', 'reason'],
       registers,
     });
+    this.#sentToEvacuated = new Counter({
+      name: 'pistachiospoke_requests_to_evacuated_domains_total',
+      help: 'Requests sent to a failure domain during its evacuation, by whether the evacuation had taken effect.',
+      labelNames: ['standing'],
+      registers,
+    });
+    this.#withdrawn = new Counter({
+      name: 'pistachiospoke_evacuation_withdrawals_total',
+      help: 'Attempts that waited for a connection when an evacuation took effect, and were withdrawn.',
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'pistachiospoke_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer.',
@@ -108,6 +121,14 @@
     this.#sentToUnavailable.inc({ service, reason });
   }
 
+  noteSentToEvacuated(standing: 'closing' | 'evacuated'): void {
+    this.#sentToEvacuated.inc({ standing });
+  }
+
+  noteWithdrawn(attempts: number): void {
+    this.#withdrawn.inc(attempts);
+  }
+
   noteOutcome(route: string, { result, attempts, duration, times }: DeliveryOutcome): void {
     this.#ended.inc({ route, result });
     this.#duration.observe({ route }, duration / millisecondsPerSecond);
--- a/src/gateway/direct/target.ts
+++ b/src/gateway/direct/target.ts
@@ -7,6 +7,7 @@
   type InstanceIdentity,
   type RoutedService,
 } from '../../routing/index.js';
+import { Evacuations, splitByStanding } from '../../dispatch/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
 import type { RequestPermits } from './request-permits.js';
@@ -43,12 +44,14 @@
 
 /**
  * `full`: all possible targets are at their limits. `paused`: all possible targets have asked for pauses, and none is about to open; the
- * first pause ends at `until`. `none`: there is no possible target.
+ * first pause ends at `until`. `evacuated`: every failure domain with upstreams of the service is evacuated. `none`: there is no possible
+ * target.
  */
 export type TargetChoice =
   | { readonly type: 'target'; readonly target: Target }
   | { readonly type: 'full' }
   | { readonly type: 'paused'; readonly until: Milliseconds }
+  | { readonly type: 'evacuated' }
   | { readonly type: 'none' };
 
 /**
@@ -64,6 +67,8 @@
   readonly loads: TargetLoads;
   readonly availability: UpstreamAvailability;
   readonly permits: RequestPermits;
+  /** Undefined where there are no evacuations. */
+  readonly evacuations?: Evacuations;
   /** Position of this gateway; undefined while unknown, or if no other gateways share the targets. */
   readonly readPosition?: () => GatewayPosition | undefined;
   readonly random: RandomSource;
@@ -76,17 +81,57 @@
     this.#options = options;
   }
 
+  /** Targets in a domain whose evacuation is about to take effect are chosen only if no other target can accept the request. */
+  choose(criteria: TargetCriteria, now: Milliseconds): TargetChoice {
+    const { evacuations } = this.#options;
+    const { service, model } = criteria;
+    const targets = this.listTargets(service, model);
+    if (evacuations === undefined || evacuations.size === 0) {
+      return this.#chooseAmong(targets, criteria, now);
+    }
+    const { open, closing } = splitByStanding(targets, evacuations, now);
+    const choice = this.#chooseAmong(open, criteria, now);
+    if (choice.type === 'target') {
+      return choice;
+    }
+    if (closing.length === 0) {
+      return open.length === 0 && this.#isWhollyEvacuated(service, now)
+        ? { type: 'evacuated' }
+        : choice;
+    }
+    const other = this.#chooseAmong(closing, criteria, now);
+    return other.type === 'target' || choice.type === 'none' ? other : choice;
+  }
+
+  /** Whether no upstream of the service can get requests until an evacuation ends. Engines elsewhere may still form a group. */
+  #isWhollyEvacuated(service: RoutedService, now: Milliseconds): boolean {
+    const { readView, evacuations } = this.#options;
+    const { instances, engineGroups } = readView();
+    const domains = [
+      ...[...instances.values()].filter((instance) => {
+        return instance.service === service.name && !instance.isDraining;
+      }),
+      ...[...engineGroups.values()]
+        .filter((group) => group.service === service.name)
+        .flatMap(({ members }) => members),
+    ].flatMap(({ failureDomain }) => failureDomain ?? []);
+    return (
+      domains.length > 0 &&
+      domains.every((domain) => evacuations?.standingOf(domain, now) === 'evacuated')
+    );
+  }
+
   /**
    * Chooses the least loaded untried target with free capacity among those that this gateway prefers; ties are broken at random.
    * Other targets are used only if no preferred one is left. If gateways also used them when the preferred ones are full, their requests
    * would overload heads whose load they do not know.
    */
-  choose(
+  #chooseAmong(
+    targets: readonly Target[],
     { service, model, tried, isUrgent = false }: TargetCriteria,
     now: Milliseconds,
   ): TargetChoice {
     const { loads, permits } = this.#options;
-    const targets = this.listTargets(service, model);
     const all = targets.filter((target) => {
       return (
         !tried.has(target.key) && !loads.isClosed(target, now) && this.isAvailable(target, now)
@@ -175,9 +220,12 @@
   }
 
   /** Whether the upstream accepts requests from this gateway. */
-  isAvailable({ instance }: Target, now: Milliseconds): boolean {
-    const upstream = formatIdentity(instance);
-    return this.#options.availability.findUnavailability(upstream, now) === undefined;
+  isAvailable({ instance, failureDomain }: Target, now: Milliseconds): boolean {
+    const { availability, evacuations } = this.#options;
+    return (
+      availability.findUnavailability(formatIdentity(instance), now) === undefined &&
+      evacuations?.standingOf(failureDomain, now) !== 'evacuated'
+    );
   }
 
   listTargets(service: RoutedService, model: string | undefined): readonly Target[] {
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
+import type { Evacuations } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
@@ -19,6 +20,7 @@
   readonly loads: TargetLoads;
   readonly permits: RequestPermits;
   readonly availability: UpstreamAvailability;
+  readonly evacuations: Evacuations;
   readonly metrics: DirectMetrics;
   readonly clock: Clock;
   readonly log: RateLimitedLog;
@@ -37,7 +39,16 @@
 
   /** Records that a request is being written to a connection of the target. */
   noteWritten(target: Target, requestId: string | undefined): void {
-    const { availability, metrics, clock, log } = this.#options;
+    const { availability, evacuations, metrics, clock, log } = this.#options;
+    const standing = evacuations.standingOf(target.failureDomain, clock.monotonic());
+    if (standing !== 'open') {
+      metrics.noteSentToEvacuated(standing);
+      const { failureDomain, key } = target;
+      log.info(
+        { failureDomain, target: key, standing, requestId },
+        'request sent to an evacuated domain',
+      );
+    }
     const upstream = formatIdentity(target.instance);
     const reason = availability.findUnavailability(upstream, clock.monotonic());
     if (reason !== undefined) {
