--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -29,3 +29,10 @@
 export { ReturnSchedule } from './return-schedule.js';
 export { StartTimes } from './start-times.js';
 export { UrgencyQueue, type UrgencyQueueOptions } from './urgency-queue.js';
+export {
+  Evacuations,
+  splitByStanding,
+  type DomainStanding,
+  type EvacuationChanges,
+  type KnownEvacuations,
+} from './evacuations.js';
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -354,6 +354,8 @@
           choice.until,
           now,
         );
+      case 'evacuated':
+        return [this.#giveUp('domainsEvacuated', now)];
       case 'target':
         return [this.#send(choice.target, now)];
     }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -14,6 +14,7 @@
   type RandomSource,
 } from '../../common/index.js';
 import {
+  Evacuations,
   RequestPermits,
   TargetChooser,
   TargetLoads,
@@ -39,6 +40,7 @@
 import type { DirectMetrics } from './direct-metrics.js';
 import type { Dialect } from './dialect.js';
 import { ResponseWriter } from './response-writer.js';
+import { EvacuationWatch } from './evacuation-watch.js';
 import { DocumentGuard } from './document-guard.js';
 import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
@@ -92,6 +94,7 @@
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
+  readonly #evacuationWatch: EvacuationWatch;
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
@@ -115,6 +118,14 @@
       settings.admission.order === 'urgency'
         ? new WaitingRequests({ weightOf: () => 1 })
         : undefined;
+    const evacuations = new Evacuations(settings.evacuation?.limitMilliseconds ?? 0);
+    this.#evacuationWatch = new EvacuationWatch({
+      evacuations,
+      withdraw: () => this.#withdrawUnsent(),
+      metrics: options.metrics,
+      clock,
+      logger,
+    });
     this.#dependencies = {
       dialect,
       waiting: this.#waiting,
@@ -129,6 +140,7 @@
         loads: this.#loads,
         permits: this.#permits,
         availability: this.#availability,
+        evacuations,
         metrics: options.metrics,
         clock,
         log: this.#log,
@@ -136,9 +148,7 @@
           this.#retryWaiting();
         },
         onUnavailable: () => {
-          for (const delivery of this.#deliveries) {
-            delivery.noteUpstreamUnavailable();
-          }
+          this.#withdrawUnsent();
         },
       }),
       onSentToLimited: ({ name }) => {
@@ -155,6 +165,7 @@
         loads: this.#loads,
         availability: this.#availability,
         permits: this.#permits,
+        evacuations,
         readPosition: () => this.#position,
         random,
       }),
@@ -253,12 +264,14 @@
     }
     this.#unsubscribe?.();
     this.#stallWatch.close();
+    this.#evacuationWatch.close();
     clearInterval(this.#waitingRetryTimer);
     await closeServer(this.#server);
     this.#connections.close();
   }
 
   #applyView(view: RoutingView): void {
+    this.#evacuationWatch.applyView(view);
     const instances = [...view.instances.values()].map(formatIdentity);
     const keys = new Set([...view.engineGroups.keys(), ...instances]);
     this.#loads.retain(keys);
@@ -291,6 +304,11 @@
     }
   }
 
+  /** Withdraws the attempts that wait for a connection to an upstream that gets no more requests; returns their number. */
+  #withdrawUnsent(): number {
+    return [...this.#deliveries].filter((delivery) => delivery.noteUpstreamUnavailable()).length;
+  }
+
   #notifyDeliveries(): void {
     this.#collectWaiting(() => {
       for (const delivery of this.#deliveries) {
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
-import type { RequestPermits, Target, TargetLoads } from '../../dispatch/index.js';
+import type { Evacuations, RequestPermits, Target, TargetLoads } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
@@ -17,6 +17,7 @@
   readonly loads: TargetLoads;
   readonly permits: RequestPermits;
   readonly availability: UpstreamAvailability;
+  readonly evacuations: Evacuations;
   readonly metrics: DirectMetrics;
   readonly clock: Clock;
   readonly log: RateLimitedLog;
@@ -35,7 +36,16 @@
 
   /** Records that a request is being written to a connection of the target. */
   noteWritten(target: Target, requestId: string | undefined): void {
-    const { availability, metrics, clock, log, permits } = this.#options;
+    const { availability, evacuations, metrics, clock, log, permits } = this.#options;
+    const standing = evacuations.standingOf(target.failureDomain, clock.monotonic());
+    if (standing !== 'open') {
+      metrics.noteSentToEvacuated(standing);
+      const { failureDomain, key } = target;
+      log.info(
+        { failureDomain, target: key, standing, requestId },
+        'request sent to an evacuated domain',
+      );
+    }
     const upstream = formatIdentity(target.instance);
     permits.noteWritten(upstream, clock.monotonic());
     if (permits.isCold(upstream, clock.monotonic())) {
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -29,6 +29,15 @@
   .readonly()
   .prefault({});
 
+/** Evacuations of failure domains; without this section an evacuation takes effect as soon as it is known. */
+const evacuation = z
+  .strictObject({
+    /** Longest time from the acknowledgement of an evacuation until no request may reach an upstream in the domain. */
+    limitMilliseconds: z.int().min(1).max(600_000),
+  })
+  .readonly()
+  .optional();
+
 /** How far the rate that a service declares for cold upstreams may be exceeded in any second, over all gateways. */
 const coldUpstreams = z
   .strictObject({
@@ -64,6 +73,7 @@
   seeds: requiredSeedSettings,
   bounds,
   admission,
+  evacuation,
   /** Absent if requests to cold upstreams are not limited. */
   coldUpstreams: coldUpstreams.exactOptional(),
   metricsPage: metricsPageSettings,
