Fairness of accounts over all gateways, and metrics of the queues

Cause: a gateway knows only what it serves itself, so an account with all of its requests at one gateway looks like a large one there.

Change: gateways that order by urgency report the work that accounts ask for (DemandReport.work_by_account, the 256 largest), and the leader answers with the share of each account's work that arises at the gateway (DemandAnswer.account_shares). Work that a gateway has served, divided by this share, estimates what all gateways have served to the account, and the account with the least goes first. Metrics: requests waiting by route, refusals by route and reason, wait by priority, work of the largest accounts.

--- a/__tests__/direct/waiting-requests.test.ts
+++ b/__tests__/direct/waiting-requests.test.ts
@@ -59,6 +59,7 @@
     world.arrive('left', urgent);
     world.arrive('stays', batch);
     world.report('left', 'callerLeft');
+    expect(world.queued).toBe(1);
     world.free('g-1', 1);
     expect(world.log).toEqual(['stays to g-1']);
   });
@@ -115,6 +116,13 @@
     expect(afterWait.length).toBeLessThan(atOnce.length / 10);
   });
 
+  /** Guards against a number of waiting requests that only grows, because some ways out of the queue are not counted. */
+  it('is no longer counted as waiting', () => {
+    const world = overload();
+    world.advance(1000);
+    expect(world.queued).toBe(0);
+  });
+
   /** Guards against refused callers that all return at the same moment, and are refused again. */
   it('is told to return at another time than others', () => {
     const { refusals } = overload();
--- a/__tests__/direct/waiting-world.ts
+++ b/__tests__/direct/waiting-world.ts
@@ -25,16 +25,23 @@
 export class WaitingWorld {
   /** Free slots by group; a group without an entry does not exist. */
   readonly slots = new Map<string, number>();
-  readonly waiting: WaitingRequests;
+  /** Requests in queues, as metrics count them. */
+  queued = 0;
+  readonly waiting = new WaitingRequests({
+    noteQueued: () => {
+      this.queued += 1;
+    },
+    noteUnqueued: () => {
+      this.queued -= 1;
+    },
+    noteSlot: () => undefined,
+    noteSlotRefused: () => undefined,
+  });
   readonly log: string[] = [];
   readonly refusals = new Map<string, Milliseconds>();
   readonly #requests = new Map<string, WorldRequest>();
   now: Milliseconds = 0;
 
-  constructor(weights: Readonly<Record<string, number>> = {}) {
-    this.waiting = new WaitingRequests({ weightOf: (account) => weights[account] ?? 1 });
-  }
-
   arrive(id: string, facts: RequestFacts = {}): void {
     const request = new WorldRequest(this, id, facts);
     this.#requests.set(id, request);
--- a/__tests__/dispatch/queue-loads.test.ts
+++ b/__tests__/dispatch/queue-loads.test.ts
@@ -1,6 +1,12 @@
 import { describe, expect, it } from 'vitest';
 
-import { NewestFirstQueue, UrgencyQueue, type RequestQueue } from '../../src/dispatch/index.js';
+import {
+  AccountShares,
+  AccountWork,
+  NewestFirstQueue,
+  UrgencyQueue,
+  type RequestQueue,
+} from '../../src/dispatch/index.js';
 import {
   isInTime,
   isServed,
@@ -177,3 +183,49 @@
     expect(served(calls, 'batch')).toBeGreaterThan(shareOf(calls, isServed) / 4);
   });
 });
+
+describe('accounts that are spread unevenly over gateways', () => {
+  const concentrated = 'account-1';
+  const traffic = accounts.map((account): Traffic => {
+    const source = { ...usual, account, requestsPerSecond: usual.requestsPerSecond * 1.3 };
+    return account === concentrated ? { ...source, gateway: 0 } : source;
+  });
+
+  function measureServed(isControlHeard: boolean): number {
+    const calls = seeds.flatMap((seed) => {
+      const gateways = 17;
+      const control = new AccountShares();
+      const works = Array.from({ length: gateways }, () => new AccountWork());
+      return simulateQueues({
+        seed,
+        gateways,
+        slots,
+        traffic,
+        end: 8000,
+        createQueue: (gateway) => {
+          const weightOf = (account: string, now: number): number => {
+            return works[gateway]?.readShare(account, now) ?? 1;
+          };
+          return new UrgencyQueue({ expectedStart: () => startTime, weightOf });
+        },
+        onArrival: (gateway, { account, tokens }, now) => {
+          const work = works[gateway];
+          work?.note(account, tokens);
+          if (isControlHeard) {
+            control.record(`${gateway}`, work?.takeReport() ?? new Map(), now);
+            work?.applyShares(control.list(`${gateway}`, now), now);
+          }
+        },
+      });
+    });
+    return shareOf(
+      of(calls, ({ account }) => account === concentrated),
+      isServed,
+    );
+  }
+
+  /** Guards against an account that is taken for a large one because all of its requests come to one gateway. */
+  it('are served by their work at all gateways', () => {
+    expect(measureServed(true)).toBeGreaterThan(measureServed(false) + 0.1);
+  });
+});
--- a/__tests__/dispatch/queue-simulation.ts
+++ b/__tests__/dispatch/queue-simulation.ts
@@ -21,6 +21,8 @@
   /** Mean time for which a request occupies its slot. */
   readonly duration: Milliseconds;
   readonly returns: 'onceLater' | 'atOnceAndOften';
+  /** Gateway that all requests come to; absent if they come to random ones. */
+  readonly gateway?: number;
 }
 
 export interface SimulationOptions {
@@ -35,7 +37,9 @@
     readonly to: Milliseconds;
   };
   readonly end: Milliseconds;
-  readonly createQueue: () => RequestQueue<SimulatedRequest>;
+  readonly createQueue: (gateway: number) => RequestQueue<SimulatedRequest>;
+  /** Called when an attempt arrives at a gateway. */
+  readonly onArrival?: (gateway: number, traffic: Traffic, now: Milliseconds) => void;
 }
 
 /** What became of one request of a caller, over all its attempts. */
@@ -85,7 +89,9 @@
     this.#options = options;
     this.#arrivals = createRandomSource(options.seed);
     this.#work = createRandomSource(options.seed + 1);
-    this.#queues = Array.from({ length: options.gateways }, options.createQueue);
+    this.#queues = Array.from({ length: options.gateways }, (_, gateway) => {
+      return options.createQueue(gateway);
+    });
   }
 
   step(now: Milliseconds): void {
@@ -124,7 +130,10 @@
     const { account, route, priority, tokens, objective } = call.traffic;
     call.attempts += 1;
     this.#identifier += 1;
-    const queue = this.#queues[this.#work.integerBelow(this.#queues.length)];
+    const drawn = this.#work.integerBelow(this.#queues.length);
+    const gateway = call.traffic.gateway ?? drawn;
+    this.#options.onArrival?.(gateway, call.traffic, now);
+    const queue = this.#queues[gateway];
     const times = { arrivedAt: now, objectiveAt: now + objective, refuseAt: now + maximumWait };
     const id = String(this.#identifier);
     const entry = { id, account, route, priority, work: tokens, tried: '', call, ...times };
--- a/bench/leader/client-roles.ts
+++ b/bench/leader/client-roles.ts
@@ -235,6 +235,8 @@
     findLeader: () => watcher.read().leader,
     measure: () => demand,
     onPosition: () => undefined,
+    takeAccountWork: () => new Map(),
+    onAccountShares: () => undefined,
     takePermitReport: () => ({ limits: [], wanted: new Map(), returned: new Map(), reportedAt: 0 }),
     onPermits: () => undefined,
   });
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -15,6 +15,7 @@
   type Milliseconds,
 } from '../../common/index.js';
 import type { ReplicatedLog } from '../../consensus/index.js';
+import { AccountShares } from '../../dispatch/index.js';
 import {
   RoutingService,
   type DemandAnswerSchema,
@@ -85,6 +86,7 @@
   readonly #crashes: CrashRecorder;
   readonly #demand = new DemandEstimator();
   readonly #permits = new PermitAllocator();
+  readonly #accountShares = new AccountShares();
   readonly #reports: EngineReportService;
   readonly #leaderClient: LeaderClient;
   readonly #engines: EngineLoop;
@@ -172,6 +174,7 @@
     this.#reports.clear();
     this.#demand.clear();
     this.#permits.clear();
+    this.#accountShares.clear();
     this.#engines.resetLeaderState();
     this.#hub.sendStatus(status);
   }
@@ -235,9 +238,10 @@
   }
 
   #handleDemandReport(report: DemandReport): MessageInitShape<typeof DemandAnswerSchema> {
-    const { gateway, requests, limits, wanted, returned } = report;
+    const { gateway, requests, limits, wanted, returned, workByAccount } = report;
     const now = this.#options.clock.monotonic();
     this.#demand.recordReport(gateway, new Map(Object.entries(requests)), now);
+    this.#accountShares.record(gateway, new Map(Object.entries(workByAccount)), now);
     const allocated = this.#permits.allocate(
       {
         gateway,
@@ -247,11 +251,15 @@
       },
       now,
     );
+    const gateways = this.#demand.countGateways(now);
+    // Until all gateways have had time to report, the first one would take each account for its own.
+    const shares = gateways === 0 ? [] : this.#accountShares.list(gateway, now);
     return {
-      gateways: this.#demand.countGateways(now),
+      gateways,
       position: this.#demand.findPosition(gateway),
       limits: encodeUpstreamLimits(allocated.limits),
       permits: Object.fromEntries(allocated.permits),
+      accountShares: Object.fromEntries(shares),
     };
   }
 
--- a/src/dispatch/urgency-queue.ts
+++ b/src/dispatch/urgency-queue.ts
@@ -15,8 +15,8 @@
 export interface UrgencyQueueOptions<Entry extends QueueEntry> {
   /** Expected time from sending the request to the first byte of its response. */
   readonly expectedStart: (entry: Entry) => Milliseconds;
-  /** Weight of an account at this gateway: its share of the work, relative to the other accounts. */
-  readonly weightOf: (account: string) => number;
+  /** Weight of an account: work counts less for one with a higher weight. */
+  readonly weightOf: (account: string, now: Milliseconds) => number;
 }
 
 /**
@@ -93,7 +93,7 @@
 
   #take(entry: Entry, now: Milliseconds): void {
     this.#waiting.delete(entry.id);
-    this.#usage.charge(entry.account, this.#costOf(entry), now);
+    this.#usage.charge(entry.account, this.#costOf(entry, now), now);
     this.#shares.noteServed(listClasses(entry), now);
     this.#slots.noteTaken(now);
     this.#noteLength(now);
@@ -103,7 +103,7 @@
     return orderByRank([...this.#waiting.values()], {
       findTier: (entry) => this.#findTier(entry, now),
       tagOf: (account) => this.#usage.read(account, now),
-      costOf: (entry) => this.#costOf(entry),
+      costOf: (entry) => this.#costOf(entry, now),
     });
   }
 
@@ -121,8 +121,8 @@
       : entry.objectiveAt - this.#options.expectedStart(entry);
   }
 
-  #costOf(entry: Entry): number {
-    return entry.work / this.#options.weightOf(entry.account);
+  #costOf(entry: Entry, now: Milliseconds): number {
+    return entry.work / this.#options.weightOf(entry.account, now);
   }
 
   /**
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -11,13 +11,19 @@
 import type { GrantedPermits, PermitReport } from './request-permits.js';
 
 /**
- * Reports the concurrent demand for each model and the known upstream rate limits to the leader of control. The answer contains the number of
- * gateways, the position of this one, and its permits for rate-limited upstreams.
+ * Reports the concurrent demand for each model, the work by account and the known upstream rate limits to the leader of control. The answer
+ * contains the number of gateways, the position of this one, its share of each account's work, and its permits for rate-limited upstreams.
  */
 
 const reportInterval: Milliseconds = 500;
 const reportTimeout: Milliseconds = 1000;
 
+/** Demand since the previous report. */
+interface MeasuredDemand {
+  readonly requests: ReadonlyMap<string, number>;
+  readonly workByAccount: ReadonlyMap<string, number>;
+}
+
 /** Options of the reporter. */
 export interface DemandReporterOptions {
   readonly gateway: string;
@@ -27,6 +33,10 @@
   readonly measure: () => ReadonlyMap<string, number>;
   /** Called with the position of this gateway among those that have reported recently. */
   readonly onPosition: (position: GatewayPosition) => void;
+  /** Returns the work by account since the previous call. */
+  readonly takeAccountWork: () => ReadonlyMap<string, number>;
+  /** Called with the share of each account's work that arises at this gateway; empty if control does not know. */
+  readonly onAccountShares: (shares: ReadonlyMap<string, number>) => void;
   readonly takePermitReport: () => PermitReport;
   readonly onPermits: (granted: GrantedPermits, reportedAt: Milliseconds) => void;
   readonly clients: RpcClientPool;
@@ -53,16 +63,19 @@
   }
 
   async #report(): Promise<void> {
-    const { findLeader, measure, takePermitReport, onPosition, onPermits, logger } = this.#options;
+    const { findLeader, measure, takeAccountWork, takePermitReport, logger } = this.#options;
+    const { onPosition, onPermits, onAccountShares } = this.#options;
     const leader = findLeader();
-    const requests = Object.fromEntries(measure());
+    const demand = { requests: measure(), workByAccount: takeAccountWork() };
     if (leader === '') {
       return;
     }
     const report = takePermitReport();
     try {
-      const { gateways, position, ...granted } = await this.#send(leader, requests, report);
+      const answer = await this.#send(leader, demand, report);
+      const { gateways, position, accountShares, ...granted } = answer;
       onPosition({ gateways, position });
+      onAccountShares(new Map(Object.entries(accountShares)));
       onPermits(decodePermits(granted), report.reportedAt);
     } catch (error) {
       logger.debug({ leader, error: String(error) }, 'failed to report demand');
@@ -71,14 +84,15 @@
 
   #send(
     leader: string,
-    requests: Readonly<Record<string, number>>,
+    { requests, workByAccount }: MeasuredDemand,
     { limits, wanted, returned }: PermitReport,
   ): Promise<DemandAnswer> {
     const { gateway, clients } = this.#options;
     return clients.client(RoutingService, leader).reportDemand(
       {
         gateway,
-        requests,
+        requests: Object.fromEntries(requests),
+        workByAccount: Object.fromEntries(workByAccount),
         limits: encodeUpstreamLimits(limits),
         wanted: Object.fromEntries(wanted),
         returned: Object.fromEntries(returned),
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -59,6 +59,10 @@
     onPosition: (position) => {
       gateway.setPosition(position);
     },
+    takeAccountWork: () => gateway.takeAccountWork(),
+    onAccountShares: (shares) => {
+      gateway.setAccountShares(shares);
+    },
     takePermitReport: () => gateway.permits.takeReport(clock.monotonic()),
     onPermits: (granted, reportedAt) => {
       gateway.permits.applyGrant(granted, reportedAt, clock.monotonic());
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -104,9 +104,7 @@
     this.#permits = new RequestPermits(gateways, clock.monotonic());
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
     this.#waiting =
-      settings.admission.order === 'urgency'
-        ? new WaitingRequests({ weightOf: () => 1 })
-        : undefined;
+      settings.admission.order === 'urgency' ? new WaitingRequests(options.metrics) : undefined;
     this.#dependencies = {
       dialect,
       waiting: this.#waiting,
@@ -198,6 +196,18 @@
     return this.#permits;
   }
 
+  /** Returns the work by account since the previous call; empty if waiting requests are served newest first. */
+  takeAccountWork(): ReadonlyMap<string, number> {
+    const work = this.#waiting?.accountWork.takeReport() ?? new Map<string, number>();
+    this.#options.metrics.noteAccountWork(work);
+    return work;
+  }
+
+  /** Applies the share of each account's work that arises at this gateway. */
+  setAccountShares(shares: ReadonlyMap<string, number>): void {
+    this.#waiting?.accountWork.applyShares(shares, this.#options.clock.monotonic());
+  }
+
   /** Shared with the reporter that forwards its contents to control. */
   get crashLedger(): CrashLedger {
     return this.#crashLedger;
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,7 +1,10 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import type { Milliseconds } from '../../common/index.js';
+import type { DropReason } from '../../dispatch/index.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { Unavailability } from './upstream-availability.js';
+import type { QueueObserver } from './waiting-requests.js';
 
 /** Metrics of a direct gateway; docs/METRICS.md lists the names. */
 
@@ -9,7 +12,10 @@
 /** Bucket bounds in seconds: fine around the latency objectives of callers, coarse up to their time limits. */
 const durationBuckets = [0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
 
-export class DirectMetrics {
+/** Accounts whose work is counted in each report; a series for each of hundreds of accounts would cost more than it tells. */
+const countedAccounts = 10;
+
+export class DirectMetrics implements QueueObserver {
   readonly #ended: Counter<'route' | 'result'>;
   readonly #repeats: Counter<'route'>;
   readonly #refused: Counter<'code'>;
@@ -17,6 +23,10 @@
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
+  readonly #waiting: Gauge<'route'>;
+  readonly #slotRefusals: Counter<'route' | 'reason'>;
+  readonly #slotWait: Histogram<'priority'>;
+  readonly #accountWork: Counter<'account'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
@@ -65,6 +75,31 @@
       labelNames: ['service', 'reason'],
       registers,
     });
+    this.#waiting = new Gauge({
+      name: 'pistachiospoke_requests_waiting',
+      help: 'Requests that wait for a slot of an upstream, by route.',
+      labelNames: ['route'],
+      registers,
+    });
+    this.#slotRefusals = new Counter({
+      name: 'pistachiospoke_slot_refusals_total',
+      help: 'Requests refused because no slot was expected in time or came in time, by route and reason.',
+      labelNames: ['route', 'reason'],
+      registers,
+    });
+    this.#slotWait = new Histogram({
+      name: 'pistachiospoke_slot_wait_seconds',
+      help: 'Time from the head of a request until it got a slot, by priority.',
+      labelNames: ['priority'],
+      buckets: durationBuckets,
+      registers,
+    });
+    this.#accountWork = new Counter({
+      name: 'pistachiospoke_account_work_total',
+      help: 'Work that the largest accounts asked for: tokens to read plus ten times the tokens to write.',
+      labelNames: ['account'],
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'pistachiospoke_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer.',
@@ -92,6 +127,29 @@
     this.#refused.inc({ code });
   }
 
+  noteQueued(route: string): void {
+    this.#waiting.inc({ route });
+  }
+
+  noteUnqueued(route: string): void {
+    this.#waiting.dec({ route });
+  }
+
+  noteSlot(priority: number, wait: Milliseconds): void {
+    this.#slotWait.observe({ priority: String(priority) }, wait / millisecondsPerSecond);
+  }
+
+  noteSlotRefused(route: string, reason: DropReason): void {
+    this.#slotRefusals.inc({ route, reason });
+  }
+
+  /** `work`: largest accounts first. */
+  noteAccountWork(work: ReadonlyMap<string, number>): void {
+    for (const [account, amount] of [...work].slice(0, countedAccounts)) {
+      this.#accountWork.inc({ account }, amount);
+    }
+  }
+
   noteSentToLimited(service: string): void {
     this.#sentToLimited.inc({ service });
   }
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -52,7 +52,7 @@
 export { probeUpstream, type ProbeVerdict } from './upstream-probe.js';
 export {
   WaitingRequests,
+  type QueueObserver,
   type SlotRefusal,
   type WaitingRequest,
-  type WaitingRequestsOptions,
 } from './waiting-requests.js';
--- a/src/gateway/direct/waiting-requests.ts
+++ b/src/gateway/direct/waiting-requests.ts
@@ -1,8 +1,10 @@
 import type { Milliseconds } from '../../common/index.js';
 import {
+  AccountWork,
   ReturnSchedule,
   StartTimes,
   UrgencyQueue,
+  type DropReason,
   type DroppedEntry,
   type QueueEntry,
 } from '../../dispatch/index.js';
@@ -40,6 +42,15 @@
   readonly onNoUpstream: () => void;
 }
 
+/** Notified of what happens in the queues, for metrics. */
+export interface QueueObserver {
+  readonly noteQueued: (route: string) => void;
+  readonly noteUnqueued: (route: string) => void;
+  /** `wait`: time in the gateway until the request got a slot. */
+  readonly noteSlot: (priority: number, wait: Milliseconds) => void;
+  readonly noteSlotRefused: (route: string, reason: DropReason) => void;
+}
+
 interface ServiceQueue {
   readonly queue: UrgencyQueue<WaitingRequest>;
   readonly entries: Map<string, WaitingRequest>;
@@ -52,22 +63,19 @@
   hasUpstreams: boolean;
 }
 
-export interface WaitingRequestsOptions {
-  /** Weight of an account at this gateway: its share of the work, relative to the other accounts. */
-  readonly weightOf: (account: string) => number;
-}
-
 export class WaitingRequests {
-  readonly #options: WaitingRequestsOptions;
+  readonly #observer: QueueObserver;
   readonly #queues = new Map<string, ServiceQueue>();
   readonly #startTimes = new StartTimes();
+  /** Shared with the reporter that exchanges it with control. */
+  readonly accountWork = new AccountWork();
   #identifiers = 0;
   /** Whether slots are being given out, or requests collected before that. */
   #isBusy = false;
   #isDispatchDue = false;
 
-  constructor(options: WaitingRequestsOptions) {
-    this.#options = options;
+  constructor(observer: QueueObserver) {
+    this.#observer = observer;
   }
 
   createIdentifier(): string {
@@ -82,22 +90,26 @@
 
   /** Records a request for which there is a slot, and none that waits before it. */
   pass(entry: WaitingRequest, now: Milliseconds): void {
+    this.#noteWork(entry);
     const { queue } = this.#find(entry.queue);
     queue.offer(entry, now);
     queue.next(now, () => true);
+    this.#observer.noteSlot(entry.priority, now - entry.arrivedAt);
   }
 
   /** The caller calls `dispatch` afterwards. */
   offer(entry: WaitingRequest, now: Milliseconds): void {
+    this.#noteWork(entry);
     const { queue, entries } = this.#find(entry.queue);
     entries.set(entry.id, entry);
+    this.#observer.noteQueued(entry.route);
     queue.offer(entry, now);
   }
 
-  withdraw({ queue: name, id }: WaitingRequest): void {
-    const { queue, entries } = this.#find(name);
-    entries.delete(id);
-    queue.withdraw(id);
+  withdraw(entry: WaitingRequest): void {
+    const service = this.#find(entry.queue);
+    service.queue.withdraw(entry.id);
+    this.#forget(service, entry);
   }
 
   /** Runs an action that may offer many requests, and then gives out slots in the order of all of them. */
@@ -140,6 +152,13 @@
     this.#startTimes.note(kind, time);
   }
 
+  /** Counts a request once, also if it is queued again after an upstream has rejected it. */
+  #noteWork({ account, work, tried }: WaitingRequest): void {
+    if (tried === '') {
+      this.accountWork.note(account, work);
+    }
+  }
+
   #dispatchQueue(service: ServiceQueue, now: Milliseconds): void {
     const { queue, entries } = service;
     const found: FoundSlot = { target: undefined, hasUpstreams: true };
@@ -154,7 +173,8 @@
       entry !== undefined;
       entry = queue.next(now, isServable)
     ) {
-      entries.delete(entry.id);
+      this.#forget(service, entry);
+      this.#observer.noteSlot(entry.priority, now - entry.arrivedAt);
       if (found.target !== undefined) {
         entry.onGranted(found.target);
       }
@@ -165,11 +185,18 @@
       }
     }
     for (const dropped of queue.expire(now)) {
-      entries.delete(dropped.entry.id);
+      this.#forget(service, dropped.entry);
+      this.#observer.noteSlotRefused(dropped.entry.route, dropped.reason);
       this.#refuse(service, dropped, now);
     }
   }
 
+  #forget({ entries }: ServiceQueue, { id, route }: WaitingRequest): void {
+    if (entries.delete(id)) {
+      this.#observer.noteUnqueued(route);
+    }
+  }
+
   #refuse(
     { returns }: ServiceQueue,
     { entry, ...reasons }: DroppedEntry<WaitingRequest>,
@@ -188,7 +215,7 @@
     }
     const queue = new UrgencyQueue<WaitingRequest>({
       expectedStart: (entry) => this.#estimateStart(entry),
-      weightOf: this.#options.weightOf,
+      weightOf: (account, at) => this.accountWork.readShare(account, at),
     });
     const created = { queue, entries: new Map(), returns: new ReturnSchedule() };
     this.#queues.set(name, created);
