FairQueue moves to src/dispatch, for requests of any kind

Cause: the orders of waiting requests that gateways and sidecars use belong to one place. The queue was tied to the attempts of sidecars.

Change: src/sidecar/attempts/fair-queue.ts is now src/dispatch/fair-queue.ts, generic in the request; AdmissionController uses it from there. The order is the same. The refusal log line of gateways names the result code.

--- a/src/sidecar/attempts/fair-queue.ts
+++ b/src/dispatch/fair-queue.ts
@@ -1,43 +1,50 @@
-import type { Milliseconds } from '../../common/index.js';
-import type { AccountName } from '../../model/index.js';
-import type { AdmissionRequest } from './admission-controller.js';
-import type { AttemptKey } from './messages.js';
-
-/** An attempt in the queue. */
-export interface QueuedAttempt {
-  readonly request: AdmissionRequest;
+import type { Milliseconds } from '../common/index.js';
+
+/** A request for a slot of one upstream. */
+export interface FairRequest {
+  readonly key: string;
+  readonly account: string;
+  /** At least 1. */
+  readonly weight: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+}
+
+/** A request in the queue. */
+export interface QueuedRequest<Request extends FairRequest> {
+  readonly request: Request;
   /** When its maximum waiting time is over. */
   readonly expiresAt: Milliseconds;
 }
 
-/** The queued attempts of one account. */
-interface AccountQueue {
-  /** Virtual time at which the account's next attempt would start under ideal fair sharing. */
+/** The queued requests of one account. */
+interface AccountQueue<Request extends FairRequest> {
+  /** Virtual time at which the account's next request would start under ideal fair sharing. */
   startTag: number;
   /** Ordered by priority, then by arrival. */
-  waiting: QueuedAttempt[];
+  waiting: QueuedRequest<Request>[];
 }
 
 /** Priority changes the share of an account by at most a factor of three, so that no priority starves another. */
 const priorityWeightBase = 1.25;
 const neutralPriority = 5;
 /**
- * Above this number of accounts, those without queued attempts are removed if their start tag is behind the virtual
+ * Above this number of accounts, those without queued requests are removed if their start tag is behind the virtual
  * time and so no longer has an effect.
  */
 const maximumTrackedAccounts = 256;
 
 /**
- * Start-time fair queueing: the attempts of an account are spaced in virtual time by 1 / weight, and the account with
- * the lowest start tag goes next. An account that sends ten times its share only delays its own attempts; an attempt of
+ * Start-time fair queueing: the requests of an account are spaced in virtual time by 1 / weight, and the account with
+ * the lowest start tag goes next. An account that sends ten times its share only delays its own requests; a request of
  * a small account enters near the head. This holds regardless of how many gateways either account uses.
  *
- * A start tag advances when an attempt starts, not when it arrives. With tags assigned on arrival, an attempt that
- * expired in the queue still used up its account's share: under overload, all attempts of a low-priority account
+ * A start tag advances when a request starts, not when it arrives. With tags assigned on arrival, a request that
+ * expired in the queue still used up its account's share: under overload, all requests of a low-priority account
  * expired, each pushing the next one further back, and the account was starved.
  */
-export class FairQueue {
-  readonly #accounts = new Map<AccountName, AccountQueue>();
+export class FairQueue<Request extends FairRequest> {
+  readonly #accounts = new Map<string, AccountQueue<Request>>();
   #length = 0;
   #virtualTime = 0;
 
@@ -45,8 +52,8 @@
     return this.#length;
   }
 
-  /** Number of attempts that would start before this one if no others arrived. */
-  countAhead(request: AdmissionRequest): number {
+  /** Number of requests that would start before this one if no others arrived. */
+  countAhead(request: Request): number {
     const own = this.#accounts.get(request.account);
     const before = own === undefined ? 0 : findInsertionIndex(own.waiting, request);
     const tag = this.#findStartTag(own) + before / computeWeight(request);
@@ -59,19 +66,19 @@
     return ahead;
   }
 
-  add(request: AdmissionRequest, expiresAt: Milliseconds): void {
+  add(request: Request, expiresAt: Milliseconds): void {
     const queue = this.#getOrCreateQueue(request.account);
     queue.waiting.splice(findInsertionIndex(queue.waiting, request), 0, { request, expiresAt });
     this.#length += 1;
   }
 
-  /** Charges an attempt that starts without queueing to its account. */
-  recordImmediateStart(request: AdmissionRequest): void {
+  /** Charges a request that starts without queueing to its account. */
+  recordImmediateStart(request: Request): void {
     this.#advanceStartTag(this.#getOrCreateQueue(request.account), request);
   }
 
-  dequeue(): QueuedAttempt | undefined {
-    let next: AccountQueue | undefined;
+  dequeue(): QueuedRequest<Request> | undefined {
+    let next: AccountQueue<Request> | undefined;
     for (const queue of this.#accounts.values()) {
       if (queue.waiting.length > 0 && (next === undefined || queue.startTag < next.startTag)) {
         next = queue;
@@ -85,7 +92,7 @@
     return taken;
   }
 
-  remove(key: AttemptKey): QueuedAttempt | undefined {
+  remove(key: string): QueuedRequest<Request> | undefined {
     for (const { waiting } of this.#accounts.values()) {
       const index = waiting.findIndex(({ request }) => request.key === key);
       if (index >= 0) {
@@ -96,8 +103,8 @@
     return undefined;
   }
 
-  removeExpired(now: Milliseconds): readonly QueuedAttempt[] {
-    const expired: QueuedAttempt[] = [];
+  removeExpired(now: Milliseconds): readonly QueuedRequest<Request>[] {
+    const expired: QueuedRequest<Request>[] = [];
     for (const queue of this.#accounts.values()) {
       const kept = queue.waiting.filter((waiting) => now < waiting.expiresAt);
       if (kept.length < queue.waiting.length) {
@@ -109,17 +116,17 @@
     return expired;
   }
 
-  #advanceStartTag(queue: AccountQueue, request: AdmissionRequest): void {
+  #advanceStartTag(queue: AccountQueue<Request>, request: Request): void {
     this.#virtualTime = Math.max(this.#virtualTime, queue.startTag);
     queue.startTag += 1 / computeWeight(request);
   }
 
-  #findStartTag(queue: AccountQueue | undefined): number {
+  #findStartTag(queue: AccountQueue<Request> | undefined): number {
     return Math.max(this.#virtualTime, queue?.startTag ?? 0);
   }
 
   /** Finds or creates the queue of an account. An account that was idle gets no credit for the elapsed virtual time. */
-  #getOrCreateQueue(account: AccountName): AccountQueue {
+  #getOrCreateQueue(account: string): AccountQueue<Request> {
     const known = this.#accounts.get(account);
     if (known !== undefined) {
       if (known.waiting.length === 0) {
@@ -127,7 +134,7 @@
       }
       return known;
     }
-    const created: AccountQueue = { startTag: this.#virtualTime, waiting: [] };
+    const created: AccountQueue<Request> = { startTag: this.#virtualTime, waiting: [] };
     this.#accounts.set(account, created);
     if (this.#accounts.size > maximumTrackedAccounts) {
       this.#removeIdleAccounts();
@@ -144,14 +151,17 @@
   }
 }
 
-/** Index after all attempts of the same or a more urgent priority. */
-function findInsertionIndex(waiting: readonly QueuedAttempt[], request: AdmissionRequest): number {
+/** Index after all requests of the same or a more urgent priority. */
+function findInsertionIndex(
+  waiting: readonly QueuedRequest<FairRequest>[],
+  request: FairRequest,
+): number {
   const index = waiting.findIndex((other) => other.request.priority > request.priority);
   return index < 0 ? waiting.length : index;
 }
 
-/** Number of attempts in a queue that start no later than the given virtual time. */
-function countStartingBy(queue: AccountQueue, virtualTime: number): number {
+/** Number of requests in a queue that start no later than the given virtual time. */
+function countStartingBy(queue: AccountQueue<FairRequest>, virtualTime: number): number {
   let count = 0;
   let next = queue.startTag;
   for (const { request } of queue.waiting) {
@@ -164,7 +174,7 @@
   return count;
 }
 
-function computeWeight(request: AdmissionRequest): number {
+function computeWeight(request: FairRequest): number {
   const priorityWeight = priorityWeightBase ** (neutralPriority - request.priority);
   return Math.max(1, request.weight) * priorityWeight;
 }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -117,7 +117,8 @@
 
   #handleRefusal({ reason, position, expectedWait, retryAfter }: SlotRefusal): void {
     const wait = Number.isFinite(expectedWait) ? Math.round(expectedWait) : null;
-    this.#logEvent('no slot for the request', { reason, position, expectedWait: wait, retryAfter });
+    const fields = { code: 'overloaded', reason, position, expectedWait: wait, retryAfter };
+    this.#logEvent('no slot for the request', fields);
     this.#handle({ type: 'slotRefused', now: this.#now(), retryAfter });
   }
 
--- a/src/sidecar/attempts/admission-controller.ts
+++ b/src/sidecar/attempts/admission-controller.ts
@@ -1,17 +1,13 @@
 import type { Milliseconds } from '../../common/index.js';
+import { FairQueue, type FairRequest, type QueuedRequest } from '../../dispatch/index.js';
 import type { AccountName, Load } from '../../model/index.js';
 import { DrainRate } from './drain-rate.js';
-import { FairQueue, type QueuedAttempt } from './fair-queue.js';
 import type { AttemptKey } from './messages.js';
 
 /** An attempt that requests a slot of the upstream. */
-export interface AdmissionRequest {
+export interface AdmissionRequest extends FairRequest {
   readonly key: AttemptKey;
   readonly account: AccountName;
-  /** At least 1. */
-  readonly weight: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
   /** Time left until the request's deadline, at arrival. */
   readonly remaining: Milliseconds;
 }
@@ -63,7 +59,7 @@
   readonly #drainRate = new DrainRate();
   readonly #running = new Map<AttemptKey, OccupiedSlot>();
   readonly #usageByAccount = new Map<AccountName, AccountUsage>();
-  readonly #queue = new FairQueue();
+  readonly #queue = new FairQueue<AdmissionRequest>();
   #capacity = 1;
 
   constructor(limits: AdmissionLimits) {
@@ -174,7 +170,7 @@
     this.#adjustUsage(request.account, 1, 0);
   }
 
-  #recordDequeue(waiting: QueuedAttempt): void {
+  #recordDequeue(waiting: QueuedRequest<AdmissionRequest>): void {
     this.#adjustUsage(waiting.request.account, 0, -1);
   }
 
