--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -24,6 +24,9 @@
 } from './target.js';
 export { TargetLoads, type UpstreamLoad } from './target-loads.js';
 export type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
+export { AccountShares } from './account-shares.js';
+export { AccountWork } from './account-work.js';
+export { FairQueue, type FairRequest, type QueuedRequest } from './fair-queue.js';
 export { NewestFirstQueue } from './newest-first-queue.js';
 export type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
 export { ReturnSchedule } from './return-schedule.js';
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -12,8 +12,8 @@
 } from '../../wire/index.js';
 
 /**
- * Reports the concurrent demand for each model and the known upstream rate limits to the leader of control. The answer contains the number of
- * gateways, the position of this one, and its permits for rate-limited upstreams.
+ * Reports the concurrent demand for each model, the work by account and the known upstream rate limits to the leader of control. The answer
+ * contains the number of gateways, the position of this one, its share of each account's work, and its permits for rate-limited upstreams.
  */
 
 const reportInterval: Milliseconds = 500;
@@ -21,6 +21,12 @@
 /** How often it is checked whether a report is due early. */
 const earlyCheckInterval: Milliseconds = 50;
 
+/** Demand since the previous report. */
+interface MeasuredDemand {
+  readonly requests: ReadonlyMap<string, number>;
+  readonly workByAccount: ReadonlyMap<string, number>;
+}
+
 /** Options of the reporter. */
 export interface DemandReporterOptions {
   readonly gateway: string;
@@ -30,6 +36,10 @@
   readonly measure: () => ReadonlyMap<string, number>;
   /** Called with the position of this gateway among those that have reported recently. */
   readonly onPosition: (position: GatewayPosition) => void;
+  /** Returns the work by account since the previous call. */
+  readonly takeAccountWork: () => ReadonlyMap<string, number>;
+  /** Called with the share of each account's work that arises at this gateway; empty if control does not know. */
+  readonly onAccountShares: (shares: ReadonlyMap<string, number>) => void;
   readonly takePermitReport: () => PermitReport;
   /** Whether permits should be requested before the next regular report; absent if that is never needed. */
   readonly isPermitReportDue?: (() => boolean) | undefined;
@@ -68,17 +78,20 @@
     clearInterval(this.#checking);
   }
 
-  async #report(demand: ReadonlyMap<string, number>): Promise<void> {
-    const { findLeader, takePermitReport, onPosition, onPermits, logger } = this.#options;
+  async #report(requests: ReadonlyMap<string, number>): Promise<void> {
+    const { findLeader, takeAccountWork, takePermitReport, logger } = this.#options;
+    const { onPosition, onPermits, onAccountShares } = this.#options;
     const leader = findLeader();
-    const requests = Object.fromEntries(demand);
+    const demand = { requests, workByAccount: takeAccountWork() };
     if (leader === '') {
       return;
     }
     const report = takePermitReport();
     try {
-      const { gateways, position, ...granted } = await this.#send(leader, requests, report);
+      const answer = await this.#send(leader, demand, report);
+      const { gateways, position, accountShares, ...granted } = answer;
       onPosition({ gateways, position });
+      onAccountShares(new Map(Object.entries(accountShares)));
       onPermits(decodePermits(granted), report.reportedAt);
     } catch (error) {
       logger.debug({ leader, error: String(error) }, 'failed to report demand');
@@ -87,14 +100,15 @@
 
   #send(
     leader: string,
-    requests: Readonly<Record<string, number>>,
+    { requests, workByAccount }: MeasuredDemand,
     { limits, wanted, returned, cold }: PermitReport,
   ): Promise<DemandAnswer> {
     const { gateway, clients } = this.#options;
     return clients.client(RoutingService, leader).reportDemand(
       {
         gateway,
-        requests,
+        requests: Object.fromEntries(requests),
+        workByAccount: Object.fromEntries(workByAccount),
         limits: encodeUpstreamLimits(limits),
         wanted: Object.fromEntries(wanted),
         returned: Object.fromEntries(returned),
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -63,6 +63,10 @@
       settings.coldUpstreams === undefined
         ? undefined
         : () => gateway.permits.isReportDue(clock.monotonic()),
+    takeAccountWork: () => gateway.takeAccountWork(),
+    onAccountShares: (shares) => {
+      gateway.setAccountShares(shares);
+    },
     takePermitReport: () => gateway.permits.takeReport(clock.monotonic()),
     onPermits: (granted, reportedAt) => {
       gateway.permits.applyGrant(granted, reportedAt, clock.monotonic());
