Give operators the command line for evacuations, and drain evacuated hosts behind sidecars

Cause: an operator could order an evacuation but not see how far it has come, and placement of groups behind sidecars did not know of it.

Hosts of an evacuated domain count as draining for placement and in `hosts`, so groups form elsewhere in the decision that drains those in the domain. The settings of control have the limit too, because a domain is not done before the gateways have stopped.

--- a/__tests__/cli/fake-control.ts
+++ b/__tests__/cli/fake-control.ts
@@ -9,7 +9,10 @@
 import {
   ControlStateMachine,
   encodeCommandAnswer,
+  stampEvacuationOrder,
+  type Command,
   type ControlView,
+  type EvacuationsView,
   type GroupsView,
   type HostsView,
   type WatchersView,
@@ -29,8 +32,12 @@
   apply(text: string): string {
     this.#index += 1;
     // The leader stamps the time; one minute passes between commands.
-    const command: unknown = JSON.parse(text);
-    const stamped = { ...(command as object), at: Date.UTC(2026, 11, 2, 8, this.#index) };
+    const command = JSON.parse(text) as Command;
+    const stamp =
+      command.type === 'setEvacuation'
+        ? { stamp: stampEvacuationOrder(this.machine.read().routing, command) }
+        : {};
+    const stamped = { ...command, ...stamp, at: Date.UTC(2026, 11, 2, 8, this.#index) };
     return encodeCommandAnswer(this.machine.apply(this.#index, JSON.stringify(stamped)));
   }
 }
@@ -100,12 +107,20 @@
   }
 
   #view(kind: string): unknown {
-    const { revision, configuration, history, index } = this.log.machine.read();
+    const { revision, configuration, history, index, routing } = this.log.machine.read();
     const views: Readonly<Record<string, unknown>> = {
       configuration: { revision, configuration, history },
       hosts: { revision, hosts } satisfies HostsView,
       groups: { revision, ...groups } satisfies GroupsView,
       watchers: { revision, watchers } satisfies WatchersView,
+      evacuations: {
+        evacuations: [...routing.evacuations.values()].map((evacuation) => ({
+          ...evacuation,
+          groups: ['small/3', 'small/9'],
+          requests: 4,
+          waitsFor: ['groups', 'requests'],
+        })),
+      } satisfies EvacuationsView,
       control: {
         name: this.#name,
         role: this.#name === 'control-1' ? 'leader' : 'follower',
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -40,24 +40,31 @@
   readonly #settingsFiles = new Map<string, string>();
   readonly #gateways: RunningGateway[] = [];
   readonly #graceMilliseconds: number;
+  readonly #evacuationLimit: number | undefined;
 
   private constructor(
     group: ProgramGroup,
     ports: Ports,
     engines: readonly TestEngine[],
     graceMilliseconds: number,
+    evacuationLimit: number | undefined,
   ) {
     this.group = group;
     this.#ports = ports;
     this.engines = engines;
     this.#graceMilliseconds = graceMilliseconds;
+    this.#evacuationLimit = evacuationLimit;
   }
 
-  /** `graceMilliseconds`: how long a stopping gateway finishes requests. */
+  /**
+   * `graceMilliseconds`: how long a stopping gateway finishes requests. `evacuationLimit`: time in milliseconds after which nothing may
+   * reach an evacuated domain; without it the deployment has no evacuations.
+   */
   static async start(
     engineCount: number,
     gatewayCount = 1,
     graceMilliseconds = 1000,
+    evacuationLimit?: number,
   ): Promise<PlatformDeployment> {
     const group = await ProgramGroup.create();
     const ports = { internal: await reservePort(), operators: await reservePort() };
@@ -66,7 +73,13 @@
         return new TestEngine(`i-${index}`, '127.0.0.1', await reservePort());
       }),
     );
-    const deployment = new PlatformDeployment(group, ports, engines, graceMilliseconds);
+    const deployment = new PlatformDeployment(
+      group,
+      ports,
+      engines,
+      graceMilliseconds,
+      evacuationLimit,
+    );
     await Promise.all(engines.map((engine) => engine.open()));
     await deployment.#startControl();
     await deployment.#startSidecars();
@@ -184,6 +197,11 @@
     });
   }
 
+  /** Address at which a control host serves the command line. */
+  controlAddress(index: number): string {
+    return `${controlHosts[index] ?? ''}:${this.#ports.internal}`;
+  }
+
   /** Path of the settings file of a control host. */
   settingsFile(index: number): string {
     return this.#settingsFiles.get(controlHosts[index] ?? '') ?? '';
@@ -239,6 +257,7 @@
       listen: `${name}:${this.#ports.internal}`,
       seeds: this.#seeds,
       dataFolder: join(this.group.folder, name),
+      ...this.#describeEvacuation({ failureDomains: controlHosts.map((_, place) => `z${place}`) }),
     };
     const settings = { operators: `${name}:${this.#ports.operators}`, control };
     const file = await this.group.write(`control-${index}.json`, JSON.stringify(settings));
@@ -277,12 +296,18 @@
       readiness: `127.0.0.1:${await reservePort()}`,
       seeds: this.#seeds,
       bounds: { graceMilliseconds: this.#graceMilliseconds },
+      ...this.#describeEvacuation({}),
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
     this.#gateways.push({ name, address: listen, settingsFile: file, program });
   }
 
+  #describeEvacuation(more: object): object {
+    const limitMilliseconds = this.#evacuationLimit;
+    return limitMilliseconds === undefined ? {} : { evacuation: { ...more, limitMilliseconds } };
+  }
+
   #runGateway(name: string, settingsFile: string): RunningProgram {
     return this.group.start('platform/gateway', ['--settings', settingsFile], { label: name });
   }
--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -12,6 +12,8 @@
   viewSchemas,
   type AcceptedChange,
   type Change,
+  type Command,
+  type EvacuationAction,
   type ViewKind,
 } from '../control/state/index.js';
 import type { RpcClientPool } from '../wire/index.js';
@@ -42,7 +44,13 @@
 const initialBackoff: Milliseconds = 250;
 
 /** Result codes after which a retry, on another control host or later on the same one, may succeed. */
-const transientCodes: readonly string[] = ['noQuorum', 'changeUncertain', 'notFresh'];
+const transientCodes: readonly string[] = [
+  'noQuorum',
+  'changeUncertain',
+  'notFresh',
+  'evacuationTooSoon',
+  'evacuationOutdated',
+];
 
 export class ControlClient {
   readonly #connections: readonly ControlConnection[];
@@ -70,6 +78,25 @@
     return new Err(createRefusal(createFailure(code, outcome.detail)));
   }
 
+  /** Starts or ends an evacuation; returns whether that changed anything. The order can be resent without harm after a lost answer. */
+  async orderEvacuation(
+    failureDomain: string,
+    action: EvacuationAction,
+  ): Promise<Result<boolean, ControlRefusal>> {
+    // The control host that receives the order sets its time and its stamp.
+    const command: Command = { type: 'setEvacuation', at: 0, failureDomain, action, stamp: 0 };
+    const text = JSON.stringify(command);
+    const outcome = await this.#callUntilFinal((connection) => connection.submit(text));
+    if (outcome.type === 'answered') {
+      const answer = decodeCommandAnswer(outcome.answer.answer);
+      return answer?.type === 'evacuationSet'
+        ? new Ok(answer.isChanged)
+        : new Err(createRefusal(readFailure(outcome.answer)));
+    }
+    const code = outcome.type === 'lost' ? 'changeUncertain' : 'noQuorum';
+    return new Err(createRefusal(createFailure(code, outcome.detail)));
+  }
+
   /** Reads a view that is not stale. */
   async get<Kind extends ViewKind>(kind: Kind): Promise<Result<View<Kind>, ControlRefusal>> {
     const outcome = await this.#callUntilFinal((connection) => connection.get(kind));
--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -14,7 +14,7 @@
   conflict: 4,
   /** No control host could answer, or the answer was lost: resend with the same change id and base. */
   unavailable: 5,
-  /** No host of this name. */
+  /** No host or failure domain of this name. */
   notFound: 6,
 } as const;
 
@@ -26,6 +26,7 @@
   invalidConfiguration: exitCodes.invalidFile,
   invalidSettings: exitCodes.invalidFile,
   unknownHost: exitCodes.notFound,
+  unknownFailureDomain: exitCodes.notFound,
 };
 
 /** Returns the exit code for a failure. Failures that may succeed on a retry count as unavailable. */
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -3,6 +3,7 @@
 import { runApply } from './commands/apply.js';
 import { checkKinds, runCheck, type CheckKind } from './commands/check.js';
 import { runDrain } from './commands/drain.js';
+import { runEvacuate, runEvacuations } from './commands/evacuate.js';
 import { runGet, type GetFlags } from './commands/get.js';
 import { runGroups } from './commands/groups.js';
 import { runHosts } from './commands/hosts.js';
@@ -42,6 +43,7 @@
     this.#program = this.#createProgram();
     this.#addReads();
     this.#addChanges();
+    this.#addEvacuations();
     this.#addReports();
     this.#addTrace();
     this.#addCheck();
@@ -86,6 +88,10 @@
     this.#command('groups', 'list the placed groups and the hosts that are in none').action(() =>
       this.#withControl(runGroups),
     );
+    this.#command(
+      'evacuations',
+      'list the evacuated failure domains and what is left there',
+    ).action(() => this.#withControl(runEvacuations));
   }
 
   #addReports(): void {
@@ -123,6 +129,16 @@
       );
   }
 
+  #addEvacuations(): void {
+    this.#command('evacuate', 'send nothing more to the upstreams of a failure domain')
+      .argument('<domain>')
+      .option('--end', 'let the domain serve again', false)
+      .addHelpText('after', '\nExample:\n  pistachiospoke evacuate bole')
+      .action((domain: string, { end }: { readonly end: boolean }) =>
+        this.#withControl((context) => runEvacuate(context, domain, end ? 'end' : 'start')),
+      );
+  }
+
   #addTrace(): void {
     this.#command('trace', 'show what log files say of one request and of its targets')
       .argument('<request>', 'id of the request')
@@ -190,7 +206,7 @@
 
 Exit codes: 0 done, 1 refused, 2 wrong flags, 3 file does not pass its checks, 4 conflict
 with another change, 5 control unavailable or answer lost (resend with the same --change-id
-and --base), 6 no such host.
+and --base), 6 no such host or failure domain.
 
 Examples:
   pistachiospoke --control 127.0.0.1:8501 groups
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -15,6 +15,7 @@
   type Milliseconds,
 } from '../../common/index.js';
 import type { ReplicatedLog } from '../../consensus/index.js';
+import type { EngineView } from '../../engines/index.js';
 import {
   RoutingService,
   type DemandAnswerSchema,
@@ -240,6 +241,11 @@
     return this.#evacuations.set(failureDomain, action);
   }
 
+  /** Engines as this host knows them; only the leader receives their reports. */
+  describeEngines(): ReadonlyMap<string, EngineView> {
+    return this.#reports.describeEngines();
+  }
+
   /** Counts and logs an unusable announcement; returns the failure for its sender. */
   refuseAnnouncement(id: string, reason: string, text: string): Failure {
     this.#unusableCount.inc();
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -275,6 +275,9 @@
       staleness: this.#log.staleness(),
       voters: this.#listVoters(),
       now: clock.monotonic(),
+      wallNow: clock.wall(),
+      engines: this.routing.describeEngines(),
+      evacuationLimit: settings.evacuation?.limitMilliseconds ?? 0,
       isPresent: ({ facts }) => this.#observer.isHeard(facts.host),
     };
   }
--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -8,7 +8,12 @@
   type PlacementInput,
 } from '../../placement/index.js';
 import type { HostDirectory } from '../host-directory.js';
-import { applyHostOverride, type CommandAnswer, type ControlState } from '../state/index.js';
+import {
+  applyHostOverride,
+  drainEvacuated,
+  type CommandAnswer,
+  type ControlState,
+} from '../state/index.js';
 import type { CommandSubmitter } from './command-submitter.js';
 import type { HostObserver } from './host-observer.js';
 
@@ -88,7 +93,10 @@
   #createInput(state: ControlState): PlacementInput {
     const { directory, observer } = this.#options;
     const hosts = [...directory.read().values()].map((host) => ({
-      facts: applyHostOverride(host.facts, state.overrides.get(host.facts.host)),
+      facts: drainEvacuated(
+        applyHostOverride(host.facts, state.overrides.get(host.facts.host)),
+        state.routing.evacuations,
+      ),
       availability: observer.availabilityOf(host.facts.host),
     }));
     const groups = [...state.groups.values()].map((group) => ({
--- a/src/control/shell/views.ts
+++ b/src/control/shell/views.ts
@@ -3,9 +3,11 @@
 import type { HostDirectory, ReportedHost } from '../host-directory.js';
 import {
   applyHostOverride,
+  drainEvacuated,
   type ConfigurationView,
   type ControlState,
   type ControlView,
+  type EvacuationsView,
   type GroupsView,
   type GroupView,
   type HostsView,
@@ -14,11 +16,12 @@
   type WatchersView,
   type WatcherView,
 } from '../state/index.js';
+import { createEvacuationsView, type EvacuationSource } from './evacuations-view.js';
 
 /** Builds the answers to `get` requests; free of I/O. */
 
 /** Data from which the answers are built. */
-export interface ViewSource {
+export interface ViewSource extends EvacuationSource {
   readonly name: string;
   readonly state: ControlState;
   readonly directory: HostDirectory;
@@ -31,7 +34,8 @@
 }
 
 /** Answer to a `get` request of some kind. */
-export type View = ConfigurationView | HostsView | GroupsView | WatchersView | ControlView;
+export type View =
+  ConfigurationView | HostsView | GroupsView | WatchersView | EvacuationsView | ControlView;
 
 export function createView(kind: ViewKind, source: ViewSource): View {
   switch (kind) {
@@ -43,6 +47,8 @@
       return createGroupsView(source);
     case 'watchers':
       return { revision: source.state.revision, watchers: source.watchers };
+    case 'evacuations':
+      return createEvacuationsView(source);
     case 'control':
       return createControlView(source);
     default:
@@ -64,7 +70,11 @@
 }
 
 function describeHost(source: ViewSource, host: ReportedHost, group: string | null): HostView {
-  const facts = applyHostOverride(host.facts, source.state.overrides.get(host.facts.host));
+  const { overrides, routing } = source.state;
+  const facts = drainEvacuated(
+    applyHostOverride(host.facts, overrides.get(host.facts.host)),
+    routing.evacuations,
+  );
   return {
     ...facts,
     upstream: facts.upstream ?? null,
--- a/src/control/state/host-override.ts
+++ b/src/control/state/host-override.ts
@@ -13,6 +13,14 @@
   };
 }
 
+/** The facts of a host; those of a host in an evacuated failure domain say that it is draining, so that no group is placed there. */
+export function drainEvacuated(
+  facts: HostFacts,
+  evacuations: ReadonlyMap<string, unknown>,
+): HostFacts {
+  return evacuations.has(facts.failureDomain) ? { ...facts, isDraining: true } : facts;
+}
+
 function mergeLabels(announced: Labels, set: HostOverride['labels']): Labels {
   const entries = Object.entries({ ...announced, ...set });
   return Object.fromEntries(
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -17,7 +17,7 @@
   type EvacuationAction,
   type GroupPlacement,
 } from './commands.js';
-export { applyHostOverride } from './host-override.js';
+export { applyHostOverride, drainEvacuated } from './host-override.js';
 export { checkSubmittedCommand, formatCommand, parseCommand } from './parse-command.js';
 export { ControlStateMachine, type StateListener } from './state-machine.js';
 export {
@@ -32,6 +32,8 @@
 } from './state.js';
 export {
   viewSchemas,
+  type EvacuationsView,
+  type EvacuationView,
   type ConfigurationView,
   type ControlView,
   type GroupsView,
--- a/src/control/state/views.ts
+++ b/src/control/state/views.ts
@@ -114,6 +114,25 @@
   .strictObject({ revision, watchers: z.array(watcherView).readonly() })
   .readonly();
 
+const evacuationView = z
+  .strictObject({
+    failureDomain: z.string(),
+    /** Wall time, in milliseconds. */
+    startedAt: z.number(),
+    /** Groups with a member in the domain. */
+    groups: z.array(z.string()).readonly(),
+    /** Requests that engines in the domain report as running or waiting. */
+    requests: z.int(),
+    /** What is still expected before the domain is empty; empty once it is. */
+    waitsFor: z.array(z.enum(['gateways', 'groups', 'requests'])).readonly(),
+  })
+  .readonly();
+
+/** Kind `evacuations`: the evacuations in force. */
+export const evacuationsViewSchema = z
+  .strictObject({ evacuations: z.array(evacuationView).readonly() })
+  .readonly();
+
 /** Kind `control`: the control host that answers. */
 export const controlViewSchema = z
   .strictObject({
@@ -137,6 +156,7 @@
   hosts: hostsViewSchema,
   groups: groupsViewSchema,
   watchers: watchersViewSchema,
+  evacuations: evacuationsViewSchema,
   control: controlViewSchema,
 } as const;
 
@@ -148,4 +168,6 @@
 export type GroupView = GroupsView['groups'][number];
 export type WatchersView = z.infer<typeof watchersViewSchema>;
 export type WatcherView = WatchersView['watchers'][number];
+export type EvacuationsView = z.infer<typeof evacuationsViewSchema>;
+export type EvacuationView = EvacuationsView['evacuations'][number];
 export type ControlView = z.infer<typeof controlViewSchema>;
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -61,7 +61,9 @@
 const evacuation = z
   .strictObject({
     /** All failure domains of the deployment; orders for other ones are refused. */
-    failureDomains: z.array(nameSchema).min(1).readonly(),
+    failureDomains: z.array(nameSchema).readonly(),
+    /** Time from the acknowledgement of an evacuation after which gateways send nothing to the domain; only shown to operators. */
+    limitMilliseconds: z.int().min(1).max(600_000),
   })
   .readonly()
   .optional();
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -178,6 +178,8 @@
       case 'instanceRemoved':
       case 'engineGroup':
       case 'engineGroupRemoved':
+      case 'evacuation':
+      case 'evacuationEnded':
         return;
       case 'requestQuarantined':
         logger.warn({ address, request: event.request }, 'request quarantined');
@@ -185,12 +187,6 @@
       case 'requestReleased':
         logger.info({ address, request: event.request }, 'request released from quarantine');
         return;
-      case 'evacuation':
-        logger.warn({ address, ...event.evacuation }, 'evacuation of a failure domain announced');
-        return;
-      case 'evacuationEnded':
-        logger.info({ address, failureDomain: event.failureDomain }, 'evacuation ended');
-        return;
     }
   }
 
