--- a/src/control/shell/placement-loop.ts
+++ b/src/control/shell/placement-loop.ts
@@ -30,7 +30,7 @@
 /** Options of the placement loop. */
 export interface PlacementLoopOptions {
   readonly log: ReplicatedLog<CommandAnswer>;
-  readonly submitter: CommandSubmitter;
+  readonly submitter: Pick<CommandSubmitter, 'proposeLocally'>;
   readonly directory: HostDirectory;
   readonly readState: () => ControlState;
   readonly observer: HostObserver;
