Bound the requests of a group by the time to their first event

Cause: a group gets as many requests as it has slots, as each gateway knows it. Of 17 gateways, eight see the same free places and fill them together, so requests queue within the group; and a model with long prompts begins them too late with far fewer requests than slots. After a burst or the loss of groups, groups then work on late requests while new ones wait behind them.

Bounding streams that lost their group as well changed nothing and is left as it was.

Change, where the option limitsByObjective is on (default off, then nothing changes): gateways learn the time to the first event by load and tokens to read for all groups of a model, and a factor for each start from its last second. A group gets what is expected to begin within 0.7 of the objective, never less than 0.4 of its slots, and 0.55 for a request that has waited for 0.4 of its objective, so that no caller is refused while half of the slots are free. What is free or in excess at a report is divided in proportion to what each gateway has there. A request that is late may fill 0.9 of the bound. Delivery reports first events and ends to the chooser.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -1,6 +1,8 @@
 /**
- * How gateways place requests on heads as both grow, at usual load and in bursts, by their real choosers in virtual time.
+ * How gateways place requests on heads as both grow, at usual load and in bursts, by their real choosers in virtual time; and how an overload
+ * ends that a burst and the loss of a third of the groups cause.
  */
+import { simulateOverload } from '../__tests__/direct/overload-simulation.js';
 import { simulatePlacement } from '../__tests__/direct/placement-simulation.js';
 import { formatFigure, formatMarkdownTable } from './support/index.js';
 
@@ -60,3 +62,58 @@
   'pairs used',
 ];
 console.log(formatMarkdownTable(header, rows));
+
+const overloadSeeds = [1, 2, 3, 4];
+const causes = {
+  burst: 1.8,
+  burstFrom: 8000,
+  burstUntil: 11_000,
+  awayFrom: 6000,
+  awayUntil: 14_000,
+};
+const prompts = { rate: 45, objective: 500, pace: 1, prompt: 2500, answer: 250 };
+const slotBound = { rate: 105, objective: 250, pace: 0.6, prompt: 800, answer: 150 };
+const fewGroups = { groups: 4, rate: 54, burst: 2.1, burstUntil: 16_000, awayUntil: 6000 };
+const overloads = [
+  ['small model, a third of 9 groups away', { groups: 9, ...causes, ...slotBound }],
+  ['large model, a third of 9 groups away', { groups: 9, ...causes, ...prompts }],
+  ['small model, long burst on 4 groups', { ...causes, ...slotBound, ...fewGroups }],
+] as const;
+const overloadRows = overloads.flatMap(([name, shape]) =>
+  [false, true].map((limitsByObjective) => {
+    const results = overloadSeeds.map((seed) =>
+      simulateOverload({
+        ...shape,
+        seed,
+        limitsByObjective,
+        gateways: 17,
+        duration,
+        order: 'newest',
+      }),
+    );
+    const meanOf = (read: (result: (typeof results)[number]) => number): number =>
+      results.reduce((sum, result) => sum + read(result), 0) / results.length;
+    const figures = [
+      meanOf(({ inTime, requests }) => inTime / requests),
+      meanOf(({ late, requests }) => late / requests),
+      meanOf(({ refused, requests }) => refused / requests),
+      meanOf(({ recovery }) => recovery / 1000),
+      meanOf(({ tailTimeAtGroup }) => tailTimeAtGroup),
+      meanOf(({ longestQueue }) => longestQueue),
+      meanOf(({ needlessRefusals }) => needlessRefusals),
+    ].map((figure) => formatFigure(figure));
+    return [name, limitsByObjective ? 'objective' : 'slots', ...figures];
+  }),
+);
+const overloadHeader = [
+  'overload',
+  'bound by',
+  'in time',
+  'late',
+  'refused',
+  'seconds until in time',
+  'at the group, p90 ms',
+  'longest queue',
+  'needless refusals',
+];
+console.log(formatMarkdownTable(overloadHeader, overloadRows));
--- a/src/dispatch/head-subset.ts
+++ b/src/dispatch/head-subset.ts
@@ -29,9 +29,8 @@
   if (ownPosition === undefined) {
     return new Set(keys);
   }
-  const { gateways, position } = ownPosition;
-  const wanted = Math.ceil((gatewaysPerHead * keys.length) / gateways);
-  const size = Math.min(keys.length, Math.max(minimumHeads, wanted));
+  const { position } = ownPosition;
+  const size = countPreferred(keys.length, ownPosition);
   if (size === keys.length) {
     return new Set(keys);
   }
@@ -43,3 +42,15 @@
   });
   return new Set(chosen);
 }
+
+/** Mean number of gateways that prefer the same target; 1 if the position is unknown. */
+export function countSharers(targets: number, ownPosition: GatewayPosition | undefined): number {
+  return ownPosition === undefined || targets === 0
+    ? 1
+    : (ownPosition.gateways * countPreferred(targets, ownPosition)) / targets;
+}
+
+function countPreferred(targets: number, { gateways }: GatewayPosition): number {
+  const wanted = Math.ceil((gatewaysPerHead * targets) / gateways);
+  return Math.min(targets, Math.max(minimumHeads, wanted));
+}
--- a/src/dispatch/target-loads.ts
+++ b/src/dispatch/target-loads.ts
@@ -24,6 +24,23 @@
 /** Time for which an upstream is avoided, while there are others, after it was unreachable or interrupted a response. */
 const suspicionDuration: Milliseconds = 1000;
 
+/** Load of a target as one gateway knows it. */
+export interface KnownLoad {
+  /** Requests of this gateway in flight there. */
+  readonly own: number;
+  /** Requests among `own` without response headers yet. */
+  readonly unanswered: number;
+  /** Whether it has responded since it was last closed or paused. */
+  readonly hasAnswered: boolean;
+  /** Requests of other gateways at the last load report. */
+  readonly others: number;
+  /** Requests of this gateway at the last load report. */
+  readonly ownAtReport: number;
+  /** Negative infinity if there was no report. */
+  readonly reportedAt: Milliseconds;
+  readonly slots: number;
+}
+
 interface LoadRecord {
   /** Requests of this gateway in flight there. */
   own: number;
@@ -34,6 +51,8 @@
   /** Requests of other gateways at the last load report. */
   others: number;
   reportedAt: Milliseconds;
+  /** Requests of this gateway in flight there at the last load report. */
+  ownAtReport: number;
   slots: number | undefined;
   suspectedUntil: Milliseconds;
   closedUntil: Milliseconds;
@@ -69,6 +88,7 @@
     load.others = Math.max(0, running + waiting - load.own);
     load.slots = slots;
     load.reportedAt = now;
+    load.ownAtReport = load.own;
   }
 
   suspect({ key }: Pick<Target, 'key'>, now: Milliseconds): void {
@@ -138,6 +158,15 @@
     return target.isGroup && own === 0 && now - reportedAt > probeInterval;
   }
 
+  /** What this gateway knows of the load of the target. */
+  read(target: Target): KnownLoad {
+    const { own, others, ownAtReport, reportedAt, unanswered, hasAnswered } = this.#find(
+      target.key,
+    );
+    const slots = this.#slotsOf(target);
+    return { own, others, ownAtReport, reportedAt, unanswered, hasAnswered, slots };
+  }
+
   /** Drops targets that no longer exist and have no requests in flight. */
   retain(keys: ReadonlySet<string>): void {
     for (const [key, { own }] of this.#loads) {
@@ -162,6 +191,7 @@
       hasAnswered: false,
       others: 0,
       reportedAt: Number.NEGATIVE_INFINITY,
+      ownAtReport: 0,
       slots: undefined,
       suspectedUntil: Number.NEGATIVE_INFINITY,
       closedUntil: Number.NEGATIVE_INFINITY,
--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -8,8 +8,10 @@
   type RoutedService,
 } from '../routing/index.js';
 import type { RoutingView } from '../watch/index.js';
-import { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
+import { choosePreferredTargets, countSharers, type GatewayPosition } from './head-subset.js';
+import { GroupBounds } from './group-bounds.js';
 import type { TargetLoads } from './target-loads.js';
+import { UpstreamTimes, type Dispatch, type TimedRequest } from './upstream-times.js';
 import type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
@@ -30,12 +32,22 @@
   readonly slots: number | undefined;
 }
 
-/** Properties of a request that restrict its targets. */
-export interface TargetCriteria {
+/** Properties of a request on which its time at an upstream depends. */
+export interface RequestWork {
   readonly service: RoutedService;
   readonly model: string | undefined;
+  /** Tokens to read; undefined if unknown. */
+  readonly tokens?: number | undefined;
+}
+
+/** Properties of a request that restrict its targets. */
+export interface TargetCriteria extends RequestWork {
   /** Keys of targets that have been tried. */
   readonly tried: ReadonlySet<string>;
+  /** When its caller first asked, as far as known. */
+  readonly startedAt?: Milliseconds;
+  /** Longest time to the first event that is in time; undefined if there is none. */
+  readonly objective?: Milliseconds | undefined;
   /** Whether a full target is better than none: the request has waited at another target, and full ones admit it first. */
   readonly isUrgent?: boolean;
 }
@@ -66,13 +78,21 @@
   /** Position of this gateway; undefined while unknown, or if no other gateways share the targets. */
   readonly readPosition?: () => GatewayPosition | undefined;
   readonly random: RandomSource;
+  /** Whether groups get only as much as still meets the objective of the request. */
+  readonly limitsByObjective?: boolean;
 }
 
 export class TargetChooser {
   readonly #options: TargetChooserOptions;
 
+  readonly #times: UpstreamTimes;
+  readonly #bounds: GroupBounds;
+
   constructor(options: TargetChooserOptions) {
     this.#options = options;
+    const { loads, random } = options;
+    this.#times = new UpstreamTimes(loads);
+    this.#bounds = new GroupBounds({ loads, random, times: this.#times });
   }
 
   /**
@@ -80,10 +100,8 @@
    * Other targets are used only if no preferred one is left. If gateways also used them when the preferred ones are full, their requests
    * would overload heads whose load they do not know.
    */
-  choose(
-    { service, model, tried, isUrgent = false }: TargetCriteria,
-    now: Milliseconds,
-  ): TargetChoice {
+  choose(criteria: TargetCriteria, now: Milliseconds): TargetChoice {
+    const { service, model, tried, isUrgent = false } = criteria;
     const { loads, permits } = this.#options;
     const targets = this.listTargets(service, model);
     const all = targets.filter((target) => {
@@ -104,13 +122,37 @@
     const trusted = permitted.filter((target) => !loads.isSuspected(target, now));
     const own = trusted.filter(({ key }) => preferred.has(key));
     const candidates = [own, trusted, permitted].find(({ length }) => length > 0) ?? [];
-    const limit = service.engine === undefined ? requestsPerInstanceSlot : requestsPerEngineSlot;
-    const withRoom = candidates.filter((target) => loads.hasCapacity(target, limit, now));
+    const sharers = countSharers(targets.length, this.#options.readPosition?.());
+    const withRoom = candidates.filter((target) => this.#hasRoom(target, criteria, sharers, now));
     const eligible = withRoom.length === 0 && isUrgent ? candidates : withRoom;
     const best = this.#findLeastLoaded(eligible, now);
     return best === undefined ? { type: 'full' } : { type: 'target', target: best };
   }
 
+  /**
+   * Records that the request was sent to the target, after `TargetLoads.noteSent`. Undefined if nothing is to be learned from it: groups are
+   * then bounded by their slots alone.
+   */
+  noteSent(target: Target, request: RequestWork, now: Milliseconds): Dispatch | undefined {
+    return this.#isBounded(target)
+      ? this.#times.noteSent(target, describeWork(request), now)
+      : undefined;
+  }
+
+  #isBounded({ isGroup }: Target): boolean {
+    return isGroup && this.#options.limitsByObjective === true;
+  }
+
+  #hasRoom(target: Target, criteria: TargetCriteria, sharers: number, now: Milliseconds): boolean {
+    if (this.#isBounded(target)) {
+      const { objective, startedAt = now } = criteria;
+      const request = { ...describeWork(criteria), objective, waited: now - startedAt };
+      return this.#bounds.hasRoom(target, request, sharers, now);
+    }
+    const limit = target.isGroup ? requestsPerEngineSlot : requestsPerInstanceSlot;
+    return this.#options.loads.hasCapacity(target, limit, now);
+  }
+
   /** Without a target, tells whether only pauses are the reason. Groups that are about to open make the wait worthwhile. */
   #describeAbsence(
     targets: readonly Target[],
@@ -202,6 +244,10 @@
   }
 }
 
+function describeWork({ service, model, tokens }: RequestWork): TimedRequest {
+  return { kind: `${service.name} ${model ?? ''}`, tokens: tokens ?? 0 };
+}
+
 function describeGroup(
   { name, service, members }: EngineGroup,
   slots: number,
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -24,6 +24,8 @@
   readonly service: RoutedService;
   readonly account: RoutedAccount | undefined;
   readonly model: string | undefined;
+  /** Tokens to read; undefined if the caller does not say. */
+  readonly tokens: number | undefined;
   /** Identifier of the last event that the caller has received. */
   readonly resumeAfter: string | undefined;
   readonly startedAt: Milliseconds;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import { assertNever, digest, type Milliseconds } from '../../common/index.js';
-import type { Target } from '../../dispatch/index.js';
+import type { Dispatch, Target } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import {
   DeliveryController,
@@ -41,6 +41,7 @@
   #attempt: UpstreamAttempt | undefined;
   #stream: TrackedStream | undefined;
   #target: Target | undefined;
+  #dispatch: Dispatch | undefined;
   /** Key of the last target, for the log. */
   #lastTarget: string | undefined;
   #wakeTimer: NodeJS.Timeout | undefined;
@@ -64,14 +65,15 @@
     this.#dependencies = dependencies;
     this.#onOutcome = onOutcome;
     this.#timer = new RequestTimer(request.startedAt);
-    const { service, model, route, startedAt, deadline } = request;
+    const { service, model, tokens, route, startedAt, deadline } = request;
     const isRetryable =
       route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
     const { chooser, crashLedger } = dependencies;
+    const work = { service, model, tokens, objective: route.objective, startedAt };
     this.#controller = new DeliveryController(
       { isRetryable, attempts: route.attempts, startedAt, deadline },
       {
-        choose: (tried, now, isUrgent) => chooser.choose({ service, model, tried, isUrgent }, now),
+        choose: (tried, now, isUrgent) => chooser.choose({ ...work, tried, isUrgent }, now),
         isStillServing: (target) => chooser.isStillServing(target),
         isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
@@ -204,6 +206,7 @@
 
   #send(target: Target, remaining: Milliseconds): void {
     const {
+      chooser,
       connections,
       connectionLimit,
       dialect,
@@ -229,6 +232,7 @@
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
     loads.noteSent(target);
+    this.#dispatch = chooser.noteSent(target, this.#request, this.#sentAt);
     if (permits.isLimited(formatIdentity(target.instance))) {
       permits.noteSent(formatIdentity(target.instance), this.#sentAt);
       onSentToLimited(service);
@@ -290,6 +294,9 @@
       this.#handle({ type: 'refused', now: this.#now() });
       return;
     }
+    if (status >= lowestFailureStatus) {
+      this.#dispatch?.release();
+    }
     if (status >= lowestFailureStatus && this.#tryReplaceFailure(attempt, status)) {
       return;
     }
@@ -319,6 +326,7 @@
     const now = this.#now();
     this.#firstDataAt ??= now;
     this.#stream?.noteBytes(now);
+    this.#dispatch?.noteFirstEvent(now);
     this.#responseWriter.push(bytes);
     if (this.#responseWriter.isPassedOn) {
       this.#timer.noteForwarded(now);
@@ -332,6 +340,7 @@
 
   #handleEnd(attempt: UpstreamAttempt): void {
     if (this.#attempt === attempt) {
+      this.#dispatch?.noteComplete(this.#now());
       this.#releaseTarget();
       this.#handle({ type: 'ended' });
     }
@@ -366,6 +375,8 @@
       this.#dependencies.loads.noteDone(this.#target, this.#hasResponseHead);
       this.#target = undefined;
     }
+    this.#dispatch?.release();
+    this.#dispatch = undefined;
     this.#stream?.end();
     this.#stream = undefined;
     this.#attempt = undefined;
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -326,6 +326,7 @@
         service,
         account,
         model: facts.model,
+        tokens: facts.tokens?.prompt,
         resumeAfter: readLastEventId(call),
         startedAt,
         deadline: startedAt + Math.min(route.timeout, facts.timeLimit ?? route.timeout),
