--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -14,15 +14,19 @@
 export { ColdRecords, type ColdNotice } from './cold-records.js';
 export type { ColdBounds } from './cold-requests.js';
 export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
+export { FirstEventTimes, type DispatchLoad } from './first-event-times.js';
+export { GroupBounds, type BoundedRequest, type GroupBoundsOptions } from './group-bounds.js';
 export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export {
   TargetChooser,
+  type RequestWork,
   type Target,
   type TargetChoice,
   type TargetChooserOptions,
   type TargetCriteria,
 } from './target.js';
-export { TargetLoads, type UpstreamLoad } from './target-loads.js';
+export { TargetLoads, type KnownLoad, type UpstreamLoad } from './target-loads.js';
+export { UpstreamTimes, type Dispatch, type TimedRequest } from './upstream-times.js';
 export type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 export { AccountShares } from './account-shares.js';
 export { AccountWork } from './account-work.js';
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import { assertNever, digest, type Milliseconds } from '../../common/index.js';
-import type { Target, TargetChoice } from '../../dispatch/index.js';
+import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import {
   DeliveryController,
@@ -36,6 +36,8 @@
   readonly #request: ReceivedRequest;
   readonly #dependencies: SharedDeliveryDependencies;
   readonly #responseWriter: ResponseWriter;
+  /** What the choice of an upstream needs to know about the request. */
+  readonly #work: Omit<TargetCriteria, 'tried' | 'isUrgent'>;
   readonly #controller: DeliveryController;
   /** Undefined if waiting requests are served newest first. */
   readonly #place: QueuePlace | undefined;
@@ -43,6 +45,7 @@
   #attempt: UpstreamAttempt | undefined;
   #stream: TrackedStream | undefined;
   #target: Target | undefined;
+  #dispatch: Dispatch | undefined;
   /** Key of the last target, for the log. */
   #lastTarget: string | undefined;
   #wakeTimer: NodeJS.Timeout | undefined;
@@ -66,10 +69,12 @@
     this.#dependencies = dependencies;
     this.#onOutcome = onOutcome;
     this.#timer = new RequestTimer(request.startedAt);
-    const { service, route, startedAt, deadline } = request;
+    const { service, model, tokens, route, startedAt, deadline } = request;
     const isRetryable =
       route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
     const { chooser, crashLedger } = dependencies;
+    const objective = route.objective;
+    this.#work = { service, model, tokens: tokens?.prompt, objective, startedAt };
     this.#place = this.#createPlace();
     this.#controller = new DeliveryController(
       { isRetryable, attempts: route.attempts, startedAt, deadline },
@@ -90,13 +95,12 @@
 
   #createPlace(): QueuePlace | undefined {
     const { waiting, chooser } = this.#dependencies;
-    const { service, model } = this.#request;
     return waiting === undefined
       ? undefined
       : new QueuePlace({
           request: this.#request,
           waiting,
-          choose: (tried, now) => chooser.choose({ service, model, tried }, now),
+          choose: (tried, now) => chooser.choose({ ...this.#work, tried }, now),
           onChanged: () => {
             this.#handle({ type: 'targetsChanged', now: this.#now() });
           },
@@ -110,9 +114,8 @@
     if (mode.type === 'queued' && this.#place !== undefined) {
       return this.#place.choose(tried, mode.refuseAt, now);
     }
-    const { service, model } = this.#request;
     const isUrgent = mode.type === 'urgent';
-    return this.#dependencies.chooser.choose({ service, model, tried, isUrgent }, now);
+    return this.#dependencies.chooser.choose({ ...this.#work, tried, isUrgent }, now);
   }
 
   #handleRefusal({ reason, position, expectedWait, retryAfter }: SlotRefusal): void {
@@ -254,6 +257,7 @@
 
   #send(target: Target, remaining: Milliseconds): void {
     const {
+      chooser,
       connections,
       connectionLimit,
       dialect,
@@ -279,6 +283,7 @@
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
     loads.noteSent(target);
+    this.#dispatch = chooser.noteSent(target, this.#work, this.#sentAt);
     permits.noteSent(formatIdentity(target.instance), this.#sentAt);
     if (permits.isLimited(formatIdentity(target.instance))) {
       onSentToLimited(service);
@@ -340,6 +345,9 @@
       this.#handle({ type: 'refused', now: this.#now() });
       return;
     }
+    if (status >= lowestFailureStatus) {
+      this.#dispatch?.release();
+    }
     if (status >= lowestFailureStatus && this.#tryReplaceFailure(attempt, status)) {
       return;
     }
@@ -372,6 +380,7 @@
       this.#place?.noteStarted(now - this.#sentAt);
     }
     this.#stream?.noteBytes(now);
+    this.#dispatch?.noteFirstEvent(now);
     this.#responseWriter.push(bytes);
     if (this.#responseWriter.isPassedOn) {
       this.#timer.noteForwarded(now);
@@ -385,6 +394,7 @@
 
   #handleEnd(attempt: UpstreamAttempt): void {
     if (this.#attempt === attempt) {
+      this.#dispatch?.noteComplete(this.#now());
       this.#releaseTarget();
       this.#handle({ type: 'ended' });
     }
@@ -422,6 +432,8 @@
       }
       this.#target = undefined;
     }
+    this.#dispatch?.release();
+    this.#dispatch = undefined;
     this.#stream?.end();
     this.#stream = undefined;
     this.#attempt = undefined;
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -164,6 +164,7 @@
         availability: this.#availability,
         permits: this.#permits,
         evacuations,
+        limitsByObjective: settings.admission.order === 'urgency',
         readPosition: () => this.#position,
         random,
       }),
