Keep the memory that a gateway holds for its callers within a budget

Cause: each caller may hold 64 KB of unread response, a response of 256 KB that is not complete, and its whole request. Thousands of callers that stop reading together had no common bound.

Change: with the setting memory.bufferBytes, a gateway measures twenty times a second what it holds for all callers: unread bytes, incomplete responses and requests, also those still being received. From three quarters of the budget on, reading stops for callers with a backlog, the slowest first; for new backlogs at once. Beyond the budget, the slowest callers for whom reading stopped half a second ago are closed, as few as free the excess; both are logged and counted. Callers that keep up are never closed. A finished response no longer keeps its buffered parts. Without the setting nothing is measured.

Mutants without pausing, closing, resuming or with the wrong order turn the tests red. On real connections, five callers that never read are closed one after another and a reading caller gets its whole response.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -13,4 +13,5 @@
 } from './cold-limits.js';
 export { ColdRecords, type ColdNotice } from './cold-records.js';
 export type { ColdBounds } from './cold-requests.js';
+export { MemoryBudget, type HeldMemory, type MemoryRelief } from './memory-budget.js';
 export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -139,6 +139,12 @@
     }
   }
 
+  /** Stops reading from the upstream until the caller's connection has drained. */
+  pauseReading(): void {
+    this.#attempt?.pause();
+    this.#stream?.pause();
+  }
+
   /** The write buffer of the caller's connection has drained. */
   noteDrained(): void {
     this.#attempt?.resume();
@@ -324,8 +330,7 @@
       this.#timer.noteForwarded(now);
       this.#handle({ type: 'passedOn' });
       if (this.#responseWriter.isSlow) {
-        attempt.pause();
-        this.#stream?.pause();
+        this.pauseReading();
       }
     }
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -34,6 +34,7 @@
 import type { Dialect } from './dialect.js';
 import { ResponseWriter } from './response-writer.js';
 import { DocumentGuard } from './document-guard.js';
+import { MemoryGuard, type HeldCaller } from './memory-guard.js';
 import type { GatewayPosition } from './head-subset.js';
 import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
@@ -86,6 +87,8 @@
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
+  /** Undefined if the memory held for callers is not limited. */
+  readonly #memory: MemoryGuard | undefined;
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
@@ -157,6 +160,10 @@
       clock,
       log: this.#log,
     });
+    this.#memory =
+      settings.memory === undefined
+        ? undefined
+        : new MemoryGuard({ ...settings.memory, metrics: options.metrics, clock, log: this.#log });
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
     });
@@ -214,6 +221,7 @@
     });
     this.#applyView(this.#options.readView());
     this.#stallWatch.open();
+    this.#memory?.open();
     this.#waitingRetryTimer = setInterval(() => {
       this.#retryWaiting();
     }, waitingRetryInterval);
@@ -242,6 +250,7 @@
     }
     this.#unsubscribe?.();
     this.#stallWatch.close();
+    this.#memory?.close();
     clearInterval(this.#waitingRetryTimer);
     await closeServer(this.#server);
     this.#connections.close();
@@ -291,7 +300,11 @@
     const call: InboundRequest = {
       request,
       response,
-      answer: new ResponseWriter(response, () => this.#isStopping),
+      answer: new ResponseWriter(
+        response,
+        () => this.#isStopping,
+        () => this.#memory?.isShort === true,
+      ),
       facts: dialect.readRequest(request.headers),
       startedAt: clock.monotonic(),
     };
@@ -310,9 +323,13 @@
       return;
     }
     const { maximumBodyBytes } = admission.table.document.callers;
-    const body = await readBody(request, maximumBodyBytes);
+    const held = this.#holdMemory(call);
+    const body = await readBody(request, maximumBodyBytes, (size) => {
+      held.requestBytes = size;
+    });
+    held.isReceiving = false;
     if (body.ok) {
-      this.#deliver(call, admission, body.val);
+      held.delivery = this.#deliver(call, admission, body.val);
     } else if (body.val.code === 'cancelled') {
       call.answer.cut();
     } else {
@@ -320,6 +337,20 @@
     }
   }
 
+  /** Counts the memory of a request until its response has been sent or its connection is closed. */
+  #holdMemory({ response, answer, facts: { requestId } }: InboundRequest): HeldCaller {
+    const held = { requestId, response, answer, requestBytes: 0, isReceiving: true };
+    const caller: HeldCaller = { ...held, delivery: undefined };
+    this.#memory?.add(caller);
+    response.on('drain', () => {
+      this.#memory?.noteCaughtUp(caller);
+    });
+    response.on('close', () => {
+      this.#memory?.remove(caller);
+    });
+    return caller;
+  }
+
   #refuse({ request, answer, facts: { requestId } }: InboundRequest, failure: Failure): void {
     const fields = { requestId, code: failure.code, path: request.url, ...this.#guard.describe() };
     this.#log.info(fields, 'request refused');
@@ -328,7 +359,7 @@
     request.resume();
   }
 
-  #deliver(call: InboundRequest, admission: Admitted, body: Buffer): void {
+  #deliver(call: InboundRequest, admission: Admitted, body: Buffer): Delivery {
     const { request, response, answer, facts, startedAt } = call;
     const { route, service, account } = admission;
     this.#retryBudget.noteRequest(service.name);
@@ -365,6 +396,7 @@
       delivery.noteDrained();
     });
     delivery.start();
+    return delivery;
   }
 
   #noteServed(model: string | undefined, { result, runDuration }: DeliveryOutcome): void {
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import type { DeliveryOutcome } from './delivery-types.js';
 import type { Unavailability } from './upstream-availability.js';
@@ -15,6 +15,8 @@
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
   readonly #sentToCold: Counter<'service'>;
+  readonly #heldBytes: Gauge;
+  readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
@@ -54,6 +56,17 @@
       labelNames: ['service'],
       registers,
     });
+    this.#heldBytes = new Gauge({
+      name: 'pistachiospoke_held_bytes',
+      help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
+      registers,
+    });
+    this.#slowCallers = new Counter({
+      name: 'pistachiospoke_slow_callers_total',
+      help: 'Callers for whom reading stopped, or whose connection was closed, to keep the memory budget.',
+      labelNames: ['action'],
+      registers,
+    });
     this.#pauses = new Counter({
       name: 'pistachiospoke_upstream_pauses_total',
       help: 'Pauses that upstreams asked for when they rejected requests, by service.',
@@ -107,6 +120,14 @@
     this.#sentToCold.inc({ service });
   }
 
+  noteHeldBytes(bytes: number): void {
+    this.#heldBytes.set(bytes);
+  }
+
+  noteSlowCaller(action: 'paused' | 'closed'): void {
+    this.#slowCallers.inc({ action });
+  }
+
   notePause(service: string): void {
     this.#pauses.inc({ service });
   }
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -40,6 +40,7 @@
 export class ResponseWriter {
   readonly #response: ServerResponse;
   readonly #mayCloseConnection: () => boolean;
+  readonly #isMemoryShort: () => boolean;
   #head: Head | undefined;
   #framer = new EventFramer();
   #buffered: Buffer[] = [];
@@ -47,8 +48,13 @@
   #isHeadWritten = false;
   #lastEventId: string | undefined;
 
-  constructor(response: ServerResponse, mayCloseConnection: () => boolean) {
+  constructor(
+    response: ServerResponse,
+    mayCloseConnection: () => boolean,
+    isMemoryShort: () => boolean = () => false,
+  ) {
     this.#response = response;
+    this.#isMemoryShort = isMemoryShort;
     this.#mayCloseConnection = mayCloseConnection;
   }
 
@@ -70,9 +76,16 @@
     return this.#head?.isFramed === true && this.#head.status < lowestFailureStatus;
   }
 
-  /** Whether too many bytes are queued for the caller. */
+  /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
+  get heldBytes(): number {
+    const buffered = this.#isHeadWritten ? 0 : this.#bufferedBytes;
+    return buffered + this.#framer.heldBytes;
+  }
+
+  /** Whether too many bytes are queued for the caller; while memory is short, as soon as its connection takes no more. */
   get isSlow(): boolean {
-    return this.#response.writableLength > maximumBacklog;
+    const { writableLength, writableNeedDrain } = this.#response;
+    return writableLength > maximumBacklog || (writableNeedDrain && this.#isMemoryShort());
   }
 
   /**
@@ -126,6 +139,7 @@
       return;
     }
     const body = Buffer.concat(this.#buffered);
+    this.#buffered = [];
     this.#writeHead(this.#head?.isFramed === true ? body.length : undefined);
     this.#response.end(body);
   }
--- a/src/gateway/shell/body.ts
+++ b/src/gateway/shell/body.ts
@@ -4,10 +4,11 @@
 
 import { createFailure, type Failure } from '../../common/index.js';
 
-/** Reads the body of a caller's request, up to a maximum size. */
+/** Reads the body of a caller's request, up to a maximum size. `onReceived` is called with the size so far. */
 export async function readBody(
   request: IncomingMessage,
   maximumBytes: number,
+  onReceived: (size: number) => void = () => undefined,
 ): Promise<Result<Buffer, Failure>> {
   if (Number(request.headers['content-length'] ?? 0) > maximumBytes) {
     return createBodyTooLarge(maximumBytes);
@@ -21,6 +22,7 @@
         return createBodyTooLarge(maximumBytes);
       }
       chunks.push(chunk);
+      onReceived(size);
     }
   } catch {
     return new Err(createFailure('cancelled', 'The caller broke off while it sent the body.'));
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -39,6 +39,14 @@
   })
   .readonly();
 
+/** Memory held for callers and upstreams. */
+const memory = z
+  .strictObject({
+    /** Bytes of requests and responses that are held for all callers together. */
+    bufferBytes: z.int().min(1),
+  })
+  .readonly();
+
 /** Settings of a gateway that sends requests directly to upstreams. */
 export const routingGatewaySettingsSchema = z
   .strictObject({
@@ -54,6 +62,8 @@
     bounds,
     /** Absent if requests to cold upstreams are not limited. */
     coldUpstreams: coldUpstreams.exactOptional(),
+    /** Absent if that memory is not limited. */
+    memory: memory.exactOptional(),
     metricsPage: metricsPageSettings,
     log: logSettings,
   })
