--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -284,6 +284,9 @@
       return;
     }
     const profiles = listColdProfiles(routing, routing.document);
+    if (profiles.size > 0) {
+      this.#options.logger.info({ upstreams: returned }, 'returned upstreams count as cold');
+    }
     const now = this.#options.clock.monotonic();
     for (const upstream of returned) {
       const duration = profiles.get(upstream)?.duration;
--- a/src/dispatch/cold-records.ts
+++ b/src/dispatch/cold-records.ts
@@ -29,10 +29,15 @@
 export class ColdRecords {
   readonly #records = new Map<string, ColdRecord>();
 
-  /** Adds starts heard of for the first time; each counts as cold for the given duration. Drops starts not listed for long. */
-  list(durations: ReadonlyMap<string, Milliseconds>, now: Milliseconds): void {
+  /**
+   * Adds starts heard of for the first time; each counts as cold for the given duration. Drops starts not listed for long. Returns the number
+   * of starts that were added.
+   */
+  list(durations: ReadonlyMap<string, Milliseconds>, now: Milliseconds): number {
+    let added = 0;
     for (const [upstream, duration] of durations) {
       const known = this.#records.get(upstream);
+      added += known === undefined ? 1 : 0;
       const record = known ?? {
         coldUntil: now + duration,
         statedAt: Number.NEGATIVE_INFINITY,
@@ -44,6 +49,7 @@
         this.#records.delete(upstream);
       }
     }
+    return added;
   }
 
   /** The upstream's failure domain is back in service: it counts as cold for this long, unless it says otherwise later. */
--- a/src/dispatch/cold-requests.ts
+++ b/src/dispatch/cold-requests.ts
@@ -34,13 +34,13 @@
   }
 
   /** Takes all present starts of services that declare a cold rate. One that is new here counts as cold, because no better is known. */
-  list(profiles: ReadonlyMap<string, ColdProfile>, now: Milliseconds): void {
+  list(profiles: ReadonlyMap<string, ColdProfile>, now: Milliseconds): number {
     this.#profiles = profiles;
     const durations = [...profiles].map(([key, { duration }]): [string, Milliseconds] => {
       return [key, duration];
     });
-    this.#records.list(new Map(durations), now);
     this.#pacer.retain(new Set(profiles.keys()));
+    return this.#records.list(new Map(durations), now);
   }
 
   /** The failure domain of these upstreams is back in service. */
--- a/src/dispatch/request-permits.ts
+++ b/src/dispatch/request-permits.ts
@@ -77,9 +77,9 @@
     return this.#limits.find(upstream) !== undefined;
   }
 
-  /** Takes all present starts of services that declare how long a start is cold. */
-  listStarts(profiles: ReadonlyMap<string, ColdProfile>, now: Milliseconds): void {
-    this.#cold?.list(profiles, now);
+  /** Takes all present starts of services that declare how long a start is cold. Returns the number of those that are new here. */
+  listStarts(profiles: ReadonlyMap<string, ColdProfile>, now: Milliseconds): number {
+    return this.#cold?.list(profiles, now) ?? 0;
   }
 
   /** The failure domain of these upstreams is back in service; they come back cold. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -280,7 +280,10 @@
 
   #noteStarts(view: RoutingView): void {
     const now = this.#options.clock.monotonic();
-    this.#permits.listStarts(listColdProfiles(view, view.table?.document), now);
+    const starts = this.#permits.listStarts(listColdProfiles(view, view.table?.document), now);
+    if (starts > 0) {
+      this.#options.logger.info({ starts }, 'new starts count as cold');
+    }
     const returned = listReturned(this.#lastView, view);
     this.#lastView = view;
     if (returned.length > 0) {
