--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -16,6 +16,7 @@
 export { choosePreferredTargets, type GatewayPosition } from './head-subset.js';
 export { FirstEventTimes, type DispatchLoad } from './first-event-times.js';
 export { GroupBounds, type BoundedRequest, type GroupBoundsOptions } from './group-bounds.js';
+export { MemoryBudget, type HeldMemory, type MemoryRelief } from './memory-budget.js';
 export { RequestPermits, type GrantedPermits, type PermitReport } from './request-permits.js';
 export {
   TargetChooser,
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -190,6 +190,12 @@
     }
   }
 
+  /** Stops reading from the upstream until the caller's connection has drained. */
+  pauseReading(): void {
+    this.#attempt?.pause();
+    this.#stream?.pause();
+  }
+
   /** The write buffer of the caller's connection has drained. */
   noteDrained(): void {
     this.#attempt?.resume();
@@ -386,8 +392,7 @@
       this.#timer.noteForwarded(now);
       this.#handle({ type: 'passedOn' });
       if (this.#responseWriter.isSlow) {
-        attempt.pause();
-        this.#stream?.pause();
+        this.pauseReading();
       }
     }
   }
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -21,6 +21,8 @@
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
   readonly #sentToCold: Counter<'service'>;
+  readonly #heldBytes: Gauge;
+  readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
@@ -66,6 +68,17 @@
       labelNames: ['service'],
       registers,
     });
+    this.#heldBytes = new Gauge({
+      name: 'pistachiospoke_held_bytes',
+      help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
+      registers,
+    });
+    this.#slowCallers = new Counter({
+      name: 'pistachiospoke_slow_callers_total',
+      help: 'Callers for whom reading stopped, or whose connection was closed, to keep the memory budget.',
+      labelNames: ['action'],
+      registers,
+    });
     this.#pauses = new Counter({
       name: 'pistachiospoke_upstream_pauses_total',
       help: 'Pauses that upstreams asked for when they rejected requests, by service.',
@@ -178,6 +191,14 @@
     this.#sentToCold.inc({ service });
   }
 
+  noteHeldBytes(bytes: number): void {
+    this.#heldBytes.set(bytes);
+  }
+
+  noteSlowCaller(action: 'paused' | 'closed'): void {
+    this.#slowCallers.inc({ action });
+  }
+
   notePause(service: string): void {
     this.#pauses.inc({ service });
   }
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -48,6 +48,14 @@
   })
   .readonly();
 
+/** Memory held for callers and upstreams. */
+const memory = z
+  .strictObject({
+    /** Bytes of requests and responses that are held for all callers together. */
+    bufferBytes: z.int().min(1),
+  })
+  .readonly();
+
 /** How requests wait for a slot of an upstream. */
 const admission = z
   .strictObject({
@@ -76,6 +84,8 @@
   evacuation,
   /** Absent if requests to cold upstreams are not limited. */
   coldUpstreams: coldUpstreams.exactOptional(),
+  /** Absent if the memory held for callers is not limited. */
+  memory: memory.exactOptional(),
   metricsPage: metricsPageSettings,
   log: logSettings,
 });
