--- a/src/dispatch/arrival-rates.ts
+++ b/src/dispatch/arrival-rates.ts
@@ -15,6 +15,11 @@
   readonly account: string;
 }
 
+export interface ArrivalRate extends ArrivalClass {
+  /** Requests per millisecond. */
+  readonly rate: number;
+}
+
 interface ClassCount extends ArrivalClass {
   readonly count: DecayedCount;
 }
@@ -32,13 +37,10 @@
     }
   }
 
-  /** Requests per millisecond of the classes that meet the condition. */
-  read(isCounted: (arrivals: ArrivalClass) => boolean, now: Milliseconds): number {
-    let sum = 0;
-    for (const arrivals of this.#counts.values()) {
-      sum += isCounted(arrivals) ? arrivals.count.read(now) : 0;
-    }
-    return sum / period;
+  list(now: Milliseconds): readonly ArrivalRate[] {
+    return [...this.#counts.values()].map(({ priority, account, count }) => {
+      return { priority, account, rate: count.read(now) / period };
+    });
   }
 
   #removeIdle(now: Milliseconds): void {
--- a/src/dispatch/rank.ts
+++ b/src/dispatch/rank.ts
@@ -48,24 +48,41 @@
   tags: Map<string, number>,
   { tagOf, costOf }: Pick<RankingInput<Entry>, 'tagOf' | 'costOf'>,
 ): readonly RankedEntry<Entry>[] {
-  const readTag = (account: string): number => tags.get(account) ?? tagOf(account);
-  const remaining = [...level];
+  const remaining = new Map<string, RankedEntry<Entry>[]>();
+  for (const ranked of level) {
+    const { account } = ranked.entry;
+    tags.set(account, tags.get(account) ?? tagOf(account));
+    remaining.set(account, [...(remaining.get(account) ?? []), ranked]);
+  }
   const ordered: RankedEntry<Entry>[] = [];
-  while (remaining.length > 0) {
-    // The sort is by due time, so of equal tags the request that is due first is taken.
-    const index = findLowest(remaining, ({ entry }) => readTag(entry.account));
-    for (const ranked of remaining.splice(index, 1)) {
-      const { account } = ranked.entry;
-      tags.set(account, readTag(account) + costOf(ranked.entry));
-      ordered.push(ranked);
-    }
+  for (let next = findNext(remaining, tags); next !== undefined; next = findNext(remaining, tags)) {
+    const { account } = next.entry;
+    remaining.get(account)?.shift();
+    tags.set(account, (tags.get(account) ?? 0) + costOf(next.entry));
+    ordered.push(next);
   }
   return ordered;
 }
 
-function findLowest<Item>(items: readonly Item[], valueOf: (item: Item) => number): number {
-  const values = items.map(valueOf);
-  return values.indexOf(Math.min(...values));
+/** First request of the account with the lowest tag; of equal tags, the request that is due first. */
+function findNext<Entry extends QueueEntry>(
+  remaining: ReadonlyMap<string, readonly RankedEntry<Entry>[]>,
+  tags: ReadonlyMap<string, number>,
+): RankedEntry<Entry> | undefined {
+  let best: RankedEntry<Entry> | undefined;
+  let bestTag = Infinity;
+  for (const [account, [first]] of remaining) {
+    const tag = tags.get(account) ?? 0;
+    if (first === undefined) {
+      continue;
+    }
+    const isDueFirst = best !== undefined && compareDueTimes(first.entry, best.entry) < 0;
+    if (best === undefined || tag < bestTag || (tag === bestTag && isDueFirst)) {
+      best = first;
+      bestTag = tag;
+    }
+  }
+  return best;
 }
 
 function compareLevels(one: RankedEntry<QueueEntry>, other: RankedEntry<QueueEntry>): number {
--- a/src/dispatch/urgency-queue.ts
+++ b/src/dispatch/urgency-queue.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds } from '../common/index.js';
 import { AccountUsage } from './account-usage.js';
-import { ArrivalRates } from './arrival-rates.js';
-import { orderByRank, type RankedEntry, type Tier } from './rank.js';
+import { ArrivalRates, type ArrivalRate } from './arrival-rates.js';
+import { memoize } from './memoize.js';
+import { orderByRank, type RankedEntry } from './rank.js';
 import type { DropReason, DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
 import { ServiceShares } from './service-shares.js';
 import { SlotRate } from './slot-rate.js';
@@ -19,6 +20,16 @@
   readonly weightOf: (account: string, now: Milliseconds) => number;
 }
 
+/** What expected waits depend on, at one moment. */
+interface Readings {
+  readonly now: Milliseconds;
+  readonly slotInterval: Milliseconds;
+  readonly arrivals: readonly ArrivalRate[];
+  /** Sum of all arrivals, per millisecond. */
+  readonly arrivalRate: number;
+  readonly usageOf: (account: string) => number;
+}
+
 /**
  * Orders requests by rank: those that can still meet their objective before late ones, then by priority, then fairly among accounts by
  * work, then by objective. A class or account that is served far less often than all requests goes first until it no longer is.
@@ -46,6 +57,9 @@
 
   /** Asks once for each combination of upstreams that requests have tried. */
   next(now: Milliseconds, isServable: (entry: Entry) => boolean): Entry | undefined {
+    if (this.#waiting.size === 0) {
+      return undefined;
+    }
     const unservable = new Set<string>();
     for (const { entry } of this.#order(now)) {
       if (!unservable.has(entry.tried) && isServable(entry)) {
@@ -59,12 +73,16 @@
   }
 
   expire(now: Milliseconds): readonly DroppedEntry<Entry>[] {
-    const slotInterval = this.#slots.readInterval(now);
+    if (this.#waiting.size === 0) {
+      return [];
+    }
+    const readings = this.#read(now);
+    const { slotInterval } = readings;
     const dropped: DroppedEntry<Entry>[] = [];
     let position = 0;
     for (const ranked of this.#order(now)) {
       const { entry } = ranked;
-      const expectedWait = this.#estimateWait(ranked, position, now);
+      const expectedWait = this.#estimateWait(ranked, position, readings);
       const reason = findDropReason(entry, expectedWait, now);
       if (reason === undefined) {
         position += 1;
@@ -100,18 +118,28 @@
   }
 
   #order(now: Milliseconds): readonly RankedEntry<Entry>[] {
+    const isStarved = memoize((name) => this.#shares.isStarved(name, now));
     return orderByRank([...this.#waiting.values()], {
-      findTier: (entry) => this.#findTier(entry, now),
+      findTier: (entry) => {
+        if (listClasses(entry).some(isStarved)) {
+          return 'starved';
+        }
+        return now <= this.#findLatestStart(entry) ? 'inTime' : 'late';
+      },
       tagOf: (account) => this.#usage.read(account, now),
       costOf: (entry) => this.#costOf(entry, now),
     });
   }
 
-  #findTier(entry: Entry, now: Milliseconds): Tier {
-    if (listClasses(entry).some((name) => this.#shares.isStarved(name, now))) {
-      return 'starved';
-    }
-    return now <= this.#findLatestStart(entry) ? 'inTime' : 'late';
+  #read(now: Milliseconds): Readings {
+    const arrivals = this.#arrivals.list(now);
+    return {
+      now,
+      slotInterval: this.#slots.readInterval(now),
+      arrivals,
+      arrivalRate: arrivals.reduce((sum, { rate }) => sum + rate, 0),
+      usageOf: memoize((account) => this.#usage.read(account, now)),
+    };
   }
 
   /** Latest time at which the request can be sent and meet its objective. */
@@ -131,22 +159,22 @@
   #estimateWait(
     { entry, tier }: RankedEntry<Entry>,
     position: number,
-    now: Milliseconds,
+    { now, slotInterval, arrivals, arrivalRate, usageOf }: Readings,
   ): Milliseconds {
-    const freed = 1 / this.#slots.readInterval(now);
-    const whole = (position + 1) / freed;
+    const freed = 1 / slotInterval;
     if (tier === 'starved') {
-      return whole;
+      return (position + 1) / freed;
     }
-    const usage = this.#usage.read(entry.account, now);
-    const before = this.#arrivals.read(({ priority, account }) => {
-      const isPreferred = account !== entry.account && this.#usage.read(account, now) < usage;
-      return priority < entry.priority || (priority === entry.priority && isPreferred);
-    }, now);
+    const usage = usageOf(entry.account);
+    const before = arrivals.reduce((sum, { priority, account, rate }) => {
+      const isPreferred = account !== entry.account && usageOf(account) < usage;
+      const isBefore = priority < entry.priority || (priority === entry.priority && isPreferred);
+      return isBefore ? sum + rate : sum;
+    }, 0);
     const wait = estimateWaitBehind(position, freed - before);
     return now + wait <= this.#findLatestStart(entry)
       ? wait
-      : estimateWaitBehind(position, freed - this.#arrivals.read(() => true, now));
+      : estimateWaitBehind(position, freed - arrivalRate);
   }
 }
 
