Gateways log where the fairness among accounts comes from; slots are not scarce while nothing waits

Cause: after the last waiting request was withdrawn, the time until the next one counted as time without slots, and the first requests of the next shortage were refused although slots were not known to be scarce. A grant stayed valid while it was used, so an attempt that failed at once would have been sent to the same upstream again. A request whose attempt was withdrawn before it was sent was counted twice among the work of its account.

Change: an empty queue ends the measurement at the next look, at most 50 ms later. A grant is valid once. The work of a request is counted when it is first offered. The log line "source of the fairness among accounts changed" says whether shares of control are in use.

--- a/__tests__/dispatch/urgency-queue.test.ts
+++ b/__tests__/dispatch/urgency-queue.test.ts
@@ -169,6 +169,20 @@
     expect(queue.expire(500)).toMatchObject([{ reason: 'waitedTooLong', entry: { id: 'old' } }]);
   });
 
+  /** Guards against refusals while there are slots: after the last waiting request had left, the time without any counted as time without slots. */
+  it('does not take slots for scarce while nothing waits', () => {
+    const queue = createQueue();
+    offerAll(queue, [createEntry('left')]);
+    queue.next(0, () => false);
+    queue.withdraw('left');
+    queue.next(50, () => false);
+    queue.expire(50);
+    const later = { arrivedAt: 5000 };
+    offerAll(queue, [createEntry('one', later), createEntry('two', later)]);
+    queue.next(5000, () => false);
+    expect(queue.expire(5000)).toEqual([]);
+  });
+
   /** Guards against requests that left and still take a slot or a position. */
   it('forgets withdrawn requests', () => {
     const queue = createQueue();
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -267,7 +267,8 @@
     this.#sidecars[index] = this.group.start('platform/sidecar', ['--settings', file], { label });
   }
 
-  async startGateway(): Promise<void> {
+  /** `contracts`: what the deployment has to cope with, as in the gateway's settings. */
+  async startGateway(contracts: readonly string[] = []): Promise<void> {
     const name = `gateway-${this.#gateways.length + 1}`;
     const listen = `127.0.0.1:${await reservePort()}`;
     const settings = {
@@ -277,6 +278,7 @@
       readiness: `127.0.0.1:${await reservePort()}`,
       seeds: this.#seeds,
       bounds: { graceMilliseconds: this.#graceMilliseconds },
+      contracts,
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
--- a/src/dispatch/account-work.ts
+++ b/src/dispatch/account-work.ts
@@ -38,9 +38,15 @@
    * all gateways. 1 for each account while control is not heard, and for an account of which control knows no work.
    */
   readShare(account: string, now: Milliseconds): number {
-    if (now - this.#learnedAt > shareLifetime) {
-      return 1;
-    }
+    return this.hasShares(now) ? this.#findShare(account) : 1;
+  }
+
+  /** Whether control has answered recently. */
+  hasShares(now: Milliseconds): boolean {
+    return now - this.#learnedAt <= shareLifetime;
+  }
+
+  #findShare(account: string): number {
     return Math.max(smallestShare, this.#shares.get(account) ?? 1);
   }
 }
--- a/src/dispatch/urgency-queue.ts
+++ b/src/dispatch/urgency-queue.ts
@@ -58,6 +58,7 @@
   /** Asks once for each combination of upstreams that requests have tried. */
   next(now: Milliseconds, isServable: (entry: Entry) => boolean): Entry | undefined {
     if (this.#waiting.size === 0) {
+      this.#noteLength(now);
       return undefined;
     }
     const unservable = new Set<string>();
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -88,6 +88,8 @@
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
+  /** Whether control has told this gateway its share of the accounts' work. */
+  #hasAccountShares = false;
   #isStopping = false;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
@@ -198,8 +200,19 @@
 
   /** Returns the work by account since the previous call; empty if waiting requests are served newest first. */
   takeAccountWork(): ReadonlyMap<string, number> {
-    const work = this.#waiting?.accountWork.takeReport() ?? new Map<string, number>();
-    this.#options.metrics.noteAccountWork(work);
+    const { clock, logger, metrics } = this.#options;
+    if (this.#waiting === undefined) {
+      return new Map();
+    }
+    const { accountWork } = this.#waiting;
+    const hasShares = accountWork.hasShares(clock.monotonic());
+    if (hasShares !== this.#hasAccountShares) {
+      this.#hasAccountShares = hasShares;
+      const source = hasShares ? 'control' : 'this gateway';
+      logger.info({ source }, 'source of the fairness among accounts changed');
+    }
+    const work = accountWork.takeReport();
+    metrics.noteAccountWork(work);
     return work;
   }
 
--- a/src/gateway/direct/queue-place.ts
+++ b/src/gateway/direct/queue-place.ts
@@ -25,6 +25,8 @@
   #entry: WaitingRequest | undefined;
   #granted: Target | undefined;
   #isDispatchDue = false;
+  /** Whether the request has not been counted among the work of its account. */
+  #isFirst = true;
 
   constructor(options: QueuePlaceOptions) {
     this.#options = options;
@@ -38,11 +40,14 @@
   /** Returns a target if the request is next; otherwise it waits for its turn, or for upstreams. */
   choose(tried: ReadonlySet<string>, refuseAt: Milliseconds, now: Milliseconds): TargetChoice {
     const { waiting, choose } = this.#options;
-    if (this.#granted !== undefined) {
-      return { type: 'target', target: this.#granted };
+    const granted = this.#granted;
+    if (granted !== undefined) {
+      // Valid once: if the attempt fails right away, the request asks again.
+      this.#granted = undefined;
+      return { type: 'target', target: granted };
     }
     const choice = choose(tried, now);
-    if (choice.type === 'none' || choice.type === 'paused') {
+    if (choice.type !== 'target' && choice.type !== 'full') {
       this.leave();
       return choice;
     }
@@ -90,6 +95,8 @@
     const { choose, request, onChanged, onRefused } = this.#options;
     const { route, service, account, model, tokens, startedAt, deadline } = request;
     const triedNow = new Set(tried);
+    const isFirst = this.#isFirst;
+    this.#isFirst = false;
     return {
       id: this.#id,
       queue: `${service.name} ${model ?? ''}`,
@@ -102,6 +109,7 @@
       objectiveAt: route.objective === undefined ? undefined : startedAt + route.objective,
       refuseAt,
       deadline,
+      isFirst,
       tried: [...tried].sort().join(' '),
       choose: (now) => choose(triedNow, now),
       onGranted: (target) => {
--- a/src/gateway/direct/waiting-requests.ts
+++ b/src/gateway/direct/waiting-requests.ts
@@ -34,6 +34,8 @@
   /** Requests with equal values are expected to start in about the same time. */
   readonly kind: string;
   readonly deadline: Milliseconds;
+  /** False if the request is queued again after an attempt that did not run. */
+  readonly isFirst: boolean;
   readonly choose: (now: Milliseconds) => TargetChoice;
   /** Called with the upstream that has a slot for it; it is no longer queued. */
   readonly onGranted: (target: Target) => void;
@@ -152,9 +154,9 @@
     this.#startTimes.note(kind, time);
   }
 
-  /** Counts a request once, also if it is queued again after an upstream has rejected it. */
-  #noteWork({ account, work, tried }: WaitingRequest): void {
-    if (tried === '') {
+  /** Counts each request once. */
+  #noteWork({ account, work, isFirst }: WaitingRequest): void {
+    if (isFirst) {
       this.accountWork.note(account, work);
     }
   }
