--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -93,6 +93,7 @@
 }
 
 async function openGateway(order: 'newest' | 'urgency'): Promise<void> {
+  registry = new Registry();
   const settings = routingGatewaySettingsSchema.parse({
     name: 'gateway-1',
     failureDomain: 'a',
@@ -125,7 +126,6 @@
   await Promise.all([first.open(), second.open()]);
   first.received.length = 0;
   second.received.length = 0;
-  registry = new Registry();
   logLines.length = 0;
   view = {
     ...emptyRoutingView,
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -286,7 +286,8 @@
     this.#sidecars[index] = this.group.start('platform/sidecar', ['--settings', file], { label });
   }
 
-  async startGateway(): Promise<void> {
+  /** `contracts`: what the deployment has to cope with, as in the gateway's settings. */
+  async startGateway(contracts: readonly string[] = []): Promise<void> {
     const name = `gateway-${this.#gateways.length + 1}`;
     const listen = `127.0.0.1:${await reservePort()}`;
     const settings = {
@@ -297,6 +298,7 @@
       seeds: this.#seeds,
       bounds: { graceMilliseconds: this.#graceMilliseconds },
       ...this.#describeEvacuation({}),
+      contracts,
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
