--- a/__tests__/state/evacuations.test.ts
+++ b/__tests__/state/evacuations.test.ts
@@ -165,13 +165,22 @@
     expect(control.order('end', 60_000, 1)).toMatchObject(refused('evacuationOutdated'));
   });
 
-  // Guards against a control host that refuses the snapshot that its previous version wrote.
+  // Guards against a control host that refuses the snapshot that its previous version wrote, which has no field of evacuations.
   it('may be absent, as in those of earlier versions', () => {
-    const snapshot = JSON.parse(encodeSnapshot(initialControlState)) as {
-      routing: Record<string, unknown>;
-    };
-    delete snapshot.routing.evacuations;
-    delete snapshot.routing.evacuationHistory;
-    expect(decodeSnapshot(JSON.stringify(snapshot)).routing).toEqual(initialControlState.routing);
+    const text = encodeSnapshot(initialControlState);
+    expect(text).not.toContain('evacuation');
+    expect(decodeSnapshot(text).routing).toEqual(initialControlState.routing);
+  });
+
+  // Guards against an upgrade in which control hosts of the previous version refuse the snapshots of the new one, and against a delayed
+  // start that is carried out because the number of orders was left out once no evacuation was in force.
+  it('are left out only if there has never been an evacuation', () => {
+    const control = new Control();
+    control.order('end', 0);
+    expect(encodeSnapshot(control.state)).not.toContain('evacuation');
+    control.order('start', 100);
+    control.order('end', 200);
+    control.state = decodeSnapshot(encodeSnapshot(control.state));
+    expect(control.order('start', 60_000, 0)).toMatchObject(refused('evacuationOutdated'));
   });
 });
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -82,15 +82,23 @@
 /** A snapshot holds the document packed. */
 type EncodedRoutingState = z.input<typeof routingStateSchema>;
 
-export function encodeRoutingState(state: RoutingState): EncodedRoutingState {
+/** A control host of an earlier version can read the snapshot as long as there has been no evacuation. */
+export function encodeRoutingState({
+  evacuations,
+  evacuationHistory,
+  ...state
+}: RoutingState): EncodedRoutingState {
+  const isUsed = evacuationHistory.size > 0;
   return {
     ...state,
     document: state.document === undefined ? null : packDocument(state.document),
     instances: [...state.instances.values()],
     engineGroups: [...state.engineGroups.values()],
     suspects: [...state.suspects.values()],
-    evacuations: [...state.evacuations.values()],
-    evacuationHistory: [...state.evacuationHistory.values()],
+    ...(isUsed && {
+      evacuations: [...evacuations.values()],
+      evacuationHistory: [...evacuationHistory.values()],
+    }),
   };
 }
 
