--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -40,17 +40,21 @@
   readonly #settingsFiles = new Map<string, string>();
   readonly #gateways: RunningGateway[] = [];
   readonly #graceMilliseconds: number;
+  /** Settings of the gateways in addition to the usual ones. */
+  readonly #gatewaySettings: object;
 
   private constructor(
     group: ProgramGroup,
     ports: Ports,
     engines: readonly TestEngine[],
     graceMilliseconds: number,
+    gatewaySettings: object,
   ) {
     this.group = group;
     this.#ports = ports;
     this.engines = engines;
     this.#graceMilliseconds = graceMilliseconds;
+    this.#gatewaySettings = gatewaySettings;
   }
 
   /** `graceMilliseconds`: how long a stopping gateway finishes requests. */
@@ -58,6 +62,7 @@
     engineCount: number,
     gatewayCount = 1,
     graceMilliseconds = 1000,
+    gatewaySettings: object = {},
   ): Promise<PlatformDeployment> {
     const group = await ProgramGroup.create();
     const ports = { internal: await reservePort(), operators: await reservePort() };
@@ -66,7 +71,13 @@
         return new TestEngine(`i-${index}`, '127.0.0.1', await reservePort());
       }),
     );
-    const deployment = new PlatformDeployment(group, ports, engines, graceMilliseconds);
+    const deployment = new PlatformDeployment(
+      group,
+      ports,
+      engines,
+      graceMilliseconds,
+      gatewaySettings,
+    );
     await Promise.all(engines.map((engine) => engine.open()));
     await deployment.#startControl();
     await deployment.#startSidecars();
@@ -140,7 +151,8 @@
     }
   }
 
-  manifest(version: number): string {
+  /** `serviceFields`: fields of the service in addition to the usual ones. */
+  manifest(version: number, serviceFields: object = {}): string {
     const model = { name: 'small', size: 2, share: 1, pace: 1, load_s: 1, warm_s: 0.1 };
     return JSON.stringify({
       version,
@@ -160,6 +172,7 @@
         {
           name: 'engines',
           max_conns: 100,
+          ...serviceFields,
           runtime: {
             capacity: 8,
             models: [model],
@@ -277,6 +290,7 @@
       readiness: `127.0.0.1:${await reservePort()}`,
       seeds: this.#seeds,
       bounds: { graceMilliseconds: this.#graceMilliseconds },
+      ...this.#gatewaySettings,
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
