--- a/__tests__/direct/cold-upstreams.test.ts
+++ b/__tests__/direct/cold-upstreams.test.ts
@@ -113,6 +113,42 @@
   });
 });
 
+describe('what the leader hears', () => {
+  /** Reports to the leader and applies its answer. */
+  function exchange(allocator: PermitAllocator, permits: RequestPermits, now: number): void {
+    const { cold, ...report } = permits.takeReport(now);
+    const request = cold === undefined ? undefined : { report: cold, term: 1 };
+    const answer = allocator.allocate({ gateway: 'gateway-1', ...report, cold: request }, now);
+    permits.applyGrant(answer, now, now);
+  }
+
+  // Guards against heartbeats that do not reach gateways: a warm start stays limited, and a cold one is not.
+  it('in heartbeats reaches the gateways', () => {
+    const allocator = new PermitAllocator();
+    const permits = createPermits();
+    allocator.noteCold(upstream, 0, 300);
+    exchange(allocator, permits, 500);
+    expect(permits.isCold(upstream, 500)).toBe(false);
+    allocator.noteCold(upstream, 2000, 900);
+    exchange(allocator, permits, 1000);
+    expect(permits.isCold(upstream, 1000)).toBe(true);
+  });
+
+  // Guards against a gateway that has restarted after the end of an evacuation and takes an old heartbeat for the latest word.
+  it('of a returned domain counts until a later heartbeat says otherwise, also after the leader has changed', () => {
+    const allocator = new PermitAllocator();
+    allocator.noteReturned(upstream, 3000, 10_000);
+    allocator.clear();
+    allocator.noteCold(upstream, 0, 10_300);
+    const permits = createPermits(6000);
+    exchange(allocator, permits, 10_400);
+    expect(permits.isCold(upstream, 10_400)).toBe(true);
+    allocator.noteCold(upstream, 0, 11_600);
+    exchange(allocator, permits, 11_700);
+    expect(permits.isCold(upstream, 11_700)).toBe(false);
+  });
+});
+
 describe('a failure domain that is back in service', () => {
   const instance = { id: 'i-1', startedAt: 1, service: 'desk', address: '10.0.0.1:80' };
   const view = {
