--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -92,8 +92,12 @@
   };
 }
 
+/** Attempts that the gateway has assigned to an upstream, whether or not they have a connection. */
+let assignedCount = 0;
+
 async function openGateway(order: 'newest' | 'urgency'): Promise<void> {
   registry = new Registry();
+  assignedCount = 0;
   const settings = routingGatewaySettingsSchema.parse({
     name: 'gateway-1',
     failureDomain: 'a',
@@ -107,7 +111,13 @@
   });
   gateway = new DirectGateway({
     settings,
-    dialect: platformDialect,
+    dialect: {
+      ...platformDialect,
+      writeUpstreamHeaders: (...written) => {
+        assignedCount += 1;
+        return platformDialect.writeUpstreamHeaders(...written);
+      },
+    },
     readView: () => view,
     subscribe: (listener) => {
       listeners.add(listener);
@@ -428,6 +438,7 @@
     };
     const calls = Array.from({ length: 8 }, () => call('POST', '/book/7').answer);
     await waitFor('requests on all connections', () => held.length === connections);
+    await waitFor('all requests assigned', () => assignedCount === calls.length);
     evacuate('a');
     changeView({
       instances: new Map([
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -41,6 +41,8 @@
   readonly #gateways: RunningGateway[] = [];
   readonly #graceMilliseconds: number;
   readonly #evacuationLimit: number | undefined;
+  /** Settings of the gateways in addition to the usual ones. */
+  readonly #gatewaySettings: object;
 
   private constructor(
     group: ProgramGroup,
@@ -48,12 +50,14 @@
     engines: readonly TestEngine[],
     graceMilliseconds: number,
     evacuationLimit: number | undefined,
+    gatewaySettings: object,
   ) {
     this.group = group;
     this.#ports = ports;
     this.engines = engines;
     this.#graceMilliseconds = graceMilliseconds;
     this.#evacuationLimit = evacuationLimit;
+    this.#gatewaySettings = gatewaySettings;
   }
 
   /**
@@ -65,6 +69,7 @@
     gatewayCount = 1,
     graceMilliseconds = 1000,
     evacuationLimit?: number,
+    gatewaySettings: object = {},
   ): Promise<PlatformDeployment> {
     const group = await ProgramGroup.create();
     const ports = { internal: await reservePort(), operators: await reservePort() };
@@ -79,6 +84,7 @@
       engines,
       graceMilliseconds,
       evacuationLimit,
+      gatewaySettings,
     );
     await Promise.all(engines.map((engine) => engine.open()));
     await deployment.#startControl();
@@ -153,7 +159,8 @@
     }
   }
 
-  manifest(version: number): string {
+  /** `serviceFields`: fields of the service in addition to the usual ones. */
+  manifest(version: number, serviceFields: object = {}): string {
     const model = { name: 'small', size: 2, share: 1, pace: 1, load_s: 1, warm_s: 0.1 };
     return JSON.stringify({
       version,
@@ -173,6 +180,7 @@
         {
           name: 'engines',
           max_conns: 100,
+          ...serviceFields,
           runtime: {
             capacity: 8,
             models: [model],
@@ -299,6 +307,7 @@
       bounds: { graceMilliseconds: this.#graceMilliseconds },
       ...this.#describeEvacuation({}),
       contracts,
+      ...this.#gatewaySettings,
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
--- a/__tests__/settings/templates.test.ts
+++ b/__tests__/settings/templates.test.ts
@@ -3,11 +3,11 @@
 import { describe, expect, it } from 'vitest';
 import { z } from 'zod';
 
+import { platformGatewaySettingsSchema } from '../../platform/gateway-settings.js';
 import {
   controlSettingsSchema,
   listenAddressSchema,
   parseSettings,
-  routingGatewaySettingsSchema,
 } from '../../src/settings/index.js';
 
 /** Renders deploy/settings by the rules that docs/design/uneven-load.md describes, as far as the templates use them. */
@@ -80,7 +80,7 @@
 
 function renderGateway(present: Values) {
   const text = render(readFileSync('deploy/settings/gateway.jsonc', 'utf8'), present);
-  return parseSettings(routingGatewaySettingsSchema, 'gateway.jsonc', text).unwrap();
+  return parseSettings(platformGatewaySettingsSchema, 'gateway.jsonc', text).unwrap();
 }
 
 describe('templates of settings', () => {
