--- a/__tests__/engines/engine-simulation.ts
+++ b/__tests__/engines/engine-simulation.ts
@@ -9,6 +9,7 @@
   ExchangeHistory,
   planEngineGroups,
   type EngineDecision,
+  type EngineExchange,
   type ModelOutcome,
 } from '../../src/engines/index.js';
 import {
@@ -125,7 +126,7 @@
   demand: ReadonlyMap<string, number>;
   /** Outcomes within the last seconds; undefined if planning does not weigh models by them. */
   outcomes: ReadonlyMap<string, ModelOutcome> | undefined;
-  exchangeCount = 0;
+  readonly exchangeLog: (EngineExchange & { readonly at: Milliseconds })[] = [];
   #staging: ReadonlyMap<string, string> = new Map();
 
   constructor(options: SimulationOptions) {
@@ -475,7 +476,7 @@
     const staging = new Map(decision.stage.map(({ host, model }) => [host, model]));
     this.#recordLoads(staging);
     this.#exchanges.record(planned.exchanges ?? [], this.now);
-    this.exchangeCount += planned.exchanges?.length ?? 0;
+    this.exchangeLog.push(...(planned.exchanges ?? []).map((each) => ({ ...each, at: this.now })));
     for (const { name, controller } of this.hosts) {
       controller.handle({ type: 'stagingWanted', model: staging.get(name) });
     }
--- a/bench/engines/loss-day.ts
+++ b/bench/engines/loss-day.ts
@@ -92,7 +92,7 @@
   return {
     served,
     idle: idle / samples,
-    exchanges: world.exchangeCount,
+    exchanges: world.exchangeLog.length,
     violations: world.violations.length,
   };
 }
--- a/src/control/routing/engine-loop.ts
+++ b/src/control/routing/engine-loop.ts
@@ -205,11 +205,9 @@
     const { readState, clock } = this.#options;
     const now = clock.monotonic();
     const before = this.#evacuationsKnownSince;
+    const domains = [...readState().routing.evacuations.keys()];
     this.#evacuationsKnownSince = new Map(
-      [...readState().routing.evacuations.keys()].map((domain) => [
-        domain,
-        before.get(domain) ?? now,
-      ]),
+      domains.map((domain) => [domain, before.get(domain) ?? now]),
     );
   }
 
