--- a/__tests__/control/large-documents.test.ts
+++ b/__tests__/control/large-documents.test.ts
@@ -65,6 +65,7 @@
       readState: () => this.machine.read(),
       failureDomains: undefined,
       instanceSilence: 1000,
+      weighsLosses: false,
       registry: new Registry(),
     });
   }
--- a/src/control/routing/index.ts
+++ b/src/control/routing/index.ts
@@ -11,6 +11,7 @@
 } from './instance-tracker.js';
 export { EvacuationControl, type EvacuationControlOptions } from './evacuation-control.js';
 export { InstanceRecorder } from './instance-recorder.js';
+export { ModelOutcomes } from './model-outcomes.js';
 export { LoadBudget } from './load-budget.js';
 export { PermitAllocator, type PermitAnswer, type PermitRequest } from './permit-allocator.js';
 export { PlanPacing } from './plan-pacing.js';
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -53,6 +53,7 @@
 import { InstanceTracker, type AnnouncementVerdict } from './instance-tracker.js';
 import { InstanceRecorder } from './instance-recorder.js';
 import { LeaderClient } from './leader-client.js';
+import { ModelOutcomes } from './model-outcomes.js';
 import { PermitAllocator, type ColdRequest } from './permit-allocator.js';
 import { RoutingHub, type ControlStatus } from './routing-hub.js';
 
@@ -82,6 +83,8 @@
   readonly instanceSilence: Milliseconds;
   /** All failure domains of the deployment; undefined where operators order no evacuations. */
   readonly failureDomains: readonly string[] | undefined;
+  /** Whether engines go to the models whose callers lose most. */
+  readonly weighsLosses: boolean;
   /** Registry for the metrics page. */
   readonly registry: Registry;
 }
@@ -95,6 +98,7 @@
   readonly #crashes: CrashRecorder;
   readonly #evacuations: EvacuationControl;
   readonly #demand = new DemandEstimator();
+  readonly #outcomes = new ModelOutcomes();
   readonly #permits = new PermitAllocator();
   readonly #accountShares = new AccountShares();
   readonly #reports: EngineReportService;
@@ -124,6 +128,9 @@
       metrics: new EngineMetrics(options.registry),
       readEngines: () => this.#reports.describeEngines(),
       readDemand: () => this.#demand.estimate(options.clock.monotonic()),
+      readOutcomes: options.weighsLosses
+        ? () => this.#outcomes.summarize(options.clock.monotonic())
+        : undefined,
       isDemandSettled: () => this.#demand.isSettled(options.clock.monotonic()),
     });
     this.#reports = new EngineReportService({
@@ -187,6 +194,7 @@
     this.#instances.clear();
     this.#reports.clear();
     this.#demand.clear();
+    this.#outcomes.clear();
     this.#permits.clear();
     this.#accountShares.clear();
     this.#engines.resetLeaderState();
@@ -270,10 +278,11 @@
   }
 
   #handleDemandReport(report: DemandReport): MessageInitShape<typeof DemandAnswerSchema> {
-    const { gateway, requests, limits, wanted, returned, workByAccount } = report;
+    const { gateway, requests, outcomes, limits, wanted, returned, workByAccount } = report;
     const now = this.#options.clock.monotonic();
     this.#demand.recordReport(gateway, new Map(Object.entries(requests)), now);
     this.#accountShares.record(gateway, new Map(Object.entries(workByAccount)), now);
+    this.#outcomes.recordReport(new Map(Object.entries(outcomes)), now);
     const allocated = this.#permits.allocate(
       {
         gateway,
--- a/src/gateway/direct/demand-reporter.ts
+++ b/src/gateway/direct/demand-reporter.ts
@@ -10,10 +10,12 @@
   encodeUpstreamLimits,
   type RpcClientPool,
 } from '../../wire/index.js';
+import type { ModelOutcomeCounts } from './outcome-meter.js';
 
 /**
- * Reports the concurrent demand for each model, the work by account and the known upstream rate limits to the leader of control. The answer
- * contains the number of gateways, the position of this one, its share of each account's work, and its permits for rate-limited upstreams.
+ * Reports the concurrent demand for each model, how requests ended, the work by account and the known upstream rate limits to the leader of
+ * control. The answer contains the number of gateways, the position of this one, its share of each account's work, and its permits for
+ * rate-limited upstreams.
  */
 
 const reportInterval: Milliseconds = 500;
@@ -24,16 +26,20 @@
 /** Demand since the previous report. */
 interface MeasuredDemand {
   readonly requests: ReadonlyMap<string, number>;
+  readonly outcomes: ReadonlyMap<string, ModelOutcomeCounts>;
   readonly workByAccount: ReadonlyMap<string, number>;
 }
 
 /** Options of the reporter. */
 export interface DemandReporterOptions {
   readonly gateway: string;
+  readonly failureDomain: string;
   /** `ip:port` of the leader; empty while none is known. */
   readonly findLeader: () => string;
   /** Returns the concurrent demand by model and ends the measured interval. */
   readonly measure: () => ReadonlyMap<string, number>;
+  /** Returns how requests ended since the previous call, by model. */
+  readonly takeOutcomes: () => ReadonlyMap<string, ModelOutcomeCounts>;
   /** Called with the position of this gateway among those that have reported recently. */
   readonly onPosition: (position: GatewayPosition) => void;
   /** Returns the work by account since the previous call. */
@@ -79,10 +85,11 @@
   }
 
   async #report(requests: ReadonlyMap<string, number>): Promise<void> {
-    const { findLeader, takeAccountWork, takePermitReport, logger } = this.#options;
+    const { findLeader, takeAccountWork, takeOutcomes, takePermitReport, logger } = this.#options;
     const { onPosition, onPermits, onAccountShares } = this.#options;
     const leader = findLeader();
-    const demand = { requests, workByAccount: takeAccountWork() };
+    // Outcomes that do not reach the leader are not sent again: only those of the last seconds matter to it.
+    const demand = { requests, outcomes: takeOutcomes(), workByAccount: takeAccountWork() };
     if (leader === '') {
       return;
     }
@@ -100,14 +107,16 @@
 
   #send(
     leader: string,
-    { requests, workByAccount }: MeasuredDemand,
+    { requests, outcomes, workByAccount }: MeasuredDemand,
     { limits, wanted, returned, cold }: PermitReport,
   ): Promise<DemandAnswer> {
-    const { gateway, clients } = this.#options;
+    const { gateway, failureDomain, clients } = this.#options;
     return clients.client(RoutingService, leader).reportDemand(
       {
         gateway,
+        failureDomain,
         requests: Object.fromEntries(requests),
+        outcomes: Object.fromEntries(outcomes),
         workByAccount: Object.fromEntries(workByAccount),
         limits: encodeUpstreamLimits(limits),
         wanted: Object.fromEntries(wanted),
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -43,6 +43,7 @@
 import { EvacuationWatch } from './evacuation-watch.js';
 import { DocumentGuard } from './document-guard.js';
 import { MemoryGuard, type HeldCaller } from './memory-guard.js';
+import { OutcomeMeter } from './outcome-meter.js';
 import { isInTime, type RequestTimes } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
@@ -92,6 +93,7 @@
   /** Undefined if waiting requests are served newest first. */
   readonly #waiting: WaitingRequests | undefined;
   readonly #demand: DemandMeter;
+  readonly #outcomes = new OutcomeMeter();
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
@@ -202,6 +204,11 @@
     return this.#demand.measure(this.#options.clock.monotonic());
   }
 
+  /** Returns how requests ended since the previous call, by model. */
+  takeOutcomes(): ReturnType<OutcomeMeter['take']> {
+    return this.#outcomes.take();
+  }
+
   /**
    * Sets the number of gateways that share the limits and the upstreams, and the position of this one among them. With the number from the
    * settings alone, a deployment with more gateways would exceed the limits, and one with fewer would leave a part of them unused.
@@ -444,6 +451,7 @@
       this.#dependencies,
       (outcome) => {
         this.#noteServed(facts.model, outcome);
+        this.#outcomes.noteEnded(facts.model, outcome, route, account?.priority ?? route.priority);
         this.#conclude(delivery, facts.requestId, admission, outcome);
       },
     );
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -68,6 +68,14 @@
   .readonly()
   .optional();
 
+const planning = z
+  .strictObject({
+    /** Whether engines that are too few go to the models whose callers lose most, not to those with the lowest share of capacity. */
+    weighLosses: z.boolean().default(false),
+  })
+  .readonly()
+  .prefault({});
+
 /** Settings of pistachiospoke-control. */
 export const controlSettingsSchema = z
   .strictObject({
@@ -86,6 +94,7 @@
     toleratedLosses: z.int().min(0).max(maximumToleratedLosses).default(1),
     evacuation,
     timeouts,
+    planning,
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
