Choose upstreams by expected time where failure domains are far apart

Cause: upstreams are chosen by load alone. Where domains are 4.5 ms apart, six of ten requests leave their domain for nothing, a slow upstream gets what its load allows and answers late, and one that fails part of its requests quickly looks idle and gets more than its part.

Change, where the routing document declares a delay of 2 ms or more and the own domain is known (otherwise nothing changes): the time to the first event is learned for groups and instances, less the way there and back. The upstream with the least expected time in the own domain is taken while that is within 0.4 (groups) or 0.6 (instances) of the time that is left, otherwise the one with the least of all. A recent share of failures beyond that of the others counts as time. All heads of the own domain are preferred beside the gateway's part. The gateway's settings name its domain.

--- a/__tests__/dispatch/first-event-times.test.ts
+++ b/__tests__/dispatch/first-event-times.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandomSource } from '../../src/common/index.js';
-import { FirstEventTimes } from '../../src/dispatch/index.js';
+import { FirstEventTimes, groupResponsiveness } from '../../src/dispatch/index.js';
 
 const slots = 34;
 
@@ -25,7 +25,7 @@
 describe('the expected time to the first event', () => {
   // Guards against a bound that comes from a guess instead of what the upstream does.
   it('is unknown before three responses', () => {
-    const times = new FirstEventTimes();
+    const times = new FirstEventTimes(groupResponsiveness);
     const load = { requests: 1, slots, tokens: 100 };
     times.noteFirstEvent('a', load, 50, 0);
     times.noteFirstEvent('a', load, 50, 0);
@@ -37,7 +37,7 @@
 
   // Guards against a long prompt that is expected to begin as early as a short one, and a full group as early as an empty one.
   it('follows the load and the tokens to read', () => {
-    const times = new FirstEventTimes();
+    const times = new FirstEventTimes(groupResponsiveness);
     const now = learn(times, 0);
     for (const [requests, tokens] of [
       [1, 100],
@@ -51,7 +51,7 @@
 
   // Guards against a bound that allows more than one that meets the objective, or less.
   it('is the budget at the bound', () => {
-    const times = new FirstEventTimes();
+    const times = new FirstEventTimes(groupResponsiveness);
     const now = learn(times, 0);
     times.noteDuration(1700);
     for (const budget of [70, 90, 200]) {
@@ -63,7 +63,7 @@
 
   // Guards against an upstream that turns slow and is believed to be fast, and one that is believed to be slow long after it was.
   it('follows a start that turns slow, and forgets it', () => {
-    const times = new FirstEventTimes();
+    const times = new FirstEventTimes(groupResponsiveness);
     let now = learn(times, 0);
     const load = { requests: 10, slots, tokens: 500 };
     for (let count = 0; count < 5; count += 1) {
--- a/__tests__/dispatch/group-bounds.test.ts
+++ b/__tests__/dispatch/group-bounds.test.ts
@@ -6,7 +6,7 @@
 
 const target = createTarget('small/1');
 const slots = 24;
-const request = { kind: 'small', tokens: 500, objective: 250, waited: 0 };
+const request = { kind: 'small', tokens: 500, objective: 250, waited: 0, roundTrip: 0 };
 
 function createBounds(seed = 1) {
   const loads = new TargetLoads();
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -1,7 +1,9 @@
 /**
- * How gateways place requests on heads as both grow, at usual load and in bursts, by their real choosers in virtual time; and how an overload
- * ends that a burst and the loss of a third of the groups cause.
+ * How gateways place requests on heads as both grow, at usual load and in bursts, by their real choosers in virtual time; how an overload ends
+ * that a burst and the loss of a third of the groups cause; and how requests are divided among failure domains that are far apart.
  */
+import { simulateDomains } from '../__tests__/direct/domain-simulation.js';
+import type { DomainPolicy } from '../__tests__/direct/domain-types.js';
 import { simulateOverload } from '../__tests__/direct/overload-simulation.js';
 import { simulatePlacement } from '../__tests__/direct/placement-simulation.js';
 import { formatFigure, formatMarkdownTable } from './support/index.js';
@@ -117,3 +119,48 @@
   'needless refusals',
 ];
 console.log(formatMarkdownTable(overloadHeader, overloadRows));
+
+const domainSeeds = [1, 2, 3];
+const policies: readonly DomainPolicy[] = ['load', 'nearest', 'time'];
+const domains = { gateways: 16, delay: 4.5, objective: 300, duration: 20_000 };
+const spreadGroups = { ...domains, upstreams: 'groups', count: 9, rates: [50, 32, 18] } as const;
+const spreadInstances = {
+  ...domains,
+  upstreams: 'instances',
+  count: 4,
+  rates: [40, 25, 15],
+} as const;
+const spreads = [
+  ['groups', spreadGroups],
+  ['groups, one domain crowded', { ...spreadGroups, rates: [85, 25, 10] }],
+  ['groups, one slow, one failing', { ...spreadGroups, slowdown: 3, failures: 0.4 }],
+  ['groups, a domain lost', { ...spreadGroups, rates: [35, 35, 30], lostDomain: 0 }],
+  ['instances', spreadInstances],
+  ['instances, one slow', { ...spreadInstances, slowdown: 4 }],
+  ['instances, one slow, one failing', { ...spreadInstances, slowdown: 4, failures: 0.4 }],
+] as const;
+const domainRows = spreads.flatMap(([name, shape]) =>
+  policies.map((policy) => {
+    const results = domainSeeds.map((seed) => simulateDomains({ ...shape, seed, policy }));
+    const meanOf = (read: (result: (typeof results)[number]) => number): number =>
+      results.reduce((sum, result) => sum + read(result), 0) / results.length;
+    const figures = [
+      meanOf(({ inTime, requests }) => inTime / requests),
+      meanOf(({ late, requests }) => late / requests),
+      meanOf(({ abroad, sent }) => abroad / sent),
+      meanOf(({ sentTo, sent }) => (sentTo[0] ?? 0) / sent),
+      meanOf(({ sentTo, sent }) => (sentTo[1] ?? 0) / sent),
+    ].map((figure) => formatFigure(figure));
+    return [name, policy, ...figures];
+  }),
+);
+const domainHeader = [
+  'three domains, uneven demand',
+  'choice',
+  'in time',
+  'late',
+  'left their domain',
+  'to the first (slow)',
+  'to the second (failing)',
+];
+console.log(formatMarkdownTable(domainHeader, domainRows));
--- a/src/dispatch/first-event-times.ts
+++ b/src/dispatch/first-event-times.ts
@@ -19,10 +19,18 @@
 
 /** Time after which an observation counts half in the dependence on load and tokens. */
 const shapeHalfLife: Milliseconds = 10_000;
-/** Time after which an observation of one start counts half. Short, because a burst fills a group within a second. */
-const factorHalfLife: Milliseconds = 1000;
-/** Observations that the assumption of no deviation is worth, so that one slow response does not exclude an upstream. */
-const factorPrior = 1;
+/** How quickly the factor of a start follows its responses. */
+export interface Responsiveness {
+  /** Time after which a response counts half. */
+  readonly halfLife: Milliseconds;
+  /** Responses that the assumption of no deviation is worth, so that a slow one does not exclude an upstream. */
+  readonly prior: number;
+}
+
+/** A burst fills a group within a second, and the time to the first event of a group varies little. */
+export const groupResponsiveness: Responsiveness = { halfLife: 1000, prior: 1 };
+/** The first event of a plain service is its whole response, whose duration varies by itself. */
+export const instanceResponsiveness: Responsiveness = { halfLife: 4000, prior: 5 };
 /** Sums below this number of observations tell nothing. */
 const minimumObservations = 3;
 /** Responses over which their duration is averaged. */
@@ -46,6 +54,7 @@
 }
 
 export class FirstEventTimes {
+  readonly #responsiveness: Responsiveness;
   readonly #deviations = new LRUCache<string, Deviation>({ max: maximumStarts });
   readonly #products = [
     [0, 0, 0],
@@ -59,6 +68,10 @@
   /** Mean time that a request occupies an upstream; undefined before the first one has ended. */
   #duration: Milliseconds | undefined;
 
+  constructor(responsiveness: Responsiveness) {
+    this.#responsiveness = responsiveness;
+  }
+
   /** Records the time from sending a request to its first event. */
   noteFirstEvent(key: string, load: DispatchLoad, time: Milliseconds, now: Milliseconds): void {
     const reading = Math.max(0, time - this.#queueing(load));
@@ -111,8 +124,8 @@
       return 1;
     }
     const { observed, expected, weight, updatedAt } = deviation;
-    const left = decay(now - updatedAt, factorHalfLife);
-    const prior = (factorPrior * expected) / weight;
+    const left = decay(now - updatedAt, this.#responsiveness.halfLife);
+    const prior = (this.#responsiveness.prior * expected) / weight;
     const factor = (observed * left + prior) / (expected * left + prior);
     return Math.min(maximumFactor, Math.max(minimumFactor, factor));
   }
@@ -138,7 +151,7 @@
       weight: 0,
       updatedAt: now,
     };
-    const left = decay(now - before.updatedAt, factorHalfLife);
+    const left = decay(now - before.updatedAt, this.#responsiveness.halfLife);
     this.#deviations.set(key, {
       observed: before.observed * left + time,
       expected: before.expected * left + expected,
--- a/src/dispatch/group-bounds.ts
+++ b/src/dispatch/group-bounds.ts
@@ -1,7 +1,7 @@
 import { LRUCache } from 'lru-cache';
 
 import type { Milliseconds, RandomSource } from '../common/index.js';
-import type { Target } from './target.js';
+import type { Target } from './target-list.js';
 import type { KnownLoad, TargetLoads } from './target-loads.js';
 import type { TimedRequest, UpstreamTimes } from './upstream-times.js';
 
--- a/src/dispatch/target-loads.ts
+++ b/src/dispatch/target-loads.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../common/index.js';
-import type { Target } from './target.js';
+import type { Target } from './target-list.js';
 
 /** Tracks the load of each target as one gateway knows it; performs no I/O. */
 
--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -1,37 +1,22 @@
 import type { Milliseconds, RandomSource } from '../common/index.js';
 import {
   formatIdentity,
-  identityOf,
   isSameStart,
-  type EngineGroup,
-  type InstanceIdentity,
+  type DomainDelay,
   type RoutedService,
 } from '../routing/index.js';
 import type { RoutingView } from '../watch/index.js';
+import { chooseByTime } from './choice-by-time.js';
+import { DomainDelays } from './domain-delays.js';
 import { choosePreferredTargets, countSharers, type GatewayPosition } from './head-subset.js';
 import { GroupBounds } from './group-bounds.js';
+import { listTargets, type Target } from './target-list.js';
 import type { TargetLoads } from './target-loads.js';
 import { UpstreamTimes, type Dispatch, type TimedRequest } from './upstream-times.js';
 import type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
 
-/** An upstream to which a request can be sent. */
-export interface Target {
-  /** Name of the group, or identity of one start of an instance of a plain service. */
-  readonly key: string;
-  readonly service: string;
-  /** Whether it is a group of engines; if not, it is an instance of a plain service. */
-  readonly isGroup: boolean;
-  readonly instance: InstanceIdentity;
-  /** `ip:port`. */
-  readonly address: string;
-  /** Undefined if unknown. */
-  readonly failureDomain: string | undefined;
-  /** Requests that it processes concurrently; undefined if unknown. */
-  readonly slots: number | undefined;
-}
-
 /** Properties of a request on which its time at an upstream depends. */
 export interface RequestWork {
   readonly service: RoutedService;
@@ -70,6 +55,9 @@
 /** Instances of plain services complete a request in a few hundredths of a second, so one may queue behind each running one. */
 const requestsPerInstanceSlot = 2;
 
+/** Multiple of its expected duration that a response of a plain service may take without telling anything of its instance. */
+const usualWait = 3;
+
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
@@ -80,13 +68,17 @@
   readonly random: RandomSource;
   /** Whether groups get only as much as still meets the objective of the request. */
   readonly limitsByObjective?: boolean;
+  /** Failure domain of this gateway; undefined if unknown. */
+  readonly ownDomain?: string;
 }
 
 export class TargetChooser {
   readonly #options: TargetChooserOptions;
-
   readonly #times: UpstreamTimes;
   readonly #bounds: GroupBounds;
+  /** Delays of the document that was last in force. */
+  #delays = new DomainDelays(undefined);
+  #delaysOf: readonly DomainDelay[] | undefined;
 
   constructor(options: TargetChooserOptions) {
     this.#options = options;
@@ -125,18 +117,59 @@
     const sharers = countSharers(targets.length, this.#options.readPosition?.());
     const withRoom = candidates.filter((target) => this.#hasRoom(target, criteria, sharers, now));
     const eligible = withRoom.length === 0 && isUrgent ? candidates : withRoom;
-    const best = this.#findLeastLoaded(eligible, now);
+    const best = this.#readDelays().isSpread
+      ? this.#findFastest(eligible, criteria, now)
+      : this.#findLeastLoaded(eligible, now);
     return best === undefined ? { type: 'full' } : { type: 'target', target: best };
   }
 
+  /** Records that the request was sent to the target, after `TargetLoads.noteSent`. Undefined if nothing is to be learned from it. */
+  noteSent(target: Target, request: RequestWork, now: Milliseconds): Dispatch | undefined {
+    const delays = this.#readDelays();
+    if (!this.#isBounded(target) && !delays.isSpread) {
+      return undefined;
+    }
+    const roundTrip = delays.isSpread ? delays.findRoundTrip(target.failureDomain) : 0;
+    return this.#times.noteSent(target, { ...describeWork(request), roundTrip }, now);
+  }
+
+  #readDelays(): DomainDelays {
+    const declared = this.#options.readView().table?.document.domainDelays;
+    if (declared !== this.#delaysOf) {
+      this.#delaysOf = declared;
+      this.#delays = new DomainDelays(this.#options.ownDomain, declared);
+    }
+    return this.#delays;
+  }
+
+  #findFastest(
+    targets: readonly Target[],
+    criteria: TargetCriteria,
+    now: Milliseconds,
+  ): Target | undefined {
+    const { loads, random } = this.#options;
+    const { objective, startedAt = now } = criteria;
+    const candidates = targets.map((target) => ({
+      target,
+      expected: this.#expectTime(target, criteria, now),
+      failureShare: this.#times.findFailureShare(target, now),
+      isInOwnDomain: this.#delays.isOwn(target.failureDomain),
+      utilization: loads.utilization(target, now),
+      draw: random.fraction(),
+    }));
+    return chooseByTime(candidates, { objective, waited: now - startedAt });
+  }
+
   /**
-   * Records that the request was sent to the target, after `TargetLoads.noteSent`. Undefined if nothing is to be learned from it: groups are
-   * then bounded by their slots alone.
+   * A request that has waited at a group for longer than expected tells that the next one will wait as long. Responses of plain services vary,
+   * and run beside one another.
    */
-  noteSent(target: Target, request: RequestWork, now: Milliseconds): Dispatch | undefined {
-    return this.#isBounded(target)
-      ? this.#times.noteSent(target, describeWork(request), now)
-      : undefined;
+  #expectTime(target: Target, criteria: TargetCriteria, now: Milliseconds): Milliseconds {
+    const expected = this.#times.expect(target, describeWork(criteria), now) ?? 0;
+    const roundTrip = this.#delays.findRoundTrip(target.failureDomain);
+    const usual = target.isGroup ? 0 : usualWait * expected;
+    const wait = this.#times.findLongestWait(target, now) - roundTrip - usual;
+    return Math.max(expected, wait) + roundTrip;
   }
 
   #isBounded({ isGroup }: Target): boolean {
@@ -199,9 +232,16 @@
   /** All instances of a plain service are preferred: they are few, and complete requests too quickly to be overloaded by other gateways. */
   #findPreferred({ engine }: RoutedService, targets: readonly Target[]): ReadonlySet<string> {
     const keys = targets.map(({ key }) => key);
-    return engine === undefined
-      ? new Set(keys)
-      : choosePreferredTargets(keys, this.#options.readPosition?.());
+    if (engine === undefined) {
+      return new Set(keys);
+    }
+    const preferred = choosePreferredTargets(keys, this.#options.readPosition?.());
+    const delays = this.#readDelays();
+    if (!delays.isSpread) {
+      return preferred;
+    }
+    const own = targets.filter(({ failureDomain }) => delays.isOwn(failureDomain));
+    return new Set([...preferred, ...own.map(({ key }) => key)]);
   }
 
   /** Whether the target still serves what it was chosen for; a draining one completes its requests. */
@@ -222,42 +262,10 @@
   }
 
   listTargets(service: RoutedService, model: string | undefined): readonly Target[] {
-    const { engineGroups, instances } = this.#options.readView();
-    if (service.engine !== undefined) {
-      const { slots } = service.engine;
-      return [...engineGroups.values()]
-        .filter((group) => group.service === service.name && group.model === model)
-        .filter(({ phase }) => phase === 'open')
-        .flatMap((group) => describeGroup(group, slots, instances) ?? []);
-    }
-    return [...instances.values()]
-      .filter((instance) => instance.service === service.name && !instance.isDraining)
-      .map((instance) => ({
-        key: formatIdentity(instance),
-        service: service.name,
-        isGroup: false,
-        instance: identityOf(instance),
-        address: instance.address,
-        failureDomain: instance.failureDomain,
-        slots: undefined,
-      }));
+    return listTargets(this.#options.readView(), service, model);
   }
 }
 
 function describeWork({ service, model, tokens }: RequestWork): TimedRequest {
   return { kind: `${service.name} ${model ?? ''}`, tokens: tokens ?? 0 };
 }
-
-function describeGroup(
-  { name, service, members }: EngineGroup,
-  slots: number,
-  instances: RoutingView['instances'],
-): Target | undefined {
-  const head = members[0];
-  if (head === undefined) {
-    return undefined;
-  }
-  const { instance, address } = head;
-  const failureDomain = head.failureDomain ?? instances.get(instance.id)?.failureDomain;
-  return { key: name, service, isGroup: true, instance, address, failureDomain, slots };
-}
--- a/src/dispatch/upstream-times.ts
+++ b/src/dispatch/upstream-times.ts
@@ -1,7 +1,12 @@
 import type { Milliseconds } from '../common/index.js';
-import { FirstEventTimes } from './first-event-times.js';
-import type { Target } from './target.js';
+import {
+  FirstEventTimes,
+  groupResponsiveness,
+  instanceResponsiveness,
+} from './first-event-times.js';
+import type { Target } from './target-list.js';
 import type { TargetLoads } from './target-loads.js';
+import { UpstreamFailures } from './upstream-failures.js';
 
 /** Follows the requests of one gateway at upstreams and learns how long these take to the first event; performs no I/O. */
 
@@ -13,10 +18,17 @@
   readonly tokens: number;
 }
 
+/** Part of the time to the first event that is spent on the way there and back. */
+export interface Journey {
+  readonly roundTrip: Milliseconds;
+}
+
 /** A request at an upstream. */
 export interface Dispatch {
   /** The first bytes of the response have arrived; repeated calls have no effect. */
   readonly noteFirstEvent: (now: Milliseconds) => void;
+  /** The upstream failed the request. */
+  readonly noteFailed: (now: Milliseconds) => void;
   /** The response is complete. */
   readonly noteComplete: (now: Milliseconds) => void;
   /** The attempt is over or its response is an error, of which nothing is to be learned. Later calls have no effect. */
@@ -32,6 +44,7 @@
 export class UpstreamTimes {
   readonly #loads: TargetLoads;
   readonly #times = new Map<string, FirstEventTimes>();
+  readonly #failures = new UpstreamFailures();
   readonly #pending = new Map<string, Set<PendingRequest>>();
 
   constructor(loads: TargetLoads) {
@@ -39,9 +52,13 @@
   }
 
   /** Called after `TargetLoads.noteSent`, so that the load includes the request. */
-  noteSent(target: Target, { kind, tokens }: TimedRequest, sentAt: Milliseconds): Dispatch {
+  noteSent(
+    target: Target,
+    { kind, tokens, roundTrip }: TimedRequest & Journey,
+    sentAt: Milliseconds,
+  ): Dispatch {
     const { key } = target;
-    const times = this.#find(kind);
+    const times = this.#find(kind, target);
     const { own, others, slots } = this.#loads.read(target);
     const sent = { requests: own + others, slots, tokens: this.#countPendingTokens(key) + tokens };
     const request = { tokens, sentAt };
@@ -63,7 +80,14 @@
           // The load that the response reports includes requests of other gateways that were unknown when this one was sent.
           const known = this.#loads.read(target);
           const requests = Math.max(sent.requests, known.own + known.others);
-          times.noteFirstEvent(key, { ...sent, requests }, now - sentAt, now);
+          const time = Math.max(0, now - sentAt - roundTrip);
+          times.noteFirstEvent(key, { ...sent, requests }, time, now);
+          this.#failures.note(key, false, now);
+        }
+      },
+      noteFailed: (now) => {
+        if (!isReleased) {
+          this.#failures.note(key, true, now);
         }
       },
       noteComplete: (now) => {
@@ -91,7 +115,7 @@
       slots,
       tokens: this.#countPendingTokens(key) + tokens,
     };
-    return this.#find(kind).expect(key, load, now);
+    return this.#find(kind, target).expect(key, load, now);
   }
 
   /** Largest number of requests at the target with which this one is expected to begin within `budget`; undefined if unknown. */
@@ -104,7 +128,7 @@
     const { slots } = this.#loads.read(target);
     const { key } = target;
     const load = { slots, tokens: this.#countPendingTokens(key) + tokens };
-    return this.#find(kind).findBound(key, load, budget, now);
+    return this.#find(kind, target).findBound(key, load, budget, now);
   }
 
   /** Time since when the oldest request of this gateway at the target has waited for its first event; 0 if there is none. */
@@ -113,16 +137,21 @@
     return Math.max(0, ...waits);
   }
 
+  /** Share of the recent requests to the target that it failed. */
+  findFailureShare({ key }: Target, now: Milliseconds): number {
+    return this.#failures.findShare(key, now);
+  }
+
   #countPendingTokens(key: string): number {
     return [...(this.#pending.get(key) ?? [])].reduce((sum, { tokens }) => sum + tokens, 0);
   }
 
-  #find(kind: string): FirstEventTimes {
+  #find(kind: string, { isGroup }: Target): FirstEventTimes {
     const known = this.#times.get(kind);
     if (known !== undefined) {
       return known;
     }
-    const times = new FirstEventTimes();
+    const times = new FirstEventTimes(isGroup ? groupResponsiveness : instanceResponsiveness);
     this.#times.set(kind, times);
     return times;
   }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -295,6 +295,7 @@
       return;
     }
     if (status >= lowestFailureStatus) {
+      this.#dispatch?.noteFailed(this.#now());
       this.#dispatch?.release();
     }
     if (status >= lowestFailureStatus && this.#tryReplaceFailure(attempt, status)) {
@@ -352,6 +353,7 @@
     }
     this.#logEvent('attempt failed', { error: error.message, isSent, digest: this.#requestDigest });
     this.#dependencies.loads.suspect(target, this.#now());
+    this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
       this.#dependencies.crashWatch.noteBroken(target, this.#requestDigest);
     }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -138,6 +138,7 @@
         permits: this.#permits,
         readPosition: () => this.#position,
         random,
+        ownDomain: settings.failureDomain,
       }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRetry: (service) => this.#retryBudget.spend(service),
