--- a/src/dispatch/group-bounds.ts
+++ b/src/dispatch/group-bounds.ts
@@ -35,7 +35,7 @@
  * and a long prompt would never be sent.
  */
 const leastShareOfSlots = 0.4;
-/** The same for a request that has waited for more than `patientShare` of its objective: no caller is refused while half of all slots are free. */
+/** The same for a request that has waited for more than `patientShare` of its objective: callers should not be refused while half of all slots are free. */
 const leastShareAfterWait = 0.55;
 const patientShare = 0.4;
 /** A group gets no more than its least share while a request has waited there for this share of its objective, since others wait behind it. */
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -5,6 +5,7 @@
 export { GroupBounds, type BoundedRequest, type GroupBoundsOptions } from './group-bounds.js';
 export {
   TargetChooser,
+  type ChoiceObserver,
   type RequestWork,
   type TargetChoice,
   type TargetChooserOptions,
--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -12,7 +12,12 @@
 import { GroupBounds } from './group-bounds.js';
 import { listTargets, type Target } from './target-list.js';
 import type { TargetLoads } from './target-loads.js';
-import { UpstreamTimes, type Dispatch, type TimedRequest } from './upstream-times.js';
+import {
+  UpstreamTimes,
+  type Dispatch,
+  type TimedRequest,
+  type UpstreamTimesObserver,
+} from './upstream-times.js';
 import type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
@@ -58,6 +63,12 @@
 /** Multiple of its expected duration that a response of a plain service may take without telling anything of its instance. */
 const usualWait = 3;
 
+/** Told what is sent where and what is learned from it, for logs and metrics. */
+export interface ChoiceObserver extends UpstreamTimesObserver {
+  /** A request is sent to another failure domain although domains are far apart. */
+  readonly noteOtherDomain: (target: Target) => void;
+}
+
 export interface TargetChooserOptions {
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
@@ -70,6 +81,7 @@
   readonly limitsByObjective?: boolean;
   /** Failure domain of this gateway; undefined if unknown. */
   readonly ownDomain?: string;
+  readonly observer?: ChoiceObserver;
 }
 
 export class TargetChooser {
@@ -82,8 +94,8 @@
 
   constructor(options: TargetChooserOptions) {
     this.#options = options;
-    const { loads, random } = options;
-    this.#times = new UpstreamTimes(loads);
+    const { loads, random, observer } = options;
+    this.#times = new UpstreamTimes(loads, observer);
     this.#bounds = new GroupBounds({ loads, random, times: this.#times });
   }
 
@@ -129,6 +141,9 @@
     if (!this.#isBounded(target) && !delays.isSpread) {
       return undefined;
     }
+    if (delays.isSpread && !delays.isOwn(target.failureDomain)) {
+      this.#options.observer?.noteOtherDomain(target);
+    }
     const roundTrip = delays.isSpread ? delays.findRoundTrip(target.failureDomain) : 0;
     return this.#times.noteSent(target, { ...describeWork(request), roundTrip }, now);
   }
--- a/src/dispatch/upstream-times.ts
+++ b/src/dispatch/upstream-times.ts
@@ -1,3 +1,5 @@
+import { LRUCache } from 'lru-cache';
+
 import type { Milliseconds } from '../common/index.js';
 import {
   FirstEventTimes,
@@ -23,6 +25,13 @@
   readonly roundTrip: Milliseconds;
 }
 
+/** Told what is learned, for logs and metrics. */
+export interface UpstreamTimesObserver {
+  readonly noteFirstEvent: (target: Target, time: Milliseconds) => void;
+  /** An upstream has become much slower than others of its kind, or has ceased to be. */
+  readonly noteSlow: (target: Target, isSlow: boolean, factor: number) => void;
+}
+
 /** A request at an upstream. */
 export interface Dispatch {
   /** The first bytes of the response have arrived; repeated calls have no effect. */
@@ -41,14 +50,22 @@
   readonly sentAt: Milliseconds;
 }
 
+/** Factors from which on an upstream counts as slow, and below which it ceases to; they differ so that few lines are logged. */
+const slowFactor = 3;
+const usualFactor = 1.5;
+const maximumSlowUpstreams = 10_000;
+
 export class UpstreamTimes {
   readonly #loads: TargetLoads;
   readonly #times = new Map<string, FirstEventTimes>();
   readonly #failures = new UpstreamFailures();
+  readonly #observer: UpstreamTimesObserver | undefined;
+  readonly #slow = new LRUCache<string, true>({ max: maximumSlowUpstreams });
   readonly #pending = new Map<string, Set<PendingRequest>>();
 
-  constructor(loads: TargetLoads) {
+  constructor(loads: TargetLoads, observer?: UpstreamTimesObserver) {
     this.#loads = loads;
+    this.#observer = observer;
   }
 
   /** Called after `TargetLoads.noteSent`, so that the load includes the request. */
@@ -83,6 +100,8 @@
           const time = Math.max(0, now - sentAt - roundTrip);
           times.noteFirstEvent(key, { ...sent, requests }, time, now);
           this.#failures.note(key, false, now);
+          this.#observer?.noteFirstEvent(target, now - sentAt);
+          this.#observeFactor(target, times.readFactor(key, now));
         }
       },
       noteFailed: (now) => {
@@ -142,6 +161,17 @@
     return this.#failures.findShare(key, now);
   }
 
+  #observeFactor(target: Target, factor: number): void {
+    const isKnown = this.#slow.has(target.key);
+    if (!isKnown && factor >= slowFactor) {
+      this.#slow.set(target.key, true);
+      this.#observer?.noteSlow(target, true, factor);
+    } else if (isKnown && factor <= usualFactor) {
+      this.#slow.delete(target.key);
+      this.#observer?.noteSlow(target, false, factor);
+    }
+  }
+
   #countPendingTokens(key: string): number {
     return [...(this.#pending.get(key) ?? [])].reduce((sum, { tokens }) => sum + tokens, 0);
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -139,6 +139,18 @@
         readPosition: () => this.#position,
         random,
         ownDomain: settings.failureDomain,
+        observer: {
+          noteOtherDomain: ({ service }) => {
+            options.metrics.noteOtherDomain(service);
+          },
+          noteFirstEvent: ({ service }, time) => {
+            options.metrics.noteUpstreamTime(service, time);
+          },
+          noteSlow: ({ key: target, service }, isSlow, factor) => {
+            const fields = { target, service, isSlow, factor: Number(factor.toFixed(1)) };
+            this.#log.info(fields, 'pace of upstream changed');
+          },
+        },
       }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRetry: (service) => this.#retryBudget.spend(service),
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 
+import type { Milliseconds } from '../../common/index.js';
 import type { DeliveryOutcome } from './delivery-types.js';
 import type { Unavailability } from './upstream-availability.js';
 
@@ -17,6 +18,8 @@
   readonly #pauses: Counter<'service'>;
   readonly #leaving: Counter<'service'>;
   readonly #sentToUnavailable: Counter<'service' | 'reason'>;
+  readonly #otherDomain: Counter<'service'>;
+  readonly #upstreamTime: Histogram<'service'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
@@ -65,6 +68,19 @@
       labelNames: ['service', 'reason'],
       registers,
     });
+    this.#otherDomain = new Counter({
+      name: 'pistachiospoke_requests_to_other_domains_total',
+      help: 'Requests sent to upstreams in another failure domain, where domains are far apart, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.#upstreamTime = new Histogram({
+      name: 'pistachiospoke_upstream_first_event_seconds',
+      help: 'Time from sending a request to the first event of its response, where it decides on the choice of upstreams.',
+      labelNames: ['service'],
+      buckets: durationBuckets,
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'pistachiospoke_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer.',
@@ -108,6 +124,14 @@
     this.#sentToUnavailable.inc({ service, reason });
   }
 
+  noteOtherDomain(service: string): void {
+    this.#otherDomain.inc({ service });
+  }
+
+  noteUpstreamTime(service: string, time: Milliseconds): void {
+    this.#upstreamTime.observe({ service }, time / millisecondsPerSecond);
+  }
+
   noteOutcome(route: string, { result, attempts, duration, times }: DeliveryOutcome): void {
     this.#ended.inc({ route, result });
     this.#duration.observe({ route }, duration / millisecondsPerSecond);
