--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -352,6 +352,7 @@
       return;
     }
     if (status >= lowestFailureStatus) {
+      this.#dispatch?.noteFailed(this.#now());
       this.#dispatch?.release();
     }
     if (status >= lowestFailureStatus && this.#tryReplaceFailure(attempt, status)) {
@@ -411,6 +412,7 @@
     }
     this.#logEvent('attempt failed', { error: error.message, isSent, digest: this.#requestDigest });
     this.#dependencies.loads.suspect(target, this.#now());
+    this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
       this.#dependencies.crashWatch.noteBroken(target, this.#requestDigest);
     }
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -32,6 +32,8 @@
   readonly #slotRefusals: Counter<'route' | 'reason'>;
   readonly #slotWait: Histogram<'priority'>;
   readonly #accountWork: Counter<'account'>;
+  readonly #otherDomain: Counter<'service'>;
+  readonly #upstreamTime: Histogram<'service'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
@@ -133,6 +135,19 @@
       labelNames: ['account'],
       registers,
     });
+    this.#otherDomain = new Counter({
+      name: 'pistachiospoke_requests_to_other_domains_total',
+      help: 'Requests sent to upstreams in another failure domain, where domains are far apart, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.#upstreamTime = new Histogram({
+      name: 'pistachiospoke_upstream_first_event_seconds',
+      help: 'Time from sending a request to the first event of its response, where it decides on the choice of upstreams.',
+      labelNames: ['service'],
+      buckets: durationBuckets,
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'pistachiospoke_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer.',
@@ -219,6 +234,14 @@
     this.#withdrawn.inc(attempts);
   }
 
+  noteOtherDomain(service: string): void {
+    this.#otherDomain.inc({ service });
+  }
+
+  noteUpstreamTime(service: string, time: Milliseconds): void {
+    this.#upstreamTime.observe({ service }, time / millisecondsPerSecond);
+  }
+
   noteOutcome(route: string, { result, attempts, duration, times }: DeliveryOutcome): void {
     this.#ended.inc({ route, result });
     this.#duration.observe({ route }, duration / millisecondsPerSecond);
