Load the weights of a model that is short on idle engines that keep those of another

Cause: after a failure domain had returned, its hosts kept the weights of one model only. Idle hosts load weights only if they have none, so they could form no group of the model that was short, however long it was.

Change: where losses are weighed, idle engines beside one spare load the weights of the model whose groups cover least of its demand, if that is below 0.8 and enough of them stand in one fabric domain to complete a group. Loads count against the budget as before.

--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -97,6 +97,7 @@
       members.map(({ host }): [string, string] => [host, model]),
     ),
   );
+  const staffed = new ModelNeeds({ ...capacity, groups: [...capacity.groups, ...place] });
   const stage = chooseStaging({
     profile,
     engines,
@@ -105,6 +106,9 @@
     loadsAllowed,
     isSettling: input.isSettling,
     pending: input.pendingStaging,
+    ...(input.losses === undefined || !hasTraffic
+      ? {}
+      : { coverageOf: (model) => staffed.coverageOf(model) }),
   });
   const openGroups = fullSpeedGroups.filter(({ group }) => group.phase === 'open');
   const evacuationDrains = chooseEvacuationDrains({
--- a/src/engines/staging.ts
+++ b/src/engines/staging.ts
@@ -1,5 +1,6 @@
 import type { EngineModel, EngineProfile } from '../routing/index.js';
 import { isWarm } from './available-engines.js';
+import { chooseRestaging } from './restaging.js';
 import type { AnsweringEngine, StagingOrder } from './types.js';
 
 /** Chooses which weights hosts stage in addition to the model they serve. */
@@ -23,6 +24,8 @@
   readonly loadsAllowed: number;
   /** Models, by host, that were already ordered; these loads are already counted against the budget. */
   readonly pending: ReadonlyMap<string, string>;
+  /** Fraction of the demand for a model that its groups can serve; absent if idle engines keep the weights that they have. */
+  readonly coverageOf?: (model: EngineModel) => number;
 }
 
 /**
@@ -56,18 +59,21 @@
  * second; without one, its other members stay idle until a load from the store ends.
  */
 function chooseForIdle(input: StagingInput): readonly StagingOrder[] {
-  const { profile, engines, groupModels, pending } = input;
+  const { profile, engines, groupModels, pending, coverageOf } = input;
   const spares = new SpareCounts(input);
-  return engines
-    .filter(({ member: { host }, reading }) => {
-      return !groupModels.has(host) && (!reading.isBusy || pending.has(host));
-    })
+  const idle = engines.filter(({ member: { host }, reading }) => {
+    return !groupModels.has(host) && (!reading.isBusy || pending.has(host));
+  });
+  const restaged =
+    coverageOf === undefined ? [] : chooseRestaging({ profile, idle, pending, coverageOf });
+  const staged = idle
     .filter((engine) => !profile.models.some((model) => isWarm(engine, model)))
     .map(({ member: { host }, reading: { fabricDomain } }) => {
       const model = pending.get(host) ?? spares.findScarcest(fabricDomain).name;
       spares.add(fabricDomain, model);
       return { host, model };
     });
+  return [...staged, ...restaged];
 }
 
 /** Members of groups and warm spares of each model in each fabric domain. */
