Split the gateway that sends directly: active deliveries, account fairness, starts, logs of the choice

What follows the deliveries, the work of accounts and the starts of upstreams is in classes of its own now; no decision changes.

--- a/__tests__/direct/demand-reporter.test.ts
+++ b/__tests__/direct/demand-reporter.test.ts
@@ -17,7 +17,13 @@
     const reports: unknown[] = [];
     const reportDemand = (report: unknown) => {
       reports.push(report);
-      return Promise.resolve({ gateways: 1, position: 0, limits: [], permits: {} });
+      return Promise.resolve({
+        gateways: 1,
+        position: 0,
+        limits: [],
+        permits: {},
+        accountShares: {},
+      });
     };
     const outcome = { inTime: 1, late: 2, refused: 3, priority: 0 };
     const reporter = new DemandReporter({
@@ -26,7 +32,9 @@
       findLeader: () => '10.0.0.1:1',
       measure: () => new Map([['small', 4]]),
       takeOutcomes: () => new Map([['small', outcome]]),
+      takeAccountWork: () => new Map(),
       onPosition: () => undefined,
+      onAccountShares: () => undefined,
       takePermitReport: () => ({
         limits: [],
         wanted: new Map(),
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -65,9 +65,9 @@
       settings.coldUpstreams === undefined
         ? undefined
         : () => gateway.permits.isReportDue(clock.monotonic()),
-    takeAccountWork: () => gateway.takeAccountWork(),
+    takeAccountWork: () => gateway.fairness.takeWork(),
     onAccountShares: (shares) => {
-      gateway.setAccountShares(shares);
+      gateway.fairness.applyShares(shares);
     },
     takePermitReport: () => gateway.permits.takeReport(clock.monotonic()),
     onPermits: (granted, reportedAt) => {
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -20,16 +20,14 @@
   TargetLoads,
   type GatewayPosition,
 } from '../../dispatch/index.js';
-import {
-  formatIdentity,
-  listColdProfiles,
-  listIdentities,
-  listReturned,
-} from '../../routing/index.js';
+import { formatIdentity, listIdentities } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
-import { emptyRoutingView, type RoutingView } from '../../watch/index.js';
+import type { RoutingView } from '../../watch/index.js';
 import { readBody } from '../shell/body.js';
+import { AccountFairness } from './account-fairness.js';
+import { ActiveDeliveries } from './active-deliveries.js';
 import { admitRequest, type Admitted } from './admission.js';
+import { createChoiceObserver } from './choice-observer.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
 import { CrashLedger } from './crash-ledger.js';
 import { CrashWatch } from './crash-watch.js';
@@ -44,12 +42,13 @@
 import { DocumentGuard } from './document-guard.js';
 import { MemoryGuard, type HeldCaller } from './memory-guard.js';
 import { OutcomeMeter } from './outcome-meter.js';
-import { isInTime, type RequestTimes } from './request-times.js';
+import { describeTimes, isInTime } from './request-times.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
+import { StartWatch } from './start-watch.js';
 import { StreamProgress } from './stream-progress.js';
 import { UpstreamAvailability } from './upstream-availability.js';
-import { UpstreamConnections } from './upstream-connections.js';
+import { listUpstreamAddresses, UpstreamConnections } from './upstream-connections.js';
 import { UpstreamObserver } from './upstream-observer.js';
 import { probeUpstream } from './upstream-probe.js';
 import { WaitingRequests } from './waiting-requests.js';
@@ -89,24 +88,21 @@
   readonly #permits: RequestPermits;
   readonly #retryBudget: SharedRetryBudget;
   readonly #dependencies: SharedDeliveryDependencies;
-  readonly #deliveries = new Set<Delivery>();
-  /** Undefined if waiting requests are served newest first. */
-  readonly #waiting: WaitingRequests | undefined;
+  readonly #deliveries: ActiveDeliveries;
+  readonly #fairness: AccountFairness;
   readonly #demand: DemandMeter;
   readonly #outcomes = new OutcomeMeter();
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
   readonly #evacuationWatch: EvacuationWatch;
+  readonly #startWatch: StartWatch;
   /** Undefined if the memory held for callers is not limited. */
   readonly #memory: MemoryGuard | undefined;
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
-  /** Whether control has told this gateway its share of the accounts' work. */
-  #hasAccountShares = false;
   #isStopping = false;
-  #lastView = emptyRoutingView;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -121,19 +117,23 @@
     this.#demand = new DemandMeter(clock.monotonic());
     this.#permits = new RequestPermits(gateways, clock.monotonic(), settings.coldUpstreams);
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
-    this.#waiting =
-      settings.admission.order === 'urgency' ? new WaitingRequests(options.metrics) : undefined;
+    const { metrics } = options;
+    const isByUrgency = settings.admission.order === 'urgency';
+    const waiting = isByUrgency ? new WaitingRequests(metrics) : undefined;
+    this.#deliveries = new ActiveDeliveries({ waiting, clock });
+    this.#fairness = new AccountFairness({ waiting, metrics, clock, logger });
+    this.#startWatch = new StartWatch({ permits: this.#permits, clock, logger });
     const evacuations = new Evacuations(settings.evacuation?.limitMilliseconds ?? 0);
     this.#evacuationWatch = new EvacuationWatch({
       evacuations,
-      withdraw: () => this.#withdrawUnsent(),
-      metrics: options.metrics,
+      withdraw: () => this.#deliveries.withdrawUnsent(),
+      metrics,
       clock,
       logger,
     });
     this.#dependencies = {
       dialect,
-      waiting: this.#waiting,
+      waiting,
       clock,
       log: this.#log,
       loads: this.#loads,
@@ -146,18 +146,18 @@
         permits: this.#permits,
         availability: this.#availability,
         evacuations,
-        metrics: options.metrics,
+        metrics,
         clock,
         log: this.#log,
         onCapacityChanged: () => {
-          this.#retryWaiting();
+          this.#deliveries.retryWaiting();
         },
         onUnavailable: () => {
-          this.#withdrawUnsent();
+          this.#deliveries.withdrawUnsent();
         },
       }),
       onSentToLimited: ({ name }) => {
-        this.#options.metrics.noteSentToLimited(name);
+        metrics.noteSentToLimited(name);
       },
       crashWatch: new CrashWatch({
         probe: probeUpstream,
@@ -171,22 +171,11 @@
         availability: this.#availability,
         permits: this.#permits,
         evacuations,
-        limitsByObjective: settings.admission.order === 'urgency',
+        limitsByObjective: isByUrgency,
         readPosition: () => this.#position,
         random,
         ownDomain: settings.failureDomain,
-        observer: {
-          noteOtherDomain: ({ service }) => {
-            options.metrics.noteOtherDomain(service);
-          },
-          noteFirstEvent: ({ service }, time) => {
-            options.metrics.noteUpstreamTime(service, time);
-          },
-          noteSlow: ({ key: target, service }, isSlow, factor) => {
-            const fields = { target, service, isSlow, factor: Number(factor.toFixed(1)) };
-            this.#log.info(fields, 'pace of upstream changed');
-          },
-        },
+        observer: createChoiceObserver(metrics, this.#log),
       }),
       connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
       spendRetry: (service) => this.#retryBudget.spend(service),
@@ -201,7 +190,7 @@
     this.#memory =
       settings.memory === undefined
         ? undefined
-        : new MemoryGuard({ ...settings.memory, metrics: options.metrics, clock, log: this.#log });
+        : new MemoryGuard({ ...settings.memory, metrics, clock, log: this.#log });
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
     });
@@ -245,27 +234,9 @@
     return this.#permits;
   }
 
-  /** Returns the work by account since the previous call; empty if waiting requests are served newest first. */
-  takeAccountWork(): ReadonlyMap<string, number> {
-    const { clock, logger, metrics } = this.#options;
-    if (this.#waiting === undefined) {
-      return new Map();
-    }
-    const { accountWork } = this.#waiting;
-    const hasShares = accountWork.hasShares(clock.monotonic());
-    if (hasShares !== this.#hasAccountShares) {
-      this.#hasAccountShares = hasShares;
-      const source = hasShares ? 'control' : 'this gateway';
-      logger.info({ source }, 'source of the fairness among accounts changed');
-    }
-    const work = accountWork.takeReport();
-    metrics.noteAccountWork(work);
-    return work;
-  }
-
-  /** Applies the share of each account's work that arises at this gateway. */
-  setAccountShares(shares: ReadonlyMap<string, number>): void {
-    this.#waiting?.accountWork.applyShares(shares, this.#options.clock.monotonic());
+  /** Shared with the reporter that exchanges the work of accounts with control. */
+  get fairness(): AccountFairness {
+    return this.#fairness;
   }
 
   /** Shared with the reporter that forwards its contents to control. */
@@ -289,7 +260,7 @@
     this.#stallWatch.open();
     this.#memory?.open();
     this.#waitingRetryTimer = setInterval(() => {
-      this.#retryWaiting();
+      this.#deliveries.retryWaiting();
     }, waitingRetryInterval);
   }
 
@@ -335,42 +306,15 @@
     }
     this.#progress.retain(keys);
     this.#permits.retain(listIdentities(view));
-    this.#noteStarts(view);
-    this.#connections.retain(listAddresses(view));
+    this.#startWatch.applyView(view);
+    this.#connections.retain(listUpstreamAddresses(view));
     this.#crashLedger.setQuarantined(view.quarantined, this.#options.clock.monotonic());
     const callers = view.table?.document.callers;
     if (callers !== undefined) {
       this.#server.keepAliveTimeout = callers.idleTimeout;
       this.#server.headersTimeout = callers.headerTimeout;
     }
-    this.#notifyDeliveries();
-  }
-
-  #noteStarts(view: RoutingView): void {
-    const now = this.#options.clock.monotonic();
-    const starts = this.#permits.listStarts(listColdProfiles(view, view.table?.document), now);
-    if (starts > 0) {
-      this.#options.logger.info({ starts }, 'new starts count as cold');
-    }
-    const returned = listReturned(this.#lastView, view);
-    this.#lastView = view;
-    if (returned.length > 0) {
-      this.#permits.noteReturned(returned, now);
-      this.#options.logger.info({ upstreams: returned }, 'returned upstreams count as cold');
-    }
-  }
-
-  /** Withdraws the attempts that wait for a connection to an upstream that gets no more requests; returns their number. */
-  #withdrawUnsent(): number {
-    return [...this.#deliveries].filter((delivery) => delivery.noteUpstreamUnavailable()).length;
-  }
-
-  #notifyDeliveries(): void {
-    this.#collectWaiting(() => {
-      for (const delivery of this.#deliveries) {
-        delivery.noteTargetsChanged();
-      }
-    });
+    this.#deliveries.noteTargetsChanged();
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -491,7 +435,6 @@
     { route, service }: Admitted,
     outcome: DeliveryOutcome,
   ): void {
-    this.#deliveries.delete(delivery);
     this.#options.metrics.noteOutcome(route.name, outcome);
     const { result, attempts, target, times } = outcome;
     if (result !== 'whole' || attempts > 1 || !isInTime(times, route)) {
@@ -502,47 +445,6 @@
         'request ended',
       );
     }
-    // A slot has become free, so a waiting request can be sent at once.
-    this.#retryWaiting();
-  }
-
-  /**
-   * Without queues, starts with the newest request: it can still meet its objective, and those that have waited long are late in any case.
-   */
-  #retryWaiting(): void {
-    this.#collectWaiting(() => {
-      const waiting = [...this.#deliveries].filter(({ isWaiting, isQueued }) => {
-        return isWaiting && !isQueued;
-      });
-      for (const delivery of waiting.reverse()) {
-        delivery.noteTargetsChanged();
-      }
-    });
+    this.#deliveries.remove(delivery);
   }
-
-  /** Runs an action in which requests ask for upstreams; with queues, they are served by rank afterwards. */
-  #collectWaiting(action: () => void): void {
-    if (this.#waiting === undefined) {
-      action();
-    } else {
-      this.#waiting.collect(action, this.#options.clock.monotonic());
-    }
-  }
-}
-
-/** Log fields in whole milliseconds; null for what did not happen. */
-function describeTimes({ assigned, written, firstByte, longestPause }: RequestTimes): object {
-  const round = (time: Milliseconds | undefined): number | null =>
-    time === undefined ? null : Math.round(time);
-  return {
-    assigned: round(assigned),
-    written: round(written),
-    firstByte: round(firstByte),
-    longestPause: round(longestPause),
-  };
-}
-
-function listAddresses({ engineGroups, instances }: RoutingView): ReadonlySet<string> {
-  const heads = [...engineGroups.values()].map(({ members }) => members[0]?.address ?? '');
-  return new Set([...heads, ...[...instances.values()].map(({ address }) => address)]);
 }
--- a/src/gateway/direct/request-times.ts
+++ b/src/gateway/direct/request-times.ts
@@ -61,3 +61,20 @@
   const { objective = Infinity, longestPause: pauseObjective = Infinity } = objectives;
   return firstByte !== undefined && firstByte <= objective && longestPause <= pauseObjective;
 }
+
+/** Log fields in whole milliseconds; null for what did not happen. */
+export function describeTimes({
+  assigned,
+  written,
+  firstByte,
+  longestPause,
+}: RequestTimes): object {
+  const round = (time: Milliseconds | undefined): number | null =>
+    time === undefined ? null : Math.round(time);
+  return {
+    assigned: round(assigned),
+    written: round(written),
+    firstByte: round(firstByte),
+    longestPause: round(longestPause),
+  };
+}
--- a/src/gateway/direct/stall-watch.ts
+++ b/src/gateway/direct/stall-watch.ts
@@ -9,7 +9,7 @@
   readonly progress: StreamProgress;
   readonly loads: TargetLoads;
   /** Deliveries in flight. */
-  readonly deliveries: ReadonlySet<Delivery>;
+  readonly deliveries: Iterable<Delivery>;
   readonly clock: Clock;
   readonly log: RateLimitedLog;
 }
--- a/src/gateway/direct/upstream-connections.ts
+++ b/src/gateway/direct/upstream-connections.ts
@@ -1,6 +1,7 @@
 import { Pool, type Dispatcher } from 'undici';
 
 import type { Milliseconds } from '../../common/index.js';
+import type { RoutingView } from '../../watch/index.js';
 import { createResettingConnector } from './resetting-socket.js';
 
 /** Connections to upstreams, with one pool per address. */
@@ -58,3 +59,12 @@
     this.#pools.clear();
   }
 }
+
+/** Addresses of all upstreams that may get requests: heads of groups, and instances. */
+export function listUpstreamAddresses({
+  engineGroups,
+  instances,
+}: RoutingView): ReadonlySet<string> {
+  const heads = [...engineGroups.values()].map(({ members }) => members[0]?.address ?? '');
+  return new Set([...heads, ...[...instances.values()].map(({ address }) => address)]);
+}
