Let a model that has no group take engines from one whose callers lose more

Cause: with planning.weighLosses a model gives up no group to one whose callers lose less, weighted by urgency, nor within 5 s of an exchange, and its demand is raised by its losses. All three held the engines of the urgent model while the other had no group at all.

Change: a model without any group misses all of its demand, whatever its urgency, and neither rule holds against it.

--- a/__tests__/engines/weighed-losses.test.ts
+++ b/__tests__/engines/weighed-losses.test.ts
@@ -90,6 +90,19 @@
     expect(exchanges).toEqual([]);
   });
 
+  /**
+   * Guards against this failure: the last group of a model was lost, and for 20 s none was formed, because the engines of the other model
+   * were kept by its more urgent callers, some of whom were refused.
+   */
+  it('give up groups to a model that has none, whatever their callers lose', () => {
+    const without: Case = { large: 0, small: 9, demand: [20, 120], lost: [0.2, 0.4] };
+    const recent = [{ from: 'large', to: 'small', age: 1000 }];
+    // The engines of two small groups form one large one.
+    const taken = { from: 'small', to: 'large' };
+    expect(plan({ ...without, priorities: [1, 0] }).exchanges).toEqual([taken, taken]);
+    expect(plan({ ...without, exchanges: recent }).exchanges).toEqual([taken, taken]);
+  });
+
   // Guards against two models that alternately take the same engines from each other, each time without groups for seconds.
   it('give back no group within 5 s', () => {
     const losing: Case = { large: 3, small: 3, demand: [45, 90], lost: [0, 0.4] };
--- a/src/engines/weighed-needs.ts
+++ b/src/engines/weighed-needs.ts
@@ -53,20 +53,22 @@
 
   /**
    * A model keeps its demand with a margin, and at least two groups. It gives up further groups of these, except the last two, to a model
-   * that misses more of its demand by the threshold, weighted by urgency; never to one whose callers lose less, or soon after it got one
-   * from it. A second group is not given up: in replay its model then had none for seconds after each loss, and the taker gained less.
+   * that misses more of its demand by the threshold, weighted by urgency. It gives none to a model whose callers lose less, or soon after it
+   * got one from it, unless that model has no group at all: its callers are all refused. A second group is not given up: in replay its model
+   * then had none for seconds after each loss, and the taker gained less.
    */
   countSpare(model: EngineModel, _coverage: number, taker: EngineModel): number {
+    const hasNone = this.countGroups(taker.name) === 0;
     const isBlocked =
       this.#gotRecently(model.name, taker.name) ||
       this.#lossOf(model.name) > this.#lossOf(taker.name);
-    if (isBlocked) {
+    if (isBlocked && !hasNone) {
       return 0;
     }
     const count = this.countGroups(model.name);
     const enough = Math.ceil((this.demandOf(model) * spareMargin) / this.capacityOf(1));
     let kept = Math.min(count, Math.max(minimumKept, enough));
-    const needed = this.#weighMissing(taker, this.countGroups(taker.name));
+    const needed = hasNone ? 1 : this.#weighMissing(taker, this.countGroups(taker.name));
     while (
       kept > minimumKept &&
       this.#weighMissing(model, kept - 1) <= needed - rebalanceThreshold
