--- a/__tests__/direct/domain-simulation.ts
+++ b/__tests__/direct/domain-simulation.ts
@@ -7,10 +7,10 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type Target,
   type TargetChoice,
 } from '../../src/dispatch/index.js';
-import { UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import {
   RouteTable,
   type EngineGroup,
--- a/__tests__/direct/overload-simulation.ts
+++ b/__tests__/direct/overload-simulation.ts
@@ -3,8 +3,12 @@
   type Milliseconds,
   type RandomSource,
 } from '../../src/common/index.js';
-import { RequestPermits, TargetChooser, TargetLoads } from '../../src/dispatch/index.js';
-import { UpstreamAvailability } from '../../src/gateway/direct/index.js';
+import {
+  RequestPermits,
+  TargetChooser,
+  TargetLoads,
+  UpstreamAvailability,
+} from '../../src/dispatch/index.js';
 import type { EngineGroup, RoutedService } from '../../src/routing/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { engineProfile } from '../routing/documents.js';
--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -7,10 +7,10 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type GatewayPosition,
   type Target,
 } from '../../src/dispatch/index.js';
-import { UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, RoutedService } from '../../src/routing/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { engineProfile } from '../routing/documents.js';
--- a/__tests__/direct/target.test.ts
+++ b/__tests__/direct/target.test.ts
@@ -5,9 +5,9 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type Target,
 } from '../../src/dispatch/index.js';
-import { UpstreamAvailability } from '../../src/gateway/direct/index.js';
 import type { EngineGroup, EnginePhase } from '../../src/routing/index.js';
 import { emptyRoutingView } from '../../src/watch/index.js';
 import { createDocument } from '../routing/documents.js';
--- a/src/dispatch/newest-first-queue.ts
+++ b/__tests__/dispatch/newest-first-queue.ts
@@ -1,5 +1,5 @@
-import type { Milliseconds } from '../common/index.js';
-import type { DroppedEntry, QueueEntry, RequestQueue } from './request-queue.js';
+import type { Milliseconds } from '../../src/common/index.js';
+import type { DroppedEntry, QueueEntry, RequestQueue } from '../../src/dispatch/index.js';
 
 /** Newest first, regardless of accounts and priorities. A request is refused only when its time is over. */
 export class NewestFirstQueue<Entry extends QueueEntry> implements RequestQueue<Entry> {
--- a/__tests__/dispatch/queue-loads.test.ts
+++ b/__tests__/dispatch/queue-loads.test.ts
@@ -3,10 +3,10 @@
 import {
   AccountShares,
   AccountWork,
-  NewestFirstQueue,
   UrgencyQueue,
   type RequestQueue,
 } from '../../src/dispatch/index.js';
+import { NewestFirstQueue } from './newest-first-queue.js';
 import {
   isInTime,
   isServed,
--- a/src/dispatch/group-bounds.ts
+++ b/src/dispatch/group-bounds.ts
@@ -2,7 +2,7 @@
 
 import type { Milliseconds, RandomSource } from '../common/index.js';
 import type { Target } from './target-list.js';
-import type { KnownLoad, TargetLoads } from './target-loads.js';
+import { probeInterval, type KnownLoad, type TargetLoads } from './target-loads.js';
 import type { TimedRequest, UpstreamTimes } from './upstream-times.js';
 
 /**
@@ -42,8 +42,6 @@
 const overdueShare = 0.5;
 /** Share of the bound that late requests may fill, so that one that can be in time finds a place. In the replay, 1 kept fewer in time. */
 const lateShareOfBound = 0.9;
-/** Delay before a group without requests of this gateway gets one although it had no room at its last report. */
-const probeInterval: Milliseconds = 300;
 const maximumGroups = 10_000;
 
 export class GroupBounds {
--- a/src/dispatch/request-permits.ts
+++ b/src/dispatch/request-permits.ts
@@ -112,6 +112,9 @@
   /** A request was assigned to the upstream. */
   noteSent(upstream: string, now: Milliseconds): void {
     this.#cold?.noteSent(upstream, now);
+    if (!this.isLimited(upstream)) {
+      return;
+    }
     const [next] = this.#listValid(upstream, now);
     if (next !== undefined) {
       const permits = this.#permits.get(upstream) ?? [];
--- a/src/dispatch/target-loads.ts
+++ b/src/dispatch/target-loads.ts
@@ -15,7 +15,7 @@
 /** Time after which the load reported by an instance of a plain service no longer counts. */
 const loadLifetime: Milliseconds = 1000;
 /** Delay before a group that was full is probed with a request; about the time until the response headers, which report the load. */
-const probeInterval: Milliseconds = 300;
+export const probeInterval: Milliseconds = 300;
 /**
  * Longest time for which a group gets no requests after its head answered that it does not serve them. Control withdraws the group or
  * orders the head to open again within this time, also if all hosts have restarted and it first has to elect a leader.
--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -19,7 +19,8 @@
   type TimedRequest,
   type UpstreamTimesObserver,
 } from './upstream-times.js';
-import type { UpstreamAvailability, UpstreamPermits } from './upstream-permission.js';
+import type { RequestPermits } from './request-permits.js';
+import type { UpstreamAvailability } from './upstream-availability.js';
 
 /** Chooses the upstream for a request; performs no I/O. */
 
@@ -78,7 +79,7 @@
   readonly readView: () => RoutingView;
   readonly loads: TargetLoads;
   readonly availability: UpstreamAvailability;
-  readonly permits: UpstreamPermits;
+  readonly permits: RequestPermits;
   /** Undefined where there are no evacuations. */
   readonly evacuations?: Evacuations;
   /** Position of this gateway; undefined while unknown, or if no other gateways share the targets. */
--- a/src/gateway/direct/upstream-availability.ts
+++ b/src/dispatch/upstream-availability.ts
@@ -1,6 +1,6 @@
 import { LRUCache } from 'lru-cache';
 
-import type { Milliseconds } from '../../common/index.js';
+import type { Milliseconds } from '../common/index.js';
 
 /** Tracks which upstreams have asked this gateway for a pause, or are shutting down; performs no I/O. */
 
--- a/src/engines/evacuated-groups.ts
+++ b/src/engines/evacuated-groups.ts
@@ -45,9 +45,6 @@
  * they serve, because gateways use them only if no other group has capacity.
  */
 export function chooseEvacuationDrains(input: EvacuationDrainInput): readonly GroupAdvance[] {
-  if (input.evacuations.size === 0) {
-    return [];
-  }
   return input.groups.flatMap(({ group }) => {
     const isCandidate = group.service === input.service.name && group.phase === 'open';
     const age = isCandidate ? findEvacuationAge(group, input) : undefined;
--- a/src/engines/plan.ts
+++ b/src/engines/plan.ts
@@ -1,13 +1,13 @@
 import type { EnginePhase, RoutedService } from '../routing/index.js';
 import { formGroups } from './form-groups.js';
 import type { EngineExchange } from './model-losses.js';
-import { ModelNeeds } from './model-needs.js';
+import { ModelNeeds, type NeedsInput } from './model-needs.js';
 import { WeighedNeeds } from './weighed-needs.js';
 import { determineEngineStatus } from './engine-status.js';
 import { chooseEvacuationDrains, isEvacuated, isInEvacuatedDomain } from './evacuated-groups.js';
 import { decideTransition } from './group-transitions.js';
 import { findAvailableEngines, findSlowGroups } from './available-engines.js';
-import { chooseStaging } from './staging.js';
+import { chooseStaging, type StagingInput } from './staging.js';
 import type {
   EngineDecision,
   EngineView,
@@ -97,7 +97,6 @@
       members.map(({ host }): [string, string] => [host, model]),
     ),
   );
-  const staffed = new ModelNeeds({ ...capacity, groups: [...capacity.groups, ...place] });
   const stage = chooseStaging({
     profile,
     engines,
@@ -108,8 +107,11 @@
     pending: input.pendingStaging,
     ...(input.losses === undefined || !hasTraffic
       ? {}
-      : { coverageOf: (model) => staffed.coverageOf(model) }),
+      : createCoverage({ ...capacity, groups: [...capacity.groups, ...place] })),
   });
+  if (input.evacuations.size === 0) {
+    return { place, stage, advance: drain, exchanges };
+  }
   const openGroups = fullSpeedGroups.filter(({ group }) => group.phase === 'open');
   const evacuationDrains = chooseEvacuationDrains({
     ...input,
@@ -122,6 +124,12 @@
   return { place, stage, advance: [...drain, ...evacuationDrains], exchanges };
 }
 
+/** Coverage by the measured demand alone; losses do not raise it, since a load of weights outlasts most of them. */
+function createCoverage(input: NeedsInput): Required<Pick<StagingInput, 'coverageOf'>> {
+  const needs = new ModelNeeds(input);
+  return { coverageOf: (model) => needs.coverageOf(model) };
+}
+
 function listModelsInFormation(activeGroups: readonly GroupView[]): readonly string[] {
   return activeGroups.flatMap(({ group: { phase, model } }) => (phase === 'open' ? [] : [model]));
 }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -18,6 +18,7 @@
   RequestPermits,
   TargetChooser,
   TargetLoads,
+  UpstreamAvailability,
   type GatewayPosition,
 } from '../../dispatch/index.js';
 import { formatIdentity, listIdentities } from '../../routing/index.js';
@@ -47,7 +48,6 @@
 import { StallWatch } from './stall-watch.js';
 import { StartWatch } from './start-watch.js';
 import { StreamProgress } from './stream-progress.js';
-import { UpstreamAvailability } from './upstream-availability.js';
 import { listUpstreamAddresses, UpstreamConnections } from './upstream-connections.js';
 import { UpstreamObserver } from './upstream-observer.js';
 import { probeUpstream } from './upstream-probe.js';
@@ -363,13 +363,16 @@
   #holdMemory({ response, answer, facts: { requestId } }: InboundRequest): HeldCaller {
     const held = { requestId, response, answer, requestBytes: 0, isReceiving: true };
     const caller: HeldCaller = { ...held, delivery: undefined };
-    this.#memory?.add(caller);
-    response.on('drain', () => {
-      this.#memory?.noteCaughtUp(caller);
-    });
-    response.on('close', () => {
-      this.#memory?.remove(caller);
-    });
+    const memory = this.#memory;
+    if (memory !== undefined) {
+      memory.add(caller);
+      response.on('drain', () => {
+        memory.noteCaughtUp(caller);
+      });
+      response.on('close', () => {
+        memory.remove(caller);
+      });
+    }
     return caller;
   }
 
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -1,9 +1,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import type { Milliseconds } from '../../common/index.js';
-import type { DropReason } from '../../dispatch/index.js';
+import type { DropReason, Unavailability } from '../../dispatch/index.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
-import type { Unavailability } from './upstream-availability.js';
 import type { QueueObserver } from './waiting-requests.js';
 
 /** Metrics of a direct gateway; docs/METRICS.md lists the names. */
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -37,7 +37,6 @@
 export { SharedRetryBudget, type RetryLimit } from './shared-retry-budget.js';
 export { TrackedStream, StreamProgress, type ProgressReview } from './stream-progress.js';
 export { UpstreamAttempt } from './upstream-attempt.js';
-export { UpstreamAvailability, type Unavailability } from './upstream-availability.js';
 export { UpstreamConnections } from './upstream-connections.js';
 export {
   UpstreamObserver,
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -1,9 +1,14 @@
 import type { Clock, Milliseconds, RateLimitedLog } from '../../common/index.js';
-import type { Evacuations, RequestPermits, Target, TargetLoads } from '../../dispatch/index.js';
+import type {
+  Evacuations,
+  RequestPermits,
+  Target,
+  TargetLoads,
+  UpstreamAvailability,
+} from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
-import type { UpstreamAvailability } from './upstream-availability.js';
 
 /** Records what the headers of responses say about the upstreams that sent them. */
 
