Name the prompt segments of a request in the line of its failed attempt

Nothing in the logs told what two requests have in common that break off with an upstream, so 'one segment of a prompt ends upstreams' could not be told from 'load ends upstreams'. The dialect now reads the identifiers of the segments; the line 'attempt failed' has them.

--- a/__tests__/direct/waiting-world.ts
+++ b/__tests__/direct/waiting-world.ts
@@ -115,6 +115,7 @@
         account: account === undefined ? undefined : { name: account, keys: [] },
         model: 'small',
         tokens: tokens === undefined ? undefined : { prompt: tokens, answer: 0 },
+        promptSegments: [],
         resumeAfter: undefined,
         ...times,
       },
--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -322,3 +322,19 @@
     expect(readResponse(200, {}).isLeaving).toBe(false);
   });
 });
+
+describe('requests', () => {
+  it.each([
+    ['5c1e07a2:800, 91bd3f06:410,e4402b7d:250', ['5c1e07a2', '91bd3f06']],
+    ['5c1e07a2:800,5c1e07a2:800,e4402b7d:250', ['5c1e07a2']],
+    ['e4402b7d:250', []],
+    ['', []],
+    [',,', []],
+  ])(
+    'name the prompt segments that others may share, without the last: "%s"',
+    (text, promptSegments) => {
+      const request = platformDialect.readRequest({ 'x-prefix-hash': text });
+      expect(request.promptSegments).toEqual(promptSegments);
+    },
+  );
+});
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -24,6 +24,8 @@
   readonly account: RoutedAccount | undefined;
   readonly model: string | undefined;
   readonly tokens: TokenCounts | undefined;
+  /** Identifiers of the segments of its prompt that other requests may share. */
+  readonly promptSegments: readonly string[];
   /** Identifier of the last event that the caller has received. */
   readonly resumeAfter: string | undefined;
   readonly startedAt: Milliseconds;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -410,7 +410,8 @@
     if (this.#attempt !== attempt) {
       return;
     }
-    this.#logEvent('attempt failed', { error: error.message, isSent, digest: this.#requestDigest });
+    const content = { digest: this.#requestDigest, promptSegments: this.#request.promptSegments };
+    this.#logEvent('attempt failed', { error: error.message, isSent, ...content });
     this.#dependencies.loads.suspect(target, this.#now());
     this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -15,6 +15,8 @@
   readonly model: string | undefined;
   /** Undefined if the caller does not say. */
   readonly tokens: TokenCounts | undefined;
+  /** Identifiers of the segments of its prompt that other requests may share, in order; empty if the caller does not say. */
+  readonly promptSegments: readonly string[];
 }
 
 /** Work of a request for a model. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -403,6 +403,7 @@
         account,
         model: facts.model,
         tokens: facts.tokens,
+        promptSegments: facts.promptSegments,
         resumeAfter: readLastEventId(call),
         startedAt,
         deadline: startedAt + Math.min(route.timeout, facts.timeLimit ?? route.timeout),
