--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -31,6 +31,14 @@
   readonly isWhole: boolean;
 }
 
+export interface StreamOptions {
+  /** Index of the gateway. */
+  readonly gateway?: number;
+  readonly body?: string;
+  /** Header fields in addition to the usual ones. */
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
 export class PlatformDeployment {
   readonly group: ProgramGroup;
   readonly engines: readonly TestEngine[];
@@ -131,11 +139,14 @@
   }
 
   /** Requests a stream through the gateway with the given index. */
-  async stream(requestId: string, { gateway = 0, body = '{}' } = {}): Promise<CallResult> {
+  async stream(
+    requestId: string,
+    { gateway = 0, body = '{}', headers = {} }: StreamOptions = {},
+  ): Promise<CallResult> {
     return call(`http://${this.gatewayAddress(gateway)}${streamPath}`, {
       method: 'POST',
       body,
-      headers: createStreamHeaders(requestId),
+      headers: { ...createStreamHeaders(requestId), ...headers },
     });
   }
 
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -39,6 +39,8 @@
 const restartDelay = 300;
 /** A request whose body contains this text crashes the engine that runs it. */
 export const crashingContent = 'crash the engine';
+/** Header field that lists the segments of a prompt. */
+const segmentsHeader = 'x-prefix-hash';
 
 export class TestEngine {
   readonly #initialId: string;
@@ -49,6 +51,8 @@
   readonly runs: string[] = [];
   /** Attempt ids of the requests that crashed this engine. */
   readonly crashes: string[] = [];
+  /** Identifiers of prompt segments that crash the engine when it begins to answer. */
+  readonly crashingSegments = new Set<string>();
   /** Advertised rate limit in requests per second; undefined for none. */
   rateLimit: number | undefined;
   /** Pause in seconds that the engine asks for while it rejects every request; undefined while it accepts them. */
@@ -239,6 +243,11 @@
     return this.isLeaving ? { 'server-leaving': '1' } : {};
   }
 
+  #hasCrashingSegment(request: IncomingMessage): boolean {
+    const entries = String(request.headers[segmentsHeader] ?? '').split(',');
+    return entries.some((entry) => this.crashingSegments.has(entry.split(':')[0] ?? ''));
+  }
+
   #stream(request: IncomingMessage, body: string, response: ServerResponse): void {
     const id = String(request.headers['x-attempt-id']);
     this.arrivals.push(performance.now());
@@ -256,7 +265,7 @@
       return;
     }
     this.runs.push(id);
-    if (body.includes(crashingContent)) {
+    if (body.includes(crashingContent) || this.#hasCrashingSegment(request)) {
       void this.#crashDuring(id, response);
       return;
     }
