--- a/__tests__/direct/crash-ledger.test.ts
+++ b/__tests__/direct/crash-ledger.test.ts
@@ -17,6 +17,7 @@
         { upstream: 'i-2', requests: ['a'] },
       ],
       answered: [],
+      trials: [],
     });
     expect(ledger.takePending()).toBeUndefined();
   });
@@ -26,11 +27,12 @@
     ledger.noteCrash('i-1', ['a'], 0);
     const pending = ledger.takePending();
     ledger.noteCrash('i-1', ['b'], 5);
-    ledger.noteAnswered('b', 6);
-    ledger.restorePending(pending ?? { crashes: [], answered: [] });
+    ledger.noteAnswered(['b'], 6);
+    ledger.restorePending(pending ?? { crashes: [], answered: [], trials: [] });
     expect(ledger.takePending()).toEqual({
       crashes: [{ upstream: 'i-1', requests: ['a', 'b'] }],
       answered: ['b'],
+      trials: [],
     });
   });
 });
@@ -38,17 +40,17 @@
 describe('complete answers', () => {
   it('are reported only for requests that were in flight at a crash', () => {
     const ledger = new CrashLedger();
-    ledger.noteAnswered('other', 0);
+    ledger.noteAnswered(['other'], 0);
     ledger.noteCrash('i-1', ['a'], 0);
     ledger.takePending();
-    ledger.noteAnswered('a', 10);
-    ledger.noteAnswered('a', 20);
-    expect(ledger.takePending()).toEqual({ crashes: [], answered: ['a'] });
+    ledger.noteAnswered(['a'], 10);
+    ledger.noteAnswered(['a'], 20);
+    expect(ledger.takePending()).toEqual({ crashes: [], answered: ['a'], trials: [] });
   });
 
   it('keep a recently answered request from being suspected', () => {
     const ledger = new CrashLedger();
-    ledger.noteAnswered('a', 0);
+    ledger.noteAnswered(['a'], 0);
     ledger.noteCrash('i-1', ['a'], 1000);
     expect(ledger.takePending()).toBeUndefined();
     ledger.noteCrash('i-2', ['a'], 120_000);
@@ -57,11 +59,14 @@
 
   it('are reported when the request is quarantined, and keep it from being rejected', () => {
     const ledger = new CrashLedger();
-    ledger.noteAnswered('a', 0);
+    ledger.noteAnswered(['a'], 0);
     ledger.setQuarantined(new Set(['a', 'b']), 1000);
-    expect(ledger.takePending()).toEqual({ crashes: [], answered: ['a'] });
+    expect(ledger.takePending()).toEqual({ crashes: [], answered: ['a'], trials: [] });
     const now = 1000 + afterQuarantineDelay;
-    expect([ledger.assess('a', now), ledger.assess('b', now)]).toEqual(['harmless', 'quarantined']);
+    expect([ledger.assess(['a'], now), ledger.assess(['b'], now)]).toEqual([
+      'harmless',
+      'quarantined',
+    ]);
   });
 });
 
@@ -69,42 +74,42 @@
   it('is enforced after a delay, and until control ends it', () => {
     const ledger = new CrashLedger();
     ledger.setQuarantined(new Set(['a']), 0);
-    expect(ledger.assess('a', 10)).toBe('harmless');
+    expect(ledger.assess(['a'], 10)).toBe('harmless');
     // A further state change must not restart the delay.
     ledger.setQuarantined(new Set(['a', 'b']), 300);
-    expect(ledger.assess('a', afterQuarantineDelay)).toBe('quarantined');
+    expect(ledger.assess(['a'], afterQuarantineDelay)).toBe('quarantined');
     ledger.setQuarantined(new Set(['b']), afterQuarantineDelay);
-    expect(ledger.assess('a', 2 * afterQuarantineDelay)).toBe('harmless');
+    expect(ledger.assess(['a'], 2 * afterQuarantineDelay)).toBe('harmless');
   });
 });
 
 // Guards against sending a request that crashes upstreams again before control knows of the crash, without end while control is not heard.
 describe('a request that was in flight at a crash', () => {
-  const none = { crashes: [], answered: [] };
+  const none = { crashes: [], answered: [], trials: [] };
 
   it('is held back until control has recorded the crash', () => {
     const ledger = new CrashLedger();
     ledger.noteCrash('i-1', ['a', 'b'], 0);
     const pending = ledger.takePending() ?? none;
-    expect(ledger.assess('a', 10)).toBe('unrecorded');
+    expect(ledger.assess(['a'], 10)).toBe('unrecorded');
     ledger.restorePending(pending);
-    expect(ledger.assess('a', 60_000)).toBe('unrecorded');
+    expect(ledger.assess(['a'], 60_000)).toBe('unrecorded');
     const again = ledger.takePending() ?? none;
     ledger.noteCrash('i-2', ['b'], 60_010);
-    ledger.noteRecorded(again);
-    expect([ledger.assess('a', 60_020), ledger.assess('b', 60_020)]).toEqual([
+    ledger.noteRecorded(again, [], 60_015);
+    expect([ledger.assess(['a'], 60_020), ledger.assess(['b'], 60_020)]).toEqual([
       'harmless',
       'unrecorded',
     ]);
-    ledger.noteRecorded(ledger.takePending() ?? none);
-    expect([ledger.assess('b', 60_030), ledger.hasSuspicions]).toEqual(['harmless', false]);
+    ledger.noteRecorded(ledger.takePending() ?? none, [], 60_025);
+    expect([ledger.assess(['b'], 60_030), ledger.hasSuspicions]).toEqual(['harmless', false]);
   });
 
   it('is not held back once an upstream has answered it completely', () => {
     const ledger = new CrashLedger();
     ledger.noteCrash('i-1', ['a'], 0);
-    ledger.noteAnswered('a', 10);
-    expect([ledger.assess('a', 20), ledger.hasSuspicions]).toEqual(['harmless', false]);
+    ledger.noteAnswered(['a'], 10);
+    expect([ledger.assess(['a'], 20), ledger.hasSuspicions]).toEqual(['harmless', false]);
   });
 
   it('is not held back for a crash whose report was dropped', () => {
@@ -112,7 +117,102 @@
     for (let upstream = 0; upstream <= 500; upstream += 1) {
       ledger.noteCrash(`i-${upstream}`, [`request-${upstream}`], 0);
     }
-    expect(ledger.assess('request-0', 10)).toBe('harmless');
-    expect(ledger.assess('request-1', 10)).toBe('unrecorded');
+    expect(ledger.assess(['request-0'], 10)).toBe('harmless');
+    expect(ledger.assess(['request-1'], 10)).toBe('unrecorded');
+  });
+});
+
+// Guards against requests that are sent because only one of their segments, not their content, is known to crash upstreams.
+describe('a request with several subjects', () => {
+  it('is assessed by the worst of them', () => {
+    const ledger = new CrashLedger();
+    ledger.startWith(new Set(['bad']), 0);
+    ledger.noteCrash('i-1', ['seen'], 0);
+    expect(ledger.assess(['new', 'bad', 'seen'], 0)).toBe('quarantined');
+    expect(ledger.assess(['new', 'seen'], 0)).toBe('unrecorded');
+    expect(ledger.assess(['new', 'other'], 0)).toBe('harmless');
+    expect(ledger.listQuarantined(['new', 'bad', 'seen'], 0)).toEqual(['bad']);
+  });
+
+  it('clears all of them when it is answered', () => {
+    const ledger = new CrashLedger();
+    ledger.noteCrash('i-1', ['request-1', 'shared', 'bad'], 0);
+    ledger.takePending();
+    ledger.noteAnswered(['request-2', 'shared'], 10);
+    expect(ledger.takePending()?.answered).toEqual(['shared']);
+    expect(ledger.assess(['request-3', 'shared'], 20)).toBe('harmless');
+    expect(ledger.assess(['request-3', 'shared', 'bad'], 20)).toBe('unrecorded');
+  });
+
+  it('reports those that recur first when there are too many', () => {
+    const ledger = new CrashLedger();
+    const flood = (name: string): string[] => {
+      return Array.from({ length: 5000 }, (_, index) => `${name}-${index}`);
+    };
+    ledger.noteCrash('i-1', [...flood('first'), 'bad'], 0);
+    ledger.noteCrash('i-2', [...flood('second'), 'bad'], 10);
+    const reported = ledger.takePending()?.crashes[1]?.requests ?? [];
+    expect(reported).toContain('bad');
+    expect(reported.length).toBeLessThanOrEqual(2000);
+  });
+});
+
+// Guards against a gateway that sends quarantined subjects in the first moments after its start.
+describe('quarantines in force at the start of a gateway', () => {
+  it('are enforced without delay', () => {
+    const ledger = new CrashLedger();
+    ledger.startWith(new Set(['a']), 100);
+    ledger.setQuarantined(new Set(['a', 'b']), 100);
+    expect(ledger.assess(['a'], 100)).toBe('quarantined');
+    expect(ledger.assess(['b'], 100)).toBe('harmless');
+  });
+});
+
+// Guards against more than one request for each trial that control grants.
+describe('a trial', () => {
+  function grantTrial(): CrashLedger {
+    const ledger = new CrashLedger('gateway');
+    ledger.startWith(new Set(['a', 'b']), 0);
+    expect(ledger.askForTrial(['r-1', 'a'], 10)).toBe('gateway/1');
+    expect(ledger.askForTrial(['r-2', 'a'], 20)).toBeUndefined();
+    expect(ledger.askForTrial(['r-3', 'a', 'b'], 20)).toBeUndefined();
+    expect(ledger.assess(['r-1', 'a'], 20, 'gateway/1')).toBe('unrecorded');
+    expect(ledger.assess(['r-2', 'a'], 20)).toBe('quarantined');
+    const pending = ledger.takePending() ?? { crashes: [], answered: [], trials: [] };
+    expect(pending.trials).toEqual([{ request: 'a', token: 'gateway/1' }]);
+    ledger.noteRecorded(pending, ['gateway/1'], 30);
+    return ledger;
+  }
+
+  it('lets one request through, and another one if that did not run', () => {
+    const ledger = grantTrial();
+    expect(ledger.assess(['r-4', 'a'], 40)).toBe('harmless');
+    expect(ledger.assess(['r-4', 'a', 'b'], 40)).toBe('quarantined');
+    const trial = ledger.takeTrial(['r-4', 'a'], 40);
+    expect(ledger.assess(['r-5', 'a'], 40)).toBe('quarantined');
+    if (trial !== undefined) {
+      ledger.returnTrial(trial);
+    }
+    expect(ledger.takeTrial(['r-5', 'a'], 50)).toBeDefined();
+    expect(ledger.takeTrial(['r-6', 'a'], 60)).toBeUndefined();
+  });
+
+  it('is refused if control does not grant it', () => {
+    const ledger = new CrashLedger('gateway');
+    ledger.startWith(new Set(['a']), 0);
+    const token = ledger.askForTrial(['r-1', 'a'], 10);
+    const pending = ledger.takePending() ?? { crashes: [], answered: [], trials: [] };
+    ledger.restorePending(pending);
+    expect(ledger.assess(['r-1', 'a'], 20, token)).toBe('unrecorded');
+    ledger.noteRecorded(ledger.takePending() ?? pending, [], 30);
+    expect(ledger.assess(['r-1', 'a'], 40, token)).toBe('quarantined');
+  });
+
+  it('is void after a while, and once the quarantine has ended', () => {
+    const ledger = grantTrial();
+    expect(ledger.assess(['r-4', 'a'], 100_000)).toBe('quarantined');
+    ledger.setQuarantined(new Set(), 100_010);
+    ledger.setQuarantined(new Set(['a']), 100_020);
+    expect(ledger.assess(['r-4', 'a'], 101_000)).toBe('quarantined');
   });
 });
--- a/__tests__/direct/crash-watch.test.ts
+++ b/__tests__/direct/crash-watch.test.ts
@@ -42,9 +42,9 @@
   it('logs all requests that an upstream broke off when it ended, each once, in one line', async () => {
     const { watch, ledger, lines } = createWatch(['accepted', 'refused']);
     const target = createTarget('a');
-    watch.noteBroken(target, 'first');
-    watch.noteBroken(target, 'second');
-    watch.noteBroken(target, 'first');
+    watch.noteBroken(target, ['first']);
+    watch.noteBroken(target, ['second']);
+    watch.noteBroken(target, ['first']);
     await waitFor('the log line', () => lines.length > 0);
     expect(lines).toEqual([
       '{"target":"a","upstream":"i-a","verdict":"refused","requests":["first","second"]}',
@@ -52,12 +52,13 @@
     expect(ledger.takePending()).toEqual({
       crashes: [{ upstream: 'i-a', requests: ['first', 'second'] }],
       answered: [],
+      trials: [],
     });
   });
 
   it('logs no refusal for an upstream that accepts a connection after an unanswered probe', async () => {
     const { watch, ledger, lines } = createWatch(['unanswered', 'accepted']);
-    watch.noteBroken(createTarget('a'), 'first');
+    watch.noteBroken(createTarget('a'), ['first']);
     await waitFor('the log line', () => lines.length > 0);
     expect(lines[0]).toContain('"verdict":"accepted"');
     expect(ledger.takePending()).toBeUndefined();
--- a/__tests__/direct/crash-world.ts
+++ b/__tests__/direct/crash-world.ts
@@ -1,7 +1,13 @@
 import type { Milliseconds, RandomSource } from '../../src/common/index.js';
-import { applyCommand, initialControlState } from '../../src/control/state/index.js';
+import {
+  applyCommand,
+  decodeSnapshot,
+  encodeSnapshot,
+  initialControlState,
+  type ControlState,
+} from '../../src/control/state/index.js';
 import { CrashLedger, type PendingCrashes } from '../../src/gateway/direct/index.js';
-import { listQuarantined } from '../../src/routing/index.js';
+import { formatSegmentSubject, listQuarantined } from '../../src/routing/index.js';
 
 /** Simulates gateways with crash ledgers, the replicated state of control, and upstreams that crash, on one virtual clock. */
 
@@ -20,8 +26,13 @@
 /** Crashes every upstream that runs it. */
 export const crashingRequest = 'crashing';
 
-interface RunningRequest {
+interface SimulatedRequest {
   readonly request: string;
+  /** Segments of its prompt that other requests share. */
+  readonly segments: readonly string[];
+}
+
+interface RunningRequest extends SimulatedRequest {
   readonly gateway: SimulatedGateway;
   readonly attempt: number;
   readonly endsAt: Milliseconds;
@@ -43,11 +54,28 @@
 }
 
 class SimulatedGateway {
-  readonly ledger = new CrashLedger();
-  readonly sends: { readonly request: string; readonly at: Milliseconds }[] = [];
+  ledger: CrashLedger;
+  readonly sends: (SimulatedRequest & { readonly at: Milliseconds })[] = [];
   readonly rejected: string[] = [];
+  readonly rejections: (SimulatedRequest & { readonly at: Milliseconds })[] = [];
+  readonly answers: (SimulatedRequest & { readonly at: Milliseconds })[] = [];
   isCut = false;
   isReporting = false;
+  readonly #name: string;
+  #starts = 1;
+
+  constructor(name: string) {
+    this.#name = name;
+    this.ledger = new CrashLedger(`${name}@1`);
+  }
+
+  /** Starts again without any memory, with the quarantines that control knows of. */
+  restart(quarantined: ReadonlySet<string>, now: Milliseconds): void {
+    this.#starts += 1;
+    this.ledger = new CrashLedger(`${this.#name}@${this.#starts}`);
+    this.ledger.startWith(quarantined, now);
+    this.isReporting = false;
+  }
 }
 
 interface ScheduledCallback {
@@ -59,8 +87,13 @@
   now: Milliseconds = 0;
   readonly gateways: readonly SimulatedGateway[];
   readonly upstreams: readonly SimulatedUpstream[];
-  /** Crashes caused by the crashing request, with the gateway that sent it. */
-  readonly crashes: { readonly at: Milliseconds; readonly gateway: SimulatedGateway }[] = [];
+  /** Crashes caused by a crashing request, with the gateway that sent it. */
+  readonly crashes: (SimulatedRequest & {
+    readonly at: Milliseconds;
+    readonly gateway: SimulatedGateway;
+  })[] = [];
+  /** Segments that crash every upstream that begins to answer a prompt with them. */
+  readonly crashingSegments = new Set<string>();
   isLeaderless = false;
   readonly #random: RandomSource;
   #state = initialControlState;
@@ -68,7 +101,10 @@
 
   constructor(random: RandomSource, gatewayCount: number, upstreamCount: number) {
     this.#random = random;
-    this.gateways = Array.from({ length: gatewayCount }, () => new SimulatedGateway());
+    this.gateways = Array.from(
+      { length: gatewayCount },
+      (_, index) => new SimulatedGateway(`gateway-${index}`),
+    );
     this.upstreams = Array.from(
       { length: upstreamCount },
       (_, index) => new SimulatedUpstream(`i-${index}`),
@@ -76,13 +112,30 @@
   }
 
   /** Sends a request through a random gateway. */
-  submit(request: string): void {
+  submit(request: string, segments: readonly string[] = []): void {
     const gateway = this.gateways[this.#random.integerBelow(this.gateways.length)];
     if (gateway !== undefined) {
-      this.#send(request, gateway, 1);
+      this.#send({ request, segments }, gateway, 1);
     }
   }
 
+  get suspects(): ControlState['routing']['suspects'] {
+    return this.#state.routing.suspects;
+  }
+
+  /** Kills a gateway with the requests that it has in flight, and starts it again. */
+  restartGateway(gateway: SimulatedGateway): void {
+    for (const upstream of this.upstreams) {
+      upstream.running = upstream.running.filter((each) => each.gateway !== gateway);
+    }
+    gateway.restart(listQuarantined(this.suspects), this.now);
+  }
+
+  /** Control restarts from a snapshot of its state. */
+  restartControl(): void {
+    this.#state = decodeSnapshot(encodeSnapshot(this.#state));
+  }
+
   crash(upstream: SimulatedUpstream): void {
     const { running, start } = upstream;
     upstream.running = [];
@@ -91,16 +144,12 @@
     for (const gateway of new Set(running.map((each) => each.gateway))) {
       const own = running.filter((each) => each.gateway === gateway);
       this.#schedule(20, () => {
-        gateway.ledger.noteCrash(
-          start,
-          own.map(({ request }) => request),
-          this.now,
-        );
+        gateway.ledger.noteCrash(start, own.flatMap(listSubjects), this.now);
       });
     }
-    for (const { request, gateway, attempt } of running) {
+    for (const { request, segments, gateway, attempt } of running) {
       if (attempt < maximumAttempts) {
-        this.#send(request, gateway, attempt + 1);
+        this.#send({ request, segments }, gateway, attempt + 1);
       }
     }
   }
@@ -123,21 +172,30 @@
   }
 
   #send(
-    request: string,
+    request: SimulatedRequest,
     gateway: SimulatedGateway,
     attempt: number,
     waitingSince = this.now,
+    earlierTrial?: string,
   ): void {
-    const assessment = gateway.ledger.assess(request, this.now);
+    const subjects = listSubjects(request);
+    const { ledger } = gateway;
+    const trial =
+      earlierTrial ??
+      (attempt === 1 && ledger.assess(subjects, this.now) === 'quarantined'
+        ? ledger.askForTrial(subjects, this.now)
+        : undefined);
+    const assessment = ledger.assess(subjects, this.now, trial);
     const isHeld = assessment === 'unrecorded' && attempt === 1;
     if (isHeld && this.now - waitingSince < maximumWait) {
       this.#schedule(retryInterval, () => {
-        this.#send(request, gateway, attempt, waitingSince);
+        this.#send(request, gateway, attempt, waitingSince, trial);
       });
       return;
     }
     if (isHeld || assessment === 'quarantined') {
-      gateway.rejected.push(request);
+      gateway.rejected.push(request.request);
+      gateway.rejections.push({ ...request, at: this.now });
       return;
     }
     const up = this.upstreams.filter(({ availableAt }) => availableAt <= this.now);
@@ -145,49 +203,70 @@
     if (upstream === undefined) {
       return;
     }
-    gateway.sends.push({ request, at: this.now });
-    const duration =
-      request === crashingRequest ? crashDelay : 100 + this.#random.integerBelow(900);
-    upstream.running.push({ request, gateway, attempt, endsAt: this.now + duration });
+    gateway.ledger.takeTrial(subjects, this.now);
+    gateway.sends.push({ ...request, at: this.now });
+    const duration = this.#isCrashing(request) ? crashDelay : 100 + this.#random.integerBelow(900);
+    upstream.running.push({ ...request, gateway, attempt, endsAt: this.now + duration });
   }
 
   #serve(upstream: SimulatedUpstream): void {
     const done = upstream.running.filter(({ endsAt }) => endsAt <= this.now);
-    const cause = done.find(({ request }) => request === crashingRequest);
+    const cause = done.find((request) => this.#isCrashing(request));
     if (cause !== undefined) {
-      this.crashes.push({ at: this.now, gateway: cause.gateway });
+      const { request, segments, gateway } = cause;
+      this.crashes.push({ request, segments, at: this.now, gateway });
       this.crash(upstream);
       return;
     }
     upstream.running = upstream.running.filter(({ endsAt }) => endsAt > this.now);
-    for (const { request, gateway } of done) {
-      gateway.ledger.noteAnswered(request, this.now);
+    for (const { request, segments, gateway } of done) {
+      gateway.ledger.noteAnswered(listSubjects({ request, segments }), this.now);
+      gateway.answers.push({ request, segments, at: this.now });
     }
   }
 
+  #isCrashing({ request, segments }: SimulatedRequest): boolean {
+    return (
+      request === crashingRequest || segments.some((segment) => this.crashingSegments.has(segment))
+    );
+  }
+
   #report(gateway: SimulatedGateway): void {
-    const pending = gateway.isReporting ? undefined : gateway.ledger.takePending();
+    const { ledger } = gateway;
+    const pending = gateway.isReporting ? undefined : ledger.takePending();
     if (pending === undefined) {
       return;
     }
     gateway.isReporting = true;
     this.#schedule(this.#random.integerBelow(longestMessageDelay), () => {
+      if (ledger !== gateway.ledger) {
+        return;
+      }
       gateway.isReporting = false;
       if (this.isLeaderless || gateway.isCut) {
-        gateway.ledger.restorePending(pending);
+        ledger.restorePending(pending);
         return;
       }
       this.#commit(pending);
-      gateway.ledger.noteRecorded(pending);
+      ledger.noteRecorded(pending, this.#listGranted(pending), this.now);
     });
   }
 
-  #commit({ crashes, answered }: PendingCrashes): void {
+  #listGranted({ trials }: PendingCrashes): readonly string[] {
+    return trials
+      .filter(({ request, token }) => {
+        return this.suspects.get(request)?.trials?.some((trial) => trial.token === token) === true;
+      })
+      .map(({ token }) => token);
+  }
+
+  #commit({ crashes, answered, trials }: PendingCrashes): void {
     const command = {
       type: 'noteCrashes',
       at: this.now,
       crashes: crashes.map(({ upstream, requests }) => ({ upstream, requests: [...requests] })),
       answered: [...answered],
+      trials: [...trials],
     } as const;
     this.#state = applyCommand(this.#state, command).state;
     for (const gateway of this.gateways) {
@@ -202,7 +281,7 @@
         this.#publishTo(gateway);
         return;
       }
-      gateway.ledger.setQuarantined(listQuarantined(this.#state.routing.suspects), this.now);
+      gateway.ledger.setQuarantined(listQuarantined(this.suspects), this.now);
     });
   }
 
@@ -210,3 +289,8 @@
     this.#scheduled.push({ at: this.now + Math.max(tick, delay), run });
   }
 }
+
+/** Segments are distinguished from contents as those of one service. */
+function listSubjects({ request, segments }: SimulatedRequest): readonly string[] {
+  return [request, ...segments.map((segment) => formatSegmentSubject('engines', segment))];
+}
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -45,6 +45,7 @@
 import type { CommandAnswer, ControlState, EvacuationAction } from '../state/index.js';
 import { leadershipStaleness } from './cold-allocator.js';
 import { CrashRecorder } from './crash-recorder.js';
+import { QuarantineObserver } from './quarantine-observer.js';
 import { DemandEstimator } from './demand-estimator.js';
 import { EngineLoop } from './engine-loop.js';
 import { EngineMetrics } from './engine-metrics.js';
@@ -96,6 +97,7 @@
   readonly #instances = new InstanceTracker();
   readonly #recorder: InstanceRecorder;
   readonly #crashes: CrashRecorder;
+  readonly #quarantines: QuarantineObserver;
   readonly #evacuations: EvacuationControl;
   readonly #demand = new DemandEstimator();
   readonly #outcomes = new ModelOutcomes();
@@ -121,6 +123,7 @@
     });
     this.#recorder = new InstanceRecorder(options.submitter);
     this.#crashes = new CrashRecorder(options);
+    this.#quarantines = new QuarantineObserver(options);
     this.#evacuations = new EvacuationControl(options);
     this.#leaderClient = new LeaderClient(options);
     this.#engines = new EngineLoop({
@@ -164,7 +167,8 @@
       reportEngine: (reports) => this.#reports.handleStream(reports),
       reportDemand: (report) => this.#handleDemandReport(report),
       reportCrashes: async (report) => {
-        return encodeOutcome(findFailure(await this.#crashes.record(report)));
+        const result = await this.#crashes.record(report);
+        return { ...encodeOutcome(findFailure(result)), granted: result.ok ? [...result.val] : [] };
       },
       announce: async ({ announcement }) => {
         const result = await this.#handleForwarded(announcement);
@@ -181,6 +185,7 @@
   handleStateChange(state: ControlState): void {
     this.#hub.publish(state.index, state.routing);
     this.#noteReturned(state);
+    this.#quarantines.handleState(state);
     this.#engines.notify();
   }
 
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -1,6 +1,6 @@
 import { assertNever } from '../../common/index.js';
 import { applyChange } from './apply-change.js';
-import { applyNoteCrashes } from './apply-crashes.js';
+import { applyNoteCrashes, applyReleaseSubject } from './apply-crashes.js';
 import { applyClaimKey, applySettleClaim } from './apply-claim.js';
 import { applySetEvacuation } from './apply-evacuation.js';
 import { applyPlanEngineGroups } from './apply-engine-groups.js';
@@ -40,6 +40,8 @@
       return applyPlanEngineGroups(state, command);
     case 'noteCrashes':
       return applyNoteCrashes(state, command);
+    case 'releaseSubject':
+      return applyReleaseSubject(state, command);
     case 'setEvacuation':
       return applySetEvacuation(state, command);
     default:
--- a/src/control/state/commands.ts
+++ b/src/control/state/commands.ts
@@ -170,14 +170,30 @@
           .strictObject({
             /** Identity of the instance that crashed. */
             upstream: z.string().min(1),
-            /** Digests of the requests that were in flight on it. */
+            /** Keys of the subjects that were in flight on it; see `CrashSubject`. */
             requests: z.array(z.string().min(1)).readonly(),
           })
           .readonly(),
       )
       .readonly(),
-    /** Digests of requests that an upstream answered completely. */
+    /** Keys of the subjects that an upstream answered completely. */
     answered: z.array(z.string().min(1)).readonly(),
+    /** Quarantined subjects that a gateway wants to send once; absent if there are none. */
+    trials: z
+      .array(z.strictObject({ request: z.string().min(1), token: z.string().min(1) }).readonly())
+      .readonly()
+      .exactOptional(),
+  })
+  .readonly();
+
+/** An operator ends the quarantine of a subject. */
+const releaseSubject = z
+  .strictObject({
+    type: z.literal('releaseSubject'),
+    at: z.number(),
+    /** Key of the subject; see `CrashSubject`. */
+    subject: z.string().min(1),
+    operator: z.string().max(200),
   })
   .readonly();
 
@@ -210,6 +226,7 @@
   recordInstances,
   planEngineGroups,
   noteCrashes,
+  releaseSubject,
   setEvacuation,
 ]);
 
--- a/src/control/state/state.ts
+++ b/src/control/state/state.ts
@@ -101,6 +101,8 @@
   | { readonly type: 'routed'; readonly version: number }
   | { readonly type: 'recorded' }
   | { readonly type: 'planned' }
+  /** `isChanged`: false if the subject was not known. */
+  | { readonly type: 'subjectReleased'; readonly isChanged: boolean }
   /** `isChanged`: false if the domain already was in the state that the order asks for. */
   | { readonly type: 'evacuationSet'; readonly isChanged: boolean }
   | {
--- a/src/gateway/direct/active-deliveries.ts
+++ b/src/gateway/direct/active-deliveries.ts
@@ -45,6 +45,13 @@
     });
   }
 
+  /** Quarantines have come into force. */
+  noteQuarantined(): void {
+    for (const delivery of [...this.#deliveries]) {
+      delivery.noteQuarantined();
+    }
+  }
+
   /** Withdraws the attempts that wait for a connection to an upstream that gets no more requests; returns their number. */
   withdrawUnsent(): number {
     return [...this.#deliveries].filter((delivery) => delivery.noteUpstreamUnavailable()).length;
--- a/src/gateway/direct/crash-ledger.ts
+++ b/src/gateway/direct/crash-ledger.ts
@@ -1,14 +1,21 @@
 import { LRUCache } from 'lru-cache';
 
 import type { Milliseconds } from '../../common/index.js';
+import type { CrashSubjectKey } from '../../routing/index.js';
+import { TrialGrants, type TrialGrant, type TrialRequest } from './trial-grants.js';
 
-/** Tracks crashes, complete responses and quarantined requests on one gateway; performs no I/O. */
+/**
+ * Tracks crashes, complete responses and quarantined subjects on one gateway; performs no I/O.
+ * The subjects of a request are its whole content and the segments of its prompt that others may share.
+ */
 
 /** Capacity of each LRU cache. */
-const maximumTrackedRequests = 4000;
+const maximumTrackedSubjects = 20_000;
 /** Crashed upstreams with a pending report; the oldest are dropped while control cannot be reached for long. */
 const maximumPendingCrashes = 500;
-/** Time for which a complete response keeps a request from being suspected or rejected. */
+/** Subjects reported of one crash. */
+const maximumSubjectsPerCrash = 2000;
+/** Time for which a complete response keeps a subject from being suspected or rejected. */
 const answerLifetime: Milliseconds = 60_000;
 /**
  * Delay between receiving a quarantine and enforcing it. It allows gateways with a recent complete response to report it first; without the
@@ -16,95 +23,148 @@
  */
 const quarantineDelay: Milliseconds = 400;
 
-/** Crashes and complete responses that have not been reported to control yet. */
+/** What has not been reported to control yet. */
 export interface PendingCrashes {
   readonly crashes: readonly UpstreamCrash[];
-  /** Digests of requests that an upstream has answered completely. */
-  readonly answered: readonly string[];
+  /** Subjects that an upstream has answered completely. */
+  readonly answered: readonly CrashSubjectKey[];
+  readonly trials: readonly TrialRequest[];
 }
 
 export interface UpstreamCrash {
   /** Identity of the instance that crashed. */
   readonly upstream: string;
-  /** Digests of the requests that were in flight on it. */
-  readonly requests: readonly string[];
+  /** Subjects that were in flight on it. */
+  readonly requests: readonly CrashSubjectKey[];
 }
 
 /**
- * What is known of a request. `quarantined`: it crashed several upstreams. `unrecorded`: an upstream crashed while it ran, and control has not
- * recorded that yet. Sent again now, a request that crashes upstreams would crash another one before any gateway knows of this one, and a
- * gateway that is cut off from control would go on without end.
+ * What is known of a request. `quarantined`: one of its subjects crashed several upstreams. `unrecorded`: an upstream crashed while one of
+ * them ran, and control has not recorded that yet. Sent again now, a request that crashes upstreams would crash another one before any
+ * gateway knows of this one, and a gateway that is cut off from control would go on without end. A request also counts as `unrecorded` while
+ * control decides on the trial that it asked for.
  */
 export type CrashAssessment = 'harmless' | 'unrecorded' | 'quarantined';
 
 export class CrashLedger {
-  readonly #answeredAt = new LRUCache<string, Milliseconds>({ max: maximumTrackedRequests });
-  /** Requests that this gateway had in flight on an upstream that crashed. */
-  readonly #suspects = new LRUCache<string, true>({ max: maximumTrackedRequests });
-  /** Time at which this gateway received each quarantine, by request. */
-  #quarantinedAt: ReadonlyMap<string, Milliseconds> = new Map();
-  /** Requests that were in flight at a crash that control has not recorded yet. */
-  readonly #unrecorded = new LRUCache<string, true>({ max: maximumTrackedRequests });
-  #pendingCrashes = new Map<string, Set<string>>();
-  #pendingAnswered = new Set<string>();
-
-  /** Records a crash for the requests that were in flight, except those with a recent complete response. */
-  noteCrash(upstream: string, requests: Iterable<string>, now: Milliseconds): void {
-    const suspected = [...requests].filter((request) => !this.#isAnswered(request, now));
+  readonly #answeredAt = new LRUCache<CrashSubjectKey, Milliseconds>({
+    max: maximumTrackedSubjects,
+  });
+  /** Subjects that this gateway had in flight on an upstream that crashed. */
+  readonly #suspects = new LRUCache<CrashSubjectKey, true>({ max: maximumTrackedSubjects });
+  /** Time from which each quarantine is enforced. */
+  #enforcedFrom: ReadonlyMap<CrashSubjectKey, Milliseconds> = new Map();
+  /** Subjects that were in flight at a crash that control has not recorded yet. */
+  readonly #unrecorded = new LRUCache<CrashSubjectKey, true>({ max: maximumTrackedSubjects });
+  readonly #trials: TrialGrants;
+  #pendingCrashes = new Map<string, Set<CrashSubjectKey>>();
+  #pendingAnswered = new Set<CrashSubjectKey>();
+
+  /** `tokenPrefix`: distinguishes the trials of this gateway from those of others and of its earlier starts. */
+  constructor(tokenPrefix = '') {
+    this.#trials = new TrialGrants(tokenPrefix);
+  }
+
+  /** Records a crash for the subjects that were in flight, except those with a recent complete response. */
+  noteCrash(upstream: string, subjects: Iterable<CrashSubjectKey>, now: Milliseconds): void {
+    const suspected = this.#selectSuspected(subjects, now);
     if (suspected.length === 0) {
       return;
     }
-    for (const request of suspected) {
-      this.#suspects.set(request, true);
-      this.#unrecorded.set(request, true);
+    for (const subject of suspected) {
+      this.#suspects.set(subject, true);
+      this.#unrecorded.set(subject, true);
     }
     const known = this.#pendingCrashes.get(upstream) ?? [];
     this.#pendingCrashes.set(upstream, new Set([...known, ...suspected]));
     this.#limitPending();
   }
 
-  /** Records a complete response, which shows that the request does not crash every upstream that runs it. */
-  noteAnswered(request: string, now: Milliseconds): void {
-    this.#answeredAt.set(request, now);
-    this.#unrecorded.delete(request);
-    if (this.#suspects.delete(request) || this.#quarantinedAt.has(request)) {
-      this.#pendingAnswered.add(request);
+  /** Records a complete response, which shows that none of the subjects crashes every upstream that runs it. */
+  noteAnswered(subjects: readonly CrashSubjectKey[], now: Milliseconds): void {
+    for (const subject of subjects) {
+      this.#answeredAt.set(subject, now);
+      this.#unrecorded.delete(subject);
+      if (this.#suspects.delete(subject) || this.#enforcedFrom.has(subject)) {
+        this.#pendingAnswered.add(subject);
+      }
     }
   }
 
-  /** Replaces the set of quarantined requests and queues a report for those with a recent complete response. */
-  setQuarantined(quarantined: ReadonlySet<string>, now: Milliseconds): void {
-    const known = this.#quarantinedAt;
-    this.#quarantinedAt = new Map(
-      [...quarantined].map((request) => [request, known.get(request) ?? now]),
+  /** Takes the quarantines in force when this gateway starts. It has no complete responses to report against them, so they apply at once. */
+  startWith(quarantined: ReadonlySet<CrashSubjectKey>, now: Milliseconds): void {
+    this.#enforcedFrom = new Map([...quarantined].map((subject) => [subject, now]));
+  }
+
+  /**
+   * Replaces the set of quarantined subjects and queues a report for those with a recent complete response. Returns the time from which new
+   * quarantines are enforced; undefined if there are none.
+   */
+  setQuarantined(
+    quarantined: ReadonlySet<CrashSubjectKey>,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    const known = this.#enforcedFrom;
+    this.#enforcedFrom = new Map(
+      [...quarantined].map((subject) => [subject, known.get(subject) ?? now + quarantineDelay]),
     );
-    for (const request of quarantined) {
-      if (!known.has(request) && this.#isAnswered(request, now)) {
-        this.#pendingAnswered.add(request);
+    this.#trials.retain(quarantined);
+    for (const subject of quarantined) {
+      if (!known.has(subject) && this.#isAnswered(subject, now)) {
+        this.#pendingAnswered.add(subject);
       }
     }
+    const hasNew = [...quarantined].some((subject) => !known.has(subject));
+    return hasNew ? now + quarantineDelay : undefined;
   }
 
-  /** Lets callers skip computing a digest while no request is suspected. */
+  /** Lets callers skip computing a digest while nothing is suspected. */
   get hasSuspicions(): boolean {
-    return this.#quarantinedAt.size > 0 || this.#unrecorded.size > 0;
+    return this.#enforcedFrom.size > 0 || this.#unrecorded.size > 0;
   }
 
-  /** Whether a request may be sent to an upstream. */
-  assess(request: string, now: Milliseconds): CrashAssessment {
-    if (this.#isAnswered(request, now)) {
-      return 'harmless';
-    }
-    const receivedAt = this.#quarantinedAt.get(request);
-    if (receivedAt !== undefined && now - receivedAt >= quarantineDelay) {
-      return 'quarantined';
+  /** Whether a request with the given subjects may be sent to an upstream. `trial`: token of the trial that it asked for. */
+  assess(subjects: readonly CrashSubjectKey[], now: Milliseconds, trial?: string): CrashAssessment {
+    const quarantined = this.listQuarantined(subjects, now);
+    if (quarantined.length > 0 && this.#trials.find(quarantined, now) === undefined) {
+      return trial !== undefined && this.#trials.isUndecided(trial) ? 'unrecorded' : 'quarantined';
     }
-    return this.#unrecorded.has(request) ? 'unrecorded' : 'harmless';
+    const isUnrecorded = subjects.some((subject) => {
+      return this.#unrecorded.has(subject) && !this.#isAnswered(subject, now);
+    });
+    return isUnrecorded ? 'unrecorded' : 'harmless';
+  }
+
+  /** Those of the subjects that must not be sent. */
+  listQuarantined(
+    subjects: readonly CrashSubjectKey[],
+    now: Milliseconds,
+  ): readonly CrashSubjectKey[] {
+    return subjects.filter((subject) => {
+      const enforcedFrom = this.#enforcedFrom.get(subject);
+      return enforcedFrom !== undefined && now >= enforcedFrom && !this.#isAnswered(subject, now);
+    });
+  }
+
+  /** Asks control to let a quarantined request be sent; returns the token of the trial, or undefined if none can be asked for now. */
+  askForTrial(subjects: readonly CrashSubjectKey[], now: Milliseconds): string | undefined {
+    return this.#trials.want(this.listQuarantined(subjects, now), now);
+  }
+
+  /** A request is being sent; returns the trial that it uses up, if any. */
+  takeTrial(subjects: readonly CrashSubjectKey[], now: Milliseconds): TrialGrant | undefined {
+    return this.#trials.take(this.listQuarantined(subjects, now), now);
+  }
+
+  /** The request on trial certainly did not run, so another one may be sent instead. */
+  returnTrial(trial: TrialGrant): void {
+    this.#trials.restore(trial);
   }
 
   /** Removes and returns everything to be reported; undefined if there is nothing. */
   takePending(): PendingCrashes | undefined {
-    if (this.#pendingCrashes.size === 0 && this.#pendingAnswered.size === 0) {
+    const trials = this.#trials.takeWanted();
+    if (this.#pendingCrashes.size + this.#pendingAnswered.size + trials.length === 0) {
       return undefined;
     }
     const crashes = [...this.#pendingCrashes].map(([upstream, requests]) => ({
@@ -114,43 +174,64 @@
     const answered = [...this.#pendingAnswered];
     this.#pendingCrashes = new Map();
     this.#pendingAnswered = new Set();
-    return { crashes, answered };
+    return { crashes, answered, trials };
   }
 
   /** Queues a report again after it could not be delivered. */
-  restorePending({ crashes, answered }: PendingCrashes): void {
+  restorePending({ crashes, answered, trials }: PendingCrashes): void {
     for (const { upstream, requests } of crashes) {
       const known = this.#pendingCrashes.get(upstream) ?? [];
       this.#pendingCrashes.set(upstream, new Set([...requests, ...known]));
     }
     this.#pendingAnswered = new Set([...answered, ...this.#pendingAnswered]);
+    this.#trials.restoreWanted(trials);
   }
 
-  /** Control has recorded the report. Requests with further crashes stay unrecorded. */
-  noteRecorded({ crashes }: PendingCrashes): void {
+  /** Control has recorded the report and granted some of its trials. Subjects with further crashes stay unrecorded. */
+  noteRecorded(
+    { crashes, trials }: PendingCrashes,
+    granted: readonly string[],
+    now: Milliseconds,
+  ): void {
     this.#release(crashes.flatMap(({ requests }) => requests));
+    this.#trials.decide(trials, granted, now);
+  }
+
+  /** Subjects of earlier crashes come first, so that those that were in flight once do not displace one that recurs. */
+  #selectSuspected(
+    subjects: Iterable<CrashSubjectKey>,
+    now: Milliseconds,
+  ): readonly CrashSubjectKey[] {
+    const suspected = [...subjects].filter((subject) => !this.#isAnswered(subject, now));
+    if (suspected.length <= maximumSubjectsPerCrash) {
+      return suspected;
+    }
+    const recurring = suspected.filter((subject) => this.#suspects.has(subject));
+    const others = suspected.filter((subject) => !this.#suspects.has(subject));
+    others.forEach((subject) => this.#suspects.set(subject, true));
+    return [...recurring, ...others].slice(0, maximumSubjectsPerCrash);
   }
 
   #limitPending(): void {
     const excess = Math.max(0, this.#pendingCrashes.size - maximumPendingCrashes);
-    for (const [upstream, requests] of [...this.#pendingCrashes].slice(0, excess)) {
+    for (const [upstream, subjects] of [...this.#pendingCrashes].slice(0, excess)) {
       this.#pendingCrashes.delete(upstream);
-      this.#release(requests);
+      this.#release(subjects);
     }
   }
 
-  /** Holds requests back no longer, unless another crash of theirs is to be reported. */
-  #release(requests: Iterable<string>): void {
+  /** Holds subjects back no longer, unless another crash of theirs is to be reported. */
+  #release(subjects: Iterable<CrashSubjectKey>): void {
     const pending = new Set([...this.#pendingCrashes.values()].flatMap((each) => [...each]));
-    for (const request of requests) {
-      if (!pending.has(request)) {
-        this.#unrecorded.delete(request);
+    for (const subject of subjects) {
+      if (!pending.has(subject)) {
+        this.#unrecorded.delete(subject);
       }
     }
   }
 
-  #isAnswered(request: string, now: Milliseconds): boolean {
-    const answeredAt = this.#answeredAt.get(request);
+  #isAnswered(subject: CrashSubjectKey, now: Milliseconds): boolean {
+    const answeredAt = this.#answeredAt.get(subject);
     return answeredAt !== undefined && now - answeredAt < answerLifetime;
   }
 }
--- a/src/gateway/direct/crash-reporter.ts
+++ b/src/gateway/direct/crash-reporter.ts
@@ -17,8 +17,8 @@
   readonly takePending: () => PendingCrashes | undefined;
   /** Queues a report again if the leader may not have recorded it; safe because the leader counts each crash once. */
   readonly restorePending: (pending: PendingCrashes) => void;
-  /** Called once the leader has recorded a report. */
-  readonly onRecorded: (pending: PendingCrashes) => void;
+  /** Called once the leader has recorded a report, with the tokens of the trials that it granted. */
+  readonly onRecorded: (pending: PendingCrashes, granted: readonly string[]) => void;
   readonly clients: RpcClientPool;
   readonly logger: Logger;
 }
@@ -52,8 +52,7 @@
     }
     this.#isReporting = true;
     try {
-      await this.#send(leader, pending);
-      onRecorded(pending);
+      onRecorded(pending, await this.#send(leader, pending));
     } catch (error) {
       restorePending(pending);
       logger.debug({ leader, error: String(error) }, 'failed to report crashes');
@@ -61,18 +60,23 @@
     this.#isReporting = false;
   }
 
-  async #send(leader: string, { crashes, answered }: PendingCrashes): Promise<void> {
+  async #send(
+    leader: string,
+    { crashes, answered, trials }: PendingCrashes,
+  ): Promise<readonly string[]> {
     const { gateway, clients } = this.#options;
-    const { resultCode, message } = await clients.client(RoutingService, leader).reportCrashes(
+    const answer = await clients.client(RoutingService, leader).reportCrashes(
       {
         gateway,
         crashes: crashes.map(({ upstream, requests }) => ({ upstream, requests: [...requests] })),
         answered: [...answered],
+        trials: [...trials],
       },
       { timeoutMs: reportTimeout },
     );
-    if (resultCode !== resultCodes.ok.number) {
-      throw new Error(message);
+    if (answer.resultCode !== resultCodes.ok.number) {
+      throw new Error(answer.message);
     }
+    return answer.granted;
   }
 }
--- a/src/gateway/direct/crash-watch.ts
+++ b/src/gateway/direct/crash-watch.ts
@@ -1,6 +1,6 @@
 import { pause, type RateLimitedLog, type Clock, type Milliseconds } from '../../common/index.js';
 import type { Target } from '../../dispatch/index.js';
-import { formatIdentity } from '../../routing/index.js';
+import { formatIdentity, parseSubject, type CrashSubjectKey } from '../../routing/index.js';
 import type { CrashLedger } from './crash-ledger.js';
 import type { ProbeVerdict } from './upstream-probe.js';
 
@@ -8,6 +8,8 @@
 
 /** Delay before each probe. An upstream that ends may close its connections shortly before its listening socket. */
 const probeDelays: readonly Milliseconds[] = [20, 250];
+/** Subjects of each type in one log line. */
+const maximumLoggedSubjects = 50;
 
 export interface CrashWatchOptions {
   /** Checks whether an `ip:port` accepts connections. */
@@ -19,37 +21,37 @@
 
 export class CrashWatch {
   readonly #options: CrashWatchOptions;
-  /** Digests of the requests that were interrupted, by key of the target being probed. */
-  readonly #brokenRequests = new Map<string, Set<string>>();
+  /** Subjects of the requests that were interrupted, by key of the target being probed. */
+  readonly #interrupted = new Map<string, Set<CrashSubjectKey>>();
 
   constructor(options: CrashWatchOptions) {
     this.#options = options;
   }
 
   /** Records that the target interrupted a request that was sent to it, and starts probing it unless a probe is pending. */
-  noteBroken(target: Target, requestDigest: string): void {
-    const pending = this.#brokenRequests.get(target.key);
+  noteBroken(target: Target, subjects: readonly CrashSubjectKey[]): void {
+    const pending = this.#interrupted.get(target.key);
     if (pending !== undefined) {
-      pending.add(requestDigest);
+      subjects.forEach((subject) => pending.add(subject));
       return;
     }
-    const digests = new Set([requestDigest]);
-    this.#brokenRequests.set(target.key, digests);
-    void this.#probeTarget(target, digests);
+    const interrupted = new Set(subjects);
+    this.#interrupted.set(target.key, interrupted);
+    void this.#probeTarget(target, interrupted);
   }
 
   async #probeTarget(
     { key, address, instance }: Target,
-    digests: ReadonlySet<string>,
+    subjects: ReadonlySet<CrashSubjectKey>,
   ): Promise<void> {
     const verdict = await this.#probeUntilRefused(address);
-    this.#brokenRequests.delete(key);
+    this.#interrupted.delete(key);
     const upstream = formatIdentity(instance);
     if (verdict === 'refused') {
-      this.#options.ledger.noteCrash(upstream, digests, this.#options.clock.monotonic());
+      this.#options.ledger.noteCrash(upstream, subjects, this.#options.clock.monotonic());
     }
     this.#options.log.info(
-      { target: key, upstream, verdict, requests: [...digests] },
+      { target: key, upstream, verdict, ...describeSubjects(subjects) },
       'upstream probed after interrupted responses',
     );
   }
@@ -67,3 +69,13 @@
     return verdict;
   }
 }
+
+function describeSubjects(keys: ReadonlySet<CrashSubjectKey>): object {
+  const subjects = [...keys].map(parseSubject);
+  const requests = subjects.flatMap((each) => (each.type === 'request' ? [each.digest] : []));
+  const segments = subjects.flatMap((each) => (each.type === 'segment' ? [each.segment] : []));
+  return {
+    requests: requests.slice(0, maximumLoggedSubjects),
+    ...(segments.length > 0 && { promptSegments: segments.slice(0, maximumLoggedSubjects) }),
+  };
+}
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -86,6 +86,8 @@
   | { readonly type: 'ended' }
   /** The response was interrupted, or none arrived. */
   | { readonly type: 'broken'; readonly now: Milliseconds }
+  /** Quarantines have come into force, and the response has not begun. */
+  | { readonly type: 'quarantined'; readonly now: Milliseconds }
   | { readonly type: 'callerLeft' };
 
 /** Actions that the caller of `handle` must execute. */
@@ -178,6 +180,8 @@
       case 'broken':
         this.#mayHaveRun = true;
         return this.#retryPossiblyStarted(event.now, 'answerBroken');
+      case 'quarantined':
+        return this.#handleQuarantine(event.now);
       case 'callerLeft': {
         const isRunning = this.#phase.type === 'running';
         this.#phase = { type: 'over' };
@@ -312,6 +316,17 @@
     return [ending, this.#start(choice.target, now)];
   }
 
+  /** An upstream that has not begun with a quarantined request is spared its crash. */
+  #handleQuarantine(now: Milliseconds): readonly DeliveryEffect[] {
+    if (this.#isPassedOn || this.#dependencies.assessCrashes(now) !== 'quarantined') {
+      return [];
+    }
+    const isRunning = this.#phase.type === 'running';
+    this.#mayHaveRun ||= isRunning && this.#dependencies.isSent();
+    const cancel: readonly DeliveryEffect[] = isRunning ? [{ type: 'cancel' }] : [];
+    return [...cancel, this.#giveUp('requestQuarantined', now)];
+  }
+
   #findRefusalTime(phase: WaitingPhase): Milliseconds {
     return Math.min(this.#options.deadline, findWaitEnd(phase, this.#options, this.#isPassedOn));
   }
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -1,6 +1,6 @@
 import type { RateLimitedLog, Clock, Milliseconds } from '../../common/index.js';
 import type { RequestPermits, TargetChooser, TargetLoads } from '../../dispatch/index.js';
-import type { RoutedAccount, RoutedService, Route } from '../../routing/index.js';
+import type { CrashSubjectKey, RoutedAccount, RoutedService, Route } from '../../routing/index.js';
 import type { CrashLedger } from './crash-ledger.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { Dialect, RawHeaders, TokenCounts } from './dialect.js';
@@ -45,6 +45,8 @@
   readonly observer: UpstreamObserver;
   /** Called for each request sent to an upstream with a known rate limit. */
   readonly onSentToLimited: (service: RoutedService) => void;
+  /** Called for each request that is rejected because of the given quarantined subjects. */
+  readonly onRejectedForCrashes: (subjects: readonly CrashSubjectKey[]) => void;
   /** Connections that this gateway may open to one instance of a service. */
   readonly connectionLimit: (service: RoutedService) => number;
   readonly spendRetry: (service: string) => boolean;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,8 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import { assertNever, digest, type Milliseconds } from '../../common/index.js';
+import { assertNever, digest, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
-import { formatIdentity } from '../../routing/index.js';
+import { formatIdentity, formatSegmentSubject, type CrashSubjectKey } from '../../routing/index.js';
+import type { CrashAssessment } from './crash-ledger.js';
 import {
   DeliveryController,
   type ChoiceMode,
@@ -15,6 +16,7 @@
 import { QueuePlace } from './queue-place.js';
 import { RequestTimer } from './request-times.js';
 import type { TrackedStream } from './stream-progress.js';
+import type { TrialGrant } from './trial-grants.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
 import type { SlotRefusal } from './waiting-requests.js';
 
@@ -57,6 +59,11 @@
   #firstDataAt: Milliseconds | undefined;
   /** Computed on first use. */
   #cachedDigest: string | undefined;
+  #cachedSubjects: readonly CrashSubjectKey[] | undefined;
+  /** Token of the trial that the request asked for. */
+  #trialToken: string | undefined;
+  /** Trial that the current attempt uses up; undefined if it holds no quarantined subject. */
+  #trial: TrialGrant | undefined;
 
   constructor(
     request: ReceivedRequest,
@@ -72,7 +79,7 @@
     const { service, model, tokens, route, startedAt, deadline } = request;
     const isRetryable =
       route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
-    const { chooser, crashLedger } = dependencies;
+    const { chooser } = dependencies;
     const objective = route.objective;
     this.#work = { service, model, tokens: tokens?.prompt, objective, startedAt };
     this.#place = this.#createPlace();
@@ -84,11 +91,7 @@
         isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
         spendRetry: () => dependencies.spendRetry(service.name),
-        assessCrashes: (now) => {
-          return crashLedger.hasSuspicions
-            ? crashLedger.assess(this.#requestDigest, now)
-            : 'harmless';
-        },
+        assessCrashes: (now) => this.#assessCrashes(now),
       },
     );
   }
@@ -132,6 +135,16 @@
     return this.#cachedDigest;
   }
 
+  /** What the crash of an upstream that runs the request may be blamed on. */
+  get #crashSubjects(): readonly CrashSubjectKey[] {
+    const { service, promptSegments } = this.#request;
+    this.#cachedSubjects ??= [
+      this.#requestDigest,
+      ...promptSegments.map((segment) => formatSegmentSubject(service.name, segment)),
+    ];
+    return this.#cachedSubjects;
+  }
+
   /** Whether it waits for an upstream that can accept it. */
   get isWaiting(): boolean {
     return this.#controller.isWaiting;
@@ -153,7 +166,7 @@
     this.#handle({ type: 'targetsChanged', now: this.#now() });
     if (target !== undefined && isSent && this.#target !== target) {
       // Control may remove an upstream before its connections break; probe it so that its crash is not missed.
-      this.#dependencies.crashWatch.noteBroken(target, this.#requestDigest);
+      this.#dependencies.crashWatch.noteBroken(target, this.#crashSubjects);
     }
   }
 
@@ -170,6 +183,13 @@
     return this.#attempt !== attempt;
   }
 
+  /** Quarantines have come into force. Takes the request back if it may still wait in the queue of its upstream, unless it is on trial. */
+  noteQuarantined(): void {
+    if (this.#trial === undefined && this.#firstDataAt === undefined) {
+      this.#handle({ type: 'quarantined', now: this.#now() });
+    }
+  }
+
   /** The named targets have stalled. */
   noteStalled(stalled: ReadonlySet<string>): void {
     const before = this.#target?.key;
@@ -244,7 +264,7 @@
         this.#responseWriter.finish();
         this.#timer.noteForwarded(this.#now());
         if (this.#responseWriter.isSuccess) {
-          this.#dependencies.crashLedger.noteAnswered(this.#requestDigest, this.#now());
+          this.#dependencies.crashLedger.noteAnswered(this.#crashSubjects, this.#now());
         }
         this.#conclude('whole');
         return;
@@ -253,6 +273,7 @@
         this.#conclude(effect.failure.code);
         return;
       case 'fail':
+        this.#noteRejection(effect.failure);
         this.#responseWriter.fail(effect.failure);
         this.#conclude(effect.failure.code);
         return;
@@ -285,6 +306,7 @@
     this.#target = target;
     this.#lastTarget = target.key;
     this.#sentAt = this.#now();
+    this.#takeTrial();
     this.#timer.noteAssigned(this.#sentAt);
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
@@ -347,6 +369,7 @@
         loads.noteClosed(target, this.#now());
       }
       attempt.discard();
+      this.#returnTrial();
       this.#releaseTarget();
       this.#handle({ type: 'refused', now: this.#now() });
       return;
@@ -366,6 +389,49 @@
     }
   }
 
+  /** A quarantined request that has not been sent asks for a trial first. */
+  #assessCrashes(now: Milliseconds): CrashAssessment {
+    const { crashLedger } = this.#dependencies;
+    if (!crashLedger.hasSuspicions) {
+      return 'harmless';
+    }
+    const assessment = crashLedger.assess(this.#crashSubjects, now, this.#trialToken);
+    const mayAsk = this.#trialToken === undefined && this.#controller.attemptCount === 0;
+    if (assessment !== 'quarantined' || !mayAsk) {
+      return assessment;
+    }
+    this.#trialToken = crashLedger.askForTrial(this.#crashSubjects, now);
+    return this.#trialToken === undefined ? 'quarantined' : 'unrecorded';
+  }
+
+  #takeTrial(): void {
+    const { crashLedger } = this.#dependencies;
+    this.#trial = crashLedger.hasSuspicions
+      ? crashLedger.takeTrial(this.#crashSubjects, this.#sentAt)
+      : undefined;
+    if (this.#trial !== undefined) {
+      this.#logEvent('quarantined subject sent on trial', { subject: this.#trial.subject });
+    }
+  }
+
+  /** The attempt certainly did not run, so its trial can still be made. */
+  #returnTrial(): void {
+    if (this.#trial !== undefined) {
+      this.#dependencies.crashLedger.returnTrial(this.#trial);
+      this.#trial = undefined;
+    }
+  }
+
+  #noteRejection({ code }: Failure): void {
+    if (code !== 'requestQuarantined') {
+      return;
+    }
+    const { crashLedger, onRejectedForCrashes } = this.#dependencies;
+    const subjects = crashLedger.listQuarantined(this.#crashSubjects, this.#now());
+    this.#logEvent('request rejected for crashes of upstreams', { subjects });
+    onRejectedForCrashes(subjects);
+  }
+
   /** Returns whether the request was sent to another upstream instead of forwarding this failure. */
   #tryReplaceFailure(attempt: UpstreamAttempt, status: number): boolean {
     const target = this.#target?.key;
@@ -415,7 +481,9 @@
     this.#dependencies.loads.suspect(target, this.#now());
     this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
-      this.#dependencies.crashWatch.noteBroken(target, this.#requestDigest);
+      this.#dependencies.crashWatch.noteBroken(target, this.#crashSubjects);
+    } else {
+      this.#returnTrial();
     }
     this.#releaseTarget();
     this.#handle({ type: isSent ? 'broken' : 'unreachable', now: this.#now() });
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -82,8 +82,8 @@
     restorePending: (pending) => {
       gateway.crashLedger.restorePending(pending);
     },
-    onRecorded: (pending) => {
-      gateway.crashLedger.noteRecorded(pending);
+    onRecorded: (pending, granted) => {
+      gateway.crashLedger.noteRecorded(pending, granted, clock.monotonic());
     },
   });
   const connections: ManagedPart = {
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import type { Logger } from 'pino';
@@ -21,7 +22,7 @@
   UpstreamAvailability,
   type GatewayPosition,
 } from '../../dispatch/index.js';
-import { formatIdentity, listIdentities } from '../../routing/index.js';
+import { formatIdentity, listIdentities, parseSubject } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
 import { readBody } from '../shell/body.js';
@@ -83,7 +84,7 @@
   readonly #connections = new UpstreamConnections();
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
-  readonly #crashLedger = new CrashLedger();
+  readonly #crashLedger = new CrashLedger(randomUUID());
   readonly #availability = new UpstreamAvailability();
   readonly #permits: RequestPermits;
   readonly #retryBudget: SharedRetryBudget;
@@ -103,6 +104,8 @@
   #gateways: number;
   #position: GatewayPosition | undefined;
   #isStopping = false;
+  /** Whether the routing state has been complete once. */
+  #isSynchronized = false;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -159,6 +162,11 @@
       onSentToLimited: ({ name }) => {
         metrics.noteSentToLimited(name);
       },
+      onRejectedForCrashes: (subjects) => {
+        for (const type of new Set(subjects.map((key) => parseSubject(key).type))) {
+          metrics.noteRejectedForCrashes(type);
+        }
+      },
       crashWatch: new CrashWatch({
         probe: probeUpstream,
         ledger: this.#crashLedger,
@@ -308,7 +316,7 @@
     this.#permits.retain(listIdentities(view));
     this.#startWatch.applyView(view);
     this.#connections.retain(listUpstreamAddresses(view));
-    this.#crashLedger.setQuarantined(view.quarantined, this.#options.clock.monotonic());
+    this.#applyQuarantines(view);
     const callers = view.table?.document.callers;
     if (callers !== undefined) {
       this.#server.keepAliveTimeout = callers.idleTimeout;
@@ -317,6 +325,20 @@
     this.#deliveries.noteTargetsChanged();
   }
 
+  #applyQuarantines({ isSynchronized, quarantined }: RoutingView): void {
+    const now = this.#options.clock.monotonic();
+    if (!this.#isSynchronized && isSynchronized) {
+      this.#isSynchronized = true;
+      this.#crashLedger.startWith(quarantined, now);
+    }
+    const enforcedAt = this.#crashLedger.setQuarantined(quarantined, now);
+    if (enforcedAt !== undefined) {
+      setTimeout(() => {
+        this.#deliveries.noteQuarantined();
+      }, enforcedAt - now).unref();
+    }
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { dialect, clock, random } = this.#options;
     const call: InboundRequest = {
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -2,6 +2,7 @@
 
 import type { Milliseconds } from '../../common/index.js';
 import type { DropReason, Unavailability } from '../../dispatch/index.js';
+import type { CrashSubject } from '../../routing/index.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { QueueObserver } from './waiting-requests.js';
 
@@ -20,6 +21,7 @@
   readonly #refused: Counter<'code'>;
   readonly #sentToLimited: Counter<'service'>;
   readonly #sentToCold: Counter<'service'>;
+  readonly #rejectedForCrashes: Counter<'subject'>;
   readonly #heldBytes: Gauge;
   readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
@@ -69,6 +71,12 @@
       labelNames: ['service'],
       registers,
     });
+    this.#rejectedForCrashes = new Counter({
+      name: 'pistachiospoke_requests_rejected_for_crashes_total',
+      help: 'Requests that were not sent because of a quarantine, by the type of the subject.',
+      labelNames: ['subject'],
+      registers,
+    });
     this.#heldBytes = new Gauge({
       name: 'pistachiospoke_held_bytes',
       help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
@@ -205,6 +213,10 @@
     this.#sentToCold.inc({ service });
   }
 
+  noteRejectedForCrashes(subject: CrashSubject['type']): void {
+    this.#rejectedForCrashes.inc({ subject });
+  }
+
   noteHeldBytes(bytes: number): void {
     this.#heldBytes.set(bytes);
   }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -24,10 +24,18 @@
   type PackedDocument,
 } from './packed-document.js';
 export { chooseService, RouteTable } from './route-table.js';
+export {
+  formatSegmentSubject,
+  parseSubject,
+  type CrashSubject,
+  type CrashSubjectKey,
+} from './crash-subjects.js';
+export { listQuarantined } from './quarantine.js';
 export {
   crashSuspectSchema,
-  listQuarantined,
+  isTrialDue,
   quarantineThreshold,
+  trialDelays,
   type CrashSuspect,
 } from './suspects.js';
 export { lowestPermitRate, UpstreamLimits, type UpstreamLimit } from './upstream-limits.js';
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -1,27 +1,47 @@
 import { z } from 'zod';
 
-/** Requests that were in flight when upstreams crashed. */
+import type { Milliseconds, WallTime } from '../common/index.js';
 
-/** Number of distinct instances that must crash with a request in flight before it is quarantined. */
+/** Subjects that were in flight when upstreams crashed. */
+
+/** Number of distinct instances that must crash with a subject in flight before it is quarantined. */
 export const quarantineThreshold = 3;
 
+/**
+ * A quarantined subject may be sent once more this long after its last crash or trial, and no more often than there are entries; otherwise
+ * one that was in flight by coincidence could only be released by an operator. Upstreams that a guilty subject crashes in its trials are
+ * few for the same reason.
+ */
+export const trialDelays: readonly Milliseconds[] = [5000, 10 * 60 * 1000];
+
+const trialSchema = z
+  .strictObject({
+    /** Chosen by the gateway that may send the subject once. */
+    token: z.string().min(1),
+    grantedAt: z.number(),
+  })
+  .readonly();
+
 export const crashSuspectSchema = z
   .strictObject({
-    /** Digest of the account, method, path and body. */
+    /** Key of the subject; see `CrashSubject`. */
     request: z.string().min(1),
-    /** Identities of the instances that crashed with the request in flight, oldest first. */
+    /** Identities of the instances that crashed with the subject in flight, oldest first. */
     upstreams: z.array(z.string().min(1)).min(1).readonly(),
     /** Wall time of the last change to `upstreams`. */
     changedAt: z.number(),
+    /** Wall time of the first crash; absent if it was recorded by an earlier version. */
+    since: z.number().exactOptional(),
+    /** Absent before the first trial. */
+    trials: z.array(trialSchema).min(1).readonly().exactOptional(),
   })
   .readonly();
 
 export type CrashSuspect = z.infer<typeof crashSuspectSchema>;
 
-/** Digests of the requests that gateways must not send. */
-export function listQuarantined(suspects: ReadonlyMap<string, CrashSuspect>): ReadonlySet<string> {
-  const quarantined = [...suspects.values()].filter(({ upstreams }) => {
-    return upstreams.length >= quarantineThreshold;
-  });
-  return new Set(quarantined.map(({ request }) => request));
+/** Whether a quarantined subject may be sent once more. */
+export function isTrialDue({ changedAt, trials = [] }: CrashSuspect, now: WallTime): boolean {
+  const delay = trialDelays[trials.length];
+  const lastChange = Math.max(changedAt, trials.at(-1)?.grantedAt ?? changedAt);
+  return delay !== undefined && now - lastChange >= delay;
 }
