Take a stream that ends inside an event for interrupted if only the end of its connection delimits it

Callers saw: an answer without a length or chunks whose upstream ended in the middle of an event came as complete, 200, with half an event at its end, though its route allows to continue it elsewhere.

Cause: the end of such a connection was taken for the end of the response, whatever had come by then.

Now the attempt counts as broken: the stream goes on elsewhere after its last complete event, also in a response of the same kind, or its connection to the caller is reset, since an orderly close would look like the end. After a whole event an end is still an end.

Evidence: the four new cases of direct/direct-gateway.test.ts failed before (half events passed on) and pass now.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -70,6 +70,12 @@
   const answer = new Promise<CallerAnswer>((resolve, reject) => {
     request.on('error', reject);
     request.on('response', (response) => {
+      // Node takes a body without a length or chunks for complete even if its connection is reset.
+      let isReset = false;
+      request.off('error', reject);
+      request.on('error', () => {
+        isReset = true;
+      });
       let body = '';
       response.setEncoding('utf8');
       response.on('data', (text: string) => {
@@ -78,7 +84,12 @@
       response.on('error', () => undefined);
       response.on('close', () => {
         const { statusCode, headers: answered, complete } = response;
-        resolve({ status: statusCode ?? 0, headers: answered, body, isWhole: complete });
+        resolve({
+          status: statusCode ?? 0,
+          headers: answered,
+          body,
+          isWhole: complete && !isReset,
+        });
       });
     });
   });
@@ -529,6 +540,12 @@
     }
   }
 
+  /** Begins a response whose end is the end of its connection. */
+  function beginUnframed(response: ServerResponse): void {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { ...stream, connection: 'close' });
+  }
+
   /**
    * Guards against a stream that ends early or repeats a part. When the group of the stream loses a member, the stream continues on
    * another group after the last complete event that the caller has received.
@@ -598,6 +615,61 @@
     expect(body).toContain('id: 1');
   });
 
+  // Guards against passing on half an event as the end of a stream whose upstream sends neither a length nor chunks.
+  it.each([
+    ['the first event', []],
+    ['an event midway', [1, 2]],
+    ['the last event', [1, 2, 3]],
+  ])('without a length or chunks continue elsewhere if they end inside %s', async (_, complete) => {
+    const next = complete.length + 1;
+    const all = [1, 2, 3, 4];
+    let isFirst = true;
+    const either = (request: IncomingMessage, response: ServerResponse): void => {
+      const lastEventId = request.headers['last-event-id'];
+      beginUnframed(response);
+      if (isFirst) {
+        isFirst = false;
+        sendEvents(response, complete);
+        response.end(`id: ${next}\ndata: tok`);
+        return;
+      }
+      sendEvents(response, lastEventId === undefined ? all : all.slice(Number(lastEventId)));
+      response.end();
+    };
+    first.handle = either;
+    second.handle = either;
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { status, body, isWhole } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect([status, isWhole]).toEqual([200, true]);
+    expect(body).toBe(all.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join(''));
+  });
+
+  it('without a length or chunks do not look complete if they end inside an event for good', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      beginUnframed(response);
+      sendEvents(response, [1]);
+      setTimeout(() => response.end('id: 2\ndata: tok'), 20);
+    };
+    const { isWhole, body } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(isWhole).toBe(false);
+    expect(body).not.toContain('id: 2');
+  });
+
+  it('without a length or chunks are complete if they end after an event', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      beginUnframed(response);
+      sendEvents(response, [1, 2]);
+      response.end();
+    };
+    const answer = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(answer).toMatchObject({ status: 200, isWhole: true });
+    expect(answer.body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2']);
+  });
+
   it('stop at the upstream when the caller leaves', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     let isStopped = false;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -336,7 +336,7 @@
           this.#handleData(attempt, bytes);
         },
         onEnd: () => {
-          this.#handleEnd(attempt);
+          this.#handleEnd(attempt, target);
         },
         onError: (error, isSent) => {
           this.#handleError(attempt, target, error, isSent);
@@ -464,7 +464,11 @@
     }
   }
 
-  #handleEnd(attempt: UpstreamAttempt): void {
+  #handleEnd(attempt: UpstreamAttempt, target: Target): void {
+    if (this.#responseWriter.isInsideEvent) {
+      this.#handleError(attempt, target, new Error('the response ended inside an event'), true);
+      return;
+    }
     if (this.#attempt === attempt) {
       this.#dispatch?.noteComplete(this.#now());
       this.#releaseTarget();
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -46,6 +46,8 @@
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
   #isHeadWritten = false;
+  /** Whether the headers of the current response delimit its body. */
+  #isCurrentFramed = false;
   #lastEventId: string | undefined;
 
   constructor(
@@ -73,7 +75,14 @@
    * since a broken connection cannot be distinguished from the end of the body.
    */
   get isSuccess(): boolean {
-    return this.#head?.isFramed === true && this.#head.status < lowestFailureStatus;
+    return (
+      this.#isCurrentFramed && (this.#head?.status ?? lowestFailureStatus) < lowestFailureStatus
+    );
+  }
+
+  /** Whether the current response is a stream that would end inside an event, and only the end of its connection says that it ends there. */
+  get isInsideEvent(): boolean {
+    return this.#head?.isStream === true && !this.#isCurrentFramed && this.#framer.isInsideEvent;
   }
 
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
@@ -97,9 +106,11 @@
     this.#buffered = [];
     this.#bufferedBytes = 0;
     const isFramed = hasFraming(status, rawHeaders);
+    this.#isCurrentFramed = isFramed;
     if (this.#isHeadWritten) {
       // A framed stream must not continue with an unframed response, whose end cannot be told from an interruption.
-      return isStream && isFramed && status === this.#head?.status;
+      const isContinuable = isFramed || this.#head?.isFramed === false;
+      return isStream && isContinuable && status === this.#head?.status;
     }
     this.#head = { status, rawHeaders, isStream, isFramed };
     return true;
@@ -144,8 +155,14 @@
     this.#response.end(body);
   }
 
-  /** Breaks the connection, because a partly forwarded response must not look complete. */
+  /**
+   * Breaks the connection, because a partly forwarded response must not look complete. An unframed one ends with an orderly close of its
+   * connection, so that connection is reset.
+   */
   cut(): void {
+    if (this.#head?.isFramed === false) {
+      this.#response.socket?.resetAndDestroy();
+    }
     this.#response.destroy();
   }
 
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -19,6 +19,11 @@
     return this.#held.length;
   }
 
+  /** Whether the bytes so far end inside an event. */
+  get isInsideEvent(): boolean {
+    return findLastEventEnd(this.#held, this.#held.length) < this.#held.length;
+  }
+
   /** Adds bytes and returns the complete events that can be sent to the caller. */
   push(bytes: Uint8Array): Uint8Array {
     const buffer =
