Look whether an upstream still runs before the end of its connection counts as the end of a response

Callers saw (in tests): a stream without a length or chunks whose upstream ends between two events came as complete, and cut short. For the count of crashes such an end was neither a crash nor a complete response, so a deployment whose upstreams frame no response would never clear a segment that most requests hold, and would not see crashes that only these responses show.

Cause: an upstream that ends closes its connections as one that has finished does.

Evidence: the new cases of direct/crash-watch.test.ts and direct/direct-gateway.test.ts failed before.

--- a/__tests__/direct/crash-watch.test.ts
+++ b/__tests__/direct/crash-watch.test.ts
@@ -56,6 +56,27 @@
     });
   });
 
+  // Guards against a crash that is hidden behind the end of a response which only its connection delimits, and that clears its cause.
+  it.each([
+    ['has ended', ['refused'], 'refused', ['a'], []],
+    ['ends a moment later', ['accepted', 'refused'], 'accepted', ['a'], []],
+    ['goes on', ['accepted', 'accepted'], 'accepted', [], ['a']],
+    ['does not answer', ['unanswered', 'unanswered'], 'unanswered', [], []],
+  ] as const)(
+    'tells whether an upstream %s after a response that its connection delimits',
+    async (_, verdicts, verdict, crashed, answered) => {
+      const left: ProbeVerdict[] = [...verdicts];
+      const { watch, ledger } = createWatch(left);
+      ledger.noteCrash('i-0', ['a'], 0);
+      ledger.takePending();
+      expect(await watch.confirmEnd(createTarget('a'), ['a'])).toBe(verdict);
+      await waitFor('the last probe', () => left.length === 0);
+      const pending = ledger.takePending();
+      expect(pending?.crashes.flatMap(({ requests }) => requests) ?? []).toEqual(crashed);
+      expect(pending?.answered ?? []).toEqual(answered);
+    },
+  );
+
   it('logs no refusal for an upstream that accepts a connection after an unanswered probe', async () => {
     const { watch, ledger, lines } = createWatch(['unanswered', 'accepted']);
     watch.noteBroken(createTarget('a'), ['first']);
--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -658,6 +658,29 @@
     expect(body).not.toContain('id: 2');
   });
 
+  // Guards against a stream that looks complete because its upstream ended between two events.
+  it('without a length or chunks continue elsewhere if their upstream has ended', async () => {
+    const either = (request: IncomingMessage, response: ServerResponse): void => {
+      beginUnframed(response);
+      if (request.headers['last-event-id'] === undefined) {
+        sendEvents(response, [1, 2]);
+        const upstream = first.received.length > 0 ? first : second;
+        setTimeout(() => void upstream.close(), 20);
+        return;
+      }
+      sendEvents(response, [3]);
+      response.end();
+    };
+    first.handle = either;
+    second.handle = either;
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { body, isWhole } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(isWhole).toBe(true);
+    expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+  });
+
   it('without a length or chunks are complete if they end after an event', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     first.handle = (_, response) => {
--- a/src/gateway/direct/crash-watch.ts
+++ b/src/gateway/direct/crash-watch.ts
@@ -44,7 +44,7 @@
     { key, address, instance }: Target,
     subjects: ReadonlySet<CrashSubjectKey>,
   ): Promise<void> {
-    const verdict = await this.#probeUntilRefused(address);
+    const verdict = await this.#probeUntilRefused(address, probeDelays);
     this.#interrupted.delete(key);
     const upstream = formatIdentity(instance);
     if (verdict === 'refused') {
@@ -56,18 +56,65 @@
     );
   }
 
+  /**
+   * Tells whether an upstream still accepts connections after a response that only the end of its connection delimits: if the upstream ended,
+   * the response may have been interrupted. Goes on to record a crash or a complete response for the subjects.
+   */
+  async confirmEnd(
+    { address, instance }: Target,
+    subjects: readonly CrashSubjectKey[],
+  ): Promise<ProbeVerdict> {
+    const [firstDelay = 0, ...laterDelays] = probeDelays;
+    const verdict = await this.#probeAfter(firstDelay, address);
+    void this.#concludeEnd(formatIdentity(instance), address, subjects, verdict, laterDelays);
+    return verdict;
+  }
+
+  async #concludeEnd(
+    upstream: string,
+    address: string,
+    subjects: readonly CrashSubjectKey[],
+    firstVerdict: ProbeVerdict,
+    delays: readonly Milliseconds[],
+  ): Promise<void> {
+    const { ledger, clock, log } = this.#options;
+    const verdict =
+      firstVerdict === 'refused' ? firstVerdict : await this.#probeUntilRefused(address, delays);
+    switch (verdict) {
+      case 'accepted':
+        ledger.noteAnswered(subjects, clock.monotonic());
+        break;
+      case 'refused':
+        ledger.noteCrash(upstream, subjects, clock.monotonic());
+        log.info(
+          { upstream, verdict, ...describeSubjects(new Set(subjects)) },
+          'upstream ended with a response that has no length',
+        );
+        break;
+      case 'unanswered':
+        break;
+    }
+  }
+
   /** Stops at the first refusal; an accepted connection is probed again, as the upstream may still be ending. */
-  async #probeUntilRefused(address: string): Promise<ProbeVerdict> {
+  async #probeUntilRefused(
+    address: string,
+    delays: readonly Milliseconds[],
+  ): Promise<ProbeVerdict> {
     let verdict: ProbeVerdict = 'unanswered';
-    for (const delay of probeDelays) {
-      await pause(delay, new AbortController().signal);
-      verdict = await this.#options.probe(address);
+    for (const delay of delays) {
+      verdict = await this.#probeAfter(delay, address);
       if (verdict === 'refused') {
         break;
       }
     }
     return verdict;
   }
+
+  async #probeAfter(delay: Milliseconds, address: string): Promise<ProbeVerdict> {
+    await pause(delay, new AbortController().signal);
+    return this.#options.probe(address);
+  }
 }
 
 function describeSubjects(keys: ReadonlySet<CrashSubjectKey>): object {
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -469,6 +469,25 @@
       this.#handleError(attempt, target, new Error('the response ended inside an event'), true);
       return;
     }
+    if (this.#responseWriter.isUnframed) {
+      void this.#confirmEnd(attempt, target);
+      return;
+    }
+    this.#complete(attempt);
+  }
+
+  /** Nothing but the end of the connection says that the response is complete, and the connections of an upstream that crashes end too. */
+  async #confirmEnd(attempt: UpstreamAttempt, target: Target): Promise<void> {
+    const subjects = this.#responseWriter.isFailure ? [] : this.#crashSubjects;
+    const verdict = await this.#dependencies.crashWatch.confirmEnd(target, subjects);
+    if (verdict === 'refused') {
+      this.#handleError(attempt, target, new Error('the upstream ended with the response'), true);
+    } else {
+      this.#complete(attempt);
+    }
+  }
+
+  #complete(attempt: UpstreamAttempt): void {
     if (this.#attempt === attempt) {
       this.#dispatch?.noteComplete(this.#now());
       this.#releaseTarget();
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -75,14 +75,22 @@
    * since a broken connection cannot be distinguished from the end of the body.
    */
   get isSuccess(): boolean {
-    return (
-      this.#isCurrentFramed && (this.#head?.status ?? lowestFailureStatus) < lowestFailureStatus
-    );
+    return this.#isCurrentFramed && !this.isFailure;
+  }
+
+  /** Whether the upstream responded with a server error, or not at all. */
+  get isFailure(): boolean {
+    return (this.#head?.status ?? lowestFailureStatus) >= lowestFailureStatus;
+  }
+
+  /** Whether only the end of its connection delimits the current response. */
+  get isUnframed(): boolean {
+    return this.#head !== undefined && !this.#isCurrentFramed;
   }
 
   /** Whether the current response is a stream that would end inside an event, and only the end of its connection says that it ends there. */
   get isInsideEvent(): boolean {
-    return this.#head?.isStream === true && !this.#isCurrentFramed && this.#framer.isInsideEvent;
+    return this.#head?.isStream === true && this.isUnframed && this.#framer.isInsideEvent;
   }
 
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
