Show operators what is quarantined, for which crashes and since when, and let them end it

Without it, an operator could neither see which segment is held back nor let it through once its upstreams are mended.

--- a/__tests__/cli/fake-control.ts
+++ b/__tests__/cli/fake-control.ts
@@ -17,6 +17,7 @@
   type HostsView,
   type WatchersView,
 } from '../../src/control/state/index.js';
+import { createQuarantinesView } from '../../src/control/shell/quarantines-view.js';
 import { ControlService } from '../../src/generated/pistachiospoke/v1/control_pb.js';
 
 /** How a fake control host fails its next submission. */
@@ -121,6 +122,7 @@
           waitsFor: ['groups', 'requests'],
         })),
       } satisfies EvacuationsView,
+      quarantines: createQuarantinesView(routing),
       control: {
         name: this.#name,
         role: this.#name === 'control-1' ? 'leader' : 'follower',
--- a/__tests__/platform/segment-load.ts
+++ b/__tests__/platform/segment-load.ts
@@ -60,8 +60,16 @@
     return Promise.all(sound);
   }
 
-  sendSound(): Promise<CallResult> {
-    return this.#send(soundPrefix, []);
+  /** Sends through the given gateway, or through a random one. */
+  sendSound(gateway?: number): Promise<CallResult> {
+    return this.#send(soundPrefix, [], gateway);
+  }
+
+  /** No segment crashes engines any more. */
+  cure(): void {
+    this.#options.deployment.engines.forEach(({ crashingSegments }) => {
+      crashingSegments.clear();
+    });
   }
 
   sendCrashing(): Promise<CallResult> {
@@ -89,11 +97,11 @@
       .filter(({ id, at }) => id.startsWith(crashingPrefix) && at > time).length;
   }
 
-  #send(prefix: string, segments: readonly string[]): Promise<CallResult> {
+  #send(prefix: string, segments: readonly string[], chosenGateway?: number): Promise<CallResult> {
     const { deployment, random, gateways } = this.#options;
     this.#count += 1;
     const id = `${prefix}-${this.#count}`;
-    const gateway = gateways[random.integerBelow(gateways.length)] ?? 0;
+    const gateway = chosenGateway ?? gateways[random.integerBelow(gateways.length)] ?? 0;
     const documentSegment = `d${random.integerBelow(3)}`;
     const listed = [commonSegment, documentSegment, ...segments, id].map(
       (segment) => `${segment}:${tokensPerSegment}`,
--- a/src/cli/control-client.ts
+++ b/src/cli/control-client.ts
@@ -78,18 +78,30 @@
     return new Err(createRefusal(createFailure(code, outcome.detail)));
   }
 
-  /** Starts or ends an evacuation; returns whether that changed anything. The order can be resent without harm after a lost answer. */
+  /** Starts or ends an evacuation; returns whether that changed anything. */
   async orderEvacuation(
     failureDomain: string,
     action: EvacuationAction,
   ): Promise<Result<boolean, ControlRefusal>> {
     // The control host that receives the order sets its time and its stamp.
-    const command: Command = { type: 'setEvacuation', at: 0, failureDomain, action, stamp: 0 };
+    return this.#order({ type: 'setEvacuation', at: 0, failureDomain, action, stamp: 0 });
+  }
+
+  /** Ends the quarantine of a subject; returns whether it was known. */
+  async releaseSubject(
+    subject: string,
+    operator: string,
+  ): Promise<Result<boolean, ControlRefusal>> {
+    return this.#order({ type: 'releaseSubject', at: 0, subject, operator });
+  }
+
+  /** Submits an order that can be resent without harm after a lost answer; returns whether it changed anything. */
+  async #order(command: Command): Promise<Result<boolean, ControlRefusal>> {
     const text = JSON.stringify(command);
     const outcome = await this.#callUntilFinal((connection) => connection.submit(text));
     if (outcome.type === 'answered') {
       const answer = decodeCommandAnswer(outcome.answer.answer);
-      return answer?.type === 'evacuationSet'
+      return answer?.type === 'evacuationSet' || answer?.type === 'subjectReleased'
         ? new Ok(answer.isChanged)
         : new Err(createRefusal(readFailure(outcome.answer)));
     }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,6 +4,7 @@
 import { checkKinds, runCheck, type CheckKind } from './commands/check.js';
 import { runDrain } from './commands/drain.js';
 import { runEvacuate, runEvacuations } from './commands/evacuate.js';
+import { runQuarantines, runRelease } from './commands/quarantines.js';
 import { runGet, type GetFlags } from './commands/get.js';
 import { runGroups } from './commands/groups.js';
 import { runHosts } from './commands/hosts.js';
@@ -44,6 +45,7 @@
     this.#addReads();
     this.#addChanges();
     this.#addEvacuations();
+    this.#addQuarantines();
     this.#addReports();
     this.#addTrace();
     this.#addCheck();
@@ -139,6 +141,17 @@
       );
   }
 
+  #addQuarantines(): void {
+    this.#command(
+      'quarantines',
+      'list the requests and prompt segments that are not sent because upstreams crashed',
+    ).action(() => this.#withControl(runQuarantines));
+    this.#command('release', 'end the quarantine of a request or a prompt segment')
+      .argument('<subject>', 'as listed by quarantines')
+      .addHelpText('after', '\nExample:\n  pistachiospoke release segment/assist-llm/91bd3f06')
+      .action((subject: string) => this.#withControl((context) => runRelease(context, subject)));
+  }
+
   #addTrace(): void {
     this.#command('trace', 'show what log files say of one request and of its targets')
       .argument('<request>', 'id of the request')
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -1,5 +1,6 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
 import type { HandlerContext } from '@connectrpc/connect';
+import type { Logger } from 'pino';
 import type { Result } from 'ts-results';
 
 import {
@@ -44,6 +45,7 @@
   readonly clients: RpcClientPool;
   readonly findAddress: (name: string) => string | undefined;
   readonly describe: () => ViewSource;
+  readonly logger: Logger;
   /** Starts or ends an evacuation; the value is whether that changed anything. */
   readonly setEvacuation: (
     failureDomain: string,
@@ -91,14 +93,18 @@
     }
   }
 
-  /** An evacuation order is stamped by the control host that receives it, so its own stamp is not used. */
   async #submit(command: Command): Promise<Result<CommandAnswer, Failure>> {
-    if (command.type !== 'setEvacuation') {
-      return this.#options.submitter.submit(command);
+    if (command.type === 'setEvacuation') {
+      // An order is stamped by the control host that receives it, so its own stamp is not used.
+      const { failureDomain, action } = command;
+      const result = await this.#options.setEvacuation(failureDomain, action);
+      return result.map((isChanged) => ({ type: 'evacuationSet', isChanged }));
     }
-    const { failureDomain, action } = command;
-    const result = await this.#options.setEvacuation(failureDomain, action);
-    return result.map((isChanged) => ({ type: 'evacuationSet', isChanged }));
+    if (command.type === 'releaseSubject') {
+      const { subject, operator } = command;
+      this.#options.logger.info({ subject, operator }, 'release of quarantined subject ordered');
+    }
+    return this.#options.submitter.submit(command);
   }
 
   async #runCommand(
--- a/src/control/shell/views.ts
+++ b/src/control/shell/views.ts
@@ -8,6 +8,7 @@
   type ControlState,
   type ControlView,
   type EvacuationsView,
+  type QuarantinesView,
   type GroupsView,
   type GroupView,
   type HostsView,
@@ -16,6 +17,7 @@
   type WatchersView,
   type WatcherView,
 } from '../state/index.js';
+import { createQuarantinesView } from './quarantines-view.js';
 import { createEvacuationsView, type EvacuationSource } from './evacuations-view.js';
 
 /** Builds the answers to `get` requests; free of I/O. */
@@ -35,7 +37,13 @@
 
 /** Answer to a `get` request of some kind. */
 export type View =
-  ConfigurationView | HostsView | GroupsView | WatchersView | EvacuationsView | ControlView;
+  | ConfigurationView
+  | HostsView
+  | GroupsView
+  | WatchersView
+  | EvacuationsView
+  | QuarantinesView
+  | ControlView;
 
 export function createView(kind: ViewKind, source: ViewSource): View {
   switch (kind) {
@@ -49,6 +57,8 @@
       return { revision: source.state.revision, watchers: source.watchers };
     case 'evacuations':
       return createEvacuationsView(source);
+    case 'quarantines':
+      return createQuarantinesView(source.state.routing);
     case 'control':
       return createControlView(source);
     default:
--- a/src/control/state/answer-text.ts
+++ b/src/control/state/answer-text.ts
@@ -13,6 +13,7 @@
   z.strictObject({ type: z.literal('routed'), version: z.int() }),
   z.strictObject({ type: z.literal('recorded') }),
   z.strictObject({ type: z.literal('planned') }),
+  z.strictObject({ type: z.literal('subjectReleased'), isChanged: z.boolean() }),
   z.strictObject({ type: z.literal('evacuationSet'), isChanged: z.boolean() }),
   z.strictObject({
     type: z.literal('refused'),
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -40,6 +40,7 @@
   type GroupView,
   type HostsView,
   type HostView,
+  type QuarantinesView,
   type ViewKind,
   type WatchersView,
   type WatcherView,
--- a/src/control/state/views.ts
+++ b/src/control/state/views.ts
@@ -133,6 +133,27 @@
   .strictObject({ evacuations: z.array(evacuationView).readonly() })
   .readonly();
 
+const quarantineView = z
+  .strictObject({
+    /** Key of the subject, for its release. */
+    subject: z.string(),
+    type: z.enum(['request', 'segment']),
+    /** Wall time of the first crash, in milliseconds; null if it was recorded by an earlier version. */
+    since: z.number().nullable(),
+    /** Wall time of the last crash, in milliseconds. */
+    lastCrash: z.number(),
+    /** Identities of instances that crashed, oldest first. */
+    upstreams: z.array(z.string()).readonly(),
+    /** Trials granted so far. */
+    trials: z.int(),
+  })
+  .readonly();
+
+/** Kind `quarantines`: what gateways do not send because upstreams crashed. */
+export const quarantinesViewSchema = z
+  .strictObject({ quarantines: z.array(quarantineView).readonly() })
+  .readonly();
+
 /** Kind `control`: the control host that answers. */
 export const controlViewSchema = z
   .strictObject({
@@ -157,6 +178,7 @@
   groups: groupsViewSchema,
   watchers: watchersViewSchema,
   evacuations: evacuationsViewSchema,
+  quarantines: quarantinesViewSchema,
   control: controlViewSchema,
 } as const;
 
@@ -170,4 +192,5 @@
 export type WatcherView = WatchersView['watchers'][number];
 export type EvacuationsView = z.infer<typeof evacuationsViewSchema>;
 export type EvacuationView = EvacuationsView['evacuations'][number];
+export type QuarantinesView = z.infer<typeof quarantinesViewSchema>;
 export type ControlView = z.infer<typeof controlViewSchema>;
