Let a gateway that gets most of the requests use all upstreams, and as many connections as a group has slots

Callers saw (in tests): where many gateways share many groups and nine of ten requests come to one gateway for a while, a third of them was refused or late there, at half of what the groups can do.

Cause: limits that assume that all gateways get as many requests. A gateway sends to the four or so groups that it prefers and leaves the others to the other gateways, which are idle then; and it opens only its equal share of the connections that an upstream accepts.

Now a gateway whose own requests are most of those at the groups it prefers also uses the others once those are full; in a common overload its own are a fifth, so that nothing changes there. For a group of engines it may open as many connections as the group has slots.

Seven hosts that get half of a core each are not in these tests: what a gateway does whose processor is full is open.

--- a/__tests__/direct/overload-simulation.ts
+++ b/__tests__/direct/overload-simulation.ts
@@ -213,7 +213,7 @@
   }
 
   #receive(caller: Caller, now: Milliseconds, isRetry: boolean): void {
-    const gateway = this.#gateways[this.#arrivals.integerBelow(this.#gateways.length)];
+    const gateway = this.#chooseGateway();
     gateway?.waiting.push({
       caller,
       gateway,
@@ -225,6 +225,13 @@
     });
   }
 
+  #chooseGateway(): Gateway | undefined {
+    const { concentration } = this.#options;
+    return concentration !== undefined && this.#arrivals.fraction() < concentration
+      ? this.#gateways[0]
+      : this.#gateways[this.#arrivals.integerBelow(this.#gateways.length)];
+  }
+
   #dispatch(gateway: Gateway, now: Milliseconds): void {
     const ordered = this.#sort(gateway.waiting, now);
     gateway.waiting = [];
--- a/__tests__/direct/overload-types.ts
+++ b/__tests__/direct/overload-types.ts
@@ -28,6 +28,8 @@
   readonly answer: number;
   readonly order: WaitingOrder;
   readonly limitsByObjective: boolean;
+  /** Share of the requests that one gateway gets; by default all get as many. */
+  readonly concentration?: number;
   /** Time in which the second group takes longer by `factor`. */
   readonly slow?: {
     readonly from: Milliseconds;
--- a/__tests__/direct/overload.test.ts
+++ b/__tests__/direct/overload.test.ts
@@ -107,3 +107,19 @@
     }
   });
 });
+
+// Guards against requests that are late or refused at the gateway which gets most of them, because each gateway has its share of a group.
+describe('a gateway that gets most of the requests', () => {
+  it.each([
+    ['small', smallModel],
+    ['large', largeModel],
+  ])('has those of the %s model served as if all gateways got as many', (_, options) => {
+    const share = (concentration: number): number =>
+      averageOver((seed) => {
+        const calm = { ...options, ...undisturbed, seed, concentration };
+        const { inTime, requests } = simulateOverload(calm);
+        return inTime / requests;
+      });
+    expect(share(0.9)).toBeGreaterThan(0.75 * share(0));
+  });
+});
--- a/__tests__/direct/placement-simulation.ts
+++ b/__tests__/direct/placement-simulation.ts
@@ -31,6 +31,8 @@
   /** Factor of the load in the middle third of the duration. */
   readonly burst: number;
   readonly duration: Milliseconds;
+  /** Share of the requests that one gateway gets in the middle third of the duration; by default all get as many. */
+  readonly concentration?: number;
   /** Longest time to the first event that is in time. */
   readonly objective?: Milliseconds;
   /** Whether gateways know their positions. */
@@ -49,6 +51,8 @@
   readonly longestQueue: number;
   /** Maximum number of requests at a head divided by the mean over all heads, averaged over time. */
   readonly imbalance: number;
+  /** Share of the requests that were in time, in the first and in the middle third of the duration. */
+  readonly inTimeShares: { readonly before: number; readonly during: number };
   /** Pairs of a gateway and a head that were used; each requires a connection. */
   readonly pairs: number;
 }
@@ -103,6 +107,8 @@
   readonly #arrivals: RandomSource;
   readonly #pairs = new Set<string>();
   #counts = { requests: 0, inTime: 0, late: 0, refused: 0, avoidablyQueued: 0, longestQueue: 0 };
+  /** Requests by the third of the duration in which they arrived. */
+  readonly #thirds = [0, 1, 2].map(() => ({ requests: 0, inTime: 0 }));
   #due = 0;
   #imbalance = 0;
   #steps = 0;
@@ -125,7 +131,13 @@
 
   get result(): PlacementResult {
     const imbalance = this.#imbalance / this.#steps;
-    return { ...this.#counts, imbalance, pairs: this.#pairs.size };
+    const [before = 0, during = 0] = this.#thirds.map(({ requests, inTime }) => inTime / requests);
+    return {
+      ...this.#counts,
+      imbalance,
+      pairs: this.#pairs.size,
+      inTimeShares: { before, during },
+    };
   }
 
   step(now: Milliseconds): void {
@@ -143,19 +155,41 @@
   }
 
   #arrive(now: Milliseconds): void {
-    const { load, burst, duration, heads } = this.#options;
-    const isBurst = now > duration / 3 && now < (2 * duration) / 3;
+    const { load, burst, heads } = this.#options;
+    const third = this.#findThird(now);
+    const isBurst = third === 1;
     const perTick = (load * (isBurst ? burst : 1) * heads * slots * tick) / meanWork;
     this.#due += perTick * drawExponential(this.#arrivals);
     for (; this.#due >= 1; this.#due -= 1) {
       this.#counts.requests += 1;
-      const gateway = this.#gateways[this.#arrivals.integerBelow(this.#gateways.length)];
+      this.#countInThird(now, 'requests');
+      const gateway = this.#chooseGateway(third);
       if (gateway !== undefined) {
         gateway.waiting.push({ gateway, arrivedAt: now });
       }
     }
   }
 
+  #chooseGateway(third: number): Gateway | undefined {
+    const { concentration } = this.#options;
+    const isConcentrated = concentration !== undefined && third === 1;
+    if (isConcentrated && this.#arrivals.fraction() < concentration) {
+      return this.#gateways[0];
+    }
+    return this.#gateways[this.#arrivals.integerBelow(this.#gateways.length)];
+  }
+
+  #findThird(time: Milliseconds): number {
+    return Math.min(2, Math.floor((3 * time) / this.#options.duration));
+  }
+
+  #countInThird(arrivedAt: Milliseconds, kind: 'requests' | 'inTime'): void {
+    const counts = this.#thirds[this.#findThird(arrivedAt)];
+    if (counts !== undefined) {
+      counts[kind] += 1;
+    }
+  }
+
   #retry(gateway: Gateway, now: Milliseconds): void {
     const newestFirst = gateway.waiting.reverse();
     gateway.waiting = [];
@@ -200,6 +234,9 @@
       const { objective = defaultObjective } = this.#options;
       const isInTime = now + prefillTime - request.arrivedAt <= objective;
       this.#counts[isInTime ? 'inTime' : 'late'] += 1;
+      if (isInTime) {
+        this.#countInThird(request.arrivedAt, 'inTime');
+      }
       head.running.push({ request, endsAt: now + meanWork * drawExponential(this.#work) });
       const { loads } = request.gateway;
       const load = { running: head.running.length, waiting: head.queue.length, slots };
--- a/__tests__/direct/placement.test.ts
+++ b/__tests__/direct/placement.test.ts
@@ -95,3 +95,21 @@
     },
   );
 });
+
+// Guards against requests that are refused at the gateway which gets most of them, while upstreams that it does not prefer have free slots.
+describe('a gateway that gets most of the requests for a while', () => {
+  it.each([
+    { gateways: 8, heads: 4 },
+    { gateways: 17, heads: 7 },
+    { gateways: 21, heads: 15 },
+    tens,
+  ])('has them served as before: $gateways gateways, $heads heads', (layout) => {
+    for (const load of [0.5, 0.8]) {
+      for (const concentration of [0.5, 0.9]) {
+        const options = { ...usual, ...layout, load, concentration, duration: 30_000 };
+        const { before, during } = simulatePlacement(options).inTimeShares;
+        expect(during, `load ${load}, share ${concentration}`).toBeGreaterThan(0.75 * before);
+      }
+    }
+  });
+});
--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -149,8 +149,8 @@
 
   /**
    * Chooses the least loaded untried target with free capacity among those that this gateway prefers; ties are broken at random.
-   * Other targets are used only if no preferred one is left. If gateways also used them when the preferred ones are full, their requests
-   * would overload heads whose load they do not know.
+   * Other targets are used only if no preferred one is left, or if this gateway has filled the preferred ones alone. If all gateways also
+   * used them when the preferred ones are full, their requests would overload heads whose load they do not know.
    */
   #chooseAmong(
     targets: readonly Target[],
@@ -178,14 +178,28 @@
     const own = trusted.filter(({ key }) => preferred.has(key));
     const candidates = [own, trusted, permitted].find(({ length }) => length > 0) ?? [];
     const sharers = countSharers(targets.length, this.#options.readPosition?.());
-    const withRoom = candidates.filter((target) => this.#hasRoom(target, criteria, sharers, now));
-    const eligible = withRoom.length === 0 && isUrgent ? candidates : withRoom;
+    const hasRoom = (target: Target): boolean => this.#hasRoom(target, criteria, sharers, now);
+    const withRoom = candidates.filter(hasRoom);
+    const others = withRoom.length === 0 && this.#fillsMostly(own) ? trusted.filter(hasRoom) : [];
+    const found = [...withRoom, ...others];
+    const eligible = found.length === 0 && isUrgent ? candidates : found;
     const best = this.#readDelays().isSpread
       ? this.#findFastest(eligible, criteria, now)
       : this.#findLeastLoaded(eligible, now);
     return best === undefined ? { type: 'full' } : { type: 'target', target: best };
   }
 
+  /**
+   * Whether most requests at the targets come from this gateway. Then it gets far more requests than the others, which leave their own
+   * preferred targets idle, so it does not add to an overload when it uses those as well.
+   */
+  #fillsMostly(targets: readonly Target[]): boolean {
+    const known = targets.map((target) => this.#options.loads.read(target));
+    const own = known.reduce((sum, load) => sum + load.own, 0);
+    const others = known.reduce((sum, load) => sum + load.others, 0);
+    return own > others;
+  }
+
   /** Records that the request was sent to the target, after `TargetLoads.noteSent`. Undefined if nothing is to be learned from it. */
   noteSent(target: Target, request: RequestWork, now: Milliseconds): Dispatch | undefined {
     const delays = this.#readDelays();
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -31,6 +31,7 @@
 import { admitRequest, type Admitted } from './admission.js';
 import { createChoiceObserver } from './choice-observer.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
+import { findConnectionLimit } from './connection-limit.js';
 import { CrashLedger } from './crash-ledger.js';
 import { CrashWatch } from './crash-watch.js';
 import { DemandMeter } from './demand-meter.js';
@@ -185,7 +186,7 @@
         ownDomain: settings.failureDomain,
         observer: createChoiceObserver(metrics, this.#log),
       }),
-      connectionLimit: ({ maximumConnections }) => Math.floor(maximumConnections / this.#gateways),
+      connectionLimit: (service) => findConnectionLimit(service, this.#gateways),
       spendRetry: (service) => this.#retryBudget.spend(service),
     };
     this.#stallWatch = new StallWatch({
