Close new connections unread while a gateway has no processor time left

Where load balancers hand one gateway most new connections, it may have to do more than its part of a core allows (the busiest gateway of a large deployment takes 0.07 to 0.09 of a core, and a zone has thirteen; it has 0.49). All requests there would be late. A caller whose connection is closed before its request was read tries another gateway at once, and safely.

Open connections are served on.

No test takes the processor time of a whole gateway away: that it helps there is not shown.

--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -31,6 +31,7 @@
 import { admitRequest, type Admitted } from './admission.js';
 import { createChoiceObserver } from './choice-observer.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
+import { ConnectionShedder } from './connection-shedder.js';
 import { findConnectionLimit } from './connection-limit.js';
 import { CrashLedger } from './crash-ledger.js';
 import { CrashWatch } from './crash-watch.js';
@@ -97,6 +98,7 @@
   readonly #log: RateLimitedLog;
   readonly #guard: DocumentGuard;
   readonly #stallWatch: StallWatch;
+  readonly #shedder: ConnectionShedder;
   readonly #evacuationWatch: EvacuationWatch;
   readonly #startWatch: StartWatch;
   /** Undefined if the memory held for callers is not limited. */
@@ -203,6 +205,14 @@
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
     });
+    this.#shedder = new ConnectionShedder({
+      server: this.#server,
+      onShed: () => {
+        metrics.noteShedConnection();
+      },
+      clock,
+      logger,
+    });
   }
 
   /** Whether callers should be sent here. */
@@ -267,6 +277,7 @@
     });
     this.#applyView(this.#options.readView());
     this.#stallWatch.open();
+    this.#shedder.open();
     this.#memory?.open();
     this.#waitingRetryTimer = setInterval(() => {
       this.#deliveries.retryWaiting();
@@ -296,6 +307,7 @@
     }
     this.#unsubscribe?.();
     this.#stallWatch.close();
+    this.#shedder.close();
     this.#evacuationWatch.close();
     this.#memory?.close();
     clearInterval(this.#waitingRetryTimer);
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -22,6 +22,7 @@
   readonly #sentToLimited: Counter<'service'>;
   readonly #sentToCold: Counter<'service'>;
   readonly #rejectedForCrashes: Counter<'subject'>;
+  readonly #shedConnections: Counter;
   readonly #heldBytes: Gauge;
   readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
@@ -77,6 +78,11 @@
       labelNames: ['subject'],
       registers,
     });
+    this.#shedConnections = new Counter({
+      name: 'pistachiospoke_connections_shed_total',
+      help: 'Connections of callers that were closed unread because the event loop was busy.',
+      registers,
+    });
     this.#heldBytes = new Gauge({
       name: 'pistachiospoke_held_bytes',
       help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
@@ -217,6 +223,10 @@
     this.#rejectedForCrashes.inc({ subject });
   }
 
+  noteShedConnection(): void {
+    this.#shedConnections.inc();
+  }
+
   noteHeldBytes(bytes: number): void {
     this.#heldBytes.set(bytes);
   }
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -1,4 +1,5 @@
 export { admitRequest, type Admission, type AdmissionInput, type Admitted } from './admission.js';
+export { ConnectionShedder, type ConnectionShedderOptions } from './connection-shedder.js';
 export { findConnectionLimit } from './connection-limit.js';
 export {
   CrashLedger,
