--- a/__tests__/platform/received-requests.ts
+++ b/__tests__/platform/received-requests.ts
@@ -1,4 +1,4 @@
-import type { ReceivedRequest } from './test-engine.js';
+import type { ReceivedRequest, TestEngine } from './test-engine.js';
 
 /** What must hold for the requests that one start of an engine received from one gateway, in order of arrival. */
 
@@ -43,3 +43,22 @@
         .filter(({ at }) => at > told.at + drainTime)
         .map((request) => ({ request, toldAt: told.at }));
 }
+
+/** Arrival times of the requests that crashed engines, in order. */
+export function listCrashTimes(engines: readonly TestEngine[]): readonly number[] {
+  return listCauses(engines)
+    .map(({ at }) => at)
+    .sort((one, other) => one - other);
+}
+
+/** Ids of the starts of engines that ended because of a request. */
+export function listCrashedStarts(engines: readonly TestEngine[]): ReadonlySet<string> {
+  return new Set(listCauses(engines).map(({ engine }) => engine));
+}
+
+/** The requests that crashed engines. */
+function listCauses(engines: readonly TestEngine[]): readonly ReceivedRequest[] {
+  return engines.flatMap(({ crashes, received }) => {
+    return received.filter(({ id }) => crashes.includes(id));
+  });
+}
--- a/__tests__/platform/segment-load.ts
+++ b/__tests__/platform/segment-load.ts
@@ -2,6 +2,7 @@
 
 import type { RandomSource } from '../../src/common/index.js';
 import type { CallResult, PlatformDeployment } from './deployment.js';
+import { listCrashTimes } from './received-requests.js';
 
 /** Requests whose prompts share segments, of which some crash the engine that begins to answer them. */
 
@@ -81,13 +82,7 @@
 
   /** Times at which requests with a crashing segment crashed an engine's start. */
   listCrashTimes(): readonly number[] {
-    const { engines } = this.#options.deployment;
-    return engines
-      .flatMap(({ crashes, received }) =>
-        crashes.flatMap((id) => received.filter((request) => request.id === id).slice(0, 1)),
-      )
-      .map(({ at }) => at)
-      .sort((one, other) => one - other);
+    return listCrashTimes(this.#options.deployment.engines);
   }
 
   /** Number of requests with a crashing segment that reached an engine later than `time`. */
--- a/__tests__/platform/soak/soak-callers.ts
+++ b/__tests__/platform/soak/soak-callers.ts
@@ -27,11 +27,15 @@
   readonly usableSince: number | undefined;
 }
 
+/** Header fields of the request with the given id, in addition to the usual ones. */
+export type DescribeHeaders = (id: string) => Readonly<Record<string, string>>;
+
 export class SoakCallers {
   readonly results: CallerResult[] = [];
   readonly #deployment: PlatformDeployment;
   readonly #lives: GatewayLives;
   readonly #random: RandomSource;
+  readonly #describeHeaders: DescribeHeaders;
   readonly #running: readonly Promise<void>[];
   #isStopping = false;
 
@@ -40,10 +44,12 @@
     lives: GatewayLives,
     random: RandomSource,
     callerCount: number,
+    describeHeaders: DescribeHeaders = () => ({}),
   ) {
     this.#deployment = deployment;
     this.#lives = lives;
     this.#random = random;
+    this.#describeHeaders = describeHeaders;
     this.#running = Array.from({ length: callerCount }, (_, caller) => this.#run(caller));
   }
 
@@ -57,7 +63,7 @@
     let client = this.#connect(gateway);
     for (let count = 0; !this.#isStopping; count += 1) {
       const id = [this.#lives.currentKey(gateway), caller, count].join(idSeparator);
-      const result = await requestStream(client, id);
+      const result = await requestStream(client, id, this.#describeHeaders(id));
       const { engines } = this.#deployment;
       const usableSince = result.status === 503 ? findUsableSince(engines) : undefined;
       this.results.push({ ...result, usableSince });
@@ -80,6 +86,7 @@
 async function requestStream(
   client: Client,
   id: string,
+  headers: Readonly<Record<string, string>>,
 ): Promise<Omit<CallerResult, 'usableSince'>> {
   const startedAt = performance.now();
   let status = 0;
@@ -87,8 +94,8 @@
     const response = await client.request({
       method: 'POST',
       path: streamPath,
-      body: '{}',
-      headers: createStreamHeaders(id),
+      body: JSON.stringify({ ask: id }),
+      headers: { ...createStreamHeaders(id), ...headers },
     });
     status = response.statusCode;
     const body = await response.body.text();
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -12,7 +12,7 @@
  * one that was in flight by coincidence could only be released by an operator. Upstreams that a guilty subject crashes in its trials are
  * few for the same reason.
  */
-export const trialDelays: readonly Milliseconds[] = [5000, 10 * 60 * 1000];
+export const trialDelays: readonly Milliseconds[] = [2000, 5 * 60 * 1000];
 
 const trialSchema = z
   .strictObject({
