--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -22,6 +22,8 @@
   /** Delay between two tokens of a stand-in engine. */
   readonly tokenMilliseconds?: number;
   readonly serviceAnswerMilliseconds?: number;
+  /** Text in a message that ends the stand-in engine that answers it. */
+  readonly crashOn?: string;
   /** Receives the addresses of the control hosts and returns the relay addresses that gateways and sidecars use instead. */
   readonly relayControl?: RelayControl;
   /** Like `relayControl`, for gateways only; called once per gateway. */
@@ -46,6 +48,8 @@
 export interface ChatOptions {
   readonly gateway?: number;
   readonly content?: string;
+  /** Messages before the one with the content. */
+  readonly earlier?: readonly string[];
   readonly isStreamed?: boolean;
   readonly tokens?: number;
   readonly headers?: Readonly<Record<string, string>>;
@@ -153,7 +157,9 @@
       },
       body: JSON.stringify({
         model: fleetModel,
-        messages: [{ role: 'user', content: options.content ?? 'hello' }],
+        messages: [...(options.earlier ?? []), options.content ?? 'hello'].map((content) => {
+          return { role: 'user', content };
+        }),
         stream: options.isStreamed ?? false,
         max_tokens: options.tokens ?? 4,
       }),
@@ -196,7 +202,8 @@
   }
 }
 
-type CompleteOptions = typeof defaults & Pick<FleetOptions, 'relayControl' | 'relayGatewayControl'>;
+type CompleteOptions = typeof defaults &
+  Pick<FleetOptions, 'relayControl' | 'relayGatewayControl' | 'crashOn'>;
 
 async function defineMembers(
   group: ProgramGroup,
@@ -229,6 +236,7 @@
         'engine',
         '--checks-fencing-number',
         ...['--token-milliseconds', String(options.tokenMilliseconds)],
+        ...(options.crashOn === undefined ? [] : ['--crash-on', options.crashOn]),
       ]),
     ),
     ...services.map((sidecar, index) =>
--- a/src/bin/pistachiospoke-stand-in.ts
+++ b/src/bin/pistachiospoke-stand-in.ts
@@ -16,6 +16,7 @@
   .option('--capacity <count>', 'requests at a time', Number, 64)
   .option('--token-milliseconds <duration>', 'time between tokens', Number, 10)
   .option('--load-milliseconds <duration>', 'time to load weights', Number, 200)
+  .option('--crash-on <text>', 'end when the answer to a message with this text begins')
   .action((options: ConstructorParameters<typeof StandInEngine>[0]) =>
     run(new StandInEngine(options)),
   );
--- a/src/stand-in/engine.ts
+++ b/src/stand-in/engine.ts
@@ -43,6 +43,8 @@
   readonly capacity: number;
   readonly tokenMilliseconds: number;
   readonly loadMilliseconds: number;
+  /** The process ends when it begins to answer a request with this text in one of its messages; undefined for never. */
+  readonly crashOn?: string;
 }
 
 /** The part of a model engine that runs on one host. */
@@ -117,6 +119,13 @@
     this.#loadedArtifacts = [order.artifact];
   }
 
+  #crashIfAsked({ messages }: ChatRequest): void {
+    const { crashOn } = this.#options;
+    if (crashOn !== undefined && messages.some(({ content }) => content.includes(crashOn))) {
+      process.kill(process.pid, 'SIGKILL');
+    }
+  }
+
   async #handleCompletion(chat: ChatRequest, response: ServerResponse): Promise<void> {
     this.#running += 1;
     try {
@@ -137,6 +146,7 @@
       if (response.destroyed) {
         return;
       }
+      this.#crashIfAsked(chat);
       const token = createToken(chat, index);
       text += token;
       if (chat.stream) {
