Move what gateways know of crashes to a folder of its own, for both ways to upstreams

No behaviour changes: the ledger, its reporter and the trials leave gateway/direct; what a delivery keeps of its trial becomes RequestCrashes; the probe of an upstream, with its delays, moves to common.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -37,3 +37,9 @@
 export { digest } from './digest.js';
 export { parseJson } from './json.js';
 export { parseRetryAfter } from './parse-retry-after.js';
+export {
+  probeDelays,
+  probeUntilRefused,
+  probeUpstream,
+  type ProbeVerdict,
+} from './upstream-probe.js';
--- a/src/gateway/direct/upstream-probe.ts
+++ b/src/common/upstream-probe.ts
@@ -1,9 +1,14 @@
 import { Socket } from 'node:net';
 
-import { parseAddressOrThrow, type Milliseconds } from '../../common/index.js';
+import { parseAddressOrThrow } from './address.js';
+import { pause } from './pause.js';
+import type { Milliseconds } from './time.js';
 
 /** Checks whether an upstream accepts TCP connections. */
 
+/** Delay before each probe of a series. An upstream that ends may close its connections shortly before its listening socket. */
+export const probeDelays: readonly Milliseconds[] = [20, 250];
+
 /** Bounds the probe of a host that neither accepts nor refuses the connection. */
 const connectTimeout: Milliseconds = 500;
 
@@ -31,3 +36,19 @@
     socket.connect(parseAddressOrThrow(address));
   });
 }
+
+/** Probes after each of the delays, up to the first refusal; an accepted connection is probed again, as the upstream may still be ending. */
+export async function probeUntilRefused(
+  probe: () => Promise<ProbeVerdict>,
+  delays: readonly Milliseconds[] = probeDelays,
+): Promise<ProbeVerdict> {
+  let verdict: ProbeVerdict = 'unanswered';
+  for (const delay of delays) {
+    await pause(delay, new AbortController().signal);
+    verdict = await probe();
+    if (verdict === 'refused') {
+      break;
+    }
+  }
+  return verdict;
+}
--- a/src/gateway/direct/crash-ledger.ts
+++ b/src/gateway/crashes/crash-ledger.ts
@@ -23,6 +23,13 @@
  */
 const quarantineDelay: Milliseconds = 400;
 
+/** The part of a routing view that concerns crashes. */
+export interface QuarantineView {
+  /** False until the first complete state has arrived. */
+  readonly isSynchronized: boolean;
+  readonly quarantined: ReadonlySet<CrashSubjectKey>;
+}
+
 /** What has not been reported to control yet. */
 export interface PendingCrashes {
   readonly crashes: readonly UpstreamCrash[];
@@ -59,6 +66,7 @@
   readonly #trials: TrialGrants;
   #pendingCrashes = new Map<string, Set<CrashSubjectKey>>();
   #pendingAnswered = new Set<CrashSubjectKey>();
+  #hasStarted = false;
 
   /** `tokenPrefix`: distinguishes the trials of this gateway from those of others and of its earlier starts. */
   constructor(tokenPrefix = '') {
@@ -91,6 +99,18 @@
     }
   }
 
+  /** Takes the quarantines that control knows of; returns as `setQuarantined` does. */
+  applyView(
+    { isSynchronized, quarantined }: QuarantineView,
+    now: Milliseconds,
+  ): Milliseconds | undefined {
+    if (isSynchronized && !this.#hasStarted) {
+      this.#hasStarted = true;
+      this.startWith(quarantined, now);
+    }
+    return this.setQuarantined(quarantined, now);
+  }
+
   /** Takes the quarantines in force when this gateway starts. It has no complete responses to report against them, so they apply at once. */
   startWith(quarantined: ReadonlySet<CrashSubjectKey>, now: Milliseconds): void {
     this.#enforcedFrom = new Map([...quarantined].map((subject) => [subject, now]));
--- /dev/null
+++ b/src/gateway/crashes/index.ts
@@ -0,0 +1,9 @@
+export {
+  CrashLedger,
+  type CrashAssessment,
+  type PendingCrashes,
+  type UpstreamCrash,
+} from './crash-ledger.js';
+export { CrashReporter, type CrashReporterOptions } from './crash-reporter.js';
+export { RequestCrashes } from './request-crashes.js';
+export type { TrialGrant, TrialRequest } from './trial-grants.js';
--- /dev/null
+++ b/src/gateway/crashes/request-crashes.ts
@@ -0,0 +1,67 @@
+import type { Milliseconds } from '../../common/index.js';
+import type { CrashSubjectKey } from '../../routing/index.js';
+import type { CrashAssessment, CrashLedger } from './crash-ledger.js';
+import type { TrialGrant } from './trial-grants.js';
+
+/** What one request needs to know of crashes, and what its outcome tells of them; performs no I/O. */
+
+export class RequestCrashes {
+  readonly #ledger: CrashLedger;
+  readonly #readSubjects: () => readonly CrashSubjectKey[];
+  /** Token of the trial that the request asked for. */
+  #token: string | undefined;
+  /** Trial that the current attempt uses up; undefined if it holds no quarantined subject. */
+  #trial: TrialGrant | undefined;
+
+  /** `readSubjects` is called only when something is suspected or the request has an outcome, since a digest takes time. */
+  constructor(ledger: CrashLedger, readSubjects: () => readonly CrashSubjectKey[]) {
+    this.#ledger = ledger;
+    this.#readSubjects = readSubjects;
+  }
+
+  get subjects(): readonly CrashSubjectKey[] {
+    return this.#readSubjects();
+  }
+
+  /** The quarantined subject that the current attempt was sent for; undefined if it is no trial. */
+  get subjectOnTrial(): CrashSubjectKey | undefined {
+    return this.#trial?.subject;
+  }
+
+  /** Whether the request may be sent. A quarantined request that has not been sent to any upstream asks for a trial first. */
+  assess(now: Milliseconds, isUnsent: boolean): CrashAssessment {
+    if (!this.#ledger.hasSuspicions) {
+      return 'harmless';
+    }
+    const assessment = this.#ledger.assess(this.subjects, now, this.#token);
+    if (assessment !== 'quarantined' || !isUnsent || this.#token !== undefined) {
+      return assessment;
+    }
+    this.#token = this.#ledger.askForTrial(this.subjects, now);
+    return this.#token === undefined ? 'quarantined' : 'unrecorded';
+  }
+
+  listQuarantined(now: Milliseconds): readonly CrashSubjectKey[] {
+    return this.#ledger.listQuarantined(this.subjects, now);
+  }
+
+  /** An attempt is being sent. */
+  noteSent(now: Milliseconds): void {
+    this.#trial = this.#ledger.hasSuspicions
+      ? this.#ledger.takeTrial(this.subjects, now)
+      : undefined;
+  }
+
+  /** The attempt certainly did not run, so its trial can still be made. */
+  noteNotRun(): void {
+    if (this.#trial !== undefined) {
+      this.#ledger.returnTrial(this.#trial);
+      this.#trial = undefined;
+    }
+  }
+
+  /** An upstream answered the request completely. */
+  noteAnswered(now: Milliseconds): void {
+    this.#ledger.noteAnswered(this.subjects, now);
+  }
+}
--- a/src/gateway/direct/crash-watch.ts
+++ b/src/gateway/direct/crash-watch.ts
@@ -1,13 +1,17 @@
-import { pause, type RateLimitedLog, type Clock, type Milliseconds } from '../../common/index.js';
+import {
+  probeDelays,
+  probeUntilRefused,
+  type Clock,
+  type Milliseconds,
+  type ProbeVerdict,
+  type RateLimitedLog,
+} from '../../common/index.js';
 import type { Target } from '../../dispatch/index.js';
 import { formatIdentity, parseSubject, type CrashSubjectKey } from '../../routing/index.js';
-import type { CrashLedger } from './crash-ledger.js';
-import type { ProbeVerdict } from './upstream-probe.js';
+import type { CrashLedger } from '../crashes/index.js';
 
 /** Probes upstreams that interrupted responses, and records a crash for those that no longer accept connections. */
 
-/** Delay before each probe. An upstream that ends may close its connections shortly before its listening socket. */
-const probeDelays: readonly Milliseconds[] = [20, 250];
 /** Subjects of each type in one log line. */
 const maximumLoggedSubjects = 50;
 
@@ -44,7 +48,7 @@
     { key, address, instance }: Target,
     subjects: ReadonlySet<CrashSubjectKey>,
   ): Promise<void> {
-    const verdict = await this.#probeUntilRefused(address, probeDelays);
+    const verdict = await probeUntilRefused(() => this.#options.probe(address));
     this.#interrupted.delete(key);
     const upstream = formatIdentity(instance);
     if (verdict === 'refused') {
@@ -65,7 +69,7 @@
     subjects: readonly CrashSubjectKey[],
   ): Promise<ProbeVerdict> {
     const [firstDelay = 0, ...laterDelays] = probeDelays;
-    const verdict = await this.#probeAfter(firstDelay, address);
+    const verdict = await probeUntilRefused(() => this.#options.probe(address), [firstDelay]);
     void this.#concludeEnd(formatIdentity(instance), address, subjects, verdict, laterDelays);
     return verdict;
   }
@@ -79,7 +83,9 @@
   ): Promise<void> {
     const { ledger, clock, log } = this.#options;
     const verdict =
-      firstVerdict === 'refused' ? firstVerdict : await this.#probeUntilRefused(address, delays);
+      firstVerdict === 'refused'
+        ? firstVerdict
+        : await probeUntilRefused(() => this.#options.probe(address), delays);
     switch (verdict) {
       case 'accepted':
         ledger.noteAnswered(subjects, clock.monotonic());
@@ -95,26 +101,6 @@
         break;
     }
   }
-
-  /** Stops at the first refusal; an accepted connection is probed again, as the upstream may still be ending. */
-  async #probeUntilRefused(
-    address: string,
-    delays: readonly Milliseconds[],
-  ): Promise<ProbeVerdict> {
-    let verdict: ProbeVerdict = 'unanswered';
-    for (const delay of delays) {
-      verdict = await this.#probeAfter(delay, address);
-      if (verdict === 'refused') {
-        break;
-      }
-    }
-    return verdict;
-  }
-
-  async #probeAfter(delay: Milliseconds, address: string): Promise<ProbeVerdict> {
-    await pause(delay, new AbortController().signal);
-    return this.#options.probe(address);
-  }
 }
 
 function describeSubjects(keys: ReadonlySet<CrashSubjectKey>): object {
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -8,7 +8,7 @@
 } from '../../common/index.js';
 import type { Target, TargetChoice } from '../../dispatch/index.js';
 import { findWaitEnd, startWaiting, waitWhileBusy, type WaitingPhase } from './delivery-wait.js';
-import type { CrashAssessment } from './crash-ledger.js';
+import type { CrashAssessment } from '../crashes/index.js';
 import { chooseRetryAfter } from './retry-after.js';
 
 /** State machine that leads one request to exactly one final response; performs no I/O. */
--- a/src/gateway/direct/delivery-types.ts
+++ b/src/gateway/direct/delivery-types.ts
@@ -1,7 +1,7 @@
 import type { RateLimitedLog, Clock, Milliseconds } from '../../common/index.js';
 import type { RequestPermits, TargetChooser, TargetLoads } from '../../dispatch/index.js';
 import type { CrashSubjectKey, RoutedAccount, RoutedService, Route } from '../../routing/index.js';
-import type { CrashLedger } from './crash-ledger.js';
+import type { CrashLedger } from '../crashes/index.js';
 import type { CrashWatch } from './crash-watch.js';
 import type { Dialect, RawHeaders, TokenCounts } from './dialect.js';
 import type { StreamProgress } from './stream-progress.js';
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,7 +3,7 @@
 import { assertNever, digest, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity, formatSegmentSubject, type CrashSubjectKey } from '../../routing/index.js';
-import type { CrashAssessment } from './crash-ledger.js';
+import { RequestCrashes } from '../crashes/index.js';
 import {
   DeliveryController,
   type ChoiceMode,
@@ -16,7 +16,6 @@
 import { QueuePlace } from './queue-place.js';
 import { RequestTimer } from './request-times.js';
 import type { TrackedStream } from './stream-progress.js';
-import type { TrialGrant } from './trial-grants.js';
 import { UpstreamAttempt } from './upstream-attempt.js';
 import type { SlotRefusal } from './waiting-requests.js';
 
@@ -60,10 +59,7 @@
   /** Computed on first use. */
   #cachedDigest: string | undefined;
   #cachedSubjects: readonly CrashSubjectKey[] | undefined;
-  /** Token of the trial that the request asked for. */
-  #trialToken: string | undefined;
-  /** Trial that the current attempt uses up; undefined if it holds no quarantined subject. */
-  #trial: TrialGrant | undefined;
+  readonly #crashes: RequestCrashes;
 
   constructor(
     request: ReceivedRequest,
@@ -83,6 +79,7 @@
     const objective = route.objective;
     this.#work = { service, model, tokens: tokens?.prompt, objective, startedAt };
     this.#place = this.#createPlace();
+    this.#crashes = new RequestCrashes(dependencies.crashLedger, () => this.#crashSubjects);
     this.#controller = new DeliveryController(
       { isRetryable, attempts: route.attempts, startedAt, deadline },
       {
@@ -91,7 +88,7 @@
         isAvailable: (target, now) => chooser.isAvailable(target, now),
         isSent: () => this.#attempt?.isSent ?? false,
         spendRetry: () => dependencies.spendRetry(service.name),
-        assessCrashes: (now) => this.#assessCrashes(now),
+        assessCrashes: (now) => this.#crashes.assess(now, this.#controller.attemptCount === 0),
       },
     );
   }
@@ -185,7 +182,7 @@
 
   /** Quarantines have come into force. Takes the request back if it may still wait in the queue of its upstream, unless it is on trial. */
   noteQuarantined(): void {
-    if (this.#trial === undefined && this.#firstDataAt === undefined) {
+    if (this.#crashes.subjectOnTrial === undefined && this.#firstDataAt === undefined) {
       this.#handle({ type: 'quarantined', now: this.#now() });
     }
   }
@@ -264,7 +261,7 @@
         this.#responseWriter.finish();
         this.#timer.noteForwarded(this.#now());
         if (this.#responseWriter.isSuccess) {
-          this.#dependencies.crashLedger.noteAnswered(this.#crashSubjects, this.#now());
+          this.#crashes.noteAnswered(this.#now());
         }
         this.#conclude('whole');
         return;
@@ -306,7 +303,12 @@
     this.#target = target;
     this.#lastTarget = target.key;
     this.#sentAt = this.#now();
-    this.#takeTrial();
+    this.#crashes.noteSent(this.#sentAt);
+    if (this.#crashes.subjectOnTrial !== undefined) {
+      this.#logEvent('quarantined subject sent on trial', {
+        subject: this.#crashes.subjectOnTrial,
+      });
+    }
     this.#timer.noteAssigned(this.#sentAt);
     this.#firstDataAt = undefined;
     this.#hasResponseHead = false;
@@ -369,7 +371,7 @@
         loads.noteClosed(target, this.#now());
       }
       attempt.discard();
-      this.#returnTrial();
+      this.#crashes.noteNotRun();
       this.#releaseTarget();
       this.#handle({ type: 'refused', now: this.#now() });
       return;
@@ -389,47 +391,13 @@
     }
   }
 
-  /** A quarantined request that has not been sent asks for a trial first. */
-  #assessCrashes(now: Milliseconds): CrashAssessment {
-    const { crashLedger } = this.#dependencies;
-    if (!crashLedger.hasSuspicions) {
-      return 'harmless';
-    }
-    const assessment = crashLedger.assess(this.#crashSubjects, now, this.#trialToken);
-    const mayAsk = this.#trialToken === undefined && this.#controller.attemptCount === 0;
-    if (assessment !== 'quarantined' || !mayAsk) {
-      return assessment;
-    }
-    this.#trialToken = crashLedger.askForTrial(this.#crashSubjects, now);
-    return this.#trialToken === undefined ? 'quarantined' : 'unrecorded';
-  }
-
-  #takeTrial(): void {
-    const { crashLedger } = this.#dependencies;
-    this.#trial = crashLedger.hasSuspicions
-      ? crashLedger.takeTrial(this.#crashSubjects, this.#sentAt)
-      : undefined;
-    if (this.#trial !== undefined) {
-      this.#logEvent('quarantined subject sent on trial', { subject: this.#trial.subject });
-    }
-  }
-
-  /** The attempt certainly did not run, so its trial can still be made. */
-  #returnTrial(): void {
-    if (this.#trial !== undefined) {
-      this.#dependencies.crashLedger.returnTrial(this.#trial);
-      this.#trial = undefined;
-    }
-  }
-
   #noteRejection({ code }: Failure): void {
     if (code !== 'requestQuarantined') {
       return;
     }
-    const { crashLedger, onRejectedForCrashes } = this.#dependencies;
-    const subjects = crashLedger.listQuarantined(this.#crashSubjects, this.#now());
+    const subjects = this.#crashes.listQuarantined(this.#now());
     this.#logEvent('request rejected for crashes of upstreams', { subjects });
-    onRejectedForCrashes(subjects);
+    this.#dependencies.onRejectedForCrashes(subjects);
   }
 
   /** Returns whether the request was sent to another upstream instead of forwarding this failure. */
@@ -506,7 +474,7 @@
     if (isSent) {
       this.#dependencies.crashWatch.noteBroken(target, this.#crashSubjects);
     } else {
-      this.#returnTrial();
+      this.#crashes.noteNotRun();
     }
     this.#releaseTarget();
     this.#handle({ type: isSent ? 'broken' : 'unreachable', now: this.#now() });
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -14,7 +14,7 @@
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import { RoutingWatcher } from '../../watch/index.js';
 import { RpcClientPool } from '../../wire/index.js';
-import { CrashReporter } from './crash-reporter.js';
+import { CrashReporter } from '../crashes/index.js';
 import { DemandReporter } from './demand-reporter.js';
 import type { Dialect } from './dialect.js';
 import { DirectGateway } from './direct-gateway.js';
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -13,6 +13,7 @@
   type ManagedPart,
   type Milliseconds,
   type RandomSource,
+  probeUpstream,
 } from '../../common/index.js';
 import {
   Evacuations,
@@ -33,7 +34,7 @@
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
 import { ConnectionShedder } from './connection-shedder.js';
 import { findConnectionLimit } from './connection-limit.js';
-import { CrashLedger } from './crash-ledger.js';
+import { CrashLedger } from '../crashes/index.js';
 import { CrashWatch } from './crash-watch.js';
 import { DemandMeter } from './demand-meter.js';
 import { Delivery } from './delivery.js';
@@ -53,7 +54,6 @@
 import { StreamProgress } from './stream-progress.js';
 import { listUpstreamAddresses, UpstreamConnections } from './upstream-connections.js';
 import { UpstreamObserver } from './upstream-observer.js';
-import { probeUpstream } from './upstream-probe.js';
 import { WaitingRequests } from './waiting-requests.js';
 
 /** HTTP server of a gateway that sends requests directly to upstreams. */
@@ -107,8 +107,6 @@
   #gateways: number;
   #position: GatewayPosition | undefined;
   #isStopping = false;
-  /** Whether the routing state has been complete once. */
-  #isSynchronized = false;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -338,13 +336,9 @@
     this.#deliveries.noteTargetsChanged();
   }
 
-  #applyQuarantines({ isSynchronized, quarantined }: RoutingView): void {
+  #applyQuarantines(view: RoutingView): void {
     const now = this.#options.clock.monotonic();
-    if (!this.#isSynchronized && isSynchronized) {
-      this.#isSynchronized = true;
-      this.#crashLedger.startWith(quarantined, now);
-    }
-    const enforcedAt = this.#crashLedger.setQuarantined(quarantined, now);
+    const enforcedAt = this.#crashLedger.applyView(view, now);
     if (enforcedAt !== undefined) {
       setTimeout(() => {
         this.#deliveries.noteQuarantined();
--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -6,7 +6,7 @@
   type CrashAssessment,
   type PendingCrashes,
   type UpstreamCrash,
-} from './crash-ledger.js';
+} from '../crashes/index.js';
 export { CrashWatch, type CrashWatchOptions } from './crash-watch.js';
 export { Delivery } from './delivery.js';
 export type { DeliveryOutcome } from './delivery-outcome.js';
@@ -45,7 +45,7 @@
   type AnsweredRequest,
   type UpstreamObserverOptions,
 } from './upstream-observer.js';
-export { probeUpstream, type ProbeVerdict } from './upstream-probe.js';
+export { probeUpstream, type ProbeVerdict } from '../../common/index.js';
 export {
   WaitingRequests,
   type QueueObserver,
