Hold back messages that crash engines on the way through sidecars too

Cause: the product's own interface remembered nothing of a request beyond its attempts, so it sent one that crashes engines to one after the other, as the direct way did before: the same class, a bound over all gateways that nothing holds.

Now a sidecar whose upstream breaks an answer off probes it, numbers its crashes, and names the crash in the end of each attempt, so that all gateways count it once. The gateway blames the request and the messages of the conversation but the last one, and reports to the leader of control, which has kept these records for both ways all along; it learns of quarantines by a routing watch, holds requests back while a crash is unrecorded, and rejects quarantined ones (2108), at once.

--- a/__tests__/requests/faults.test.ts
+++ b/__tests__/requests/faults.test.ts
@@ -265,5 +265,6 @@
   maximumAttempts: 5,
   maximumResumes: 8,
   initialBackoff: 50,
+  crashRecordTimeout: 1800,
   maximumAnswerBytes: 1_000_000,
 };
--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -15,6 +15,9 @@
 
 const eventStreamType = 'text/event-stream';
 
+/** Lowest HTTP status that indicates a failure of the upstream rather than of the request. */
+const lowestFailureStatus = 500;
+
 /**
  * Assembles the answer for the caller from the bytes of an attempt.
  * An event stream is forwarded event by event. Other answers are buffered until they are complete, so that the request
@@ -52,6 +55,11 @@
     return this.#head?.isStream === true;
   }
 
+  /** Whether the answer is a server error of the upstream, or has not begun. */
+  get isFailure(): boolean {
+    return (this.#head?.status ?? lowestFailureStatus) >= lowestFailureStatus;
+  }
+
   /** Sets the head; later heads of the same attempt are ignored. */
   setHead(status: number, headers: readonly HeaderField[]): void {
     this.#head ??= { status, headers, isStream: isEventStream(headers) };
--- a/src/gateway/attempt-follower.ts
+++ b/src/gateway/attempt-follower.ts
@@ -24,7 +24,12 @@
   /** The attempt definitely did not run and never will. */
   | { readonly type: 'notRun'; readonly code: ResultCodeName; readonly retryAfter: Milliseconds }
   /** The attempt may have run, but its answer can no longer be obtained. */
-  | { readonly type: 'lost'; readonly code: ResultCodeName }
+  | {
+      readonly type: 'lost';
+      readonly code: ResultCodeName;
+      /** Identifies the crash of the upstream that broke the answer, if that is known. */
+      readonly crash?: string;
+    }
 );
 
 export interface FollowedAttempt {
@@ -211,7 +216,8 @@
       return this.#endNotRun(code, retryAfter);
     }
     if (code !== 'ok') {
-      return this.#abandon(code);
+      const { crash } = event;
+      return crash === undefined ? this.#abandon(code) : { ...this.#abandon(code), crash };
     }
     if (
       totalBytes !== this.#dependencies.answer.receivedBytes ||
@@ -311,7 +317,7 @@
     return { type: 'notRun', code, retryAfter, effects: [dropped] };
   }
 
-  #abandon(code: ResultCodeName): FollowResult {
+  #abandon(code: ResultCodeName): Extract<FollowResult, { readonly type: 'lost' }> {
     return { type: 'lost', code, effects: this.cancel() };
   }
 
--- a/src/gateway/crashes/crash-reporter.ts
+++ b/src/gateway/crashes/crash-reporter.ts
@@ -1,9 +1,14 @@
 import type { Logger } from 'pino';
 
-import { resultCodes, type ManagedPart, type Milliseconds } from '../../common/index.js';
+import {
+  resultCodes,
+  type Clock,
+  type ManagedPart,
+  type Milliseconds,
+} from '../../common/index.js';
 import { RoutingService } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
-import type { PendingCrashes } from './crash-ledger.js';
+import type { CrashLedger, PendingCrashes } from './crash-ledger.js';
 
 /** Reports crashes and complete responses to the leader of control, and retries until they are recorded. */
 
@@ -80,3 +85,29 @@
     return answer.granted;
   }
 }
+
+export interface LedgerReporterOptions extends Pick<
+  CrashReporterOptions,
+  'gateway' | 'findLeader' | 'clients' | 'logger'
+> {
+  readonly ledger: CrashLedger;
+  readonly clock: Clock;
+}
+
+/** Creates a reporter of what a ledger has to report. */
+export function createCrashReporter({
+  ledger,
+  clock,
+  ...options
+}: LedgerReporterOptions): CrashReporter {
+  return new CrashReporter({
+    ...options,
+    takePending: () => ledger.takePending(),
+    restorePending: (pending) => {
+      ledger.restorePending(pending);
+    },
+    onRecorded: (pending, granted) => {
+      ledger.noteRecorded(pending, granted, clock.monotonic());
+    },
+  });
+}
--- a/src/gateway/crashes/index.ts
+++ b/src/gateway/crashes/index.ts
@@ -4,6 +4,6 @@
   type PendingCrashes,
   type UpstreamCrash,
 } from './crash-ledger.js';
-export { CrashReporter, type CrashReporterOptions } from './crash-reporter.js';
+export { CrashReporter, createCrashReporter, type CrashReporterOptions } from './crash-reporter.js';
 export { RequestCrashes } from './request-crashes.js';
 export type { TrialGrant, TrialRequest } from './trial-grants.js';
--- a/src/gateway/crashes/request-crashes.ts
+++ b/src/gateway/crashes/request-crashes.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** The upstream that ran the request crashed; `crash` is the same for all requests that it had in hand. */
+  noteCrash(crash: string, now: Milliseconds): void {
+    this.#ledger.noteCrash(crash, this.subjects, now);
+  }
+
   /** An upstream answered the request completely. */
   noteAnswered(now: Milliseconds): void {
     this.#ledger.noteAnswered(this.subjects, now);
--- a/src/gateway/direct/direct-gateway-process.ts
+++ b/src/gateway/direct/direct-gateway-process.ts
@@ -14,7 +14,7 @@
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import { RoutingWatcher } from '../../watch/index.js';
 import { RpcClientPool } from '../../wire/index.js';
-import { CrashReporter } from '../crashes/index.js';
+import { createCrashReporter } from '../crashes/index.js';
 import { DemandReporter } from './demand-reporter.js';
 import type { Dialect } from './dialect.js';
 import { DirectGateway } from './direct-gateway.js';
@@ -74,17 +74,11 @@
       gateway.permits.applyGrant(granted, reportedAt, clock.monotonic());
     },
   });
-  const crashes = new CrashReporter({
+  const crashes = createCrashReporter({
     ...shared,
     gateway: name,
+    ledger: gateway.crashLedger,
     findLeader: () => watcher.read().leader,
-    takePending: () => gateway.crashLedger.takePending(),
-    restorePending: (pending) => {
-      gateway.crashLedger.restorePending(pending);
-    },
-    onRecorded: (pending, granted) => {
-      gateway.crashLedger.noteRecorded(pending, granted, clock.monotonic());
-    },
   });
   const connections: ManagedPart = {
     name: 'connections',
--- a/src/gateway/limits.ts
+++ b/src/gateway/limits.ts
@@ -16,6 +16,8 @@
   readonly maximumResumes: number;
   /** First pause while waiting for a newer configuration or placement; doubles with each attempt. */
   readonly initialBackoff: Milliseconds;
+  /** How long a request is held until control has recorded a crash of an upstream that ran it; a record takes about 0.1 s. */
+  readonly crashRecordTimeout: Milliseconds;
   readonly maximumAnswerBytes: number;
 }
 
@@ -28,5 +30,6 @@
   maximumAttempts: 5,
   maximumResumes: 8,
   initialBackoff: 50,
+  crashRecordTimeout: 1800,
   maximumAnswerBytes: 8 * 1024 * 1024,
 };
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -9,6 +9,7 @@
   RequestId,
   Revision,
 } from '../model/index.js';
+import type { CrashSubjectKey } from '../routing/index.js';
 import type { AttemptMessage, HeaderField } from '../sidecar/attempts/index.js';
 import type { ClaimOutcome } from './claims.js';
 import type { RouteQuery } from './router.js';
@@ -26,6 +27,8 @@
   /** Monotonic time by which the caller must get its final answer. */
   readonly deadline: Milliseconds;
   readonly route: RouteQuery;
+  /** What the crash of an upstream that runs the request may be blamed on; absent for nothing. */
+  readonly crashSubjects?: readonly CrashSubjectKey[];
 }
 
 /** The group that an attempt is sent to. */
--- a/src/gateway/request-controller.ts
+++ b/src/gateway/request-controller.ts
@@ -9,6 +9,7 @@
 } from '../common/index.js';
 import type { GroupName, Revision } from '../model/index.js';
 import { AnswerAssembler } from './answer-assembler.js';
+import { RequestCrashes, type CrashLedger } from './crashes/index.js';
 import { AttemptFollower, type FollowResult } from './attempt-follower.js';
 import type { ClaimOutcome } from './claims.js';
 import type { RequestLimits } from './limits.js';
@@ -33,6 +34,8 @@
   readonly retryBudget: RetryBudget;
   readonly random: RandomSource;
   readonly limits: RequestLimits;
+  /** Crashes of upstreams and quarantines; absent where they are not tracked. */
+  readonly crashLedger?: CrashLedger;
 }
 
 const defaultRetryAfter: Milliseconds = 1000;
@@ -83,11 +86,19 @@
   /** Whether an earlier attempt may have run. */
   #mayEarlierAttemptHaveRun = false;
   #claim: 'none' | 'asked' | 'held' | 'refused' = 'none';
+  /** Undefined if crashes are not tracked. */
+  readonly #crashes: RequestCrashes | undefined;
+  /** Time until when the request waits for control to record a crash; undefined while it does not. */
+  #heldUntil: Milliseconds | undefined;
 
   constructor(facts: RequestFacts, dependencies: RequestDependencies) {
     this.#facts = facts;
     this.#dependencies = dependencies;
     this.#answer = new AnswerAssembler(dependencies.limits.maximumAnswerBytes);
+    const { crashLedger } = dependencies;
+    const { crashSubjects = [] } = facts;
+    this.#crashes =
+      crashLedger === undefined ? undefined : new RequestCrashes(crashLedger, () => crashSubjects);
   }
 
   get stage(): RequestStage {
@@ -168,6 +179,13 @@
 
   #choose(now: Milliseconds): readonly RequestEffect[] {
     this.#lifecycle.step('choose');
+    const assessment = this.#crashes?.assess(now, this.#attempts === 0) ?? 'harmless';
+    if (assessment === 'quarantined') {
+      return this.#fail('requestQuarantined');
+    }
+    if (assessment === 'unrecorded' && !this.#mayHaveRun()) {
+      return this.#hold(now);
+    }
     const decision = this.#dependencies.router.choose(this.#facts.route, this.#tried, now);
     return decision.type === 'none'
       ? this.#fail(decision.code, defaultRetryAfter)
@@ -183,6 +201,7 @@
     this.#lifecycle.step('attemptSent');
     this.#attempts += 1;
     this.#lastStream += 1;
+    this.#crashes?.noteSent(now);
     const attempt = this.#attempts;
     const stream = this.#lastStream;
     this.#follower = new AttemptFollower(
@@ -221,10 +240,17 @@
       case 'pending':
         return result.effects;
       case 'whole':
+        if (!this.#answer.isFailure) {
+          this.#crashes?.noteAnswered(now);
+        }
         return this.#finish(result.effects, 'ran');
       case 'notRun':
+        this.#crashes?.noteNotRun();
         return [...result.effects, ...this.#retry(result.code, result.retryAfter, now)];
       case 'lost':
+        if (result.crash !== undefined) {
+          this.#crashes?.noteCrash(result.crash, now);
+        }
         return [...result.effects, ...this.#recover(result.code, now)];
       default:
         return assertNever(result);
@@ -247,6 +273,9 @@
     if (this.#answer.hasStarted || this.#attempts >= limits.maximumAttempts) {
       return this.#fail(code, retryAfter);
     }
+    if (this.#crashes?.assess(now, false) === 'quarantined') {
+      return this.#fail('requestQuarantined');
+    }
     this.#answer.reset();
     this.#lifecycle.step('choose');
     if (neverArrivedCodes.has(code)) {
@@ -265,6 +294,19 @@
     return this.#send(decision.target, decision.revision, now);
   }
 
+  /** Waits for control to record a crash, or to decide on a trial. */
+  #hold(now: Milliseconds): readonly RequestEffect[] {
+    const { limits } = this.#dependencies;
+    const heldUntil = this.#heldUntil ?? now + limits.crashRecordTimeout;
+    this.#heldUntil = heldUntil;
+    if (now >= heldUntil) {
+      return this.#fail('crashUnrecorded', defaultRetryAfter);
+    }
+    this.#lifecycle.step('postpone');
+    this.#wakeAt = now + limits.initialBackoff;
+    return [];
+  }
+
   /** Waits for a newer view, or for a group to be whole again; all groups may then be tried again. */
   #postpone(now: Milliseconds): readonly RequestEffect[] {
     this.#lifecycle.step('postpone');
--- a/src/gateway/shell/gateway-options.ts
+++ b/src/gateway/shell/gateway-options.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, Milliseconds, RandomSource } from '../../common/index.js';
 import type { Address, WatchedStateSource } from '../../model/index.js';
+import type { CrashLedger } from '../crashes/index.js';
 import type { ClaimClient } from '../claims.js';
 import type { RequestLimits } from '../limits.js';
 import type { Metrics } from '../metrics.js';
@@ -26,6 +27,8 @@
   readonly drain?: DrainLimits;
   readonly requestLimits?: RequestLimits;
   readonly callerLimits?: CallerLimits;
+  /** Crashes of upstreams and quarantines; absent where they are not tracked. */
+  readonly crashLedger?: CrashLedger;
   /** Called with the outcome of each request, for service-level counters. */
   readonly observe?: (outcome: RequestOutcome) => void;
 }
--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 
 import {
+  createIdentifier,
   createMetrics,
   type Clock,
   type ManagedPart,
@@ -9,8 +10,9 @@
 } from '../../common/index.js';
 import { ControlClient } from '../../control/index.js';
 import type { GatewaySettings } from '../../settings/index.js';
-import { ControlWatcher } from '../../watch/index.js';
+import { ControlWatcher, RoutingWatcher } from '../../watch/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
+import { CrashLedger, createCrashReporter } from '../crashes/index.js';
 import { createGateway } from './gateway.js';
 import { LogClaimClient } from './log-claim-client.js';
 import { ServiceLevels } from './service-levels.js';
@@ -42,8 +44,22 @@
   });
   const controlClient = new ControlClient({ control, clients, timeout: claimTimeout, random });
   const levels = new ServiceLevels(name, clock, () => watched.read().configuration);
+  const crashLedger = new CrashLedger(createIdentifier());
+  const routing = new RoutingWatcher({
+    watcher: name,
+    kind: 'gateway',
+    control,
+    clients,
+    clock,
+    logger,
+    random,
+  });
+  routing.subscribe((view) => {
+    crashLedger.applyView(view, clock.monotonic());
+  });
   const gateway = createGateway({
     name,
+    crashLedger,
     address: settings.listen,
     watched,
     claims: new LogClaimClient(controlClient),
@@ -78,6 +94,15 @@
       },
     },
     watched,
+    routing,
+    createCrashReporter({
+      gateway: name,
+      ledger: crashLedger,
+      findLeader: () => routing.read().leader,
+      clients,
+      clock,
+      logger,
+    }),
     server,
     gateway,
   ];
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -72,6 +72,7 @@
       claims: options.claims,
       noticeRevision: options.watched.noticeRevision,
       callerLimits: options.callerLimits ?? defaultCallerLimits,
+      ...(options.crashLedger === undefined ? {} : { crashLedger: options.crashLedger }),
     };
   }
 
--- a/src/gateway/shell/request-parser.ts
+++ b/src/gateway/shell/request-parser.ts
@@ -5,6 +5,7 @@
 
 import { createFailure, digest, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Account, Configuration, RequestId } from '../../model/index.js';
+import { formatSegmentSubject } from '../../routing/index.js';
 import type { HeaderField, UpstreamRequest } from '../../sidecar/attempts/index.js';
 import type { RequestFacts } from '../messages.js';
 import { parseModelName, type RequestedOffer } from '../reach.js';
@@ -92,7 +93,24 @@
   const { model, messages } = checked.data;
   const prefix = JSON.stringify(messages).slice(0, affinityCharacters);
   const affinityKey = digest([model, prefix]);
-  return buildRequest(message, body, context, parseModelName(model), chatPath, affinityKey);
+  const wanted = parseModelName(model);
+  const parsed = buildRequest(message, body, context, wanted, chatPath, affinityKey);
+  return parsed.map((request) => addSegments(request, wanted, messages));
+}
+
+/**
+ * The messages before the last one are segments that other prompts may share. The last one belongs to the request itself.
+ */
+function addSegments(
+  { facts, upstream }: ParsedRequest,
+  wanted: RequestedOffer,
+  messages: readonly unknown[],
+): ParsedRequest {
+  const target = wanted.type === 'model' ? wanted.model : wanted.service;
+  const shared = messages.slice(0, -1).map((message) => digest([JSON.stringify(message)]));
+  const segments = [...new Set(shared)].map((segment) => formatSegmentSubject(target, segment));
+  const crashSubjects = [...(facts.crashSubjects ?? []), ...segments];
+  return { facts: { ...facts, crashSubjects }, upstream };
 }
 
 /** Parses a request to a plain service. */
@@ -138,6 +156,7 @@
     claim: isClaimed ? { key, fingerprint } : undefined,
     deadline: now + (timeout === undefined ? defaultTimeout : timeout * millisecondsPerSecond),
     route: { wanted, account: account.name, affinityKey },
+    crashSubjects: [digest([account.name, method, path, body])],
   };
   const forwarded = [
     ...selectForwardedHeaders(message),
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -270,6 +270,11 @@
   }
 
   #fail(failure: Failure): void {
+    if (failure.code === 'requestQuarantined') {
+      const { crashSubjects = [] } = this.#request.facts;
+      const subjects = this.#dependencies.crashLedger?.listQuarantined(crashSubjects, this.#now());
+      this.#log().info({ subjects }, 'request rejected for crashes of upstreams');
+    }
     if (failure.code === 'cancelled') {
       this.#response.destroy();
     } else {
--- a/src/sidecar/attempts/attempt-controller.ts
+++ b/src/sidecar/attempts/attempt-controller.ts
@@ -236,7 +236,13 @@
 
   #handleUpstreamEnd(event: EventOf<'upstreamEnded'>): readonly AttemptEffect[] {
     const record = this.#findRunning(event.key);
-    return record === undefined ? [] : this.#end(record, event.code, event.now);
+    if (record === undefined) {
+      return [];
+    }
+    if (event.crash !== undefined) {
+      record.setCrash(event.crash);
+    }
+    return this.#end(record, event.code, event.now);
   }
 
   /** Ends a running attempt, with or without a complete response. */
--- a/src/sidecar/attempts/attempt-record.ts
+++ b/src/sidecar/attempts/attempt-record.ts
@@ -24,6 +24,7 @@
   #detachedAt: Milliseconds | undefined;
   #head: ResponseHead | undefined;
   #code: ResultCodeName = 'ok';
+  #crash: string | undefined;
 
   constructor(
     order: AttemptOrder,
@@ -82,6 +83,11 @@
     return true;
   }
 
+  /** The upstream crashed while the attempt ran. */
+  setCrash(crash: string): void {
+    this.#crash = crash;
+  }
+
   /** Sets the response head; later calls have no effect. */
   setHead(head: ResponseHead): void {
     this.#head ??= head;
@@ -115,6 +121,8 @@
   /** Creates the final message with the outcome of the attempt. */
   createEndMessage(retryAfter: Milliseconds): AttemptMessage {
     const totalBytes = this.buffer.nextOffset;
-    return { type: 'ended', totalBytes, code: this.#code, retryAfter };
+    const crash = this.#crash;
+    const ended = { type: 'ended', totalBytes, code: this.#code, retryAfter } as const;
+    return crash === undefined ? ended : { ...ended, crash };
   }
 }
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -6,6 +6,7 @@
   type Clock,
   type ManagedPart,
   type Milliseconds,
+  type ProbeVerdict,
   type ResultCodeName,
 } from '../../common/index.js';
 import {
@@ -37,6 +38,7 @@
 } from './messages.js';
 import { ResponseStream } from './response-stream.js';
 import type { UpstreamClient } from './upstream-client.js';
+import { UpstreamCrashes } from './upstream-crashes.js';
 import { UpstreamRelay } from './upstream-relay.js';
 import {
   decodeAttemptName,
@@ -98,8 +100,13 @@
       options.incarnation,
       options.limits ?? defaultAttemptLimits,
     );
+    const { incarnation, upstream } = options;
+    const probe = (): Promise<ProbeVerdict> => {
+      return upstream.probe?.() ?? Promise.resolve('unanswered');
+    };
     this.#relay = new UpstreamRelay({
-      upstream: options.upstream,
+      upstream,
+      crashes: new UpstreamCrashes(incarnation, probe),
       clock: options.clock,
       logger: options.logger,
       handle: (event) => {
--- a/src/sidecar/attempts/messages.ts
+++ b/src/sidecar/attempts/messages.ts
@@ -31,6 +31,8 @@
       readonly totalBytes: number;
       readonly code: ResultCodeName;
       readonly retryAfter: Milliseconds;
+      /** Identifies the crash of the upstream that broke the answer; absent if there was none, or if that is not known. */
+      readonly crash?: string;
     };
 
 /** The client's request as it is sent to the upstream. */
@@ -98,6 +100,8 @@
       readonly key: AttemptKey;
       /** `ok` when the end of the response was received; `upstreamUnreachable` when nothing was sent. */
       readonly code: ResultCodeName;
+      /** As in the `ended` message. */
+      readonly crash?: string;
     }
   | {
       readonly type: 'asked';
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -1,6 +1,12 @@
 import { Agent, request as sendRequest, errors } from 'undici';
 
-import { createFailure, FailureError, type Milliseconds } from '../../common/index.js';
+import {
+  createFailure,
+  FailureError,
+  probeUpstream,
+  type Milliseconds,
+  type ProbeVerdict,
+} from '../../common/index.js';
 import type { HeaderField, UpstreamRequest } from './messages.js';
 
 /** A streamed response of the upstream. */
@@ -23,6 +29,8 @@
    * Rejects with a `FailureError`: `upstreamUnreachable` when nothing was sent, `upstreamFailed` otherwise.
    */
   readonly start: (request: UpstreamRequest, signal: AbortSignal) => Promise<UpstreamResponse>;
+  /** Checks whether the upstream accepts connections. */
+  readonly probe?: () => Promise<ProbeVerdict>;
 }
 
 const connectTimeout: Milliseconds = 1000;
@@ -77,6 +85,11 @@
     }
   }
 
+  async probe(): Promise<ProbeVerdict> {
+    const baseUrl = this.#readBaseUrl();
+    return baseUrl === undefined ? 'unanswered' : probeUpstream(new URL(baseUrl).host);
+  }
+
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
--- a/src/sidecar/attempts/upstream-relay.ts
+++ b/src/sidecar/attempts/upstream-relay.ts
@@ -8,11 +8,13 @@
 } from '../../common/index.js';
 import type { AttemptEvent, AttemptKey, UpstreamRequest } from './messages.js';
 import type { UpstreamClient } from './upstream-client.js';
+import type { UpstreamCrashes } from './upstream-crashes.js';
 import { readPause } from './upstream-pause.js';
 
 /** Dependencies of the relay. */
 export interface UpstreamRelayOptions {
   readonly upstream: UpstreamClient;
+  readonly crashes: UpstreamCrashes;
   readonly clock: Clock;
   readonly logger: Logger;
   /** Receives the events of upstream responses. */
@@ -36,8 +38,27 @@
     const abortController = new AbortController();
     this.#abortControllers.set(key, abortController);
     const code = await this.#read(key, request, abortController.signal);
+    const crash = await this.#findCrash(key, code, abortController.signal);
     this.#abortControllers.delete(key);
-    this.#options.handle({ type: 'upstreamEnded', now: this.#now(), key, code });
+    const ended = { type: 'upstreamEnded', now: this.#now(), key, code } as const;
+    this.#options.handle(crash === undefined ? ended : { ...ended, crash });
+  }
+
+  /** Undefined if the upstream did not break the answer off, or did not end with it. */
+  async #findCrash(
+    key: AttemptKey,
+    code: ResultCodeName,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const isBroken = code === 'answerBroken' || code === 'upstreamFailed';
+    if (!isBroken || signal.aborted) {
+      return undefined;
+    }
+    const crash = await this.#options.crashes.find();
+    if (crash !== undefined) {
+      this.#options.logger.warn({ attempt: key, crash }, 'upstream crashed');
+    }
+    return crash;
   }
 
   /** Aborts the upstream request of the attempt; best effort. */
@@ -62,6 +83,7 @@
     try {
       const response = await upstream.start(request, signal);
       hasHead = true;
+      this.#options.crashes.noteResponse();
       const { status, headers } = response;
       const pause = readPause(status, headers);
       if (pause !== undefined) {
--- a/src/sidecar/attempts/wire.ts
+++ b/src/sidecar/attempts/wire.ts
@@ -102,6 +102,7 @@
         totalBytes: Number(event.value.totalBytes),
         code: findResultCodeName(event.value.resultCode),
         retryAfter: event.value.retryAfterMilliseconds,
+        ...(event.value.crash === '' ? {} : { crash: event.value.crash }),
       };
     case undefined:
       return undefined;
@@ -187,6 +188,7 @@
           totalBytes: BigInt(message.totalBytes),
           resultCode: resultCodes[message.code].number,
           retryAfterMilliseconds: Math.ceil(message.retryAfter),
+          crash: message.crash ?? '',
         },
       };
   }
