--- a/src/common/result-codes/attempt-codes.ts
+++ b/src/common/result-codes/attempt-codes.ts
@@ -127,7 +127,7 @@
     503,
     'notRun',
     true,
-    'An upstream crashed while it ran this request, and control has not recorded that yet.',
+    'An upstream crashed while it ran this request, or a segment of its prompt, and control has not recorded that yet.',
     'Wait for the time in Retry-After; another gateway may take it.',
   ),
   domainsEvacuated: createResultCode(
@@ -199,7 +199,7 @@
     502,
     'unknown',
     false,
-    'Upstreams crashed each time this request ran; it is not sent to another one.',
+    'Upstreams crashed each time this request, or a segment of its prompt, ran; it is not sent to another one.',
     'Do not send it again unchanged.',
   ),
 };
