--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -1,9 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import { assertNever, digest, type Failure, type Milliseconds } from '../../common/index.js';
+import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
-import { formatIdentity, formatSegmentSubject, type CrashSubjectKey } from '../../routing/index.js';
-import { RequestCrashes } from '../crashes/index.js';
+import { formatIdentity } from '../../routing/index.js';
+import { DeliveryCrashes } from './delivery-crashes.js';
 import {
   DeliveryController,
   type ChoiceMode,
@@ -56,10 +56,7 @@
   #hasResponseHead = false;
   /** Arrival of the first response bytes of the current attempt. */
   #firstDataAt: Milliseconds | undefined;
-  /** Computed on first use. */
-  #cachedDigest: string | undefined;
-  #cachedSubjects: readonly CrashSubjectKey[] | undefined;
-  readonly #crashes: RequestCrashes;
+  readonly #crashes: DeliveryCrashes;
 
   constructor(
     request: ReceivedRequest,
@@ -79,7 +76,7 @@
     const objective = route.objective;
     this.#work = { service, model, tokens: tokens?.prompt, objective, startedAt };
     this.#place = this.#createPlace();
-    this.#crashes = new RequestCrashes(dependencies.crashLedger, () => this.#crashSubjects);
+    this.#crashes = new DeliveryCrashes(request, dependencies);
     this.#controller = new DeliveryController(
       { isRetryable, attempts: route.attempts, startedAt, deadline },
       {
@@ -125,23 +122,6 @@
     this.#handle({ type: 'slotRefused', now: this.#now(), retryAfter });
   }
 
-  /** Identifies the content of the request; equal for repeated requests, also at other gateways. */
-  get #requestDigest(): string {
-    const { account, method, path, body } = this.#request;
-    this.#cachedDigest ??= digest([account?.name ?? '', method, path, body]);
-    return this.#cachedDigest;
-  }
-
-  /** What the crash of an upstream that runs the request may be blamed on. */
-  get #crashSubjects(): readonly CrashSubjectKey[] {
-    const { service, promptSegments } = this.#request;
-    this.#cachedSubjects ??= [
-      this.#requestDigest,
-      ...promptSegments.map((segment) => formatSegmentSubject(service.name, segment)),
-    ];
-    return this.#cachedSubjects;
-  }
-
   /** Whether it waits for an upstream that can accept it. */
   get isWaiting(): boolean {
     return this.#controller.isWaiting;
@@ -163,7 +143,7 @@
     this.#handle({ type: 'targetsChanged', now: this.#now() });
     if (target !== undefined && isSent && this.#target !== target) {
       // Control may remove an upstream before its connections break; probe it so that its crash is not missed.
-      this.#dependencies.crashWatch.noteBroken(target, this.#crashSubjects);
+      this.#crashes.noteBroken(target);
     }
   }
 
@@ -395,9 +375,8 @@
     if (code !== 'requestQuarantined') {
       return;
     }
-    const subjects = this.#crashes.listQuarantined(this.#now());
+    const subjects = this.#crashes.noteRejected(this.#now());
     this.#logEvent('request rejected for crashes of upstreams', { subjects });
-    this.#dependencies.onRejectedForCrashes(subjects);
   }
 
   /** Returns whether the request was sent to another upstream instead of forwarding this failure. */
@@ -446,8 +425,7 @@
 
   /** Nothing but the end of the connection says that the response is complete, and the connections of an upstream that crashes end too. */
   async #confirmEnd(attempt: UpstreamAttempt, target: Target): Promise<void> {
-    const subjects = this.#responseWriter.isFailure ? [] : this.#crashSubjects;
-    const verdict = await this.#dependencies.crashWatch.confirmEnd(target, subjects);
+    const verdict = await this.#crashes.confirmEnd(target, this.#responseWriter.isFailure);
     if (verdict === 'refused') {
       this.#handleError(attempt, target, new Error('the upstream ended with the response'), true);
     } else {
@@ -467,12 +445,15 @@
     if (this.#attempt !== attempt) {
       return;
     }
-    const content = { digest: this.#requestDigest, promptSegments: this.#request.promptSegments };
+    const content = {
+      digest: this.#crashes.requestDigest,
+      promptSegments: this.#request.promptSegments,
+    };
     this.#logEvent('attempt failed', { error: error.message, isSent, ...content });
     this.#dependencies.loads.suspect(target, this.#now());
     this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
-      this.#dependencies.crashWatch.noteBroken(target, this.#crashSubjects);
+      this.#crashes.noteBroken(target);
     } else {
       this.#crashes.noteNotRun();
     }
