--- a/__tests__/processes/platform-segment-soak.test.ts
+++ b/__tests__/processes/platform-segment-soak.test.ts
@@ -9,19 +9,15 @@
 import { idSeparator, SoakCallers } from '../platform/soak/soak-callers.js';
 import { SoakFaults } from '../platform/soak/soak-faults.js';
 import { countOutcomes, describeOutcome, findFaults } from '../platform/soak/soak-judge.js';
+import {
+  grace,
+  initialGroups,
+  readSoakSettings,
+  recoveryTime,
+} from '../platform/soak/soak-settings.js';
 
-/** Size and length of a soak; longer and larger ones are started by hand, see docs/DEVELOPERS.md. */
-const firstSeed = Number(process.env.PISTACHIOSPOKE_SOAK_FIRST_SEED ?? 1);
-const seedCount = Number(process.env.PISTACHIOSPOKE_SOAK_SEEDS ?? 2);
-const gatewayCount = Number(process.env.PISTACHIOSPOKE_SOAK_GATEWAYS ?? 3);
-const engineCount = Number(process.env.PISTACHIOSPOKE_SOAK_ENGINES ?? 10);
-const callerCount = Number(process.env.PISTACHIOSPOKE_SOAK_CALLERS ?? 12);
-const duration = Number(process.env.PISTACHIOSPOKE_SOAK_MILLISECONDS ?? 12_000);
-const meanFaultInterval = Number(process.env.PISTACHIOSPOKE_SOAK_FAULT_INTERVAL ?? 500);
-const initialGroups = 2;
-const grace = 5000;
-/** Time without faults in which callers of sound requests must be served again. */
-const recoveryTime = 8000;
+const { seeds, gatewayCount, engineCount, callerCount, duration, meanFaultInterval } =
+  readSoakSettings(10);
 
 const crashingSegments = ['bad1', 'bad2'];
 /** Share of the requests that hold one of them. */
@@ -37,7 +33,6 @@
 /** Name of the result code of a request that is rejected for one of its segments. */
 const rejection = 'requestQuarantined';
 
-const seeds = Array.from({ length: seedCount }, (_, index) => firstSeed + index);
 let deployment: PlatformDeployment | undefined;
 
 afterEach(async () => {
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -39,7 +39,7 @@
   readonly engineGroups: ReadonlyMap<string, EngineGroup>;
   /** Log index of the last command that changed engine groups. */
   readonly engineGroupsIndex: number;
-  /** Requests that were in flight when upstreams crashed, by request digest. */
+  /** Subjects that were in flight when upstreams crashed, by key. */
   readonly suspects: ReadonlyMap<string, CrashSuspect>;
   /** Evacuations in force, by failure domain. */
   readonly evacuations: ReadonlyMap<string, Evacuation>;
--- a/src/gateway/crashes/crash-reporter.ts
+++ b/src/gateway/crashes/crash-reporter.ts
@@ -10,7 +10,7 @@
 import type { RpcClientPool } from '../../wire/index.js';
 import type { CrashLedger, PendingCrashes } from './crash-ledger.js';
 
-/** Reports crashes and complete responses to the leader of control, and retries until they are recorded. */
+/** Reports crashes, complete responses and wanted trials to the leader of control, and retries until they are recorded. */
 
 const reportInterval: Milliseconds = 100;
 const reportTimeout: Milliseconds = 1000;
--- a/src/watch/routing-state-tracker.ts
+++ b/src/watch/routing-state-tracker.ts
@@ -16,7 +16,7 @@
   readonly table: RouteTable | undefined;
   readonly instances: ReadonlyMap<string, Instance>;
   readonly engineGroups: ReadonlyMap<string, EngineGroup>;
-  /** Digests of the requests that must not be sent to upstreams. */
+  /** Keys of the subjects that must not be sent to upstreams; see `CrashSubject`. */
   readonly quarantined: ReadonlySet<string>;
   /** Evacuations in force, by failure domain. */
   readonly evacuations: ReadonlyMap<string, Evacuation>;
--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -182,10 +182,10 @@
       case 'evacuationEnded':
         return;
       case 'requestQuarantined':
-        logger.warn({ address, request: event.request }, 'request quarantined');
+        logger.warn({ address, subject: event.request }, 'subject quarantined');
         return;
       case 'requestReleased':
-        logger.info({ address, request: event.request }, 'request released from quarantine');
+        logger.info({ address, subject: event.request }, 'subject released from quarantine');
         return;
     }
   }
