Use other groups than the preferred ones only from twice as many own requests as those of others

A report of others' requests may be old, in an overload most of all, and then a gateway that is one of many would send probes to groups that the others fill. The checks of the uneven load stay green.

--- a/src/dispatch/target.ts
+++ b/src/dispatch/target.ts
@@ -92,6 +92,9 @@
   readonly observer?: ChoiceObserver;
 }
 
+/** A gateway fills targets alone if it has this many times as many requests there as all others; evenly loaded ones have a fifth of them. */
+const dominantFactor = 2;
+
 export class TargetChooser {
   readonly #options: TargetChooserOptions;
   readonly #times: UpstreamTimes;
@@ -180,7 +183,7 @@
     const sharers = countSharers(targets.length, this.#options.readPosition?.());
     const hasRoom = (target: Target): boolean => this.#hasRoom(target, criteria, sharers, now);
     const withRoom = candidates.filter(hasRoom);
-    const others = withRoom.length === 0 && this.#fillsMostly(own) ? trusted.filter(hasRoom) : [];
+    const others = withRoom.length === 0 && this.#fillsAlone(own) ? trusted.filter(hasRoom) : [];
     const found = [...withRoom, ...others];
     const eligible = found.length === 0 && isUrgent ? candidates : found;
     const best = this.#readDelays().isSpread
@@ -190,14 +193,14 @@
   }
 
   /**
-   * Whether most requests at the targets come from this gateway. Then it gets far more requests than the others, which leave their own
+   * Whether nearly all requests at the targets come from this gateway. Then it gets far more requests than the others, which leave their own
    * preferred targets idle, so it does not add to an overload when it uses those as well.
    */
-  #fillsMostly(targets: readonly Target[]): boolean {
+  #fillsAlone(targets: readonly Target[]): boolean {
     const known = targets.map((target) => this.#options.loads.read(target));
     const own = known.reduce((sum, load) => sum + load.own, 0);
     const others = known.reduce((sum, load) => sum + load.others, 0);
-    return own > others;
+    return own > dominantFactor * others;
   }
 
   /** Records that the request was sent to the target, after `TargetLoads.noteSent`. Undefined if nothing is to be learned from it. */
