--- a/src/control/routing/index.ts
+++ b/src/control/routing/index.ts
@@ -17,3 +17,4 @@
 export { PlanPacing } from './plan-pacing.js';
 export { RoutingControl, type RoutingControlOptions } from './routing-control.js';
 export { RoutingHub, type ControlStatus } from './routing-hub.js';
+export { QuarantineObserver, type QuarantineObserverOptions } from './quarantine-observer.js';
--- a/src/control/routing/quarantine-observer.ts
+++ b/src/control/routing/quarantine-observer.ts
@@ -1,7 +1,6 @@
 import type { Logger } from 'pino';
 import { Gauge, type Registry } from 'prom-client';
 
-import type { Clock } from '../../common/index.js';
 import { listQuarantined, parseSubject, type CrashSubjectKey } from '../../routing/index.js';
 import type { ControlState, RoutingState } from '../state/index.js';
 
@@ -9,7 +8,6 @@
 
 export interface QuarantineObserverOptions {
   readonly readState: () => ControlState;
-  readonly clock: Clock;
   readonly logger: Logger;
   readonly registry: Registry;
 }
