--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -1,19 +1,19 @@
-import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 import type { Logger } from 'pino';
 
 import {
-  RateLimitedLog,
   closeServer,
+  createIdentifier,
   openServer,
   pause,
+  probeUpstream,
+  RateLimitedLog,
   type Clock,
   type Failure,
   type ManagedPart,
   type Milliseconds,
   type RandomSource,
-  probeUpstream,
 } from '../../common/index.js';
 import {
   Evacuations,
@@ -86,7 +86,7 @@
   readonly #connections = new UpstreamConnections();
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
-  readonly #crashLedger = new CrashLedger(randomUUID());
+  readonly #crashLedger = new CrashLedger(createIdentifier());
   readonly #availability = new UpstreamAvailability();
   readonly #permits: RequestPermits;
   readonly #retryBudget: SharedRetryBudget;
