Count each crash behind a sidecar, also if no response came in between

A sidecar numbered a crash anew only once its upstream had begun a response since the last one. Requests that end the upstream before any response, one after the other and nothing else, would all have counted as one crash, and gateways would have sent them on without end. Now a request that was sent after the last crash was found has reached a later start of the upstream.

--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -106,7 +106,7 @@
     };
     this.#relay = new UpstreamRelay({
       upstream,
-      crashes: new UpstreamCrashes(incarnation, probe),
+      crashes: new UpstreamCrashes({ incarnation, probe, readTime: () => this.#now() }),
       clock: options.clock,
       logger: options.logger,
       handle: (event) => {
--- a/src/sidecar/attempts/index.ts
+++ b/src/sidecar/attempts/index.ts
@@ -22,3 +22,4 @@
   type UpstreamResponse,
   type UpstreamClient,
 } from './upstream-client.js';
+export { UpstreamCrashes, type UpstreamCrashesOptions } from './upstream-crashes.js';
--- a/src/sidecar/attempts/upstream-crashes.ts
+++ b/src/sidecar/attempts/upstream-crashes.ts
@@ -6,33 +6,38 @@
 /** One probe only, because the gateway that may try another group waits for the verdict. */
 const probeDelay: Milliseconds = 20;
 
+export interface UpstreamCrashesOptions {
+  readonly incarnation: Incarnation;
+  /** Checks whether the upstream accepts connections. */
+  readonly probe: () => Promise<ProbeVerdict>;
+  /** Monotonic time. */
+  readonly readTime: () => Milliseconds;
+}
+
 export class UpstreamCrashes {
-  readonly #incarnation: Incarnation;
-  readonly #probe: () => Promise<ProbeVerdict>;
+  readonly #options: UpstreamCrashesOptions;
   #count = 0;
-  /** Whether the upstream has given no response since its last crash. */
-  #isDown = false;
-
-  constructor(incarnation: Incarnation, probe: () => Promise<ProbeVerdict>) {
-    this.#incarnation = incarnation;
-    this.#probe = probe;
-  }
+  /** When the last crash was found. */
+  #foundAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
-  /** The upstream has begun to answer a request. */
-  noteResponse(): void {
-    this.#isDown = false;
+  constructor(options: UpstreamCrashesOptions) {
+    this.#options = options;
   }
 
-  /** The upstream broke off an answer; returns the identifier of its crash, or undefined if it still accepts connections. */
-  async find(): Promise<string | undefined> {
-    const verdict = await probeUntilRefused(this.#probe, [probeDelay]);
+  /**
+   * The upstream broke off a request that was sent at `sentAt`; returns the identifier of its crash, or undefined if it still accepts
+   * connections. A request that was sent after the last crash was found has reached a later start of the upstream.
+   */
+  async find(sentAt: Milliseconds): Promise<string | undefined> {
+    const { incarnation, probe, readTime } = this.#options;
+    const verdict = await probeUntilRefused(probe, [probeDelay]);
     if (verdict !== 'refused') {
       return undefined;
     }
-    if (!this.#isDown) {
-      this.#isDown = true;
+    if (sentAt > this.#foundAt) {
       this.#count += 1;
+      this.#foundAt = readTime();
     }
-    return `${this.#incarnation}/${this.#count}`;
+    return `${incarnation}/${this.#count}`;
   }
 }
--- a/src/sidecar/attempts/upstream-relay.ts
+++ b/src/sidecar/attempts/upstream-relay.ts
@@ -37,8 +37,9 @@
     this.#options.logger.debug({ attempt: key }, 'handed to the upstream');
     const abortController = new AbortController();
     this.#abortControllers.set(key, abortController);
+    const sentAt = this.#now();
     const code = await this.#read(key, request, abortController.signal);
-    const crash = await this.#findCrash(key, code, abortController.signal);
+    const crash = await this.#findCrash(key, code, sentAt, abortController.signal);
     this.#abortControllers.delete(key);
     const ended = { type: 'upstreamEnded', now: this.#now(), key, code } as const;
     this.#options.handle(crash === undefined ? ended : { ...ended, crash });
@@ -48,13 +49,14 @@
   async #findCrash(
     key: AttemptKey,
     code: ResultCodeName,
+    sentAt: Milliseconds,
     signal: AbortSignal,
   ): Promise<string | undefined> {
     const isBroken = code === 'answerBroken' || code === 'upstreamFailed';
     if (!isBroken || signal.aborted) {
       return undefined;
     }
-    const crash = await this.#options.crashes.find();
+    const crash = await this.#options.crashes.find(sentAt);
     if (crash !== undefined) {
       this.#options.logger.warn({ attempt: key, crash }, 'upstream crashed');
     }
@@ -83,7 +85,6 @@
     try {
       const response = await upstream.start(request, signal);
       hasHead = true;
-      this.#options.crashes.noteResponse();
       const { status, headers } = response;
       const pause = readPause(status, headers);
       if (pause !== undefined) {
