--- a/src/control/routing/crash-recorder.ts
+++ b/src/control/routing/crash-recorder.ts
@@ -47,7 +47,7 @@
     const { gateway, crashes, answered } = report;
     const trials = report.trials.filter(({ request }) => this.#isTrialDue(request));
     if (crashes.length + answered.length + trials.length === 0) {
-      return new Ok([]);
+      return new Ok(this.#listGranted(report));
     }
     const upstreams = crashes.map(({ upstream }) => upstream);
     logger.info(
@@ -55,7 +55,7 @@
       'crashes reported',
     );
     const recorded = await this.#batcher.propose({ crashes, answered, trials });
-    return recorded.map(() => this.#listGranted(gateway, trials));
+    return recorded.map(() => this.#listGranted(report));
   }
 
   /** Spares the log commands that would grant nothing; the decision is made when the command is applied. */
@@ -65,7 +65,8 @@
     return suspect !== undefined && isTrialDue(suspect, clock.wall());
   }
 
-  #listGranted(gateway: string, trials: CrashReport['trials']): readonly string[] {
+  /** Includes trials that were granted before, since the answer may have been lost. */
+  #listGranted({ gateway, trials }: CrashReport): readonly string[] {
     const { suspects } = this.#options.readState().routing;
     const granted = trials.filter(({ request, token }) => {
       return suspects.get(request)?.trials?.some((trial) => trial.token === token) === true;
