Keep the routing watch of a gateway off the connections that its claims use

Cause: the routing watch that learns of quarantines shared the connections to control with claims. When it falls silent it retires its connection, and a claim that waits on the same one fails at once, without a time to come back.

Now the watch and the reports of crashes have connections of their own.

--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -44,12 +44,14 @@
   });
   const controlClient = new ControlClient({ control, clients, timeout: claimTimeout, random });
   const levels = new ServiceLevels(name, clock, () => watched.read().configuration);
+  // Connections of its own: a routing watch that falls silent retires its connection, and would end claims that wait on the same one.
+  const routingClients = new RpcClientPool();
   const crashLedger = new CrashLedger(createIdentifier());
   const routing = new RoutingWatcher({
     watcher: name,
     kind: 'gateway',
     control,
-    clients,
+    clients: routingClients,
     clock,
     logger,
     random,
@@ -91,6 +93,7 @@
       open: () => undefined,
       close: () => {
         clients.close();
+        routingClients.close();
       },
     },
     watched,
@@ -99,7 +102,7 @@
       gateway: name,
       ledger: crashLedger,
       findLeader: () => routing.read().leader,
-      clients,
+      clients: routingClients,
       clock,
       logger,
     }),
