Grant a whole request no trial until minutes after its last crash

Callers saw: the last whole check failed in `platform-crashing-request`, "is not sent by a gateway that starts later": a fifth engine ended under a request that was already quarantined after four.

Cause: a quarantined subject was granted a trial 2 s after its last crash, of whatever type. The early trial is meant for segments, which many callers may share; a caller that repeats a request which ends engines ended one more with it. In the check the repeat came just after these 2 s, which it does on a slower machine.

Evidence: with a pause of 2 s before the repeat the test failed at once on (5 crashes where 4 were, "trial" granted). With the pause, now 3 s and part of the test, it failed before (5 instead of 4) and is green after; `state/crashes.test.ts` tries the delays (`trialDelays` by type).

Why it works: a request is granted its only trial 5 minutes after its last crash; segments keep both trials.

--- a/__tests__/processes/platform-crashing-request.test.ts
+++ b/__tests__/processes/platform-crashing-request.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
@@ -10,6 +12,8 @@
 /** Most further crashes that are accepted until the quarantine reaches every gateway. */
 const maximumLateCrashes = 3;
 const callerAttempts = 14;
+/** Pause in milliseconds before the request is repeated. */
+const repeatDelay = 3000;
 
 let deployment: PlatformDeployment;
 
@@ -49,13 +53,14 @@
     expect(listCrashes().length).toBeLessThanOrEqual(crashThreshold + maximumLateCrashes);
   });
 
-  it('is not sent by a gateway that starts later, and leaves other requests of its caller served', async () => {
+  it('is not sent by a gateway that starts later, when it is repeated after a pause, and leaves other requests of its caller served', async () => {
     const before = listCrashes().length;
     await deployment.startGateway();
     const gateway = gatewayCount;
     await waitFor('the new gateway to serve', async () => {
       return (await deployment.stream('good', { gateway })).status === 200;
     });
+    await sleep(repeatDelay);
     const body = JSON.stringify({ ask: crashingContent });
     const { status } = await deployment.stream('bad-later', { gateway, body });
     expect(status).toBe(502);
--- a/__tests__/state/crashes.test.ts
+++ b/__tests__/state/crashes.test.ts
@@ -10,7 +10,7 @@
   type Command,
   type ControlState,
 } from '../../src/control/state/index.js';
-import { listQuarantined, trialDelays } from '../../src/routing/index.js';
+import { formatSegmentSubject, listQuarantined, trialDelays } from '../../src/routing/index.js';
 
 function noteCrashes(
   state: ControlState,
@@ -105,18 +105,24 @@
 
 /** Guards against a subject that was in flight by coincidence and stays quarantined, and against trials that crash upstreams without end. */
 describe('trials of quarantined subjects', () => {
-  const [firstDelay = 0, secondDelay = 0] = trialDelays;
-
-  function askForTrial(state: ControlState, token: string, at: number): ControlState {
-    return noteCrashes(state, { at, trials: [{ request: 'a', token }] });
+  const segment = formatSegmentSubject('desk', 'a');
+  const [firstDelay = 0, secondDelay = 0] = trialDelays.segment;
+
+  function askForTrial(
+    state: ControlState,
+    token: string,
+    at: number,
+    request = segment,
+  ): ControlState {
+    return noteCrashes(state, { at, trials: [{ request, token }] });
   }
 
-  function listTokens({ routing }: ControlState): readonly string[] {
-    return (routing.suspects.get('a')?.trials ?? []).map(({ token }) => token);
+  function listTokens({ routing }: ControlState, subject = segment): readonly string[] {
+    return (routing.suspects.get(subject)?.trials ?? []).map(({ token }) => token);
   }
 
   it('are granted one at a time, after the delay, and the same one once', () => {
-    const quarantined = noteThreeCrashes('a', 1000);
+    const quarantined = noteThreeCrashes(segment, 1000);
     const early = askForTrial(quarantined, 'early', 1000 + firstDelay - 1);
     expect(listTokens(early)).toEqual([]);
     const granted = askForTrial(early, 'first', 1000 + firstDelay);
@@ -126,23 +132,34 @@
   });
 
   it('end for good when all of them have crashed upstreams', () => {
-    let state = noteThreeCrashes('a', 0);
+    let state = noteThreeCrashes(segment, 0);
     for (let round = 1; round <= 20; round += 1) {
       const at = round * (secondDelay + 1);
       state = askForTrial(state, `trial-${round}`, at);
       state = noteCrash(
         state,
         `i-${10 + round}`,
-        listTokens(state).length === round ? ['a'] : [],
+        listTokens(state).length === round ? [segment] : [],
         at,
       );
     }
-    expect(listTokens(state)).toHaveLength(trialDelays.length);
-    expect(listQuarantinedRequests(state)).toEqual(['a']);
+    expect(listTokens(state)).toHaveLength(trialDelays.segment.length);
+    expect(listQuarantinedRequests(state)).toEqual([segment]);
+  });
+
+  // Guards against a request that crashes yet another upstream when its caller repeats it a few seconds later.
+  it('are granted to a whole request only once, and minutes after its last crash', () => {
+    const quarantined = noteThreeCrashes('a', 1000);
+    const early = askForTrial(quarantined, 'early', 1000 + 4 * 60 * 1000, 'a');
+    expect(listTokens(early, 'a')).toEqual([]);
+    const granted = askForTrial(early, 'first', 1000 + 5 * 60 * 1000, 'a');
+    expect(listTokens(granted, 'a')).toEqual(['first']);
+    const again = askForTrial(granted, 'second', 24 * 60 * 60 * 1000, 'a');
+    expect(listTokens(again, 'a')).toEqual(['first']);
   });
 
   it('are not granted to subjects that are not quarantined', () => {
-    const twice = noteCrash(noteCrash(initialControlState, 'i-1', ['a']), 'i-2', ['a']);
+    const twice = noteCrash(noteCrash(initialControlState, 'i-1', [segment]), 'i-2', [segment]);
     expect(listTokens(askForTrial(twice, 'first', 1e6))).toEqual([]);
   });
 });
--- a/src/routing/suspects.ts
+++ b/src/routing/suspects.ts
@@ -1,18 +1,25 @@
 import { z } from 'zod';
 
 import type { Milliseconds, WallTime } from '../common/index.js';
+import { parseSubject, type CrashSubject } from './crash-subjects.js';
 
 /** Subjects that were in flight when upstreams crashed. */
 
 /** Number of distinct instances that must crash with a subject in flight before it is quarantined. */
 export const quarantineThreshold = 3;
 
+const firstSegmentTrialDelay: Milliseconds = 2000;
+const lateTrialDelay: Milliseconds = 5 * 60 * 1000;
+
 /**
  * A quarantined subject may be sent once more this long after its last crash or trial, and no more often than there are entries; otherwise
- * one that was in flight by coincidence could only be released by an operator. Upstreams that a guilty subject crashes in its trials are
- * few for the same reason.
+ * one that was in flight by coincidence could only be released by an operator. Each trial of a guilty subject crashes an upstream. The early
+ * trial is therefore only for segments, which many callers may share; a request is rejected for one caller, who repeats it.
  */
-export const trialDelays: readonly Milliseconds[] = [2000, 5 * 60 * 1000];
+export const trialDelays: Readonly<Record<CrashSubject['type'], readonly Milliseconds[]>> = {
+  request: [lateTrialDelay],
+  segment: [firstSegmentTrialDelay, lateTrialDelay],
+};
 
 const trialSchema = z
   .strictObject({
@@ -40,8 +47,11 @@
 export type CrashSuspect = z.infer<typeof crashSuspectSchema>;
 
 /** Whether a quarantined subject may be sent once more. */
-export function isTrialDue({ changedAt, trials = [] }: CrashSuspect, now: WallTime): boolean {
-  const delay = trialDelays[trials.length];
+export function isTrialDue(
+  { request, changedAt, trials = [] }: CrashSuspect,
+  now: WallTime,
+): boolean {
+  const delay = trialDelays[parseSubject(request).type][trials.length];
   const lastChange = Math.max(changedAt, trials.at(-1)?.grantedAt ?? changedAt);
   return delay !== undefined && now - lastChange >= delay;
 }
