Confirm the first state of a gateway only if it has every acknowledged change

Cause: a control host counts as fresh for 1.5 s after its leader last confirmed it. One that was fresh just before an order was committed, and lost its leader before it heard of it, sent a starting gateway the state without the evacuation as confirmed. In the traced run the gateway took index 5 as current and learned of the evacuation, index 6, 1.46 s later.

Change: for a gateway without a state, a control host asks its leader for the index at which a read is linearizable, waits until it has applied it, and otherwise says that it is not fresh; that first status can no longer be replaced by a later one in the queue of a slow watcher. The gateway then asks the next host. While there is no leader a starting gateway serves nothing; its callers wait as they do for a first document.

--- a/__tests__/control/large-documents.test.ts
+++ b/__tests__/control/large-documents.test.ts
@@ -49,6 +49,7 @@
       view: () => ({ type: 'leader', term: 1 }),
       staleness: () => 0,
       confirmRead: () => Promise.resolve(new Ok(this.commands.length)),
+      appliedIndex: () => 0,
       propose: (command) => {
         this.commands.push(command);
         return Promise.resolve(new Ok(this.machine.apply(this.commands.length, command)));
--- a/__tests__/control/outcome-reports.test.ts
+++ b/__tests__/control/outcome-reports.test.ts
@@ -31,6 +31,7 @@
       view: () => ({ type: 'leader', term: 1 }),
       staleness: () => 0,
       confirmRead: () => Promise.resolve(new Ok(0)),
+      appliedIndex: () => 0,
       propose: (command) => Promise.resolve(new Ok(this.#machine.apply(1, command))),
     };
     const clock = { monotonic: () => this.now, wall: () => this.now };
--- a/__tests__/control/routing-hub.test.ts
+++ b/__tests__/control/routing-hub.test.ts
@@ -228,6 +228,21 @@
     expect(told).toEqual(['document 3', 'synchronized', 'document 20', 'sign 10.0.0.1:20']);
   });
 
+  // Guards against a gateway that never learns that its first state may lack acknowledged changes, because it reads slowly.
+  it('send a slow watcher that its first state is not confirmed before a later status', async () => {
+    const hub = new RoutingHub();
+    const queue = hub.subscribe(0, { ...status, isFresh: false });
+    hub.sendStatus(status);
+    queue.close();
+    const confirmations: boolean[] = [];
+    for await (const { event } of queue) {
+      if (event.case === 'sign') {
+        confirmations.push(event.value.fresh);
+      }
+    }
+    expect(confirmations).toEqual([false, true]);
+  });
+
   // Guards against a leader change after startup. Tens of gateways connect at once while hundreds of instances announce themselves.
   // Each instance was sent to each gateway as a separate message, which left the leader no time for its heartbeats.
   it('send many instances in one message', async () => {
--- a/__tests__/placement/placement-loop.test.ts
+++ b/__tests__/placement/placement-loop.test.ts
@@ -41,6 +41,7 @@
       view: () => ({ type: 'leader', term: 1 }),
       staleness: () => 0,
       confirmRead: () => Promise.resolve(new Ok(0)),
+      appliedIndex: () => 0,
       propose: () => Promise.resolve(new Ok({ type: 'planned' as const })),
     },
     submitter: {
--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -226,8 +226,16 @@
     return this.#settingsFiles.get(controlHosts[index] ?? '') ?? '';
   }
 
+  controlProgram(index: number): RunningProgram {
+    const program = this.#control.get(controlHosts[index] ?? '');
+    if (program === undefined) {
+      throw new Error(`no control host with index ${index}`);
+    }
+    return program;
+  }
+
   killControl(index: number): void {
-    this.#control.get(controlHosts[index] ?? '')?.signal('SIGKILL');
+    this.controlProgram(index).signal('SIGKILL');
   }
 
   restartControl(index: number): void {
--- a/__tests__/processes/platform-evacuation.test.ts
+++ b/__tests__/processes/platform-evacuation.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
@@ -11,6 +13,8 @@
 /** The grace period is 400 ms of it. */
 const evacuationLimit = 1000;
 const heartbeatInterval = 300;
+/** Time in milliseconds after which a domain that has returned to service may be evacuated again. */
+const returnInterval = 2000;
 
 type Domain = (typeof domains)[number];
 
@@ -68,9 +72,9 @@
   return { status: statusCode, body: await body.text() };
 }
 
-/** Sends requests through both gateways and returns the domains that served any. */
-async function listServing(count = 20): Promise<ReadonlySet<string>> {
-  const calls = gateways.flatMap((gateway) => Array.from({ length: count }, () => lookUp(gateway)));
+/** Sends requests through the gateways and returns the domains that served any. */
+async function listServing(count = 20, through = gateways): Promise<ReadonlySet<string>> {
+  const calls = through.flatMap((gateway) => Array.from({ length: count }, () => lookUp(gateway)));
   const answers = await Promise.all(calls);
   return new Set(answers.filter(({ status }) => status === 200).map(({ body }) => body));
 }
@@ -194,4 +198,30 @@
     await order('End', 'z1');
     await waitForServing(['z1']);
   });
+
+  // Guards against a gateway that starts beside a control host which has not applied an acknowledged order, and takes its state for current.
+  it('is in effect at a gateway that starts while its control host lags behind', async () => {
+    await order('End', 'z0');
+    await waitForServing(domains);
+    await sleep(returnInterval);
+    const leader = deployment.findLeader();
+    const [lagging = -1, other = -1] = controls.filter((control) => control !== leader);
+    const gateway = deployment.gatewayProgram(0);
+    gateway.signal('SIGKILL');
+    await gateway.waitForExit();
+    const before = upstreams.z0.received.length;
+    deployment.controlProgram(lagging).signal('SIGSTOP');
+    const { status } = await deployment.callControl(leader, 'POST', '/Evacuation.Start/z0');
+    expect(status).toBe(200);
+    deployment.killControl(leader);
+    deployment.killControl(other);
+    deployment.controlProgram(lagging).signal('SIGCONT');
+    deployment.restartGateway(0);
+    await deployment.gatewayProgram(0).waitForOutput(/routing state synchronized/);
+    deployment.restartControl(leader);
+    deployment.restartControl(other);
+    await waitFor('an answer of the gateway', async () => (await lookUp(0)).status === 200);
+    expect([...(await listServing(50, [0]))]).toEqual(['z1']);
+    expect(upstreams.z0.received).toHaveLength(before);
+  });
 });
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -168,6 +168,8 @@
 
   readonly view = (): LeadershipView => this.#core?.view ?? { type: 'leaderless', term: 0 };
 
+  readonly appliedIndex = (): number => this.#appliedIndex;
+
   readonly staleness = (): Milliseconds =>
     this.#core?.staleness(this.#now()) ?? Number.POSITIVE_INFINITY;
 
--- a/src/consensus/replicated-log.ts
+++ b/src/consensus/replicated-log.ts
@@ -26,6 +26,8 @@
   /** Resolves with the index at which a read is linearizable, confirmed by a quorum round after the call. Leader only. */
   readonly confirmRead: () => Promise<Result<number, Failure>>;
   readonly view: () => LeadershipView;
+  /** Index of the last entry that is applied on this host. */
+  readonly appliedIndex: () => number;
   /** Milliseconds since this host was last known to be up to date with a leader that had a quorum. */
   readonly staleness: () => number;
 }
--- a/src/control/routing/index.ts
+++ b/src/control/routing/index.ts
@@ -15,6 +15,7 @@
 export { LoadBudget } from './load-budget.js';
 export { PermitAllocator, type PermitAnswer, type PermitRequest } from './permit-allocator.js';
 export { PlanPacing } from './plan-pacing.js';
+export { ReadBarrier } from './read-barrier.js';
 export { RoutingControl, type RoutingControlOptions } from './routing-control.js';
 export { RoutingHub, type ControlStatus } from './routing-hub.js';
 export { QuarantineObserver, type QuarantineObserverOptions } from './quarantine-observer.js';
--- a/src/control/routing/leader-client.ts
+++ b/src/control/routing/leader-client.ts
@@ -14,6 +14,8 @@
 /** Forwards calls of operators and instances to the leader. */
 
 const callTimeout: Milliseconds = 1500;
+/** Gateways that start wait for this call; another control host may answer them sooner. */
+const confirmTimeout: Milliseconds = 500;
 
 /** Options of the leader client. */
 export interface LeaderClientOptions {
@@ -47,6 +49,20 @@
     }
   }
 
+  /** Log index from which on the state has every change that was acknowledged before the call. */
+  async confirmIndex(leader: string | undefined): Promise<Result<number, Failure>> {
+    const client = this.#findClient(leader);
+    if (client === undefined) {
+      return new Err(createFailure('notFresh', 'no leader'));
+    }
+    try {
+      const answer = await client.confirmIndex({}, { timeoutMs: confirmTimeout });
+      return decodeAnswer(answer).map(() => Number(answer.index));
+    } catch (error) {
+      return new Err(createFailure('notFresh', String(error)));
+    }
+  }
+
   /** Forwards an announcement of an instance to the leader, which records it. */
   async announce(
     leader: string | undefined,
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -56,6 +56,7 @@
 import { LeaderClient } from './leader-client.js';
 import { ModelOutcomes } from './model-outcomes.js';
 import { PermitAllocator, type ColdRequest } from './permit-allocator.js';
+import { ReadBarrier } from './read-barrier.js';
 import { RoutingHub, type ControlStatus } from './routing-hub.js';
 
 /** Routing on a control host: routing documents, instance announcements, engine groups, and watches. */
@@ -105,6 +106,7 @@
   readonly #accountShares = new AccountShares();
   readonly #reports: EngineReportService;
   readonly #leaderClient: LeaderClient;
+  readonly #barrier: ReadBarrier;
   readonly #engines: EngineLoop;
   readonly #unusableLog: RateLimitedLog;
   readonly #unusableCount: Counter;
@@ -126,6 +128,11 @@
     this.#quarantines = new QuarantineObserver(options);
     this.#evacuations = new EvacuationControl(options);
     this.#leaderClient = new LeaderClient(options);
+    this.#barrier = new ReadBarrier({
+      log: options.log,
+      clock: options.clock,
+      confirmAtLeader: (leader) => this.#leaderClient.confirmIndex(leader),
+    });
     this.#engines = new EngineLoop({
       ...options,
       metrics: new EngineMetrics(options.registry),
@@ -174,6 +181,13 @@
         const result = await this.#handleForwarded(announcement);
         return encodeOutcome(findFailure(result));
       },
+      confirmIndex: async () => {
+        const result = await this.#options.log.confirmRead();
+        return {
+          ...encodeOutcome(findFailure(result)),
+          index: BigInt(result.ok ? result.val : 0),
+        };
+      },
       read: async () => {
         const result = await this.#readLocally();
         return { ...encodeOutcome(findFailure(result)), source: result.ok ? result.val : '' };
@@ -346,8 +360,16 @@
     const { watcher, kind } = request;
     const { logger } = this.#options;
     const host = kind === 'sidecar' ? watcher : undefined;
-    const queue = this.#hub.subscribe(Number(request.version), this.#describeStatus(), host);
-    logger.info({ watcher, kind }, 'watch opened');
+    // A gateway without a state would take the first one for current, although freshness may date from before an acknowledged change.
+    const isStarting = host === undefined && request.version === 0n;
+    const isCurrent = !isStarting || (await this.#barrier.pass());
+    const status = this.#describeStatus();
+    const queue = this.#hub.subscribe(
+      Number(request.version),
+      { ...status, isFresh: status.isFresh && isCurrent },
+      host,
+    );
+    logger.info({ watcher, kind, isCurrent }, 'watch opened');
     try {
       yield* queue;
     } finally {
--- a/src/control/routing/routing-hub.ts
+++ b/src/control/routing/routing-hub.ts
@@ -98,7 +98,13 @@
       watch.queue.push(encodeEvent(this.#index, event));
     }
     const { event } = describeStatus(status);
-    enqueue(watch.queue, event, encodeEvent(this.#index, event));
+    const message = encodeEvent(this.#index, event);
+    if (status.isFresh) {
+      enqueue(watch.queue, event, message);
+    } else {
+      // Not replaceable: a later status would confirm a state that may lack acknowledged changes.
+      watch.queue.push(message);
+    }
     this.#watches.set(watch.queue, watch);
     return watch.queue;
   }
