Say once which responses tell of a failure of the upstream

`lowestFailureStatus` stood in `answer-assembler.ts` and `response-writer.ts` with the same comparison; both ways and the delivery now ask `isUpstreamFailure`. No behaviour: 383 tests of direct, gateway and requests are green.

--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -1,6 +1,7 @@
 import type { HeaderField } from '../sidecar/attempts/index.js';
 import { EventFramer } from './event-framer.js';
 import type { RequestEffect } from './messages.js';
+import { isUpstreamFailure } from './response-status.js';
 
 /** Result of appending bytes to an answer. */
 export type AppendResult =
@@ -15,9 +16,6 @@
 
 const eventStreamType = 'text/event-stream';
 
-/** Lowest HTTP status that indicates a failure of the upstream rather than of the request. */
-const lowestFailureStatus = 500;
-
 /**
  * Assembles the answer for the caller from the bytes of an attempt.
  * An event stream is forwarded event by event. Other answers are buffered until they are complete, so that the request
@@ -57,7 +55,7 @@
 
   /** Whether the answer is a server error of the upstream, or has not begun. */
   get isFailure(): boolean {
-    return (this.#head?.status ?? lowestFailureStatus) >= lowestFailureStatus;
+    return isUpstreamFailure(this.#head?.status);
   }
 
   /** Sets the head; later heads of the same attempt are ignored. */
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,6 +3,7 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
+import { isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
 import {
   DeliveryController,
@@ -10,7 +11,7 @@
   type DeliveryEffect,
   type DeliveryEvent,
 } from './delivery-controller.js';
-import { lowestFailureStatus, type ResponseWriter } from './response-writer.js';
+import type { ResponseWriter } from './response-writer.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { SharedDeliveryDependencies, ReceivedRequest } from './delivery-types.js';
 import { QueuePlace } from './queue-place.js';
@@ -356,11 +357,11 @@
       this.#handle({ type: 'refused', now: this.#now() });
       return;
     }
-    if (status >= lowestFailureStatus) {
+    if (isUpstreamFailure(status)) {
       this.#dispatch?.noteFailed(this.#now());
       this.#dispatch?.release();
     }
-    if (status >= lowestFailureStatus && this.#tryReplaceFailure(attempt, status)) {
+    if (isUpstreamFailure(status) && this.#tryReplaceFailure(attempt, status)) {
       return;
     }
     const isStream =
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -2,6 +2,7 @@
 
 import { findResultCode, type Failure } from '../../common/index.js';
 import { EventFramer } from '../event-framer.js';
+import { isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
 
 /** Writes the response to a caller from the responses of one or more upstreams in succession. */
@@ -14,8 +15,6 @@
 /** Bytes that may be queued for a slow caller before reading from the upstream is paused. */
 const maximumBacklog = 64 * 1024;
 const millisecondsPerSecond = 1000;
-/** Lowest HTTP status that indicates a failure of the upstream rather than of the request. */
-export const lowestFailureStatus = 500;
 
 /** Hop-by-hop headers, and those that the gateway sets itself. */
 const connectionFields: ReadonlySet<string> = new Set([
@@ -80,7 +79,7 @@
 
   /** Whether the upstream responded with a server error, or not at all. */
   get isFailure(): boolean {
-    return (this.#head?.status ?? lowestFailureStatus) >= lowestFailureStatus;
+    return isUpstreamFailure(this.#head?.status);
   }
 
   /** Whether only the end of its connection delimits the current response. */
--- /dev/null
+++ b/src/gateway/response-status.ts
@@ -0,0 +1,6 @@
+const lowestFailureStatus = 500;
+
+/** Whether a response tells of a failure of the upstream rather than of the request; without a status there is no response. */
+export function isUpstreamFailure(status: number | undefined): boolean {
+  return status === undefined || status >= lowestFailureStatus;
+}
