Refuse copies of engine orders that are executed after newer ones

Callers saw: nothing that is traced to this for certain.

Cause: an order without an answer is sent again, and the first copy may be executed long after. A late join put an engine back into a group that it had left, and a late open opened that group, after control had seen the head leave and freed the members; the next join then left an open group.

Change: each order carries the number of orders that the engine had begun in the status on which it is based (`expect` of the platform's orders); the engine refuses it as unfit if that has changed. An engine that serves another group closes it before it joins.

The test engine now refuses by `expect`, and by the highest fencing number that it has seen rather than that of its current group, as documented.

--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -16,6 +16,8 @@
   readonly epoch?: number;
   readonly model?: string;
   readonly peers?: readonly string[];
+  /** Number of orders that the engine must have begun, or it refuses the order. */
+  readonly expect?: number;
 }
 
 /** A request as the engine answered it. */
@@ -65,6 +67,9 @@
   readonly received: ReceivedRequest[] = [];
   /** Delay of the report in milliseconds. */
   reportDelay = 0;
+  /** Number of the next orders that get no response and are held back until `executeHeldOrders`. */
+  ordersToHold = 0;
+  readonly #heldOrders: OrderBody[] = [];
   readonly #host: string;
   readonly #port: number;
   #server: Server | undefined;
@@ -72,6 +77,7 @@
   #group: GroupMembership | undefined;
   #staged: readonly string[] = [];
   #orderCount = 0;
+  #highestEpoch = 0;
   #openedAt: number | undefined;
 
   constructor(id: string, host: string, port: number) {
@@ -135,6 +141,7 @@
     this.#startCount += 1;
     this.#staged = [];
     this.#orderCount = 0;
+    this.#highestEpoch = 0;
     this.retryAfter = undefined;
     this.isLeaving = false;
     this.#restartTimer = setTimeout(() => {
@@ -164,7 +171,7 @@
         response.writeHead(200, { 'x-instance-id': this.id }).end();
         return;
       case '/order':
-        response.writeHead(this.#handleOrder(JSON.parse(body) as OrderBody)).end();
+        this.#receiveOrder(JSON.parse(body) as OrderBody, response);
         return;
       default:
         this.#stream(request, body, response);
@@ -186,7 +193,28 @@
     };
   }
 
+  /** Executes the held orders, each after the ones before it have taken effect. */
+  async executeHeldOrders(): Promise<void> {
+    for (const order of this.#heldOrders.splice(0)) {
+      this.#handleOrder(order);
+      await pause(joinDuration + openDuration);
+    }
+  }
+
+  #receiveOrder(order: OrderBody, response: ServerResponse): void {
+    if (this.ordersToHold > 0) {
+      this.ordersToHold -= 1;
+      this.#heldOrders.push(order);
+      response.destroy();
+      return;
+    }
+    response.writeHead(this.#handleOrder(order)).end();
+  }
+
   #handleOrder(order: OrderBody): number {
+    if (order.expect !== undefined && order.expect !== this.#orderCount) {
+      return 409;
+    }
     const isCurrentGroup = this.#group?.name === order.group && this.#group?.epoch === order.epoch;
     switch (order.op) {
       case 'join':
@@ -214,7 +242,7 @@
   }
 
   #join(order: OrderBody): number {
-    if ((order.epoch ?? 0) < (this.#group?.epoch ?? 0)) {
+    if ((order.epoch ?? 0) < this.#highestEpoch) {
       return 412;
     }
     if (this.#group?.state === 'open') {
@@ -224,6 +252,7 @@
     }
     const { group = '', epoch = 0, peers = [] } = order;
     this.#group = { name: group, epoch, peers, state: 'joining' };
+    this.#highestEpoch = epoch;
     this.#orderCount += 1;
     setTimeout(() => {
       this.#setGroupState('ready', order);
--- a/__tests__/platform/wire.test.ts
+++ b/__tests__/platform/wire.test.ts
@@ -218,12 +218,13 @@
       model: 'm',
       members: ['i-1', 'i-2'],
     };
-    expect(JSON.parse(encodeOrder(order))).toEqual({
+    expect(JSON.parse(encodeOrder(order, 5))).toEqual({
       op: 'join',
       group: 'm/1',
       epoch: 12,
       model: 'm',
       peers: ['i-1', 'i-2'],
+      expect: 5,
     });
   });
 
--- a/__tests__/sidecar/engine-controller.test.ts
+++ b/__tests__/sidecar/engine-controller.test.ts
@@ -84,6 +84,18 @@
     ).toBeUndefined();
   });
 
+  // Guards against one engine in two groups, if it serves a group that control has removed.
+  it('closes another group that the engine serves before it joins', () => {
+    function decideWith(state: EngineMembership['state']) {
+      const membership = { group: 'small/0', fencingNumber: 2, state };
+      return decide('joining', read(undefined, { membership }));
+    }
+    expect(decideWith('open')).toBe('close');
+    expect(decideWith('closing')).toBeUndefined();
+    expect(decideWith('ready')).toBe('join');
+    expect(decideWith('broken')).toBe('join');
+  });
+
   it('sends no order for a group placed on an earlier engine instance', () => {
     expect(decide('joining', read(undefined, { instance: { id: 'i-restarted' } }))).toBeUndefined();
     expect(decide('closing', read('open', { instance: { id: 'i-restarted' } }))).toBeUndefined();
--- a/src/sidecar/engine/engine-controller.ts
+++ b/src/sidecar/engine/engine-controller.ts
@@ -187,7 +187,13 @@
       case 'joining': {
         const members = group.members.map(({ instance }) => instance.id);
         return membership === undefined
-          ? { type: 'join', group: name, fencingNumber, model: group.model, members }
+          ? this.#chooseJoiningOrder({
+              type: 'join',
+              group: name,
+              fencingNumber,
+              model: group.model,
+              members,
+            })
           : this.#chooseStagingOrder();
       }
       case 'opening':
@@ -202,6 +208,22 @@
     }
   }
 
+  /** An engine that still serves another group closes it first, so that no request is split between two groups. */
+  #chooseJoiningOrder(join: EngineOrder): EngineOrder | undefined {
+    const other = this.#reading?.membership;
+    switch (other?.state) {
+      case 'open':
+        return { type: 'close', group: other.group, fencingNumber: other.fencingNumber };
+      case 'closing':
+        return undefined;
+      case 'joining':
+      case 'ready':
+      case 'broken':
+      case undefined:
+        return join;
+    }
+  }
+
   /**
    * The head closes and then leaves the group. Otherwise a delayed open order could reopen the group after its members have
    * joined other groups.
--- a/src/sidecar/engine/engine-driver.ts
+++ b/src/sidecar/engine/engine-driver.ts
@@ -212,8 +212,12 @@
 
   async #sendOrder(order: EngineOrder): Promise<void> {
     const { port, clock, logger, metrics } = this.#options;
+    const orderCount = this.#instance?.orderCount;
+    if (orderCount === undefined) {
+      return;
+    }
     const startedAt = clock.monotonic();
-    const outcome = await port.order(order);
+    const outcome = await port.order(order, orderCount);
     const took = Math.round(clock.monotonic() - startedAt);
     metrics.recordOrder(order, outcome, took);
     logger.info({ order, outcome, took }, 'order sent to engine');
--- a/src/sidecar/engine/engine-port.ts
+++ b/src/sidecar/engine/engine-port.ts
@@ -53,7 +53,11 @@
   readonly readStatus: () => Promise<EngineStatusResult>;
   /** Id of the instance that responds; undefined if none does. */
   readonly readInstance: () => Promise<string | undefined>;
-  readonly order: (order: EngineOrder) => Promise<OrderOutcome>;
+  /**
+   * `orderCount`: the count in the status on which the order is based. The engine refuses the order as unfit if it has begun another one
+   * since; otherwise a copy that it executes seconds late could put it back into a group that it has left.
+   */
+  readonly order: (order: EngineOrder, orderCount: number) => Promise<OrderOutcome>;
   /** Registers a listener for closed connections: the engine may just have terminated. */
   readonly onDisconnect: (listener: () => void) => void;
   readonly close: () => Promise<void>;
--- a/src/sidecar/engine/index.ts
+++ b/src/sidecar/engine/index.ts
@@ -1,3 +1,4 @@
+export { DriverMetrics } from './driver-metrics.js';
 export { EngineController, type EngineEvent } from './engine-controller.js';
 export { EngineDriver, type EngineDriverOptions } from './engine-driver.js';
 export type {
--- a/src/sidecar/index.ts
+++ b/src/sidecar/index.ts
@@ -1,7 +1,9 @@
 export { SidecarProcess, type SidecarProcessOptions } from './shell/sidecar-process.js';
 export {
   createEngineSidecar,
+  DriverMetrics,
   EngineController,
+  EngineDriver,
   type EngineEvent,
   type EngineOrder,
   type EngineStatusResult,
