Ask for the trial of a quarantined segment again after one second

Cause: with no answer yet at any gateway, three crashes within 0.2 s quarantined the common segment beside the guilty ones. Its first trial is due 2 s after its last crash, but a gateway that had been refused a trial asked again only after 5 s.

Change: a gateway asks again after one second; control decides as before.

Evidence: the new case in `crash-ledger.test.ts` failed before.

--- a/__tests__/direct/crash-ledger.test.ts
+++ b/__tests__/direct/crash-ledger.test.ts
@@ -215,4 +215,15 @@
     ledger.setQuarantined(new Set(['a']), 100_020);
     expect(ledger.assess(['r-4', 'a'], 101_000)).toBe('quarantined');
   });
+
+  // Guards against sound requests that are rejected for seconds more, because the first trial is due soon after the one that was refused.
+  it('is asked for again a second after control has refused it', () => {
+    const ledger = new CrashLedger('gateway');
+    ledger.startWith(new Set(['a']), 0);
+    expect(ledger.askForTrial(['a'], 10)).toBe('gateway/1');
+    const pending = ledger.takePending() ?? { crashes: [], answered: [], trials: [] };
+    ledger.noteRecorded(pending, [], 100);
+    expect(ledger.askForTrial(['a'], 500)).toBeUndefined();
+    expect(ledger.askForTrial(['a'], 1010)).toBe('gateway/2');
+  });
 });
--- a/src/gateway/crashes/trial-grants.ts
+++ b/src/gateway/crashes/trial-grants.ts
@@ -7,7 +7,7 @@
  */
 
 /** Interval between two requests for a trial of the same subject; control decides when one is due. */
-const requestInterval: Milliseconds = 5000;
+const requestInterval: Milliseconds = 1000;
 /** Time after which a grant is void that no request has used, for example because its caller left. */
 const grantLifetime: Milliseconds = 30_000;
 
