Failing tests: sound requests are rejected for a segment that all hold, if crashes begin before the first answer

Callers saw: all sound requests of a service rejected for minutes (in one run of the check nothing but rejections for a minute, until the test gave up).

The logs of one: from 02.526 to 03.130 s seven engines ended with two guilty segments, before any answer; the common segment was in flight at all of them, each guilty one at some, so the common one was blamed for all. Its first trial, at 05.559, went to a request with a guilty segment (`crashing-53`) and ended another engine; the next one was due after five minutes.

--- a/__tests__/direct/segment-histories.test.ts
+++ b/__tests__/direct/segment-histories.test.ts
@@ -12,6 +12,8 @@
 const propagationTime: Milliseconds = 3000;
 /** Most requests with the segment that may be sent later than that, for the rest of the history. */
 const maximumLateSends = 3;
+/** Share of the sound requests that must not be rejected once a segment is held back everywhere. */
+const maximumRejectedShare = 0.5;
 /** Segment that most prompts begin with. */
 const common = 'common';
 
@@ -19,8 +21,12 @@
   readonly duration?: Milliseconds;
   readonly gateways?: number;
   readonly upstreams?: number;
+  /** Sound requests per second. */
+  readonly soundRate?: number;
   /** Requests per second with each crashing segment. */
   readonly crashingRate?: number;
+  /** Time of the first of these. */
+  readonly crashingFrom?: Milliseconds;
   readonly crashing?: readonly string[];
   /** Segments that each request brings along and no other has. */
   readonly newSegments?: number;
@@ -31,6 +37,7 @@
 function playHistory(seed: number, history: SegmentHistory): CrashWorld {
   const { duration = 20_000, gateways = 8, upstreams = 8, crashingRate = 2 } = history;
   const { crashing = ['bad'], newSegments = 0, onTick } = history;
+  const { soundRate = 50, crashingFrom = 2000 } = history;
   const random = createRandomSource(seed);
   const world = new CrashWorld(random, gateways, upstreams);
   crashing.forEach((segment) => world.crashingSegments.add(segment));
@@ -44,11 +51,11 @@
   while (world.now < duration) {
     world.step();
     onTick?.(world);
-    if (isDue(50)) {
+    if (isDue(soundRate)) {
       submit(common, `document-${random.integerBelow(4)}`);
     }
     for (const segment of crashing) {
-      if (world.now > 2000 && isDue(crashingRate)) {
+      if (world.now > crashingFrom && isDue(crashingRate)) {
         submit(common, `document-${random.integerBelow(4)}`, segment);
       }
     }
@@ -75,6 +82,16 @@
     .filter(({ segments }) => !segments.some((each) => world.crashingSegments.has(each)));
 }
 
+/** Share of the sound requests that were rejected from twice the propagation time after the fifth crash of a segment on. */
+function measureSettledRejections(world: CrashWorld): number {
+  const settledAt = (world.crashes[crashLimit - 1]?.at ?? 0) + 2 * propagationTime;
+  const rejected = listSoundRejections(world).filter(({ at }) => at >= settledAt).length;
+  const answered = world.gateways
+    .flatMap(({ answers }) => answers)
+    .filter(({ at }) => at >= settledAt).length;
+  return rejected / Math.max(1, rejected + answered);
+}
+
 function isAt(world: CrashWorld, time: Milliseconds): boolean {
   return world.now === time;
 }
@@ -167,6 +184,33 @@
   });
 });
 
+/** Guards against rejecting all sound requests because upstreams crashed before any of them was answered. */
+describe('a segment that most requests hold, while others crash upstreams from the first request on', () => {
+  it.each([
+    ['one such segment', ['bad']],
+    ['two such segments', ['bad', 'worse']],
+    ['four such segments', ['bad', 'worse', 'third', 'fourth']],
+  ])('is served again within seconds: %s', (_, crashing) => {
+    for (const seed of seeds) {
+      const world = playHistory(seed, {
+        crashing,
+        crashingFrom: 0,
+        crashingRate: 5 / crashing.length,
+        soundRate: 12,
+        gateways: 3,
+      });
+      expect(measureSettledRejections(world), `seed ${seed}`).toBeLessThanOrEqual(
+        maximumRejectedShare,
+      );
+      for (const segment of crashing) {
+        expect(countLateSends(world, segment), `seed ${seed}`).toBeLessThanOrEqual(
+          maximumLateSends,
+        );
+      }
+    }
+  });
+});
+
 /** Guards against a segment that was only ever sent beside a crashing one, and is rejected alone from then on. */
 describe('a segment that cannot be told from a crashing one', () => {
   it('is served again soon once requests come that hold it alone', () => {
