--- a/src/control/state/apply-crashes.ts
+++ b/src/control/state/apply-crashes.ts
@@ -26,7 +26,7 @@
 
 /** Limits the size of the state when upstreams crash with many distinct subjects in flight. */
 const maximumSuspects = 10_000;
-/** Crashes kept of one suspect: those by which a weaker suspect is cleared. */
+/** Crashes kept of one suspect: those that it may account for in place of a whole request, or of another subject of a request on trial. */
 const maximumCrashesPerSuspect = 16;
 
 /**
--- a/src/routing/trials.ts
+++ b/src/routing/trials.ts
@@ -21,11 +21,13 @@
 
 /** Shorter delays after ambiguous trials, whose crash leaves open which subject is guilty. */
 const repeatDelays: readonly Milliseconds[] = [firstSegmentTrialDelay, 3000];
+
 /**
  * Time after the start of a quarantine in which ambiguous trials do not use up entries of `trialDelays`: until all gateways enforce it, a
  * guilty subject crashes upstreams anyway, and an innocent one that all requests hold is worth more trials.
  */
 const settlingPeriod: Milliseconds = 2000;
+
 /** Longest time by which a request on trial is delayed for each reason that makes it the less suitable one. */
 const selectionPeriod: Milliseconds = 500;
 
@@ -55,6 +57,7 @@
     return undefined;
   }
   const dueAt = Math.max(changedAt, last?.grantedAt ?? changedAt) + delay;
+  // After a grant that was not used, the most suitable request is chosen anew.
   return Math.max(dueAt, trials.at(-1)?.grantedAt ?? dueAt);
 }
 
@@ -79,9 +82,8 @@
 }
 
 /**
- * The trials of the quarantined subjects of a request, by their keys; undefined if it may not be sent. The more of their crashes its other
- * subjects account for, and the more of these nothing is known of, the later it is allowed: it is the more likely to crash its upstream for
- * another reason, and an earlier request may be answered.
+ * The trials of the quarantined subjects of a request, by their keys; undefined if it may not be sent. The more doubtful it is, the later it is
+ * allowed, so that one which is more likely to be answered comes first.
  */
 export function selectTrials(
   suspects: Suspects,
@@ -90,18 +92,16 @@
 ): ReadonlyMap<CrashSubjectKey, Omit<Trial, 'token'>> | undefined {
   const all = [...subjects, ...others];
   const quarantined = findQuarantined(suspects, all);
-  const mainSuspect = findMainSuspect(quarantined);
-  if (mainSuspect === undefined) {
+  if (quarantined.length === 0) {
     return undefined;
   }
   const dueTimes = quarantined.map((suspect) => {
     return findTrialTime(suspect, quarantined.length === 1) ?? Number.POSITIVE_INFINITY;
   });
-  const rest = all.filter((subject) => subject !== mainSuspect.request);
   const doubt =
     quarantined.length -
     1 +
-    measureSharedCrashes(suspects, mainSuspect, rest) +
+    measureSharedCrashes(suspects, quarantined, all) +
     measureUnproven(all, others);
   if (now < Math.max(...dueTimes) + doubt * selectionPeriod) {
     return undefined;
@@ -124,19 +124,20 @@
   });
 }
 
-/** The one with the most crashes. */
-function findMainSuspect(suspects: readonly CrashSuspect[]): CrashSuspect | undefined {
-  return [...suspects].sort((one, other) => other.upstreams.length - one.upstreams.length)[0];
-}
-
-/** Share of the crashes of a suspect at which others were in flight too. */
+/** Share of the crashes of the suspect with the most of them at which other subjects of the request were in flight too. */
 function measureSharedCrashes(
   suspects: Suspects,
-  { upstreams }: CrashSuspect,
-  others: readonly CrashSubjectKey[],
+  quarantined: readonly CrashSuspect[],
+  all: readonly CrashSubjectKey[],
 ): number {
+  const [main] = [...quarantined].sort((one, other) => {
+    return other.upstreams.length - one.upstreams.length;
+  });
+  const upstreams = main?.upstreams ?? [];
+  const others = all.filter((subject) => subject !== main?.request);
   const shared = new Set(others.flatMap((other) => suspects.get(other)?.upstreams ?? []));
-  return upstreams.filter((upstream) => shared.has(upstream)).length / upstreams.length;
+  const sharedCount = upstreams.filter((upstream) => shared.has(upstream)).length;
+  return sharedCount / Math.max(1, upstreams.length);
 }
 
 /** Share of the segments of a request that have not been answered, except quarantined ones. */
