--- a/__tests__/state/crashes.test.ts
+++ b/__tests__/state/crashes.test.ts
@@ -97,6 +97,18 @@
     expect(listQuarantinedRequests(noteCrash(twice, 'i-6', ['a']))).toEqual(['a']);
   });
 
+  // Guards against a crashing request that is sent again after an upgrade of control.
+  it('are quarantined when a snapshot of an earlier version says only how often they crashed', () => {
+    const { routing, ...state } = noteThreeCrashes('a', 1000);
+    const twice = { request: 'b', upstreams: ['i-1', 'i-2'], changedAt: 1000 };
+    const thrice = { request: 'a', upstreams: ['i-1', 'i-2', 'i-3'], changedAt: 1000 };
+    const suspects = new Map([twice, thrice].map((suspect) => [suspect.request, suspect]));
+    const restored = decodeSnapshot(
+      encodeSnapshot({ ...state, routing: { ...routing, suspects } }),
+    );
+    expect(listQuarantinedRequests(restored)).toEqual(['a']);
+  });
+
   it('are stored in snapshots', () => {
     const state = noteThreeCrashes('a');
     expect(decodeSnapshot(encodeSnapshot(state)).routing).toEqual(state.routing);
--- a/src/control/state/routing-state.ts
+++ b/src/control/state/routing-state.ts
@@ -2,6 +2,7 @@
 
 import {
   crashSuspectSchema,
+  quarantineThreshold,
   departedInstanceSchema,
   engineGroupSchema,
   evacuationSchema,
@@ -114,10 +115,19 @@
     document: stored.document ?? undefined,
     instances: new Map(stored.instances.map((instance) => [instance.id, instance])),
     engineGroups: new Map(stored.engineGroups.map((group) => [group.name, group])),
-    suspects: new Map((stored.suspects ?? []).map((suspect) => [suspect.request, suspect])),
+    suspects: new Map(
+      (stored.suspects ?? []).map((suspect) => [suspect.request, restoreQuarantine(suspect)]),
+    ),
     evacuations: new Map((stored.evacuations ?? []).map((each) => [each.failureDomain, each])),
     evacuationHistory: new Map(
       (stored.evacuationHistory ?? []).map((each) => [each.failureDomain, each]),
     ),
   };
 }
+
+/** Earlier versions recorded neither the first crash nor the quarantine, which held after as many crashes. */
+function restoreQuarantine(suspect: CrashSuspect): CrashSuspect {
+  const { since, upstreams, changedAt } = suspect;
+  const isHeld = since === undefined && upstreams.length >= quarantineThreshold;
+  return isHeld ? { quarantinedAt: changedAt, ...suspect } : suspect;
+}
