--- a/__tests__/direct/segment-histories.test.ts
+++ b/__tests__/direct/segment-histories.test.ts
@@ -182,6 +182,32 @@
       expect(listSoundRejections(world), `seed ${seed}`).toEqual([]);
     }
   });
+
+  it.each([
+    ['racks that are lost', 4, 1000],
+    ['upstreams replaced one after the other', 1, 250],
+  ])('is served again within seconds of %s before the first answer', (_, lostAtOnce, interval) => {
+    const lossEnd = 3000;
+    for (const seed of seeds) {
+      let next = 0;
+      const onTick = (world: CrashWorld): void => {
+        if (world.now < lossEnd && world.now % interval === interval / 5) {
+          for (let lost = 0; lost < lostAtOnce; lost += 1) {
+            const upstream = world.upstreams[next % world.upstreams.length];
+            next += 1;
+            if (upstream !== undefined) {
+              world.crash(upstream);
+            }
+          }
+        }
+      };
+      const world = playHistory(seed, { crashing: [], onTick, upstreams: 12 });
+      const late = listSoundRejections(world).filter(({ at }) => {
+        return at > lossEnd + 2 * propagationTime;
+      });
+      expect(late, `seed ${seed}`).toEqual([]);
+    }
+  });
 });
 
 /** Guards against rejecting all sound requests because upstreams crashed before any of them was answered. */
