Ask for a trial no longer than its request lasts

Cause: a gateway that cannot reach control kept each request for a trial and sent all of them again, up to five a second for each quarantined segment.

Change: a request for a trial is dropped with the request that wants it; if it was on its way to control, its token is returned instead, 100 of them at most.

--- a/__tests__/direct/crash-ledger.test.ts
+++ b/__tests__/direct/crash-ledger.test.ts
@@ -235,6 +235,24 @@
     expect(ledger.takePending()?.answered).toEqual(['r-1', 'a', 'suspected-elsewhere']);
   });
 
+  // Guards against reports that grow without end while control cannot be reached.
+  it('is asked for no longer than its request lasts', () => {
+    const ledger = new CrashLedger('gateway');
+    ledger.startWith(new Set(['a']), 0);
+    for (let count = 0; count < 1000; count += 1) {
+      const token = ledger.askForTrial([`r-${count}`, 'a'], count * 1000) ?? '';
+      const pending = ledger.takePending() ?? noReport;
+      ledger.abandonTrial(token);
+      ledger.restorePending(pending);
+      const unsent = ledger.askForTrial([`s-${count}`, 'a'], count * 1000 + 500) ?? '';
+      ledger.abandonTrial(unsent);
+    }
+    const { trials, returned } = ledger.takePending() ?? noReport;
+    expect(trials).toEqual([]);
+    expect(returned).toContain('gateway/1999');
+    expect(returned.length).toBeLessThanOrEqual(100);
+  });
+
   it('is refused if control does not grant it', () => {
     const ledger = new CrashLedger('gateway');
     ledger.startWith(new Set(['a']), 0);
--- a/src/gateway/crashes/trial-grants.ts
+++ b/src/gateway/crashes/trial-grants.ts
@@ -10,6 +10,8 @@
 const requestInterval: Milliseconds = 200;
 /** Other subjects named in a request for a trial. */
 const maximumOthers = 64;
+/** Tokens kept to be returned; the oldest are dropped while control cannot be reached for long. */
+const maximumReturned = 100;
 /** Time after which a grant is void that its request has not used, for example because all upstreams are full. */
 const grantLifetime: Milliseconds = 5000;
 
@@ -45,7 +47,7 @@
   #requestCount = 0;
   #pending: PendingTrials = { trials: [], returned: [] };
   /** Tokens of requests that control has not decided on, and whether their requests still want the trial. */
-  readonly #undecided = new Map<string, { isWanted: boolean }>();
+  readonly #undecided = new Map<string, { readonly isWanted: boolean }>();
   /** Time from which the next trial of a subject may be asked for. */
   readonly #nextRequestAt = new Map<CrashSubjectKey, Milliseconds>();
   /** Time until which each granted trial may be used, by token. */
@@ -88,10 +90,14 @@
     return pending;
   }
 
+  /** Control may have granted the trials, so those whose requests have ended meanwhile are returned. */
   restorePending({ trials, returned }: PendingTrials): void {
+    const wanted = trials.filter(({ token }) => this.#undecided.get(token)?.isWanted === true);
+    const unwanted = trials.filter((trial) => !wanted.includes(trial)).map(({ token }) => token);
+    unwanted.forEach((token) => this.#undecided.delete(token));
     this.#pending = {
-      trials: [...trials, ...this.#pending.trials],
-      returned: [...returned, ...this.#pending.returned],
+      trials: [...wanted, ...this.#pending.trials],
+      returned: [...returned, ...unwanted, ...this.#pending.returned].slice(-maximumReturned),
     };
   }
 
@@ -131,9 +137,13 @@
 
   /** The request that asked for the trial has ended; control may grant an unused one to another request. */
   abandon(token: string): void {
-    const undecided = this.#undecided.get(token);
-    if (undecided !== undefined) {
-      undecided.isWanted = false;
+    const { trials } = this.#pending;
+    const isUnsent = trials.some((trial) => trial.token === token);
+    if (isUnsent) {
+      this.#undecided.delete(token);
+      this.#pending = { ...this.#pending, trials: trials.filter((each) => each.token !== token) };
+    } else if (this.#undecided.has(token)) {
+      this.#undecided.set(token, { isWanted: false });
     }
     if (this.#grantedUntil.delete(token)) {
       this.#pending = { ...this.#pending, returned: [...this.#pending.returned, token] };
