--- a/__tests__/routing/quarantine.test.ts
+++ b/__tests__/routing/quarantine.test.ts
@@ -19,7 +19,7 @@
   return [...findBlamed(new Map(suspects))];
 }
 
-// Guards against blaming segments and requests that were in flight only beside the one that crashes upstreams.
+// Guards against sparing a segment that crashes upstreams, and against blaming requests that were in flight only beside it.
 describe('the blame for crashes', () => {
   it('takes three crashes', () => {
     expect(blameFor({ [bad]: 'a b' })).toEqual([]);
