--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -115,24 +115,26 @@
     this.#record = record;
   }
 
-  /** `seedsOf`: control addresses that a gateway is given; all of them unless told otherwise. */
-  async start({ gatewayCount = 1, graceMilliseconds = 8000, seedsOf } = {}) {
+  /** `moreControl`, `moreGateway`: settings that an installation has in addition to the usual ones. */
+  async start({ gatewayCount = 1, moreControl = {}, moreGateway = {} } = {}) {
     this.internalPort = await reservePort();
     this.operatorPort = await reservePort();
-    this.control = this.controlHosts.map((host, index) => this.#startControl(host, index));
+    this.control = this.controlHosts.map((host, index) => {
+      return this.#startControl(host, index, moreControl);
+    });
     for (let index = 0; index < gatewayCount; index += 1) {
-      this.gateways.push(await this.#startGateway(index, graceMilliseconds, seedsOf));
+      this.gateways.push(await this.#startGateway(index, moreGateway));
     }
   }
 
-  #seeds(hosts = this.controlHosts) {
+  #seeds() {
     return {
-      addresses: hosts.map((host) => `${host}:${this.operatorPort}`),
+      addresses: this.controlHosts.map((host) => `${host}:${this.operatorPort}`),
       port: this.internalPort,
     };
   }
 
-  #startControl(host, index) {
+  #startControl(host, index, more) {
     const settings = {
       operators: `${host}:${this.operatorPort}`,
       contracts: [
@@ -156,13 +158,14 @@
         dataFolder: join(this.#folder, `data-${index}`, 'log'),
         toleratedLosses: 1,
         timeouts: { heartbeatMilliseconds: 100, electionMilliseconds: 500 },
+        ...more,
       },
     };
     mkdirSync(join(this.#folder, `data-${index}`), { recursive: true });
     return this.#startProgram('control', `control-${index}`, settings);
   }
 
-  async #startGateway(index, graceMilliseconds, seedsOf) {
+  async #startGateway(index, more) {
     const listen = `127.0.0.1:${await reservePort()}`;
     const readiness = `127.0.0.1:${await reservePort()}`;
     const settings = {
@@ -170,13 +173,14 @@
       failureDomain: `z${index % 3}`,
       listen,
       readiness,
-      seeds: this.#seeds(seedsOf?.(index)),
+      seeds: this.#seeds(),
       bounds: {
         repeatShare: 0.2,
         repeatBurst: 166,
         vouchMilliseconds: 2500,
-        graceMilliseconds,
+        graceMilliseconds: 8000,
       },
+      ...more,
       contracts: [
         'base',
         'drain',
@@ -346,6 +350,7 @@
 
 /** Registers a runner of the plain service and keeps announcing it until it is stopped. */
 export function announce(deployment, { id, address, service = 'ledger', hosts = [0, 1, 2] }) {
+  const born = Date.now();
   let sequence = 0;
   let turn = 0;
   let isAcknowledged = false;
@@ -360,6 +365,7 @@
       state: 'ready',
       cold_left_ms: 0,
       sequence,
+      born,
     });
     for (let each = 0; each < hosts.length; each += 1) {
       const index = hosts[turn % hosts.length];
@@ -380,6 +386,7 @@
   const timer = setInterval(() => void beat(), 1200);
   void beat();
   return {
+    born,
     get isAcknowledged() {
       return isAcknowledged;
     },
