--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 /**
- * One of two runners sends additional bytes after three in a hundred of its complete answers: the body of that answer once more, behind a bare
- * HTTP head without any id. They arrive late, at the point where the next answer is expected on the connection. No client may get them.
+ * Runners answer without a length. One of the two breaks off one in twenty of its answers in the middle, by a reset of the connection. Each
+ * answer that reaches a client must then look broken off as well, or be another runner's whole answer.
  */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -19,38 +19,45 @@
 import { send } from '../lib/raw-client.mjs';
 import { Runner } from '../lib/runner.mjs';
 
-const requestCount = 900;
-const requestInterval = 20;
-/** The first runner sends additional bytes after one in so many answers. */
-const spoiltEvery = 34;
+const requestCount = 600;
+const requestInterval = 30;
+/** One in so many answers of the first runner is broken off. */
+const brokenEvery = 20;
+const pieces = 10;
 
 const record = new Record(dirname(fileURLToPath(import.meta.url)));
 const deployment = new Deployment(record);
-let extraCount = 0;
+const brokenOff = new Set();
 
-function createBody(id) {
-  return `the answer to ${id} and to no other request\n`;
+/** The whole answer to a request: ten events in a stream, ten lines otherwise. */
+function createPieces(id, path) {
+  return Array.from({ length: pieces }, (_, index) => {
+    const text = `piece ${index + 1} of ${pieces} for ${id}`;
+    return path.startsWith('/flow/') ? `id: ${index + 1}\ndata: ${text}\n\n` : `${text}\n`;
+  });
 }
 
 function createAnswer(isFaulty) {
-  return async ({ connection, socket, id, count, fields }) => {
-    const { extra } = connection;
-    connection.extra = undefined;
-    if (extra !== undefined) {
-      extraCount += 1;
+  return async ({ socket, path, id, count, fields }) => {
+    const isBroken = isFaulty && count % brokenEvery === 0;
+    const type = path.startsWith('/flow/') ? 'text/event-stream' : 'text/plain';
+    const whole = createPieces(id, path);
+    const written = isBroken ? whole.slice(0, pieces / 2) : whole;
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Type: ${type}\r\nConnection: close\r\n${fields}\r\n`);
+    for (const piece of written) {
+      socket.write(piece);
+      await sleep(5);
+    }
+    if (isBroken) {
+      brokenOff.add(id);
       record.add(
-        `runner sends late additional bytes (of ${extra}) where the answer to ${id} is due`,
+        `runner breaks off the answer to ${id} (${path}) after ${written.length} of ${pieces} pieces: reset`,
       );
-      const body = createBody(extra);
-      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
-    }
-    await sleep(30);
-    const body = createBody(id);
-    socket.write(
-      `HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: ${body.length}\r\n${fields}\r\n${body}`,
-    );
-    if (isFaulty && count % spoiltEvery === 0) {
-      connection.extra = id;
+      // What was written has long been delivered when the reset follows.
+      await sleep(50);
+      socket.resetAndDestroy();
+    } else {
+      socket.end();
     }
   };
 }
@@ -70,7 +77,7 @@
   await sleep(1000);
 
   const { address } = deployment.gateways[0];
-  const paths = ['/once/order', '/again/order'];
+  const paths = ['/once/order', '/again/order', '/flow/order'];
   const pending = [];
   for (let index = 0; index < requestCount; index += 1) {
     const path = paths[index % paths.length];
@@ -85,29 +92,28 @@
   let violations = 0;
   let wholeCount = 0;
   for (const { id, path, answer } of results) {
-    const isOwn = answer.body === createBody(id);
-    const hasSeal = answer.headers['x-response-seal']?.endsWith(`.${id}`) === true;
-    const isSuccess = answer.status === 200;
-    wholeCount += isSuccess && isOwn && hasSeal ? 1 : 0;
-    if (!isSuccess) {
+    const isWhole = answer.body === createPieces(id, path).join('');
+    const looksWhole = answer.status === 200 && answer.ending === 'whole';
+    wholeCount += looksWhole && isWhole ? 1 : 0;
+    if (!isWhole || !looksWhole) {
       record.add(
-        `client gets for ${id} (${path}): status ${answer.status}, ending ${answer.ending}`,
+        `client gets for ${id} (${path}): status ${answer.status}, ${answer.body.length} bytes, ending ${answer.ending} ${answer.error ?? ''}`,
       );
     }
-    if (isSuccess && (!isOwn || !hasSeal)) {
+    if (looksWhole && !isWhole) {
       violations += 1;
       record.add(
-        `BROKEN MIXED: ${id} (${path}) got 200, seal ${answer.headers['x-response-seal']}, body ${JSON.stringify(answer.body)}`,
+        `BROKEN MIXED: ${id} (${path}) got 200 with the seal ${answer.headers['x-response-seal']} and an orderly end, but only ${answer.body.split('piece').length - 1} of ${pieces} pieces`,
       );
     }
   }
   beats.forEach(({ stop }) => stop());
   runners.forEach((runner) => runner.close());
   const ran = runners.map(({ id, runs }) => `${id} ran ${runs.length}`).join(', ');
-  const summary = `${results.length} requests, ${ran}; additional bytes sent late: ${extraCount}; own whole answers: ${wholeCount}; answers of another request: ${violations}`;
+  const summary = `${results.length} requests, ${ran}; answers broken off by a reset: ${brokenOff.size}; whole answers: ${wholeCount}; partial answers that looked whole: ${violations}`;
   record.add(summary);
   console.log(summary);
-  if (wholeCount < requestCount / 2 || (hasTrouble && extraCount === 0)) {
+  if (wholeCount < requestCount / 2 || (hasTrouble && brokenOff.size === 0)) {
     return 2;
   }
   return violations > 0 ? 1 : 0;
