--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -113,6 +113,13 @@
 
   constructor(record) {
     this.#record = record;
+    for (const signal of ['SIGTERM', 'SIGINT']) {
+      process.once(signal, () => {
+        record.add(`${signal}: the case could not run to its end`);
+        this.stop();
+        process.exit(2);
+      });
+    }
   }
 
   /** `moreControl`, `moreGateway`: settings that an installation has in addition to the usual ones. */
