--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -39,6 +39,7 @@
 
 function createAnswer(isFaulty) {
   return async ({ socket, path, id, count, fields }) => {
+    record.add(`ran: ${id} (${path})`);
     const isBroken = isFaulty && count % brokenEvery === 0;
     const type = path.startsWith('/flow/') ? 'text/event-stream' : 'text/plain';
     const whole = createPieces(id, path);
@@ -83,8 +84,13 @@
     const path = paths[index % paths.length];
     const headers = createHeaders();
     const id = headers['x-attempt-id'];
+    record.add(`sent: ${id} (${path})`);
     pending.push(
-      send({ address, path, headers, body: '{}' }).then((answer) => ({ id, path, answer })),
+      send({ address, path, headers, body: '{}' }).then((answer) => {
+        const { status, ending, body } = answer;
+        record.add(`answered: ${id}, status ${status}, ${body.length} bytes, ending ${ending}`);
+        return { id, path, answer };
+      }),
     );
     await sleep(requestInterval);
   }
