Show connections that upstreams reset

Three hypotheses fit: the reset arrives as an orderly close; the gateway hears of the reset and passes the answer on all the same; the HTTP client reports the reset as the end of the answer.

A log line and a counter now show each connection that an upstream resets. The first two hypotheses are ruled out: the socket has ECONNRESET, and the delivery is never told of an error.

--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -83,7 +83,7 @@
   readonly name = 'direct gateway';
   readonly #options: DirectGatewayOptions;
   readonly #server: Server;
-  readonly #connections = new UpstreamConnections();
+  readonly #connections: UpstreamConnections;
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
   readonly #crashLedger = new CrashLedger(createIdentifier());
@@ -122,6 +122,10 @@
     this.#permits = new RequestPermits(gateways, clock.monotonic(), settings.coldUpstreams);
     this.#retryBudget = new SharedRetryBudget({ share: repeatShare, burst: repeatBurst });
     const { metrics } = options;
+    this.#connections = new UpstreamConnections((address) => {
+      metrics.noteUpstreamReset();
+      this.#log.info({ address }, 'upstream reset a connection');
+    });
     const isByUrgency = settings.admission.order === 'urgency';
     const waiting = isByUrgency ? new WaitingRequests(metrics) : undefined;
     this.#deliveries = new ActiveDeliveries({ waiting, clock });
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -23,6 +23,7 @@
   readonly #sentToCold: Counter<'service'>;
   readonly #rejectedForCrashes: Counter<'subject'>;
   readonly #shedConnections: Counter;
+  readonly #upstreamResets: Counter;
   readonly #heldBytes: Gauge;
   readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
@@ -83,6 +84,11 @@
       help: 'Connections of callers that were closed unread because the event loop was busy.',
       registers,
     });
+    this.#upstreamResets = new Counter({
+      name: 'pistachiospoke_upstream_connections_reset_total',
+      help: 'Connections that upstreams reset.',
+      registers,
+    });
     this.#heldBytes = new Gauge({
       name: 'pistachiospoke_held_bytes',
       help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
@@ -227,6 +233,10 @@
     this.#shedConnections.inc();
   }
 
+  noteUpstreamReset(): void {
+    this.#upstreamResets.inc();
+  }
+
   noteHeldBytes(bytes: number): void {
     this.#heldBytes.set(bytes);
   }
--- a/src/gateway/direct/resetting-socket.ts
+++ b/src/gateway/direct/resetting-socket.ts
@@ -26,8 +26,14 @@
   }
 }
 
-/** Creates a connector for undici that opens such sockets and fails if a connection is not open within `timeout`. */
-export function createResettingConnector(timeout: Milliseconds): buildConnector.connector {
+/**
+ * Creates a connector for undici that opens such sockets and fails if a connection is not open within `timeout`. `onReset` is called with
+ * the `ip:port` of an upstream that has reset an open connection.
+ */
+export function createResettingConnector(
+  timeout: Milliseconds,
+  onReset: (address: string) => void,
+): buildConnector.connector {
   return ({ hostname, port }, callback) => {
     const socket = new ResettingSocket();
     const timer = setTimeout(() => {
@@ -41,6 +47,11 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.off('error', fail);
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNRESET') {
+          onReset(`${hostname}:${port}`);
+        }
+      });
       callback(null, socket);
     });
     socket.connect({ host: hostname, port: Number(port), noDelay: true });
--- a/src/gateway/direct/upstream-connections.ts
+++ b/src/gateway/direct/upstream-connections.ts
@@ -19,6 +19,12 @@
 
 export class UpstreamConnections {
   readonly #pools = new Map<string, Pool>();
+  readonly #onReset: (address: string) => void;
+
+  /** `onReset` is called with the address of an upstream that has reset a connection. */
+  constructor(onReset: (address: string) => void = () => undefined) {
+    this.#onReset = onReset;
+  }
 
   /** Returns the pool of an address; `limit` applies only when the pool is created. */
   find(address: string, limit: number): Dispatcher {
@@ -29,7 +35,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: Math.max(minimumConnections, limit),
       pipelining: 1,
-      connect: createResettingConnector(connectTimeout),
+      connect: createResettingConnector(connectTimeout, this.#onReset),
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
       // Requests have their own deadlines; these timeouts would interrupt responses that are merely slow.
