Don't take the reset of a connection for the end of a response

Seen by callers: an answer without a length whose upstream reset the connection on the way came as a success: status 200, the seal of the upstream, half of the body and an orderly end of the connection.

Cause: if the headers of a response do not delimit its body, undici takes an error with the code ECONNRESET for the end of the body and reports the response as complete. The end was then doubted only where the upstream no longer accepted connections; one that goes on running, or a network that resets, was not.

Change: sockets to upstreams report a reset as an error of their own, so that it takes the way of any other broken connection: the request is repeated or resumed where its route allows it, the upstream is probed and a crash counted, otherwise the caller sees a broken answer. One connector for gateways, sidecars and the engine client; an orderly close still ends a response without a length.

Related paths, same cause, same fix: a sidecar's requests to its upstream, and the reports of engines.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -103,6 +103,18 @@
   };
 }
 
+/** Begins a response whose end is the end of its connection. */
+function beginUnframed(response: ServerResponse, contentType = 'text/event-stream'): void {
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(200, { 'content-type': contentType, connection: 'close' });
+}
+
+/** Writes a part of a response, and resets its connection after the part has arrived. */
+function writeAndReset(response: ServerResponse, text: string): void {
+  response.write(text);
+  setTimeout(() => response.socket?.resetAndDestroy(), 30);
+}
+
 /** Time at which the gateway's clock stands still; undefined while it runs. */
 let frozenAt: number | undefined;
 
@@ -184,6 +196,38 @@
     expect(first.received[0]?.url).toBe('/book/7?x=1');
   });
 
+  // Guards against passing on half a response as a whole one because its upstream reset the connection and went on accepting others.
+  it('without a length are not complete if their connection is reset', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_, response) => {
+      beginUnframed(response, 'text/plain');
+      writeAndReset(response, 'half of ');
+    };
+    const { status, body } = await call('POST', '/book/7').answer;
+    expect(status).toBe(502);
+    expect(body).not.toContain('half of ');
+  });
+
+  it('without a length are taken from another upstream if their connection is reset', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    let isFirst = true;
+    const either = (_: IncomingMessage, response: ServerResponse): void => {
+      beginUnframed(response, 'text/plain');
+      if (isFirst) {
+        isFirst = false;
+        writeAndReset(response, 'half of ');
+        return;
+      }
+      response.end('the whole answer');
+    };
+    first.handle = either;
+    second.handle = either;
+    const answer = await call('GET', '/lookup/7').answer;
+    expect(answer).toMatchObject({ status: 200, body: 'the whole answer', isWhole: true });
+  });
+
   it('name the account, never the key', async () => {
     changeView({ instances: new Map([createInstance('i-1', first)]) });
     first.handle = (_, response) => {
@@ -563,12 +607,6 @@
     }
   }
 
-  /** Begins a response whose end is the end of its connection. */
-  function beginUnframed(response: ServerResponse): void {
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, { ...stream, connection: 'close' });
-  }
-
   /**
    * Guards against a stream that ends early or repeats a part. When the group of the stream loses a member, the stream continues on
    * another group after the last complete event that the caller has received.
@@ -704,6 +742,54 @@
     expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
   });
 
+  // Guards against a stream that ends between two events as if it were complete because its upstream reset the connection.
+  it('without a length or chunks continue elsewhere if their connection is reset', async () => {
+    const either = (request: IncomingMessage, response: ServerResponse): void => {
+      beginUnframed(response);
+      if (request.headers['last-event-id'] === undefined) {
+        sendEvents(response, [1]);
+        writeAndReset(response, 'id: 2\ndata: token 2\n\n');
+        return;
+      }
+      sendEvents(response, [3]);
+      response.end();
+    };
+    first.handle = either;
+    second.handle = either;
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { body, isWhole } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(isWhole).toBe(true);
+    expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+  });
+
+  it('without a length or chunks do not look complete if their connection is reset for good', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      beginUnframed(response);
+      writeAndReset(response, 'id: 1\ndata: token 1\n\n');
+    };
+    const { isWhole, body } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    expect(isWhole).toBe(false);
+    expect(body).toContain('id: 1');
+  });
+
+  // Guards against a crash that is not counted because the connection of a response without a length was reset.
+  it('without a length or chunks count as a crash if their upstream ends with a reset', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    first.handle = (_, response) => {
+      beginUnframed(response);
+      writeAndReset(response, 'id: 1\ndata: token 1\n\n');
+      setTimeout(() => void first.close(), 20);
+    };
+    await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+    const probed = await waitFor('the probe', () =>
+      logLines.find((line) => line.includes('upstream probed after interrupted responses')),
+    );
+    expect(JSON.parse(probed)).toMatchObject({ verdict: 'refused' });
+  });
+
   it('without a length or chunks are complete if they end after an event', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     first.handle = (_, response) => {
--- a/__tests__/platform/engine-client.test.ts
+++ b/__tests__/platform/engine-client.test.ts
@@ -43,6 +43,16 @@
     expect(await readStatusType((request) => request.socket.destroy())).toBe('unanswered');
   });
 
+  it('is unanswered if the connection is reset within a report that has no length', async () => {
+    const type = await readStatusType((_, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { connection: 'close' });
+      response.write('{"engine":');
+      setTimeout(() => response.socket?.resetAndDestroy(), 30);
+    });
+    expect(type).toBe('unanswered');
+  });
+
   it('is unanswered if no response arrives', async () => {
     expect(await readStatusType(() => undefined)).toBe('unanswered');
   });
--- /dev/null
+++ b/__tests__/requests/response-endings.test.ts
@@ -0,0 +1,156 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { UpstreamAttempt, UpstreamConnections } from '../../src/gateway/direct/index.js';
+import { HttpUpstreamClient } from '../../src/sidecar/attempts/index.js';
+import { RawUpstream, waitFor, type ConnectionEnd } from '../support/index.js';
+
+type Ending = 'whole' | 'broken';
+
+/** What a client has received so far. */
+interface Received {
+  hasHead: boolean;
+  body: string;
+}
+
+/** Sends a request to an upstream and tells how its client takes the end of the response. */
+type Send = (address: string, received: Received) => Promise<Ending>;
+
+const closers: (() => unknown)[] = [];
+let head = '';
+let body = '';
+let upstream: RawUpstream;
+
+beforeEach(async () => {
+  upstream = new RawUpstream((socket) => socket.write(`${head}\r\n\r\n${body}`));
+  await upstream.open();
+  closers.push(() => upstream.close());
+});
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+const sendFromGateway: Send = (address, received) => {
+  const connections = new UpstreamConnections();
+  closers.push(() => {
+    connections.close();
+  });
+  return new Promise((resolve) => {
+    new UpstreamAttempt(
+      connections.find(address, 1),
+      { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
+      {
+        onStart: () => undefined,
+        onHead: () => {
+          received.hasHead = true;
+        },
+        onData: (bytes) => {
+          received.body += bytes.toString();
+        },
+        onEnd: () => {
+          resolve('whole');
+        },
+        onError: () => {
+          resolve('broken');
+        },
+      },
+    );
+  });
+};
+
+const sendFromSidecar: Send = async (address, received) => {
+  const client = new HttpUpstreamClient(() => `http://${address}`);
+  closers.push(() => client.close());
+  const request = {
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    affinityKey: '',
+  };
+  try {
+    const { chunks } = await client.start(request, new AbortController().signal);
+    received.hasHead = true;
+    for await (const bytes of chunks) {
+      received.body += Buffer.from(bytes).toString();
+    }
+    return 'whole';
+  } catch {
+    return 'broken';
+  }
+};
+
+async function endResponse(send: Send, how: ConnectionEnd): Promise<Ending> {
+  const received: Received = { hasHead: false, body: '' };
+  const ending = send(upstream.address, received);
+  await waitFor('the bytes sent so far', () => received.hasHead && received.body === body);
+  upstream.endConnections(how);
+  return ending;
+}
+
+const unframedHeads = {
+  'Connection: close': 'HTTP/1.1 200 OK\r\nConnection: close',
+  'no Connection field': 'HTTP/1.1 200 OK\r\nContent-Type: text/plain',
+  'Connection: keep-alive': 'HTTP/1.1 200 OK\r\nConnection: keep-alive',
+  'HTTP/1.0': 'HTTP/1.0 200 OK\r\nContent-Type: text/plain',
+  'HTTP/1.0 with Connection: keep-alive': 'HTTP/1.0 200 OK\r\nConnection: keep-alive',
+  'Transfer-Encoding: identity': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity',
+  'Transfer-Encoding: gzip': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip',
+};
+
+// Guards against taking the reset of a connection for the end of a response that has no length.
+describe.each([
+  ['gateway', sendFromGateway],
+  ['sidecar', sendFromSidecar],
+])('a response without a length to a request from a %s', (_, send) => {
+  describe.each(Object.entries(unframedHeads))('with %s', (__, unframedHead) => {
+    beforeEach(() => {
+      head = unframedHead;
+    });
+
+    it.each([
+      ['after its head', ''],
+      ['in its body', 'half of the'],
+    ])('is broken if its connection is reset %s', async (___, sent) => {
+      body = sent;
+      expect(await endResponse(send, 'reset')).toBe('broken');
+    });
+
+    it.each([
+      ['after its head', ''],
+      ['after its body', 'the whole body'],
+    ])('is whole if its connection is closed %s', async (___, sent) => {
+      body = sent;
+      expect(await endResponse(send, 'close')).toBe('whole');
+    });
+  });
+});
+
+describe.each([
+  ['gateway', sendFromGateway],
+  ['sidecar', sendFromSidecar],
+])('a response with a length to a request from a %s', (_, send) => {
+  it.each([
+    ['a content length', 'HTTP/1.1 200 OK\r\nContent-Length: 100', 'half'],
+    ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked', ''],
+    ['Connection: close', 'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 100', 'half'],
+  ])('is broken if its connection ends early: %s', async (__, framedHead, sent) => {
+    head = framedHead;
+    body = sent;
+    expect(await endResponse(send, 'reset')).toBe('broken');
+    expect(await endResponse(send, 'close')).toBe('broken');
+  });
+});
+
+// Guards against taking the end of a connection that the gateway itself closes for the end of a response.
+describe('a response without a length to a gateway that stops', () => {
+  it('is broken', async () => {
+    head = unframedHeads['Connection: close'];
+    body = 'half of the';
+    const received: Received = { hasHead: false, body: '' };
+    const ending = sendFromGateway(upstream.address, received);
+    await waitFor('the bytes sent so far', () => received.body === body);
+    await Promise.all(closers.splice(1).map((close) => close()));
+    expect(await ending).toBe('broken');
+  });
+});
--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -8,5 +8,6 @@
 } from './fleet-settings.js';
 export { reservePort } from './ports.js';
 export { ProgramGroup, RunningProgram, type ProgramExit, type ProgramOptions } from './programs.js';
+export { RawUpstream, type ConnectionEnd } from './raw-upstream.js';
 export { SwallowingRelay, type RelayMode } from './relay.js';
 export { waitFor } from './wait.js';
--- a/src/gateway/direct/upstream-connections.ts
+++ b/src/gateway/direct/upstream-connections.ts
@@ -2,7 +2,8 @@
 
 import type { Milliseconds } from '../../common/index.js';
 import type { RoutingView } from '../../watch/index.js';
-import { createResettingConnector } from './resetting-socket.js';
+import { createUpstreamConnector } from '../../wire/index.js';
+import { ResettingSocket } from './resetting-socket.js';
 
 /** Connections to upstreams, with one pool per address. */
 
@@ -35,7 +36,11 @@
     const pool = new Pool(`http://${address}`, {
       connections: Math.max(minimumConnections, limit),
       pipelining: 1,
-      connect: createResettingConnector(connectTimeout, this.#onReset),
+      connect: createUpstreamConnector({
+        timeout: connectTimeout,
+        createSocket: () => new ResettingSocket(),
+        onReset: this.#onReset,
+      }),
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
       // Requests have their own deadlines; these timeouts would interrupt responses that are merely slow.
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -7,6 +7,7 @@
   type Milliseconds,
   type ProbeVerdict,
 } from '../../common/index.js';
+import { createUpstreamConnector } from '../../wire/index.js';
 import type { HeaderField, UpstreamRequest } from './messages.js';
 
 /** A streamed response of the upstream. */
@@ -52,7 +53,7 @@
   constructor(readBaseUrl: () => string | undefined) {
     this.#readBaseUrl = readBaseUrl;
     this.#agent = new Agent({
-      connect: { timeout: connectTimeout },
+      connect: createUpstreamConnector({ timeout: connectTimeout }),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -20,3 +20,9 @@
 export { MessageQueue } from './message-queue.js';
 export { RpcClientPool } from './rpc-client.js';
 export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
+export {
+  ConnectionResetError,
+  createUpstreamConnector,
+  UpstreamSocket,
+  type UpstreamConnectorOptions,
+} from './upstream-connector.js';
