Count a response as delimited by chunks only if chunked is its last transfer coding

Seen by callers: the part of a response with 'Transfer-Encoding: identity' (or another coding but chunked) that had arrived before its upstream crashed was passed on as whole, and the crash was not counted.

Cause: any transfer coding was taken for a length, on the way of direct gateways and in sidecars, though such a body ends with its connection like one without a header (RFC 9112, section 6.3). So its end was never doubted.

Change: one rule for both ways, isFramedResponse; a coding other than chunked at the end makes a response one without a length.

The response of a call between our processes that is interrupted fails already; wire/rpc-client has a test of it now.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -104,9 +104,13 @@
 }
 
 /** Begins a response whose end is the end of its connection. */
-function beginUnframed(response: ServerResponse, contentType = 'text/event-stream'): void {
+function beginUnframed(
+  response: ServerResponse,
+  contentType = 'text/event-stream',
+  headers: Readonly<Record<string, string>> = {},
+): void {
   response.useChunkedEncodingByDefault = false;
-  response.writeHead(200, { 'content-type': contentType, connection: 'close' });
+  response.writeHead(200, { 'content-type': contentType, connection: 'close', ...headers });
 }
 
 /** Writes a part of a response, and resets its connection after the part has arrived. */
@@ -720,27 +724,33 @@
   });
 
   // Guards against a stream that looks complete because its upstream ended between two events.
-  it('without a length or chunks continue elsewhere if their upstream has ended', async () => {
-    const either = (request: IncomingMessage, response: ServerResponse): void => {
-      beginUnframed(response);
-      if (request.headers['last-event-id'] === undefined) {
-        sendEvents(response, [1, 2]);
-        const upstream = first.received.length > 0 ? first : second;
-        setTimeout(() => void upstream.close(), 20);
-        return;
-      }
-      sendEvents(response, [3]);
-      response.end();
-    };
-    first.handle = either;
-    second.handle = either;
-    changeView({
-      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
-    });
-    const { body, isWhole } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
-    expect(isWhole).toBe(true);
-    expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
-  });
+  it.each([
+    ['without a transfer coding', {}],
+    ['with another transfer coding', { 'transfer-encoding': 'identity' }],
+  ])(
+    'without a length or chunks, %s, continue elsewhere if their upstream has ended',
+    async (_, fields) => {
+      const either = (request: IncomingMessage, response: ServerResponse): void => {
+        beginUnframed(response, 'text/event-stream', fields);
+        if (request.headers['last-event-id'] === undefined) {
+          sendEvents(response, [1, 2]);
+          const upstream = first.received.length > 0 ? first : second;
+          setTimeout(() => void upstream.close(), 20);
+          return;
+        }
+        sendEvents(response, [3]);
+        response.end();
+      };
+      first.handle = either;
+      second.handle = either;
+      changeView({
+        engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+      });
+      const { body, isWhole } = await call('POST', '/draft/1', { 'x-model': 'small' }).answer;
+      expect(isWhole).toBe(true);
+      expect(body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+    },
+  );
 
   // Guards against a stream that ends between two events as if it were complete because its upstream reset the connection.
   it('without a length or chunks continue elsewhere if their connection is reset', async () => {
--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -96,6 +96,7 @@
   'HTTP/1.0 with Connection: keep-alive': 'HTTP/1.0 200 OK\r\nConnection: keep-alive',
   'Transfer-Encoding: identity': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity',
   'Transfer-Encoding: gzip': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip',
+  'Transfer-Encoding: chunked, gzip': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip',
 };
 
 // Guards against taking the reset of a connection for the end of a response that has no length.
--- a/__tests__/wire/rpc-client.test.ts
+++ b/__tests__/wire/rpc-client.test.ts
@@ -1,11 +1,21 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+
 import { describe, expect, it } from 'vitest';
 
 import { ControlService } from '../../src/generated/pistachiospoke/v1/control_pb.js';
 import { createRpcServer, MessageQueue, RpcClientPool } from '../../src/wire/index.js';
-import { WatchResponseSchema } from '../../src/generated/pistachiospoke/v1/control_pb.js';
-import { create } from '@bufbuild/protobuf';
+import {
+  GetResponseSchema,
+  WatchResponseSchema,
+} from '../../src/generated/pistachiospoke/v1/control_pb.js';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { reservePort, SwallowingRelay } from '../support/index.js';
 
+/** A whole field of a response, so that what has arrived can be decoded. */
+const resultCodeField = toBinary(GetResponseSchema, create(GetResponseSchema, { resultCode: 1 }));
+
 /** Opens a server whose watches send one message and then nothing. */
 async function openQuietServer(address: string) {
   const server = createRpcServer({
@@ -49,4 +59,28 @@
     await relay.close();
     await server.close();
   });
+
+  // Guards against taking the end of a connection for the end of a response, which names no length here.
+  it('fail the calls whose responses they interrupt', async () => {
+    const server = createServer();
+    server.on('stream', (stream) => {
+      stream.on('error', () => undefined);
+      stream.respond({ ':status': 200, 'content-type': 'application/proto' });
+      stream.write(resultCodeField);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const relay = await SwallowingRelay.open(`127.0.0.1:${port}`);
+    const clients = new RpcClientPool();
+    const call = clients.client(ControlService, relay.address).get({});
+    const outcome = expect(call).rejects.toThrow();
+    await once(server, 'stream');
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    relay.setMode('refuse');
+    await outcome;
+    clients.close();
+    await relay.close();
+    server.close();
+  });
 });
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 
 import { findResultCode, type Failure } from '../../common/index.js';
+import { isFramedResponse } from '../../wire/index.js';
 import { EventFramer } from '../event-framer.js';
 import { isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
@@ -32,7 +33,11 @@
   readonly status: number;
   readonly rawHeaders: RawHeaders;
   readonly isStream: boolean;
-  /** False if the body is delimited only by the end of the upstream's connection. */
+  /**
+   * False if the body is delimited only by the end of the upstream's connection. It may be truncated then, because the upstream may have
+   * ended in the middle of it. With a content length or a final chunk, a truncated body would look complete to the caller, who would not
+   * retry; so it is forwarded without either, and ended by closing the connection.
+   */
   readonly isFramed: boolean;
 }
 
@@ -112,7 +117,7 @@
     this.#framer = new EventFramer();
     this.#buffered = [];
     this.#bufferedBytes = 0;
-    const isFramed = hasFraming(status, rawHeaders);
+    const isFramed = isFramedResponse(status, (name) => readHeader(rawHeaders, name));
     this.#isCurrentFramed = isFramed;
     if (this.#isHeadWritten) {
       // A framed stream must not continue with an unframed response, whose end cannot be told from an interruption.
@@ -242,15 +247,12 @@
   return kept;
 }
 
-/**
- * Whether the headers delimit the body. A body delimited only by the end of its connection may be truncated, because the upstream may
- * have ended in the middle of it. With a content length or a final chunk, a truncated body would look complete to the caller, who would
- * not retry; so it is forwarded without either, and ended by closing the connection.
- */
-function hasFraming(status: number, rawHeaders: RawHeaders): boolean {
-  const names = rawHeaders.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
-  const isBodiless = status === 204 || status === 304;
-  return isBodiless || names.includes('content-length') || names.includes('transfer-encoding');
+/** Returns all values of a header, separated by commas. */
+function readHeader(rawHeaders: RawHeaders, name: string): string | undefined {
+  const values = rawHeaders.filter(
+    (_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === name,
+  );
+  return values.length === 0 ? undefined : values.join(',');
 }
 
 /** Returns the identifier of the last event that has one. */
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -7,7 +7,7 @@
   type Milliseconds,
   type ProbeVerdict,
 } from '../../common/index.js';
-import { createUpstreamConnector } from '../../wire/index.js';
+import { createUpstreamConnector, isFramedResponse } from '../../wire/index.js';
 import type { HeaderField, UpstreamRequest } from './messages.js';
 
 /** A streamed response of the upstream. */
@@ -17,7 +17,7 @@
   /** Throws when the connection breaks before the end of the response. */
   readonly chunks: AsyncIterable<Uint8Array>;
   /**
-   * Whether the end of the response can be recognized: it has no body, a content length or a transfer encoding.
+   * Whether the end of the response can be recognized: it has no body, a content length or chunks.
    * Otherwise a broken connection looks like a complete response.
    */
   readonly isFramed: boolean;
@@ -99,10 +99,9 @@
 function isFramed(
   method: string,
   status: number,
-  headers: Readonly<Record<string, unknown>>,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
 ): boolean {
-  const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
-  return hasNoBody || 'content-length' in headers || 'transfer-encoding' in headers;
+  return method === 'HEAD' || isFramedResponse(status, (name) => headers[name]?.toString());
 }
 
 function classifyError(error: unknown): 'upstreamUnreachable' | 'upstreamFailed' {
