Sidecars pass on responses that end with their connection

Seen by callers: through sidecars every response without a length or chunks was reported as broken (502), or ended its stream with an error event, also if the upstream had sent all of it and closed the connection in order.

Cause: the sidecar could not tell an orderly close from a reset, and took both for an interruption. Since a reset is an error of its own, it can.

Change: such a response is whole if its connection is closed in order, the upstream still accepts connections afterwards, and a stream does not end inside an event. A crash is looked for after it as after a broken response, and is counted as before.

Tests (requests/faults, real sockets): two fail before ('gets it whole if its connection is closed in order', 502 instead of 200) and pass now; reset, crash and a stream that ends inside an event are broken before and after.

--- a/__tests__/requests/faults.test.ts
+++ b/__tests__/requests/faults.test.ts
@@ -16,7 +16,7 @@
   startUpstream,
   type TestSidecar,
 } from './fixture.js';
-import { SwallowingRelay, waitFor } from '../support/index.js';
+import { RawUpstream, SwallowingRelay, waitFor } from '../support/index.js';
 import type { Gateway, GatewayOptions } from '../../src/gateway/index.js';
 
 let cleanup = new Cleanup();
@@ -167,6 +167,65 @@
     expect(failure.error.name).toBe('answerBroken');
   });
 
+  // Guards against breaking off each response that ends with its connection, and against taking a reset or a crash for such an end.
+  describe('whose response has no length', () => {
+    function beginUnframed(answer: ServerResponse, contentType: string): void {
+      answer.useChunkedEncodingByDefault = false;
+      answer.writeHead(200, { 'content-type': contentType, connection: 'close' });
+    }
+
+    it.each([
+      ['application/json', '{"whole":true}'],
+      ['text/event-stream', 'data: 1\n\ndata: [DONE]\n\n'],
+    ])('gets it whole if its connection is closed in order: %s', async (contentType, body) => {
+      const { upstream, url } = await startRequestPath();
+      const pending = chat(url, { stream: contentType.startsWith('text/') });
+      const answer = await upstream.answer(0);
+      beginUnframed(answer, contentType);
+      answer.end(body);
+      const response = await pending;
+      expect([response.status, await response.text()]).toEqual([200, body]);
+    });
+
+    it('gets a broken answer if its connection is reset', async () => {
+      const { upstream, url } = await startRequestPath();
+      const pending = chat(url, {}, { 'pistachiospoke-non-idempotent': 'true' });
+      const answer = await upstream.answer(0);
+      beginUnframed(answer, 'application/json');
+      answer.write('{"half":');
+      setTimeout(() => answer.socket?.resetAndDestroy(), 30);
+      const failure = (await (await pending).json()) as { error: { name: string } };
+      expect(failure.error.name).toBe('answerBroken');
+    });
+
+    it('gets a broken answer if its upstream has ended', async () => {
+      const upstream = new RawUpstream((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"half":');
+        setTimeout(() => void upstream.close(), 30);
+      });
+      await upstream.open();
+      const group = modelGroup('');
+      const sidecar = await startSidecar(`http://${upstream.address}`, admit(group), cleanup);
+      const watched = new FakeWatched();
+      watched.set([modelGroup(sidecar.address)]);
+      const { url } = await startGateway(watched, cleanup);
+      const response = await chat(url, {}, { 'pistachiospoke-non-idempotent': 'true' });
+      const failure = (await response.json()) as { error: { name: string } };
+      expect(failure.error.name).toBe('answerBroken');
+    });
+
+    it('gets a broken stream if it ends inside an event', async () => {
+      const { upstream, url } = await startRequestPath();
+      const pending = chat(url, { stream: true });
+      const answer = await upstream.answer(0);
+      beginUnframed(answer, 'text/event-stream');
+      answer.end('data: 1\n\ndata: tok');
+      const text = await (await pending).text();
+      expect(text).toContain('data: 1\n\nevent: error');
+      expect(text).not.toContain('tok');
+    });
+  });
+
   // The caller closes its connection in mid-stream. If the upstream is not told, engines keep working for callers that
   // left long ago.
   it('cancels the stream of the upstream when its caller goes away', async () => {
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -18,7 +18,7 @@
   readonly chunks: AsyncIterable<Uint8Array>;
   /**
    * Whether the end of the response can be recognized: it has no body, a content length or chunks.
-   * Otherwise a broken connection looks like a complete response.
+   * Otherwise the end of the connection ends it, also when the upstream has crashed.
    */
   readonly isFramed: boolean;
 }
--- a/src/sidecar/attempts/upstream-relay.ts
+++ b/src/sidecar/attempts/upstream-relay.ts
@@ -10,6 +10,7 @@
 import type { UpstreamClient } from './upstream-client.js';
 import type { UpstreamCrashes } from './upstream-crashes.js';
 import { readPause } from './upstream-pause.js';
+import { UnframedStream } from './unframed-stream.js';
 
 /** Dependencies of the relay. */
 export interface UpstreamRelayOptions {
@@ -23,6 +24,13 @@
   readonly waitForCapacity: (key: AttemptKey) => Promise<void> | undefined;
 }
 
+/** How a request to the upstream ended. */
+interface ReadOutcome {
+  readonly code: ResultCodeName;
+  /** Whether it may have ended because the upstream crashed. */
+  readonly mayBeCrash: boolean;
+}
+
 /** Sends each attempt to the upstream once, without retries, and converts the response into events. */
 export class UpstreamRelay {
   readonly #options: UpstreamRelayOptions;
@@ -38,24 +46,21 @@
     const abortController = new AbortController();
     this.#abortControllers.set(key, abortController);
     const sentAt = this.#now();
-    const code = await this.#read(key, request, abortController.signal);
-    const crash = await this.#findCrash(key, code, sentAt, abortController.signal);
+    const { signal } = abortController;
+    const { code, mayBeCrash } = await this.#read(key, request, signal);
+    const crash = mayBeCrash && !signal.aborted ? await this.#findCrash(key, sentAt) : undefined;
     this.#abortControllers.delete(key);
-    const ended = { type: 'upstreamEnded', now: this.#now(), key, code } as const;
-    this.#options.handle(crash === undefined ? ended : { ...ended, crash });
+    const ended = { type: 'upstreamEnded', now: this.#now(), key } as const;
+    if (crash === undefined) {
+      this.#options.handle({ ...ended, code });
+      return;
+    }
+    // A response that its connection delimits seems complete although the upstream crashed in the middle of it.
+    this.#options.handle({ ...ended, code: code === 'ok' ? 'answerBroken' : code, crash });
   }
 
-  /** Undefined if the upstream did not break the answer off, or did not end with it. */
-  async #findCrash(
-    key: AttemptKey,
-    code: ResultCodeName,
-    sentAt: Milliseconds,
-    signal: AbortSignal,
-  ): Promise<string | undefined> {
-    const isBroken = code === 'answerBroken' || code === 'upstreamFailed';
-    if (!isBroken || signal.aborted) {
-      return undefined;
-    }
+  /** Undefined if the upstream has not crashed. */
+  async #findCrash(key: AttemptKey, sentAt: Milliseconds): Promise<string | undefined> {
     const crash = await this.#options.crashes.find(sentAt);
     if (crash !== undefined) {
       this.#options.logger.warn({ attempt: key, crash }, 'upstream crashed');
@@ -79,7 +84,7 @@
     key: AttemptKey,
     request: UpstreamRequest,
     signal: AbortSignal,
-  ): Promise<ResultCodeName> {
+  ): Promise<ReadOutcome> {
     const { upstream, handle, waitForCapacity: findWait, logger } = this.#options;
     let hasHead = false;
     try {
@@ -91,20 +96,24 @@
         logger.info({ attempt: key, pause }, 'upstream asked for a pause');
       }
       handle({ type: 'upstreamHead', now: this.#now(), key, status, headers });
+      const unframed = response.isFramed ? undefined : new UnframedStream(headers);
       for await (const bytes of response.chunks) {
+        unframed?.push(bytes);
         handle({ type: 'upstreamData', now: this.#now(), key, bytes });
         const wait = findWait(key);
         if (wait !== undefined) {
           await wait;
         }
       }
-      return response.isFramed ? 'ok' : 'answerBroken';
+      const code = unframed?.isInsideEvent === true ? 'answerBroken' : 'ok';
+      return { code, mayBeCrash: unframed !== undefined };
     } catch (error) {
       logger.warn({ err: error, attempt: key }, 'upstream request failed');
       if (hasHead) {
-        return 'answerBroken';
+        return { code: 'answerBroken', mayBeCrash: true };
       }
-      return error instanceof FailureError ? error.failure.code : 'upstreamFailed';
+      const code = error instanceof FailureError ? error.failure.code : 'upstreamFailed';
+      return { code, mayBeCrash: code === 'upstreamFailed' };
     }
   }
 
