Don't take a reset that is read with the last bytes for an orderly end

Cause: in that case Node ends the stream of the socket in order and reports no error. Evidence: with a plain socket that is paused for 100 ms, 'end' after 195,584 of 524,288 bytes, without an error; its remote address is undefined then, and defined after each of the orderly ends tried (end and destroy, 10 bytes to 512 KB).

Change: at the end of its stream a socket to an upstream looks whether it still has a peer; without one it reports the reset. The bytes before it are read first, since they may complete a response that has a length.

--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -18,10 +18,17 @@
 const closers: (() => unknown)[] = [];
 let head = '';
 let body = '';
+let isResetAtOnce = false;
 let upstream: RawUpstream;
 
 beforeEach(async () => {
-  upstream = new RawUpstream((socket) => socket.write(`${head}\r\n\r\n${body}`));
+  isResetAtOnce = false;
+  upstream = new RawUpstream((socket) => {
+    socket.write(`${head}\r\n\r\n${body}`);
+    if (isResetAtOnce) {
+      socket.resetAndDestroy();
+    }
+  });
   await upstream.open();
   closers.push(() => upstream.close());
 });
@@ -117,6 +124,16 @@
       expect(await endResponse(send, 'reset')).toBe('broken');
     });
 
+    // The client reads the last bytes and the reset in one turn of its event loop.
+    it.each([
+      ['head', ''],
+      ['body', 'half of the'],
+    ])('is broken if its connection is reset together with its %s', async (___, sent) => {
+      body = sent;
+      isResetAtOnce = true;
+      expect(await send(upstream.address, { hasHead: false, body: '' })).toBe('broken');
+    });
+
     it.each([
       ['after its head', ''],
       ['after its body', 'the whole body'],
@@ -143,6 +160,54 @@
   });
 });
 
+// Guards against losing the end of a response, or taking a reset for it, while a slow caller keeps the gateway from reading.
+describe('a response to a gateway that has stopped reading', () => {
+  // The end arrives while the gateway does not read (the smaller body), or while it reads the last bytes (the larger one).
+  it.each([
+    ['without a length is whole', 'Connection: close', 'close', 70_000, 'whole'],
+    ['without a length is whole', 'Connection: close', 'close', 100_000, 'whole'],
+    ['without a length is broken', 'Connection: close', 'reset', 70_000, 'broken'],
+    ['without a length is broken', 'Connection: close', 'reset', 100_000, 'broken'],
+    ['with a length is whole', 'Content-Length: 70000', 'close', 70_000, 'whole'],
+    ['with a length is whole', 'Content-Length: 100000', 'reset', 100_000, 'whole'],
+  ] as const)('%s: %s, then a %s after %d bytes', async (_, field, how, bodyBytes, expected) => {
+    head = `HTTP/1.1 200 OK\r\n${field}`;
+    body = 'x'.repeat(bodyBytes);
+    const connections = new UpstreamConnections();
+    closers.push(() => {
+      connections.close();
+    });
+    let hasPaused = false;
+    const ending = new Promise<Ending>((resolve) => {
+      const attempt = new UpstreamAttempt(
+        connections.find(upstream.address, 1),
+        { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
+        {
+          onStart: () => undefined,
+          onHead: () => undefined,
+          onData: () => {
+            if (!hasPaused) {
+              hasPaused = true;
+              attempt.pause();
+              upstream.endConnections(how);
+              setTimeout(() => {
+                attempt.resume();
+              }, 100);
+            }
+          },
+          onEnd: () => {
+            resolve('whole');
+          },
+          onError: () => {
+            resolve('broken');
+          },
+        },
+      );
+    });
+    expect(await ending).toBe(expected);
+  });
+});
+
 // Guards against taking the end of a connection that the gateway itself closes for the end of a response.
 describe('a response without a length to a gateway that stops', () => {
   it('is broken', async () => {
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -7,24 +7,52 @@
 /** TCP connections to upstreams for undici, on which a reset is never taken for the end of a response. */
 
 /** The upstream reset the connection. */
-export class ConnectionResetError extends Error {
+class ConnectionResetError extends Error {
   override readonly name = 'ConnectionResetError';
   readonly code = 'UPSTREAM_CONNECTION_RESET';
 
-  constructor(cause: Error) {
+  constructor(cause?: Error) {
     super('the upstream reset the connection', { cause });
   }
 }
 
 /**
- * A socket that reports a reset by the other side as a `ConnectionResetError`.
- * If the headers of a response do not delimit its body, undici takes an error with the code `ECONNRESET` for the end of the body, and a
- * truncated response for a complete one.
+ * A socket that reports a reset by the other side as a `ConnectionResetError`, in both forms in which Node reports it.
+ * - An error with the code `ECONNRESET`: if the headers of a response do not delimit its body, undici takes it for the end of the body.
+ * - The end of the stream, if the last bytes and the reset are read in one turn of the event loop.
  */
 export class UpstreamSocket extends Socket {
+  #isReset = false;
+
   override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(isReset(error) ? new ConnectionResetError(error) : error, callback);
   }
+
+  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk === null && !this.#hasPeer()) {
+      this.#isReset = true;
+      this.read(0);
+      return false;
+    }
+    return super.push(chunk, encoding);
+  }
+
+  /** A reset that ends the stream is reported after the bytes before it, since they may complete a response that has a length. */
+  override read(size?: number): unknown {
+    const chunk: unknown = super.read(size);
+    if (this.#isReset && chunk === null && this.readableLength === 0) {
+      this.destroy(new ConnectionResetError());
+    }
+    return chunk;
+  }
+
+  /**
+   * Whether the connection still exists: after an orderly close by the other side it does, until this side closes it too. Node keeps the
+   * address once it has been read, so it must not be read before the end of the stream.
+   */
+  #hasPeer(): boolean {
+    return this.remoteAddress !== undefined;
+  }
 }
 
 export interface UpstreamConnectorOptions {
