Send a request that waits for an idle connection on another one if that is reset

Cause: undici sends the requests that wait for a connection again only after errors of its own class; after an ECONNRESET, and after the error that replaced it, it fails them, although nothing was sent. A sidecar then reported 'upstreamFailed', which may have run.

Change: the error of a reset is a SocketError of undici, as for an orderly close of an idle connection.

--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -12,8 +12,8 @@
   body: string;
 }
 
-/** Sends a request to an upstream and tells how its client takes the end of the response. */
-type Send = (address: string, received: Received) => Promise<Ending>;
+/** Sends a request to the upstream and tells how the client takes the end of the response. */
+type Send = (received: Received) => Promise<Ending>;
 
 const closers: (() => unknown)[] = [];
 let head = '';
@@ -37,36 +37,39 @@
   await Promise.all(closers.splice(0).map((close) => close()));
 });
 
-const sendFromGateway: Send = (address, received) => {
+/** A gateway's connections to upstreams. */
+function openGateway(): Send {
   const connections = new UpstreamConnections();
   closers.push(() => {
     connections.close();
   });
-  return new Promise((resolve) => {
-    new UpstreamAttempt(
-      connections.find(address, 1),
-      { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
-      {
-        onStart: () => undefined,
-        onHead: () => {
-          received.hasHead = true;
-        },
-        onData: (bytes) => {
-          received.body += bytes.toString();
-        },
-        onEnd: () => {
-          resolve('whole');
-        },
-        onError: () => {
-          resolve('broken');
+  return (received) =>
+    new Promise((resolve) => {
+      new UpstreamAttempt(
+        connections.find(upstream.address, 1),
+        { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
+        {
+          onStart: () => undefined,
+          onHead: () => {
+            received.hasHead = true;
+          },
+          onData: (bytes) => {
+            received.body += bytes.toString();
+          },
+          onEnd: () => {
+            resolve('whole');
+          },
+          onError: () => {
+            resolve('broken');
+          },
         },
-      },
-    );
-  });
-};
+      );
+    });
+}
 
-const sendFromSidecar: Send = async (address, received) => {
-  const client = new HttpUpstreamClient(() => `http://${address}`);
+/** A sidecar's connections to its upstream. */
+function openSidecar(): Send {
+  const client = new HttpUpstreamClient(() => `http://${upstream.address}`);
   closers.push(() => client.close());
   const request = {
     method: 'GET',
@@ -75,21 +78,23 @@
     body: Buffer.alloc(0),
     affinityKey: '',
   };
-  try {
-    const { chunks } = await client.start(request, new AbortController().signal);
-    received.hasHead = true;
-    for await (const bytes of chunks) {
-      received.body += Buffer.from(bytes).toString();
+  return async (received) => {
+    try {
+      const { chunks } = await client.start(request, new AbortController().signal);
+      received.hasHead = true;
+      for await (const bytes of chunks) {
+        received.body += Buffer.from(bytes).toString();
+      }
+      return 'whole';
+    } catch {
+      return 'broken';
     }
-    return 'whole';
-  } catch {
-    return 'broken';
-  }
-};
+  };
+}
 
 async function endResponse(send: Send, how: ConnectionEnd): Promise<Ending> {
   const received: Received = { hasHead: false, body: '' };
-  const ending = send(upstream.address, received);
+  const ending = send(received);
   await waitFor('the bytes sent so far', () => received.hasHead && received.body === body);
   upstream.endConnections(how);
   return ending;
@@ -108,9 +113,9 @@
 
 // Guards against taking the reset of a connection for the end of a response that has no length.
 describe.each([
-  ['gateway', sendFromGateway],
-  ['sidecar', sendFromSidecar],
-])('a response without a length to a request from a %s', (_, send) => {
+  ['gateway', openGateway],
+  ['sidecar', openSidecar],
+])('a response without a length to a request from a %s', (_, open) => {
   describe.each(Object.entries(unframedHeads))('with %s', (__, unframedHead) => {
     beforeEach(() => {
       head = unframedHead;
@@ -121,7 +126,7 @@
       ['in its body', 'half of the'],
     ])('is broken if its connection is reset %s', async (___, sent) => {
       body = sent;
-      expect(await endResponse(send, 'reset')).toBe('broken');
+      expect(await endResponse(open(), 'reset')).toBe('broken');
     });
 
     // The client reads the last bytes and the reset in one turn of its event loop.
@@ -131,7 +136,7 @@
     ])('is broken if its connection is reset together with its %s', async (___, sent) => {
       body = sent;
       isResetAtOnce = true;
-      expect(await send(upstream.address, { hasHead: false, body: '' })).toBe('broken');
+      expect(await open()({ hasHead: false, body: '' })).toBe('broken');
     });
 
     it.each([
@@ -139,15 +144,15 @@
       ['after its body', 'the whole body'],
     ])('is whole if its connection is closed %s', async (___, sent) => {
       body = sent;
-      expect(await endResponse(send, 'close')).toBe('whole');
+      expect(await endResponse(open(), 'close')).toBe('whole');
     });
   });
 });
 
 describe.each([
-  ['gateway', sendFromGateway],
-  ['sidecar', sendFromSidecar],
-])('a response with a length to a request from a %s', (_, send) => {
+  ['gateway', openGateway],
+  ['sidecar', openSidecar],
+])('a response with a length to a request from a %s', (_, open) => {
   it.each([
     ['a content length', 'HTTP/1.1 200 OK\r\nContent-Length: 100', 'half'],
     ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked', ''],
@@ -155,8 +160,8 @@
   ])('is broken if its connection ends early: %s', async (__, framedHead, sent) => {
     head = framedHead;
     body = sent;
-    expect(await endResponse(send, 'reset')).toBe('broken');
-    expect(await endResponse(send, 'close')).toBe('broken');
+    expect(await endResponse(open(), 'reset')).toBe('broken');
+    expect(await endResponse(open(), 'close')).toBe('broken');
   });
 });
 
@@ -214,7 +219,7 @@
     head = unframedHeads['Connection: close'];
     body = 'half of the';
     const received: Received = { hasHead: false, body: '' };
-    const ending = sendFromGateway(upstream.address, received);
+    const ending = openGateway()(received);
     await waitFor('the bytes sent so far', () => received.body === body);
     await Promise.all(closers.splice(1).map((close) => close()));
     expect(await ending).toBe('broken');
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -6,13 +6,11 @@
 
 /** TCP connections to upstreams for undici, on which a reset is never taken for the end of a response. */
 
-/** The upstream reset the connection. */
-class ConnectionResetError extends Error {
-  override readonly name = 'ConnectionResetError';
-  readonly code = 'UPSTREAM_CONNECTION_RESET';
-
+/** The upstream reset the connection. undici sends requests that still wait for the connection on another one after a `SocketError`. */
+class ConnectionResetError extends errors.SocketError {
   constructor(cause?: Error) {
-    super('the upstream reset the connection', { cause });
+    super('the upstream reset the connection');
+    this.cause = cause;
   }
 }
 
