--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -37,15 +37,15 @@
   await Promise.all(closers.splice(0).map((close) => close()));
 });
 
-/** A gateway's connections to upstreams. */
-function openGateway(): Send {
+/** A gateway's connections to upstreams; `onFirstData` is called with each attempt before its first bytes are counted. */
+function openGateway(onFirstData: (attempt: UpstreamAttempt) => void = () => undefined): Send {
   const connections = new UpstreamConnections();
   closers.push(() => {
     connections.close();
   });
   return (received) =>
     new Promise((resolve) => {
-      new UpstreamAttempt(
+      const attempt = new UpstreamAttempt(
         connections.find(upstream.address, 1),
         { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
         {
@@ -54,6 +54,9 @@
             received.hasHead = true;
           },
           onData: (bytes) => {
+            if (received.body === '') {
+              onFirstData(attempt);
+            }
             received.body += bytes.toString();
           },
           onEnd: () => {
@@ -167,6 +170,8 @@
 
 // Guards against losing the end of a response, or taking a reset for it, while a slow caller keeps the gateway from reading.
 describe('a response to a gateway that has stopped reading', () => {
+  const pauseTime = 100;
+
   // The end arrives while the gateway does not read (the smaller body), or while it reads the last bytes (the larger one).
   it.each([
     ['without a length is whole', 'Connection: close', 'close', 70_000, 'whole'],
@@ -178,38 +183,16 @@
   ] as const)('%s: %s, then a %s after %d bytes', async (_, field, how, bodyBytes, expected) => {
     head = `HTTP/1.1 200 OK\r\n${field}`;
     body = 'x'.repeat(bodyBytes);
-    const connections = new UpstreamConnections();
-    closers.push(() => {
-      connections.close();
-    });
-    let hasPaused = false;
-    const ending = new Promise<Ending>((resolve) => {
-      const attempt = new UpstreamAttempt(
-        connections.find(upstream.address, 1),
-        { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
-        {
-          onStart: () => undefined,
-          onHead: () => undefined,
-          onData: () => {
-            if (!hasPaused) {
-              hasPaused = true;
-              attempt.pause();
-              upstream.endConnections(how);
-              setTimeout(() => {
-                attempt.resume();
-              }, 100);
-            }
-          },
-          onEnd: () => {
-            resolve('whole');
-          },
-          onError: () => {
-            resolve('broken');
-          },
-        },
-      );
+    const send = openGateway((attempt) => {
+      attempt.pause();
+      upstream.endConnections(how);
+      setTimeout(() => {
+        attempt.resume();
+      }, pauseTime);
     });
-    expect(await ending).toBe(expected);
+    const received: Received = { hasHead: false, body: '' };
+    expect(await send(received)).toBe(expected);
+    expect(received.body === body || expected === 'broken').toBe(true);
   });
 });
 
