--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -11,7 +11,7 @@
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { platformDialect } from '../../platform/wire/requests.js';
 import { createDocument, engineProfile, streamRoute } from '../routing/documents.js';
-import { reservePort, waitFor } from '../support/index.js';
+import { beginUnframed, reservePort, waitFor, writeAndReset } from '../support/index.js';
 import { TestUpstream } from './upstream.js';
 
 interface CallerAnswer {
@@ -103,22 +103,6 @@
   };
 }
 
-/** Begins a response whose end is the end of its connection. */
-function beginUnframed(
-  response: ServerResponse,
-  contentType = 'text/event-stream',
-  headers: Readonly<Record<string, string>> = {},
-): void {
-  response.useChunkedEncodingByDefault = false;
-  response.writeHead(200, { 'content-type': contentType, connection: 'close', ...headers });
-}
-
-/** Writes a part of a response, and resets its connection after the part has arrived. */
-function writeAndReset(response: ServerResponse, text: string): void {
-  response.write(text);
-  setTimeout(() => response.socket?.resetAndDestroy(), 30);
-}
-
 /** Time at which the gateway's clock stands still; undefined while it runs. */
 let frozenAt: number | undefined;
 
--- a/__tests__/platform/engine-client.test.ts
+++ b/__tests__/platform/engine-client.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { createEngineClient } from '../../platform/engine-client.js';
-import { reservePort, waitFor } from '../support/index.js';
+import { beginUnframed, reservePort, waitFor, writeAndReset } from '../support/index.js';
 
 let server: Server | undefined;
 
@@ -45,10 +45,8 @@
 
   it('is unanswered if the connection is reset within a report that has no length', async () => {
     const type = await readStatusType((_, response) => {
-      response.useChunkedEncodingByDefault = false;
-      response.writeHead(200, { connection: 'close' });
-      response.write('{"engine":');
-      setTimeout(() => response.socket?.resetAndDestroy(), 30);
+      beginUnframed(response, 'application/json');
+      writeAndReset(response, '{"engine":');
     });
     expect(type).toBe('unanswered');
   });
--- a/__tests__/requests/faults.test.ts
+++ b/__tests__/requests/faults.test.ts
@@ -16,7 +16,13 @@
   startUpstream,
   type TestSidecar,
 } from './fixture.js';
-import { RawUpstream, SwallowingRelay, waitFor } from '../support/index.js';
+import {
+  beginUnframed,
+  RawUpstream,
+  SwallowingRelay,
+  waitFor,
+  writeAndReset,
+} from '../support/index.js';
 import type { Gateway, GatewayOptions } from '../../src/gateway/index.js';
 
 let cleanup = new Cleanup();
@@ -169,11 +175,6 @@
 
   // Guards against breaking off each response that ends with its connection, and against taking a reset or a crash for such an end.
   describe('whose response has no length', () => {
-    function beginUnframed(answer: ServerResponse, contentType: string): void {
-      answer.useChunkedEncodingByDefault = false;
-      answer.writeHead(200, { 'content-type': contentType, connection: 'close' });
-    }
-
     it.each([
       ['application/json', '{"whole":true}'],
       ['text/event-stream', 'data: 1\n\ndata: [DONE]\n\n'],
@@ -192,8 +193,7 @@
       const pending = chat(url, {}, { 'pistachiospoke-non-idempotent': 'true' });
       const answer = await upstream.answer(0);
       beginUnframed(answer, 'application/json');
-      answer.write('{"half":');
-      setTimeout(() => answer.socket?.resetAndDestroy(), 30);
+      writeAndReset(answer, '{"half":');
       const failure = (await (await pending).json()) as { error: { name: string } };
       expect(failure.error.name).toBe('answerBroken');
     });
--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -10,4 +10,5 @@
 export { ProgramGroup, RunningProgram, type ProgramExit, type ProgramOptions } from './programs.js';
 export { RawUpstream, type ConnectionEnd } from './raw-upstream.js';
 export { SwallowingRelay, type RelayMode } from './relay.js';
+export { beginUnframed, writeAndReset } from './unframed-response.js';
 export { waitFor } from './wait.js';
