--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,5 +1,4 @@
 import { connect } from 'node:net';
-import { Agent } from 'node:http';
 import { dirname } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
@@ -11,91 +10,89 @@
 import { Runner } from '../lib-2/runner.mjs';
 
 /**
- * A few callers ask for long answers, which the runner sends with `Connection: close`, and read them slowly. Other callers of the same
- * gateway go on with short requests. Each of these must be answered by the timeout of its route, or half a second later.
+ * Gateways get SIGTERM in turn. At each of them one client has asked for an answer that the runner has handed out in full; the client reads it
+ * slowly, and well within its time limit. Each client must get its whole answer.
  */
 
 const key = 'key-a';
-/** Sizes of the long answers, in pieces: about 3.7 to 4.4 MB. */
+/** Sizes of the answers, in pieces: about 3.7 to 4.4 MB. Each goes to a client of another gateway. */
 const pieceBytes = 61_440;
 const pieceCounts = Array.from({ length: 12 }, (_, index) => 60 + index);
 const piecePause = 20;
-/** How long a slow caller does not read. */
+const controlMachines = 3;
+/** When the clients go on reading, and when the first gateway gets SIGTERM, both after the requests were sent. */
 const unreadFor = 6000;
-const callerCount = 10;
-const callerPause = 200;
-const callerLimit = 4000;
-const lateness = 500;
+const stopAfter = 1600;
+const pauseBetweenStops = 50;
 
-const deployment = new Deployment(4);
+const deployment = new Deployment(controlMachines + pieceCounts.length);
+/** Attempts whose answer the runner has written and the gateway has taken in full. */
+const handedOut = new Set();
 let runner;
-let isOver = false;
 
 async function play(record) {
   const { ips, ports } = deployment;
   const controlAddresses = deployment.controlIps.map((ip) => `${ip}:${ports.control}`);
   await waitFor('a leader', () => deployment.findLeader());
   await putManifest(controlAddresses, createManifest({ version: 3, keys: { branch: [key] } }));
-  runner = new Runner({ id: 'i-0', service, controlAddresses, answer });
-  await runner.open('127.0.60.1', await findFreePort(['127.0.60.1']));
-  const ip = ips.at(-1);
-  const front = `${ip}:${ports.front}`;
-  for (let index = 0; index < 5; index += 1) {
+  runner = new Runner({
+    id: 'i-0',
+    service,
+    controlAddresses,
+    answer: (request, body, response) => answer(request, body, response, record),
+  });
+  await runner.open('127.0.90.1', await findFreePort(['127.0.90.1']));
+  const gateways = ips.slice(controlMachines);
+  for (const ip of gateways) {
     await waitFor('a gateway that serves', async () => {
-      return (await askShort(front, `first-${performance.now()}`)).status === 200;
+      return (await askShort(`${ip}:${ports.front}`)).status === 200;
     });
   }
   await sleep(bounds.contact_ms);
-  const short = [];
-  const callers = Array.from({ length: callerCount }, (_, index) => {
-    return sendShort(front, index, short, record);
+  const asked = gateways.map((ip, index) => {
+    return askLong(ip, ports.front, pieceCounts[index], record);
   });
-  await sleep(1000);
-  const long = await Promise.all(
-    pieceCounts.map((pieces) => askLong(ip, ports.front, pieces, record)),
-  );
-  await sleep(500);
-  isOver = true;
-  await Promise.all(callers);
-  await sleep(1500);
-  const { exit } = deployment.find('gateway', ip);
-  if (exit !== undefined) {
-    record.note(`the gateway has ended by itself, exit code ${exit.code}`, exit.at);
+  await sleep(stopAfter);
+  if (isTrouble) {
+    for (const [index, ip] of gateways.entries()) {
+      deployment.signal('gateway', ip, 'SIGTERM');
+      record.note(`gateway ${index + 1} gets SIGTERM`);
+      await sleep(pauseBetweenStops);
+    }
   }
-  record.note(`long answers: ${long.filter(Boolean).length} of ${long.length} came whole`);
-  record.note(`short requests: ${short.length}`);
-  const open = short.filter(({ took }) => took > timeouts.again);
-  const never = open.filter(({ took, status }) => status === 0 || took > timeouts.again + lateness);
-  return never.length * 2 > open.length
-    ? [
-        `${open.length} of ${short.length} short requests had no answer at the timeout of their route, and ${never.length} of these none ` +
-          `${lateness} ms later.`,
-        ...(exit === undefined
-          ? []
-          : [`The gateway ended by itself, with exit code ${exit.code}.`]),
-      ]
-    : [];
+  const results = await Promise.all(asked);
+  for (const [index, ip] of gateways.entries()) {
+    const { exit } = deployment.find('gateway', ip);
+    if (exit !== undefined) {
+      record.note(`gateway ${index + 1} has ended, exit code ${exit.code}`, exit.at);
+    }
+  }
+  return results
+    .filter(({ id, isWhole, isInTime }) => handedOut.has(id) && !isWhole && isInTime)
+    .map(({ id, got, size, after }) => {
+      return (
+        `${id}: the runner had handed out its whole answer, and the connection ended ${after.toFixed(0)} ms after the request with ` +
+        `${got} of ${size} bytes.`
+      );
+    });
 }
 
-/** A long answer in pieces, on a connection that ends with it; a short one at once. */
-async function answer(request, body, response) {
+async function answer(request, body, response, record) {
   const attempt = request.headers['x-attempt-id'];
   const pieces = Number(/long-(\d+)/.exec(request.url)?.[1] ?? 0);
-  const head = {
-    'x-attempt-id': attempt,
-    'x-response-seal': runner.sealOf(attempt),
-    'x-instance-load': '1,0,50',
-  };
   if (pieces === 0) {
-    await sleep(5);
-    const text = `${attempt} `.repeat(80).slice(0, 800);
-    response.writeHead(200, { ...head, 'content-length': text.length }).end(text);
+    await runner.answerUsually(request, body, response);
     return;
   }
+  record.note(`the runner runs ${attempt}`);
   response.writeHead(200, {
-    ...head,
+    'x-attempt-id': attempt,
+    'x-response-seal': runner.sealOf(attempt),
     'content-length': pieces * pieceBytes,
-    connection: 'close',
+  });
+  response.once('finish', () => {
+    handedOut.add(attempt);
+    record.note(`the runner has handed out its answer to ${attempt}, ${pieces * pieceBytes} bytes`);
   });
   for (let index = 1; index < pieces; index += 1) {
     response.write(Buffer.alloc(pieceBytes, 'x'));
@@ -104,9 +101,21 @@
   response.end(Buffer.alloc(pieceBytes, 'x'));
 }
 
-/** Asks for a long answer and, with the disruption, does not read for a while. Resolves with whether it came whole. */
+function askShort(front) {
+  const id = `short-${performance.now()}`;
+  return call({
+    address: front,
+    path: `${paths.again}${id}`,
+    headers: { host, 'x-attempt-id': id, 'x-deadline-ms': '1500', authorization: `Bearer ${key}` },
+    limit: 1500,
+  });
+}
+
+/** Asks for a long answer and does not read for a while. */
 function askLong(ip, port, pieces, record) {
   const id = `long-${pieces}`;
+  const size = pieces * pieceBytes;
+  const sentAt = performance.now();
   const socket = connect(port, ip);
   socket.write(
     [
@@ -121,70 +130,97 @@
     ].join('\r\n'),
   );
   record.note(`${id} sent`);
-  if (isTrouble) {
-    socket.pause();
-    setTimeout(() => socket.resume(), unreadFor);
-  }
+  socket.pause();
+  setTimeout(() => {
+    record.note(`${id}: the client goes on reading`);
+    socket.resume();
+  }, unreadFor);
   return new Promise((resolve) => {
-    let got = 0;
+    const reader = new AnswerReader();
     const finish = (how) => {
       clearTimeout(timer);
       socket.destroy();
-      const isWhole = got >= pieces * pieceBytes;
-      record.note(`${id} ends: ${how}, ${got} bytes of an answer of ${pieces * pieceBytes}`);
-      resolve(isWhole);
+      const after = performance.now() - sentAt;
+      const got = reader.bodyBytes;
+      const isWhole = reader.isComplete && got === size;
+      record.note(`${id}: ${how}, ${got} of ${size} bytes`);
+      resolve({ id, size, got, after, isWhole, isInTime: after < timeouts.once });
     };
-    const timer = setTimeout(() => finish('the caller gave up'), timeouts.once);
+    const timer = setTimeout(() => finish('the client gave up'), timeouts.once);
     socket.on('data', (bytes) => {
-      got += bytes.length;
-      if (got >= pieces * pieceBytes + 100 && bytes.subarray(-5).equals(Buffer.from('0\r\n\r\n'))) {
+      reader.push(bytes);
+      if (reader.isComplete) {
         finish('whole');
       }
     });
-    socket.once('end', () => finish('the connection was closed'));
+    socket.once('end', () => finish('the connection ended'));
     socket.once('error', (error) => finish(error.code));
   });
 }
 
-function askShort(front, id, agent) {
-  return call({
-    address: front,
-    path: `${paths.again}${id}`,
-    headers: {
-      host,
-      'x-attempt-id': id,
-      'x-deadline-ms': String(callerLimit),
-      authorization: `Bearer ${key}`,
-    },
-    limit: callerLimit,
-    agent,
-  });
-}
+/** Counts the bytes of the body of one answer, with a length or in chunks. */
+class AnswerReader {
+  bodyBytes = 0;
+  isComplete = false;
+  #buffer = Buffer.alloc(0);
+  #length;
+  #isHeadRead = false;
+  #chunkLeft = 0;
 
-/** One caller with one kept connection. */
-async function sendShort(front, caller, answers, record) {
-  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  for (let number = 0; !isOver; number += 1) {
-    const id = `short-${caller}-${number}`;
-    const { status, error, sentAt, answeredAt } = await askShort(front, id, agent);
-    const took = answeredAt - sentAt;
-    if (error !== 'ECONNREFUSED') {
-      answers.push({ id, status, took });
+  push(bytes) {
+    this.#buffer = Buffer.concat([this.#buffer, bytes]);
+    if (!this.#isHeadRead) {
+      const end = this.#buffer.indexOf('\r\n\r\n');
+      if (end < 0) {
+        return;
+      }
+      const head = this.#buffer.subarray(0, end).toString('latin1');
+      this.#length = /^content-length: *(\d+)/im.exec(head)?.[1];
+      this.#buffer = this.#buffer.subarray(end + 4);
+      this.#isHeadRead = true;
     }
-    if (took > timeouts.again || status !== 200) {
-      record.note(`${id} sent; after ${took.toFixed(0)} ms: ${status || error}`, sentAt);
+    if (this.#length !== undefined) {
+      this.#take(this.#buffer.length);
+      this.isComplete = this.bodyBytes >= Number(this.#length);
+      return;
     }
-    await sleep(callerPause);
+    this.#readChunks();
+  }
+
+  #readChunks() {
+    for (;;) {
+      if (this.#chunkLeft > 0) {
+        const count = Math.min(this.#chunkLeft, this.#buffer.length);
+        this.#take(count);
+        this.#chunkLeft -= count;
+        if (this.#chunkLeft > 0) {
+          return;
+        }
+      }
+      const line = /^(?:\r\n)?([0-9a-f]+)\r\n/i.exec(
+        this.#buffer.subarray(0, 20).toString('latin1'),
+      );
+      if (line === null) {
+        return;
+      }
+      this.#buffer = this.#buffer.subarray(line[0].length);
+      this.#chunkLeft = Number.parseInt(line[1], 16);
+      if (this.#chunkLeft === 0) {
+        this.isComplete = true;
+        return;
+      }
+    }
+  }
+
+  #take(count) {
+    this.bodyBytes += count;
+    this.#buffer = this.#buffer.subarray(count);
   }
-  agent.destroy();
 }
 
 await runCase({
   folder: dirname(fileURLToPath(import.meta.url)),
   deployment,
   play,
-  cleanUp: () => {
-    isOver = true;
-    runner?.close();
-  },
+  cleanUp: () => runner?.close(),
 });
