--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,4 +1,4 @@
-import { connect } from 'node:net';
+import { Agent } from 'node:http';
 import { dirname } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
@@ -10,217 +10,131 @@
 import { Runner } from '../lib-2/runner.mjs';
 
 /**
- * Gateways get SIGTERM in turn. At each of them one client has asked for an answer that the runner has handed out in full; the client reads it
- * slowly, and well within its time limit. Each client must get its whole answer.
+ * One of three runners hands out wrong bytes for a few seconds: one byte of the status line is wrong in one of fifty answers. Each request
+ * must be answered by the timeout of its route, or half a second later.
  */
 
 const key = 'key-a';
-/** Sizes of the answers, in pieces: about 3.7 to 4.4 MB. Each goes to a client of another gateway. */
-const pieceBytes = 61_440;
-const pieceCounts = Array.from({ length: 12 }, (_, index) => 60 + index);
-const piecePause = 20;
-const controlMachines = 3;
-/** When the clients go on reading, and when the first gateway gets SIGTERM, both after the requests were sent. */
-const unreadFor = 6000;
-const stopAfter = 1600;
-const pauseBetweenStops = 50;
+const runnerCount = 3;
+const garbleFor = 6000;
+/** One of so many answers of the faulty runner is spoiled. */
+const spoiledOneIn = 50;
+const callersPerGateway = 6;
+const callerPause = 30;
+const callerLimit = 4000;
+const lateness = 500;
 
-const deployment = new Deployment(controlMachines + pieceCounts.length);
-/** Attempts whose answer the runner has written and the gateway has taken in full. */
-const handedOut = new Set();
-let runner;
+const deployment = new Deployment(4);
+const runners = [];
+let isGarbling = false;
+let isOver = false;
 
 async function play(record) {
   const { ips, ports } = deployment;
   const controlAddresses = deployment.controlIps.map((ip) => `${ip}:${ports.control}`);
   await waitFor('a leader', () => deployment.findLeader());
   await putManifest(controlAddresses, createManifest({ version: 3, keys: { branch: [key] } }));
-  runner = new Runner({
-    id: 'i-0',
-    service,
-    controlAddresses,
-    answer: (request, body, response) => answer(request, body, response, record),
-  });
-  await runner.open('127.0.90.1', await findFreePort(['127.0.90.1']));
-  const gateways = ips.slice(controlMachines);
-  for (const ip of gateways) {
+  for (let index = 0; index < runnerCount; index += 1) {
+    const ip = `127.0.${60 + index}.1`;
+    const runner = new Runner({ id: `i-${index}`, service, controlAddresses });
+    if (index === 0) {
+      garble(runner, record);
+    }
+    await runner.open(ip, await findFreePort([ip]));
+    runners.push(runner);
+  }
+  const fronts = ips.map((ip) => `${ip}:${ports.front}`);
+  for (const front of fronts) {
     await waitFor('a gateway that serves', async () => {
-      return (await askShort(`${ip}:${ports.front}`)).status === 200;
+      return (await ask(front, `first-${performance.now()}`)).status === 200;
     });
   }
   await sleep(bounds.contact_ms);
-  const asked = gateways.map((ip, index) => {
-    return askLong(ip, ports.front, pieceCounts[index], record);
-  });
-  await sleep(stopAfter);
-  if (isTrouble) {
-    for (const [index, ip] of gateways.entries()) {
-      deployment.signal('gateway', ip, 'SIGTERM');
-      record.note(`gateway ${index + 1} gets SIGTERM`);
-      await sleep(pauseBetweenStops);
-    }
-  }
-  const results = await Promise.all(asked);
-  for (const [index, ip] of gateways.entries()) {
-    const { exit } = deployment.find('gateway', ip);
-    if (exit !== undefined) {
-      record.note(`gateway ${index + 1} has ended, exit code ${exit.code}`, exit.at);
-    }
-  }
-  return results
-    .filter(({ id, isWhole, isInTime }) => handedOut.has(id) && !isWhole && isInTime)
-    .map(({ id, got, size, after }) => {
-      return (
-        `${id}: the runner had handed out its whole answer, and the connection ended ${after.toFixed(0)} ms after the request with ` +
-        `${got} of ${size} bytes.`
-      );
+  const answers = [];
+  const callers = fronts.flatMap((front, gateway) => {
+    return Array.from({ length: callersPerGateway }, (_, index) => {
+      return sendOn(front, `${gateway + 1}-${index}`, answers, record);
     });
+  });
+  await sleep(1000);
+  isGarbling = isTrouble;
+  record.note(isTrouble ? 'the runner i-0 begins to hand out wrong bytes' : 'no disruption');
+  await sleep(garbleFor);
+  isGarbling = false;
+  record.note('all runners are sound');
+  await sleep(14_000);
+  isOver = true;
+  await Promise.all(callers);
+  const open = answers.filter(({ took }) => took > timeouts.again);
+  const never = open.filter(({ took }) => took > timeouts.again + lateness);
+  record.note(`requests: ${answers.length}`);
+  return never.length * 2 > open.length
+    ? [
+        `${open.length} of ${answers.length} requests had no answer at the timeout of their route, and ${never.length} of these none ` +
+          `${lateness} ms later.`,
+      ]
+    : [];
 }
 
-async function answer(request, body, response, record) {
-  const attempt = request.headers['x-attempt-id'];
-  const pieces = Number(/long-(\d+)/.exec(request.url)?.[1] ?? 0);
-  if (pieces === 0) {
-    await runner.answerUsually(request, body, response);
-    return;
-  }
-  record.note(`the runner runs ${attempt}`);
-  response.writeHead(200, {
-    'x-attempt-id': attempt,
-    'x-response-seal': runner.sealOf(attempt),
-    'content-length': pieces * pieceBytes,
-  });
-  response.once('finish', () => {
-    handedOut.add(attempt);
-    record.note(`the runner has handed out its answer to ${attempt}, ${pieces * pieceBytes} bytes`);
-  });
-  for (let index = 1; index < pieces; index += 1) {
-    response.write(Buffer.alloc(pieceBytes, 'x'));
-    await sleep(piecePause);
-  }
-  response.end(Buffer.alloc(pieceBytes, 'x'));
+/** Spoils one of so many answers: the first digit of its status is a 0. */
+function garble(runner, record) {
+  let count = 0;
+  runner.answer = async (request, body, response) => {
+    count += 1;
+    if (!isGarbling || count % spoiledOneIn !== 0) {
+      await runner.answerUsually(request, body, response);
+      return;
+    }
+    const attempt = request.headers['x-attempt-id'];
+    const text = `${attempt} `.repeat(80).slice(0, 800);
+    record.note(`i-0 spoils its answer to ${attempt}: status 000 for 200`);
+    response.socket.write(
+      `HTTP/1.1 000 OK\r\nX-Attempt-Id: ${attempt}\r\nX-Response-Seal: ${runner.sealOf(attempt)}\r\n` +
+        `Content-Length: ${text.length}\r\n\r\n${text}`,
+    );
+  };
 }
 
-function askShort(front) {
-  const id = `short-${performance.now()}`;
+function ask(front, id, agent) {
   return call({
     address: front,
     path: `${paths.again}${id}`,
-    headers: { host, 'x-attempt-id': id, 'x-deadline-ms': '1500', authorization: `Bearer ${key}` },
-    limit: 1500,
+    headers: {
+      host,
+      'x-attempt-id': id,
+      'x-deadline-ms': String(callerLimit),
+      authorization: `Bearer ${key}`,
+    },
+    limit: callerLimit,
+    agent,
   });
 }
 
-/** Asks for a long answer and does not read for a while. */
-function askLong(ip, port, pieces, record) {
-  const id = `long-${pieces}`;
-  const size = pieces * pieceBytes;
-  const sentAt = performance.now();
-  const socket = connect(port, ip);
-  socket.write(
-    [
-      `POST ${paths.once}${id} HTTP/1.1`,
-      `Host: ${host}`,
-      `X-Attempt-Id: ${id}`,
-      `X-Deadline-Ms: ${timeouts.once}`,
-      `Authorization: Bearer ${key}`,
-      'Content-Length: 1',
-      '',
-      'x',
-    ].join('\r\n'),
-  );
-  record.note(`${id} sent`);
-  socket.pause();
-  setTimeout(() => {
-    record.note(`${id}: the client goes on reading`);
-    socket.resume();
-  }, unreadFor);
-  return new Promise((resolve) => {
-    const reader = new AnswerReader();
-    const finish = (how) => {
-      clearTimeout(timer);
-      socket.destroy();
-      const after = performance.now() - sentAt;
-      const got = reader.bodyBytes;
-      const isWhole = reader.isComplete && got === size;
-      record.note(`${id}: ${how}, ${got} of ${size} bytes`);
-      resolve({ id, size, got, after, isWhole, isInTime: after < timeouts.once });
-    };
-    const timer = setTimeout(() => finish('the client gave up'), timeouts.once);
-    socket.on('data', (bytes) => {
-      reader.push(bytes);
-      if (reader.isComplete) {
-        finish('whole');
-      }
-    });
-    socket.once('end', () => finish('the connection ended'));
-    socket.once('error', (error) => finish(error.code));
-  });
-}
-
-/** Counts the bytes of the body of one answer, with a length or in chunks. */
-class AnswerReader {
-  bodyBytes = 0;
-  isComplete = false;
-  #buffer = Buffer.alloc(0);
-  #length;
-  #isHeadRead = false;
-  #chunkLeft = 0;
-
-  push(bytes) {
-    this.#buffer = Buffer.concat([this.#buffer, bytes]);
-    if (!this.#isHeadRead) {
-      const end = this.#buffer.indexOf('\r\n\r\n');
-      if (end < 0) {
-        return;
-      }
-      const head = this.#buffer.subarray(0, end).toString('latin1');
-      this.#length = /^content-length: *(\d+)/im.exec(head)?.[1];
-      this.#buffer = this.#buffer.subarray(end + 4);
-      this.#isHeadRead = true;
-    }
-    if (this.#length !== undefined) {
-      this.#take(this.#buffer.length);
-      this.isComplete = this.bodyBytes >= Number(this.#length);
-      return;
-    }
-    this.#readChunks();
-  }
-
-  #readChunks() {
-    for (;;) {
-      if (this.#chunkLeft > 0) {
-        const count = Math.min(this.#chunkLeft, this.#buffer.length);
-        this.#take(count);
-        this.#chunkLeft -= count;
-        if (this.#chunkLeft > 0) {
-          return;
-        }
-      }
-      const line = /^(?:\r\n)?([0-9a-f]+)\r\n/i.exec(
-        this.#buffer.subarray(0, 20).toString('latin1'),
+/** One caller with one kept connection. */
+async function sendOn(front, caller, answers, record) {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  for (let number = 0; !isOver; number += 1) {
+    const id = `c-${caller}-${number}`;
+    const { status, error, sentAt, answeredAt } = await ask(front, id, agent);
+    const took = answeredAt - sentAt;
+    answers.push({ id, status, took });
+    if (took > timeouts.again || status !== 200) {
+      record.note(
+        `${id} sent to gateway ${caller[0]}; after ${took.toFixed(0)} ms: ${status || error}`,
+        sentAt,
       );
-      if (line === null) {
-        return;
-      }
-      this.#buffer = this.#buffer.subarray(line[0].length);
-      this.#chunkLeft = Number.parseInt(line[1], 16);
-      if (this.#chunkLeft === 0) {
-        this.isComplete = true;
-        return;
-      }
     }
+    await sleep(callerPause);
   }
-
-  #take(count) {
-    this.bodyBytes += count;
-    this.#buffer = this.#buffer.subarray(count);
-  }
+  agent.destroy();
 }
 
 await runCase({
   folder: dirname(fileURLToPath(import.meta.url)),
   deployment,
   play,
-  cleanUp: () => runner?.close(),
+  cleanUp: () => {
+    isOver = true;
+    runners.forEach((runner) => runner.close());
+  },
 });
