--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -26,6 +26,8 @@
 /** `play` resolves with what broke the rule, empty if it held. */
 export async function runCase({ folder, deployment, play, cleanUp }) {
   const record = new Record();
+  // The time for the case is over; what it started ends with this process.
+  process.on('SIGTERM', () => process.exit(2));
   let code = 2;
   let head = [];
   try {
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -59,11 +59,15 @@
   #folder = mkdtempSync(join(tmpdir(), 'review-'));
   #roles = readRoles();
   #running = new Map();
-  #isBootstrapped = false;
 
   /** `machines`: number of machines, at least three; those after the third run a gateway only. */
   constructor(machines = 4) {
     this.ips = Array.from({ length: machines }, (_, index) => `127.0.${40 + index}.1`);
+    // Nothing stays behind, however this process ends.
+    process.once('exit', () => {
+      this.#running.forEach(({ child }) => child.kill('SIGKILL'));
+      rmSync(this.#folder, { recursive: true, force: true });
+    });
   }
 
   get controlIps() {
