--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 
 import { call, putManifest } from '../lib-2/calls.mjs';
-import { isTrouble, runCase } from '../lib-2/case.mjs';
+import { isTrouble, noteRequests, runCase } from '../lib-2/case.mjs';
 import { bounds, Deployment, findFreePort, waitFor } from '../lib-2/deployment.mjs';
 import { createManifest, host, paths, service, timeouts } from '../lib-2/manifest.mjs';
 import { Runner } from '../lib-2/runner.mjs';
@@ -53,7 +53,7 @@
   const answers = [];
   const callers = fronts.flatMap((front, gateway) => {
     return Array.from({ length: callersPerGateway }, (_, index) => {
-      return sendOn(front, `${gateway + 1}-${index}`, answers, record);
+      return sendOn(front, `${gateway + 1}-${index}`, answers);
     });
   });
   await sleep(1000);
@@ -67,7 +67,7 @@
   await Promise.all(callers);
   const open = answers.filter(({ took }) => took > timeouts.again);
   const never = open.filter(({ took }) => took > timeouts.again + lateness);
-  record.note(`requests: ${answers.length}`);
+  noteRequests(record, answers, runners);
   return never.length * 2 > open.length
     ? [
         `${open.length} of ${answers.length} requests had no answer at the timeout of their route, and ${never.length} of these none ` +
@@ -111,19 +111,20 @@
 }
 
 /** One caller with one kept connection. */
-async function sendOn(front, caller, answers, record) {
+async function sendOn(front, caller, answers) {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   for (let number = 0; !isOver; number += 1) {
     const id = `c-${caller}-${number}`;
     const { status, error, sentAt, answeredAt } = await ask(front, id, agent);
-    const took = answeredAt - sentAt;
-    answers.push({ id, status, took });
-    if (took > timeouts.again || status !== 200) {
-      record.note(
-        `${id} sent to gateway ${caller[0]}; after ${took.toFixed(0)} ms: ${status || error}`,
-        sentAt,
-      );
-    }
+    const to = `gateway ${caller[0]}`;
+    answers.push({
+      id,
+      to,
+      answer: status || error,
+      took: answeredAt - sentAt,
+      sentAt,
+      answeredAt,
+    });
     await sleep(callerPause);
   }
   agent.destroy();
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -23,6 +23,26 @@
   }
 }
 
+/** Notes a line for each request: when it was sent, where and when it ran, and how and when it was answered. */
+export function noteRequests(record, requests, runners) {
+  const runs = new Map();
+  for (const { id: runner, arrivals } of runners) {
+    for (const { attempt, at } of arrivals) {
+      runs.set(attempt, [...(runs.get(attempt) ?? []), { runner, at }]);
+    }
+  }
+  for (const { id, to, answer, sentAt, answeredAt } of requests) {
+    const ran = (runs.get(id) ?? []).map(
+      ({ runner, at }) => `${runner} after ${(at - sentAt).toFixed(0)} ms`,
+    );
+    const run = ran.length === 0 ? 'not run' : `run by ${ran.join(' and ')}`;
+    record.note(
+      `${id} sent to ${to}; ${run}; ${answer} after ${(answeredAt - sentAt).toFixed(0)} ms`,
+      sentAt,
+    );
+  }
+}
+
 /** `play` resolves with what broke the rule, empty if it held. */
 export async function runCase({ folder, deployment, play, cleanUp }) {
   const record = new Record();
