Log stalls of the event loop, and the code of the error that ends an attempt

A process whose event loop stood still left no trace: no log line or metric could tell a gateway that was computing from one that its host did not run, or that waited in a system call. Timeouts, the check of the connection shedder included, only run once the stall is over.

'attempt failed' names the code of the error, so that a failed assertion of the HTTP client is told from a broken connection.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -27,6 +27,7 @@
 export { systemClock, type Clock, type Milliseconds, type WallTime } from './time.js';
 export { createLogger, type LogLevel } from './logging.js';
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
+export { EventLoopWatch, type ProcessUsage } from './event-loop-watch.js';
 export { runProcess } from './process-runner.js';
 export { parseItems, type ParsedItems } from './parse-items.js';
 export { pause } from './pause.js';
--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -1,7 +1,9 @@
 import type { Logger } from 'pino';
 
+import { EventLoopWatch } from './event-loop-watch.js';
 import { FailureError } from './failure.js';
 import { LifecycleManager, type ManagedPart } from './lifecycle.js';
+import { systemClock } from './time.js';
 
 /** Runs the parts of a process until it receives a termination signal. */
 
@@ -21,7 +23,8 @@
       logger.error({ part, ...describeError(error) }, 'part failed');
     },
   });
-  for (const part of parts) {
+  const watch = new EventLoopWatch({ clock: systemClock, logger });
+  for (const part of [watch, ...parts]) {
     lifecycle.add(part);
   }
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -450,7 +450,8 @@
       digest: this.#crashes.requestDigest,
       promptSegments: this.#request.promptSegments,
     };
-    this.#logEvent('attempt failed', { error: error.message, isSent, ...content });
+    const code = 'code' in error ? error.code : undefined;
+    this.#logEvent('attempt failed', { error: error.message, code, isSent, ...content });
     this.#dependencies.loads.suspect(target, this.#now());
     this.#dispatch?.noteFailed(this.#now());
     if (isSent) {
