--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -24,6 +24,9 @@
   readonly operators: number;
 }
 
+/** Folder of the built programs: `deployment` has them as minified for the platform's machines. */
+export type PlatformBuild = 'platform' | 'deployment';
+
 export interface CallResult {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -51,6 +54,7 @@
   readonly #evacuationLimit: number | undefined;
   /** Settings of the gateways in addition to the usual ones. */
   readonly #gatewaySettings: object;
+  readonly #build: PlatformBuild;
 
   private constructor(
     group: ProgramGroup,
@@ -59,6 +63,7 @@
     graceMilliseconds: number,
     evacuationLimit: number | undefined,
     gatewaySettings: object,
+    build: PlatformBuild,
   ) {
     this.group = group;
     this.#ports = ports;
@@ -66,6 +71,7 @@
     this.#graceMilliseconds = graceMilliseconds;
     this.#evacuationLimit = evacuationLimit;
     this.#gatewaySettings = gatewaySettings;
+    this.#build = build;
   }
 
   /**
@@ -78,6 +84,7 @@
     graceMilliseconds = 1000,
     evacuationLimit?: number,
     gatewaySettings: object = {},
+    build: PlatformBuild = 'platform',
   ): Promise<PlatformDeployment> {
     const group = await ProgramGroup.create();
     const ports = { internal: await reservePort(), operators: await reservePort() };
@@ -93,6 +100,7 @@
       graceMilliseconds,
       evacuationLimit,
       gatewaySettings,
+      build,
     );
     await Promise.all(engines.map((engine) => engine.open()));
     await deployment.#startControl();
@@ -150,6 +158,14 @@
     });
   }
 
+  sidecarProgram(index: number): RunningProgram {
+    const program = this.#sidecars[index];
+    if (program === undefined) {
+      throw new Error(`no sidecar with index ${index}`);
+    }
+    return program;
+  }
+
   gatewayAddress(index: number): string {
     return this.#gateways[index]?.address ?? '';
   }
@@ -241,7 +257,7 @@
   restartControl(index: number): void {
     const name = controlHosts[index] ?? '';
     const program = this.group.start(
-      'platform/control',
+      `${this.#build}/control`,
       ['--settings', this.#settingsFiles.get(name) ?? ''],
       { label: `control ${name}` },
     );
@@ -254,11 +270,7 @@
     before?.signal('SIGKILL');
     await before?.waitForExit();
     this.#startSidecar(index);
-    const program = this.#sidecars[index];
-    if (program === undefined) {
-      throw new Error(`no sidecar with index ${index}`);
-    }
-    return program;
+    return this.sidecarProgram(index);
   }
 
   get #seeds(): object {
@@ -310,7 +322,9 @@
   #startSidecar(index: number): void {
     const label = nameSidecar(index);
     const file = this.#settingsFiles.get(label) ?? '';
-    this.#sidecars[index] = this.group.start('platform/sidecar', ['--settings', file], { label });
+    this.#sidecars[index] = this.group.start(`${this.#build}/sidecar`, ['--settings', file], {
+      label,
+    });
   }
 
   /** `contracts`: what the deployment has to cope with, as in the gateway's settings. */
@@ -339,7 +353,9 @@
   }
 
   #runGateway(name: string, settingsFile: string): RunningProgram {
-    return this.group.start('platform/gateway', ['--settings', settingsFile], { label: name });
+    return this.group.start(`${this.#build}/gateway`, ['--settings', settingsFile], {
+      label: name,
+    });
   }
 }
 
--- /dev/null
+++ b/__tests__/platform/plain-service.ts
@@ -0,0 +1,144 @@
+import {
+  Agent,
+  request as sendRequest,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+
+import { TestUpstream } from '../direct/upstream.js';
+import { waitFor } from '../support/index.js';
+import type { PlatformDeployment } from './deployment.js';
+
+/** A plain service with test upstreams in a deployment of processes. */
+
+const serviceName = 'desk';
+const host = 'desk.example';
+const apiKey = 'key-1';
+const manifestVersion = 3;
+const heartbeatInterval = 300;
+/** Time that a route gives its requests, in milliseconds. */
+export const routeTimeout = 1500;
+
+/** Paths of its routes; requests of `once` are not idempotent. */
+export const servicePaths = { again: '/again/1', once: '/once/1' } as const;
+
+export interface ServiceAnswer {
+  /** 0 if there was no response. */
+  readonly status: number;
+  readonly body: string;
+  readonly isWhole: boolean;
+  /** Time until the answer had ended, in milliseconds. */
+  readonly duration: number;
+}
+
+/** Answers a request as a sound upstream does. */
+export function answerSoundly(request: IncomingMessage, response: ServerResponse): void {
+  const id = String(request.headers['x-attempt-id']);
+  response.writeHead(200, { 'x-attempt-id': id, 'x-response-seal': `seal of ${id}` }).end('sound');
+}
+
+export class PlainService {
+  readonly upstreams: readonly TestUpstream[];
+  readonly #deployment: PlatformDeployment;
+  #sequence = 0;
+  #heartbeats: NodeJS.Timeout | undefined;
+  #requestCount = 0;
+
+  constructor(deployment: PlatformDeployment, upstreamCount: number) {
+    this.#deployment = deployment;
+    this.upstreams = Array.from({ length: upstreamCount }, () => new TestUpstream());
+  }
+
+  /** Starts sound upstreams and waits until the given number of gateways serve. */
+  async open(gatewayCount: number): Promise<void> {
+    for (const upstream of this.upstreams) {
+      upstream.handle = answerSoundly;
+      await upstream.open();
+    }
+    await waitFor('the manifest to be accepted', async () => {
+      const body = addService(this.#deployment.manifest(manifestVersion));
+      return (await this.#deployment.callControl(0, 'POST', '/Config.Put', body)).status === 200;
+    });
+    this.#heartbeats = setInterval(() => {
+      this.upstreams.forEach((upstream, index) => void this.#announce(upstream, index));
+    }, heartbeatInterval);
+    for (let gateway = 0; gateway < gatewayCount; gateway += 1) {
+      for (const { received } of this.upstreams) {
+        await waitFor('each gateway to use each upstream', async () => {
+          const before = received.length;
+          await this.call(gateway, servicePaths.again);
+          return received.length > before;
+        });
+      }
+    }
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#heartbeats);
+    await Promise.all(this.upstreams.map((upstream) => upstream.close()));
+  }
+
+  /** Sends a request on a new connection. */
+  async call(gateway: number, path: string): Promise<ServiceAnswer> {
+    const startedAt = performance.now();
+    this.#requestCount += 1;
+    const id = `r-${this.#requestCount}`;
+    const [ip, port] = this.#deployment.gatewayAddress(gateway).split(':');
+    const request = sendRequest({
+      host: ip,
+      port,
+      path,
+      agent: new Agent(),
+      headers: { host, authorization: `Bearer ${apiKey}`, 'x-attempt-id': id },
+    });
+    return new Promise((resolve) => {
+      const finish = (answer: Omit<ServiceAnswer, 'duration'>): void => {
+        resolve({ ...answer, duration: performance.now() - startedAt });
+      };
+      request.on('error', (error) => {
+        finish({ status: 0, body: String(error), isWhole: false });
+      });
+      request.on('response', (response) => {
+        let body = '';
+        response.setEncoding('latin1').on('data', (text: string) => {
+          body += text;
+        });
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          finish({ status: response.statusCode ?? 0, body, isWhole: response.complete });
+        });
+      });
+      request.end();
+    });
+  }
+
+  async #announce(upstream: TestUpstream, index: number): Promise<void> {
+    this.#sequence += 1;
+    const body = JSON.stringify({
+      service: serviceName,
+      address: upstream.address,
+      zone: 'z0',
+      version: '1',
+      capacity: 50,
+      state: 'ready',
+      cold_left_ms: 0,
+      sequence: this.#sequence,
+    });
+    await this.#deployment.callControl(0, 'POST', `/Instances.Heartbeat/i-${index}`, body);
+  }
+}
+
+/** Adds the service and its routes to a manifest. */
+function addService(manifest: string): string {
+  const { routes, services, ...rest } = JSON.parse(manifest) as Record<string, object[]>;
+  const shared = { host, service: serviceName, timeout_ms: routeTimeout, attempts: 2 };
+  return JSON.stringify({
+    ...rest,
+    routes: [
+      ...(routes ?? []),
+      { ...shared, name: 'again', path_prefix: '/again/', kind: 'idempotent' },
+      { ...shared, name: 'once', path_prefix: '/once/', kind: 'non_idempotent' },
+    ],
+    services: [...(services ?? []), { name: serviceName, max_conns: 100 }],
+  });
+}
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -44,6 +44,15 @@
 /** Header field that lists the segments of a prompt. */
 const segmentsHeader = 'x-prefix-hash';
 
+/** Calls by path; every other path is that of a stream. */
+const engineCalls: Readonly<Record<string, EngineCall>> = {
+  '/report': 'report',
+  '/healthz': 'health',
+  '/order': 'order',
+};
+
+type EngineCall = 'report' | 'health' | 'order' | 'stream';
+
 export class TestEngine {
   readonly #initialId: string;
   #startCount = 1;
@@ -67,6 +76,13 @@
   readonly received: ReceivedRequest[] = [];
   /** Delay of the report in milliseconds. */
   reportDelay = 0;
+  /** Bytes sent in place of the next responses of each kind; a response each. */
+  readonly faultyResponses: Readonly<Record<EngineCall, string[]>> = {
+    report: [],
+    health: [],
+    order: [],
+    stream: [],
+  };
   /** Number of the next orders that get no response and are held back until `executeHeldOrders`. */
   ordersToHold = 0;
   readonly #heldOrders: OrderBody[] = [];
@@ -162,6 +178,11 @@
       body += String(chunk);
     }
     const { url = '' } = request;
+    const faulty = this.faultyResponses[engineCalls[url] ?? 'stream'].shift();
+    if (faulty !== undefined) {
+      request.socket.write(faulty);
+      return;
+    }
     switch (url) {
       case '/report':
         await pause(this.reportDelay);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 /** Bundles each binary into `dist/`, one file per binary, so that a host needs no node_modules. */
 import { chmod } from 'node:fs/promises';
 
+import { deploymentOptions } from './bundle-options.mjs';
 import { bundlePrograms } from './bundle-programs.mjs';
 
 const names = await bundlePrograms('src/bin', 'dist');
@@ -8,4 +9,7 @@
   await chmod(`dist/${name}.js`, 0o755);
 }
 const platformNames = await bundlePrograms('platform/bin', 'dist/platform');
-console.log(`built ${names.length + platformNames.length} programs into dist/`);
+// The same programs as on the platform's machines, for tests.
+const deployedNames = await bundlePrograms('platform/bin', 'dist/deployment', deploymentOptions);
+const count = names.length + platformNames.length + deployedNames.length;
+console.log(`built ${count} programs into dist/`);
--- a/scripts/bundle-programs.mjs
+++ b/scripts/bundle-programs.mjs
@@ -4,10 +4,10 @@
 
 import { bundleOptions } from './bundle-options.mjs';
 
-/** Returns the names of the programs; `options` are passed to esbuild. */
-export async function bundlePrograms(entryFolder, outdir, options = {}) {
+/** Returns the names of the programs; `options` are those of esbuild. */
+export async function bundlePrograms(entryFolder, outdir, options = bundleOptions) {
   const entries = (await readdir(entryFolder)).filter((name) => name.endsWith('.ts'));
   const entryPoints = entries.map((name) => `${entryFolder}/${name}`);
-  await build({ ...bundleOptions, ...options, entryPoints, outdir });
+  await build({ ...options, entryPoints, outdir });
   return entries.map((name) => name.replace(/\.ts$/, ''));
 }
