Report the end of a connection only to a client that reads

Callers lost all connections to a gateway, whatever they had asked for, when some of them read slowly and an upstream closed its connection after each answer: the process ended with an assertion that nothing caught.

Cause: a slow caller pauses the HTTP client. If the bytes at which it pauses are the last ones, the connection may end during the pause. Node then reports the end at once, since nothing is left to read, and undici asserts in that event of the socket that it is not paused. Sidecars use the same client and the same socket. A response with a length had a milder form: it counted as broken, though it had arrived whole, if its upstream closed the connection meanwhile.

Sockets to upstreams now withhold the end of the stream, and the reset that Node reports as one, until the reader asks for more bytes. A paused client asks for none; once it is resumed it reads the rest, and the end after it.

--- a/__tests__/platform/plain-service.ts
+++ b/__tests__/platform/plain-service.ts
@@ -78,8 +78,8 @@
     await Promise.all(this.upstreams.map((upstream) => upstream.close()));
   }
 
-  /** Sends a request on a new connection. */
-  async call(gateway: number, path: string): Promise<ServiceAnswer> {
+  /** Sends a request on a new connection and reads nothing of the answer's body for `readAfter` milliseconds. */
+  async call(gateway: number, path: string, readAfter = 0): Promise<ServiceAnswer> {
     const startedAt = performance.now();
     this.#requestCount += 1;
     const id = `r-${this.#requestCount}`;
@@ -100,9 +100,11 @@
       });
       request.on('response', (response) => {
         let body = '';
-        response.setEncoding('latin1').on('data', (text: string) => {
-          body += text;
-        });
+        setTimeout(() => {
+          response.setEncoding('latin1').on('data', (text: string) => {
+            body += text;
+          });
+        }, readAfter);
         response.on('error', () => undefined);
         response.on('close', () => {
           finish({ status: response.statusCode ?? 0, body, isWhole: response.complete });
--- a/__tests__/processes/platform-faulty-responses.test.ts
+++ b/__tests__/processes/platform-faulty-responses.test.ts
@@ -72,6 +72,32 @@
   });
 });
 
+// Guards against a gateway that ends when an upstream closes its connection while slow clients keep the gateway from reading.
+describe('responses that end with their connection, to clients that read slowly', () => {
+  /** The kernel takes some 4 MB for a client that does not read. */
+  const sizes = Array.from({ length: 12 }, (_, index) => 3_600_000 + index * 80_000);
+  const readAfter = 700;
+
+  it('reach them whole, and end no gateway', async () => {
+    const bodies = sizes.map((size) => 'x'.repeat(size));
+    for (const upstream of service.upstreams) {
+      upstream.handle = (request, response) => {
+        const id = String(request.headers['x-attempt-id']);
+        const fields = { 'x-attempt-id': id, 'x-response-seal': 'seal', connection: 'close' };
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, fields).end(bodies.pop() ?? '');
+      };
+    }
+    const answers = await Promise.all(
+      sizes.map(() => service.call(0, servicePaths.again, readAfter)),
+    );
+    expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
+    const received = answers.map(({ body }) => body.length).sort((one, other) => one - other);
+    expect(received).toEqual(sizes);
+    expect(deployment.gatewayProgram(0).isRunning).toBe(true);
+  });
+});
+
 // Guards against a deployed sidecar that stands still for seconds, and lets its group be given up, at one wrong byte of its engine.
 describe('a sidecar whose engine answers a call with a status of 000', () => {
   it.each(['report', 'health', 'order'] as const)(
--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout } from 'node:timers/promises';
+
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import { UpstreamAttempt, UpstreamConnections } from '../../src/gateway/direct/index.js';
@@ -70,8 +72,8 @@
     });
 }
 
-/** A sidecar's connections to its upstream. */
-function openSidecar(): Send {
+/** A sidecar's connections to its upstream; `beforeReading` is awaited between the head and the body of a response. */
+function openSidecar(beforeReading: () => Promise<void> = () => Promise.resolve()): Send {
   const client = new HttpUpstreamClient(() => `http://${upstream.address}`);
   closers.push(() => client.close());
   const request = {
@@ -85,6 +87,7 @@
     try {
       const { chunks } = await client.start(request, new AbortController().signal);
       received.hasHead = true;
+      await beforeReading();
       for await (const bytes of chunks) {
         received.body += Buffer.from(bytes).toString();
       }
@@ -116,8 +119,8 @@
 
 // Guards against taking the reset of a connection for the end of a response that has no length.
 describe.each([
-  ['gateway', openGateway],
-  ['sidecar', openSidecar],
+  ['gateway', () => openGateway()],
+  ['sidecar', () => openSidecar()],
 ])('a response without a length to a request from a %s', (_, open) => {
   describe.each(Object.entries(unframedHeads))('with %s', (__, unframedHead) => {
     beforeEach(() => {
@@ -153,8 +156,8 @@
 });
 
 describe.each([
-  ['gateway', openGateway],
-  ['sidecar', openSidecar],
+  ['gateway', () => openGateway()],
+  ['sidecar', () => openSidecar()],
 ])('a response with a length to a request from a %s', (_, open) => {
   it.each([
     ['a content length', 'HTTP/1.1 200 OK\r\nContent-Length: 100', 'half'],
@@ -169,7 +172,7 @@
 });
 
 // Guards against losing the end of a response, or taking a reset for it, while a slow caller keeps the gateway from reading.
-describe('a response to a gateway that has stopped reading', () => {
+describe('a response to a client that has stopped reading', () => {
   const pauseTime = 100;
 
   // The end arrives while the gateway does not read (the smaller body), or while it reads the last bytes (the larger one).
@@ -178,21 +181,51 @@
     ['without a length is whole', 'Connection: close', 'close', 100_000, 'whole'],
     ['without a length is broken', 'Connection: close', 'reset', 70_000, 'broken'],
     ['without a length is broken', 'Connection: close', 'reset', 100_000, 'broken'],
+    // The bytes that make it stop reading are the last ones.
+    ['without a length is whole', 'Connection: close', 'close', 1000, 'whole'],
+    ['without a length is broken', 'Connection: close', 'reset', 1000, 'broken'],
+    ['with a length is whole', 'Content-Length: 1000', 'close', 1000, 'whole'],
+    ['with a length is whole', 'Connection: close\r\nContent-Length: 1000', 'close', 1000, 'whole'],
     ['with a length is whole', 'Content-Length: 70000', 'close', 70_000, 'whole'],
     ['with a length is whole', 'Content-Length: 100000', 'reset', 100_000, 'whole'],
-  ] as const)('%s: %s, then a %s after %d bytes', async (_, field, how, bodyBytes, expected) => {
+  ] as const)(
+    '%s at a gateway: %s, then a %s after %d bytes',
+    async (_, field, how, bodyBytes, expected) => {
+      head = `HTTP/1.1 200 OK\r\n${field}`;
+      body = 'x'.repeat(bodyBytes);
+      const send = openGateway((attempt) => {
+        attempt.pause();
+        upstream.endConnections(how);
+        void setTimeout(pauseTime).then(() => {
+          attempt.resume();
+        });
+      });
+      const received: Received = { hasHead: false, body: '' };
+      expect(await send(received)).toBe(expected);
+      expect(received.body === body || expected === 'broken').toBe(true);
+    },
+  );
+});
+
+// Guards against ending the process, because the connection ends when a slow caller has made its client stop at the last bytes.
+describe('a response to a sidecar whose reader is slow', () => {
+  const pauseTime = 100;
+
+  it.each([
+    ['Connection: close', 70_000],
+    ['Connection: close', 400_000],
+    ['Content-Length: 70000', 70_000],
+    ['Connection: close\r\nContent-Length: 70000', 70_000],
+  ])('is whole: %s, then a close after %d bytes', async (field, bodyBytes) => {
     head = `HTTP/1.1 200 OK\r\n${field}`;
     body = 'x'.repeat(bodyBytes);
-    const send = openGateway((attempt) => {
-      attempt.pause();
-      upstream.endConnections(how);
-      setTimeout(() => {
-        attempt.resume();
-      }, pauseTime);
+    const send = openSidecar(async () => {
+      upstream.endConnections('close');
+      await setTimeout(pauseTime);
     });
     const received: Received = { hasHead: false, body: '' };
-    expect(await send(received)).toBe(expected);
-    expect(received.body === body || expected === 'broken').toBe(true);
+    expect(await send(received)).toBe('whole');
+    expect(received.body).toBe(body);
   });
 });
 
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -18,27 +18,38 @@
  * A socket that reports a reset by the other side as a `ConnectionResetError`, in both forms in which Node reports it.
  * - An error with the code `ECONNRESET`: if the headers of a response do not delimit its body, undici takes it for the end of the body.
  * - The end of the stream, if the last bytes and the reset are read in one turn of the event loop.
+ *
+ * The end of the stream is reported only to a reader that asks for more bytes. undici asks for none while a response is paused, and fails
+ * an assertion that nothing catches if the stream ends meanwhile.
  */
 export class UpstreamSocket extends Socket {
-  #isReset = false;
+  #end: 'closed' | 'reset' | undefined;
 
   override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(isReset(error) ? new ConnectionResetError(error) : error, callback);
   }
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk === null && !this.#hasPeer()) {
-      this.#isReset = true;
-      this.read(0);
-      return false;
+    if (chunk !== null) {
+      return super.push(chunk, encoding);
     }
-    return super.push(chunk, encoding);
+    this.#end = this.#hasPeer() ? 'closed' : 'reset';
+    if (this.#end === 'closed') {
+      return super.push(null);
+    }
+    this.emit('readable');
+    return false;
   }
 
   /** A reset that ends the stream is reported after the bytes before it, since they may complete a response that has a length. */
   override read(size?: number): unknown {
+    const isReader = size !== 0;
+    if (this.#end !== undefined && !isReader) {
+      // Node itself reads no bytes in order to end the stream.
+      return null;
+    }
     const chunk: unknown = super.read(size);
-    if (this.#isReset && chunk === null && this.readableLength === 0) {
+    if (this.#end === 'reset' && chunk === null && this.readableLength === 0) {
       this.destroy(new ConnectionResetError());
     }
     return chunk;
