Offer the end of a connection in a turn of its own

A gateway still ended with the same assertion of the HTTP client when a paused response was resumed and paused again before the end was reported, or paused at the last bytes of a stream whose end was already known: Node schedules the end as soon as the last bytes are read. The memory budget pauses at any time, so callers could meet it.

The socket now keeps the end back itself, tells the reader in a turn of its own that there is something to read, and ends the stream if it asks for more then.

--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -23,38 +23,66 @@
  * an assertion that nothing catches if the stream ends meanwhile.
  */
 export class UpstreamSocket extends Socket {
-  #end: 'closed' | 'reset' | undefined;
-
+  /** How the other side has ended the stream; undefined while it has not. */
+  #end: 'closed' | 'reset' | 'reported' | undefined;
+  #isOfferingEnd = false;
   override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(isReset(error) ? new ConnectionResetError(error) : error, callback);
   }
 
-  override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+  override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null) {
       return super.push(chunk, encoding);
     }
-    this.#end = this.#hasPeer() ? 'closed' : 'reset';
-    if (this.#end === 'closed') {
-      return super.push(null);
+    if (this.#end === undefined) {
+      this.#end = this.#hasPeer() ? 'closed' : 'reset';
+      this.#offerEnd();
     }
-    this.emit('readable');
     return false;
   }
 
-  /** A reset that ends the stream is reported after the bytes before it, since they may complete a response that has a length. */
-  override read(size?: number): unknown {
-    const isReader = size !== 0;
-    if (this.#end !== undefined && !isReader) {
-      // Node itself reads no bytes in order to end the stream.
-      return null;
+  override _read(size: number): void {
+    if (this.#end === undefined) {
+      super._read(size);
     }
+  }
+
+  /** The end is reported after the bytes before it, since they may complete a response that has a length. */
+  override read(size?: number): unknown {
     const chunk: unknown = super.read(size);
-    if (this.#end === 'reset' && chunk === null && this.readableLength === 0) {
-      this.destroy(new ConnectionResetError());
+    // Node itself reads no bytes (0) after the end of the stream.
+    if (chunk === null && size !== 0 && this.#end !== undefined && this.readableLength === 0) {
+      this.#handleRequestForMore(this.#end);
     }
     return chunk;
   }
 
+  /** Lets a reader that is not paused ask for more bytes. */
+  #offerEnd(): void {
+    this.#isOfferingEnd = true;
+    this.emit('readable');
+    this.#isOfferingEnd = false;
+  }
+
+  #handleRequestForMore(end: 'closed' | 'reset' | 'reported'): void {
+    if (end === 'reported') {
+      return;
+    }
+    if (!this.#isOfferingEnd) {
+      // A reader that is being resumed may pause again in this turn.
+      process.nextTick(() => {
+        this.#offerEnd();
+      });
+      return;
+    }
+    this.#end = 'reported';
+    if (end === 'closed') {
+      super.push(null);
+    } else {
+      this.destroy(new ConnectionResetError());
+    }
+  }
+
   /**
    * Whether the connection still exists: after an orderly close by the other side it does, until this side closes it too. Node keeps the
    * address once it has been read, so it must not be read before the end of the stream.
