Bound what is read of responses that do not end

Callers whose request met an upstream that sent bytes without end got garbage with status 200 until the timeout of the route, or 504 although another upstream could have served them; or they were served elsewhere while the gateway went on reading that connection for ever, which kept a place at the upstream.

Cause: the time limits of the HTTP client start again with each part of a response, and gateways switch them off. Nothing bounded the bytes before the end of a head, after a response had been given up, or of a response that is no answer.

- What is left of a response that nobody waits for is read up to 64 KB and for a second; then its connection is closed.
- A success without the receipt of the platform is no answer: the attempt is aborted at its head, and the request repeated where its route allows it.
- A response that is no success is passed on once complete, up to 1 MB; an event of a stream has at most 256 KB.

--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -357,6 +357,10 @@
       this.#handle({ type: 'refused', now: this.#now() });
       return;
     }
+    if (facts.isUnproven) {
+      this.#abortAttempt(attempt, `success without a receipt: status ${status}`);
+      return;
+    }
     if (isUpstreamFailure(status)) {
       this.#dispatch?.noteFailed(this.#now());
       this.#dispatch?.release();
@@ -403,6 +407,10 @@
     this.#stream?.noteBytes(now);
     this.#dispatch?.noteFirstEvent(now);
     this.#responseWriter.push(bytes);
+    if (this.#responseWriter.isOverlong) {
+      this.#abortAttempt(attempt, 'error response or event without end');
+      return;
+    }
     if (this.#responseWriter.isPassedOn) {
       this.#timer.noteForwarded(now);
       this.#handle({ type: 'passedOn' });
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -44,6 +44,8 @@
 export interface ResponseMetadata {
   /** Whether the upstream did not run the request and never will. */
   readonly isNotRun: boolean;
+  /** Whether the response is a success without the receipt that upstreams add to each; its bytes answer no request. */
+  readonly isUnproven: boolean;
   /** The request that the response belongs to; undefined if the upstream does not say. */
   readonly requestId: string | undefined;
   readonly load: UpstreamLoad | undefined;
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -3,7 +3,7 @@
 import { findResultCode, type Failure } from '../../common/index.js';
 import { isFramedResponse } from '../../wire/index.js';
 import { EventFramer } from '../event-framer.js';
-import { isUpstreamFailure } from '../response-status.js';
+import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
 
 /** Writes the response to a caller from the responses of one or more upstreams in succession. */
@@ -13,6 +13,10 @@
  * caller noticing. Responses of plain services have about a kilobyte.
  */
 const maximumBufferedBytes = 256 * 1024;
+/** A response that is no success is buffered until it is complete; it has at most this size. */
+const maximumErrorBytes = 1024 * 1024;
+/** Size of an event of a stream; an incomplete one is held back. */
+const maximumEventBytes = 256 * 1024;
 /** Bytes that may be queued for a slow caller before reading from the upstream is paused. */
 const maximumBacklog = 64 * 1024;
 const millisecondsPerSecond = 1000;
@@ -97,6 +101,12 @@
     return this.#head?.isStream === true && this.isUnframed && this.#framer.isInsideEvent;
   }
 
+  /** Whether the current response holds more bytes back than any sound one, so that its end cannot be expected. */
+  get isOverlong(): boolean {
+    const isError = !this.#isHeadWritten && this.#bufferedBytes > maximumErrorBytes;
+    return isError || this.#framer.heldBytes > maximumEventBytes;
+  }
+
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
   get heldBytes(): number {
     const buffered = this.#isHeadWritten ? 0 : this.#bufferedBytes;
@@ -140,7 +150,7 @@
     }
     this.#buffered.push(bytes);
     this.#bufferedBytes += bytes.length;
-    if (this.#bufferedBytes > maximumBufferedBytes) {
+    if (this.#bufferedBytes > maximumBufferedBytes && isSuccess(this.#head?.status)) {
       this.#writeHead(undefined);
       this.#response.write(Buffer.concat(this.#buffered));
       this.#buffered = [];
--- a/src/gateway/direct/upstream-attempt.ts
+++ b/src/gateway/direct/upstream-attempt.ts
@@ -2,8 +2,16 @@
 
 import type { Dispatcher } from 'undici';
 
+import type { Milliseconds } from '../../common/index.js';
+import type { LimitedClient, LimitedRequestOptions } from '../../wire/index.js';
+
 /** One request to one upstream, sent with undici. */
 
+/** A response that is discarded may go on for so many bytes and so long; then its connection is closed. */
+const maximumDiscardedBytes = 64 * 1024;
+const maximumDiscardTime: Milliseconds = 1000;
+const lowestFinalStatus = 200;
+
 /** Callbacks of an attempt; none is called after `cancel` or `discard`. */
 export interface AttemptListener {
   /** The request is being written to a connection. */
@@ -25,17 +33,23 @@
 
 export class UpstreamAttempt {
   readonly #listener: AttemptListener;
+  #client: LimitedClient | undefined;
   #controller: Dispatcher.DispatchController | undefined;
   #isOver = false;
+  #discardedBytes = 0;
+  #discardTimer: NodeJS.Timeout | undefined;
 
   constructor(dispatcher: Dispatcher, request: AttemptRequest, listener: AttemptListener) {
     this.#listener = listener;
     const { method, path, headers, body } = request;
-    const options: Dispatcher.DispatchOptions = {
+    const options: Dispatcher.DispatchOptions & LimitedRequestOptions = {
       method: method,
       path,
       headers,
       body: body.length === 0 ? null : body,
+      onAssigned: (client) => {
+        this.#client = client;
+      },
     };
     dispatcher.dispatch(options, this.#createHandler());
   }
@@ -51,9 +65,13 @@
     this.#controller?.abort(new Error('the attempt was aborted'));
   }
 
-  /** Ignores the rest of the response; the connection stays open for other requests. */
+  /** Ignores the rest of the response. The connection stays open for other requests if the rest is short and ends soon. */
   discard(): void {
     this.#isOver = true;
+    this.#discardTimer = setTimeout(() => {
+      this.cancel();
+    }, maximumDiscardTime);
+    this.resume();
   }
 
   pause(): void {
@@ -64,6 +82,13 @@
     this.#controller?.resume();
   }
 
+  #noteDiscarded(bytes: number): void {
+    this.#discardedBytes += bytes;
+    if (this.#discardedBytes > maximumDiscardedBytes) {
+      this.cancel();
+    }
+  }
+
   #createHandler(): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (controller) => {
@@ -75,22 +100,27 @@
         this.#listener.onStart();
       },
       onResponseStart: (controller, status, headers) => {
-        if (!this.#isOver) {
+        this.#client?.noteHead(status);
+        if (!this.#isOver && status >= lowestFinalStatus) {
           this.#listener.onHead(status, headers, decodeRawHeaders(controller.rawHeaders));
         }
       },
       onResponseData: (_, chunk) => {
-        if (!this.#isOver) {
+        if (this.#isOver) {
+          this.#noteDiscarded(chunk.length);
+        } else {
           this.#listener.onData(chunk);
         }
       },
       onResponseEnd: () => {
+        clearTimeout(this.#discardTimer);
         if (!this.#isOver) {
           this.#isOver = true;
           this.#listener.onEnd();
         }
       },
       onResponseError: (_, error) => {
+        clearTimeout(this.#discardTimer);
         if (!this.#isOver) {
           this.#isOver = true;
           this.#listener.onError(error, this.isSent);
--- a/src/gateway/direct/upstream-connections.ts
+++ b/src/gateway/direct/upstream-connections.ts
@@ -2,7 +2,7 @@
 
 import type { Milliseconds } from '../../common/index.js';
 import type { RoutingView } from '../../watch/index.js';
-import { createUpstreamConnector } from '../../wire/index.js';
+import { createUpstreamConnector, LimitedClient } from '../../wire/index.js';
 import { ResettingSocket } from './resetting-socket.js';
 
 /** Connections to upstreams, with one pool per address. */
@@ -33,14 +33,15 @@
     if (known !== undefined) {
       return known;
     }
+    const connect = createUpstreamConnector({
+      timeout: connectTimeout,
+      createSocket: () => new ResettingSocket(),
+      onReset: this.#onReset,
+    });
     const pool = new Pool(`http://${address}`, {
       connections: Math.max(minimumConnections, limit),
       pipelining: 1,
-      connect: createUpstreamConnector({
-        timeout: connectTimeout,
-        createSocket: () => new ResettingSocket(),
-        onReset: this.#onReset,
-      }),
+      factory: (origin, options) => new LimitedClient(origin, { ...options, connect }),
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
       // Requests have their own deadlines; these timeouts would interrupt responses that are merely slow.
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -10,6 +10,7 @@
 } from './messages.js';
 export { noMetrics, type Metrics, type MetricTags } from './metrics.js';
 export { RequestController, type RequestDependencies } from './request-controller.js';
+export { isSuccess } from './response-status.js';
 export { RetryBudget } from './retry-budget.js';
 export { Router, type RouteQuery, type RouteDecision } from './router.js';
 export { createGateway, Gateway } from './shell/gateway.js';
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -1,4 +1,4 @@
-import { Agent, request as sendRequest, errors } from 'undici';
+import { Agent, errors, Pool, request as sendRequest } from 'undici';
 
 import {
   createFailure,
@@ -7,7 +7,12 @@
   type Milliseconds,
   type ProbeVerdict,
 } from '../../common/index.js';
-import { createUpstreamConnector, isFramedResponse } from '../../wire/index.js';
+import {
+  createUpstreamConnector,
+  isFramedResponse,
+  LimitedClient,
+  type LimitedRequestOptions,
+} from '../../wire/index.js';
 import type { HeaderField, UpstreamRequest } from './messages.js';
 
 /** A streamed response of the upstream. */
@@ -44,6 +49,8 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+type RequestOptions = Parameters<typeof sendRequest>[1] & LimitedRequestOptions;
+
 /** Sends requests to an upstream over HTTP with undici, without retries. */
 export class HttpUpstreamClient implements UpstreamClient {
   readonly #agent: Agent;
@@ -52,11 +59,15 @@
   /** `readBaseUrl` returns undefined while no upstream has announced itself. */
   constructor(readBaseUrl: () => string | undefined) {
     this.#readBaseUrl = readBaseUrl;
+    const connect = createUpstreamConnector({ timeout: connectTimeout });
     this.#agent = new Agent({
-      connect: createUpstreamConnector({ timeout: connectTimeout }),
-      pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      factory: (origin, agentOptions) =>
+        new Pool(origin, {
+          ...(agentOptions as Pool.Options),
+          factory: (url, options) => new LimitedClient(url, { ...options, connect }),
+        }),
     });
   }
 
@@ -67,14 +78,21 @@
         createFailure('upstreamUnreachable', 'no upstream has announced itself'),
       );
     }
+    let client: LimitedClient | undefined;
+    const options: RequestOptions = {
+      dispatcher: this.#agent,
+      method: request.method,
+      headers: flattenHeaders(request.headers),
+      body: request.body.length > 0 ? request.body : null,
+      signal,
+      onAssigned: (assigned) => {
+        client = assigned;
+      },
+      onInfo: ({ statusCode }) => client?.noteHead(statusCode),
+    };
     try {
-      const response = await sendRequest(new URL(request.path, baseUrl), {
-        dispatcher: this.#agent,
-        method: request.method,
-        headers: flattenHeaders(request.headers),
-        body: request.body.length > 0 ? request.body : null,
-        signal,
-      });
+      const response = await sendRequest(new URL(request.path, baseUrl), options);
+      client?.noteHead(response.statusCode);
       return {
         status: response.statusCode,
         headers: listHeaders(response.headers),
--- a/src/sidecar/shell/order-runner.ts
+++ b/src/sidecar/shell/order-runner.ts
@@ -127,6 +127,7 @@
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ ...action, fencingNumber, sequence }),
         headersTimeout: defaultOrderOptions.answerTimeout,
+        signal: AbortSignal.timeout(defaultOrderOptions.answerTimeout),
       });
       await response.body.dump();
       if (response.statusCode === conflictStatus) {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -18,6 +18,11 @@
 export { StreamIdleTimeout } from './stream-idle-timeout.js';
 export { decodeUpstreamLimits, encodeUpstreamLimits } from './upstream-limits.js';
 export { MessageQueue } from './message-queue.js';
+export {
+  LimitedClient,
+  type LimitedClientOptions,
+  type LimitedRequestOptions,
+} from './limited-client.js';
 export { isFramedResponse } from './response-framing.js';
 export { RpcClientPool } from './rpc-client.js';
 export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -14,6 +14,13 @@
   }
 }
 
+/** The upstream keeps sending interim responses, blank lines or other bytes in place of the head of its response. */
+export class EndlessHeadError extends errors.SocketError {
+  constructor() {
+    super('the head of the response does not end');
+  }
+}
+
 /**
  * A socket that reports a reset by the other side as a `ConnectionResetError`, in both forms in which Node reports it.
  * - An error with the code `ECONNRESET`: if the headers of a response do not delimit its body, undici takes it for the end of the body.
@@ -26,12 +33,19 @@
   /** How the other side has ended the stream; undefined while it has not. */
   #end: 'closed' | 'reset' | 'reported' | undefined;
   #isOfferingEnd = false;
+  /** Called with the size of each read; returns whether the head of the response counts as endless. */
+  onRead: (bytes: number) => boolean = () => false;
+
   override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(isReset(error) ? new ConnectionResetError(error) : error, callback);
   }
 
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null) {
+      if (this.onRead(chunk.length)) {
+        this.destroy(new EndlessHeadError());
+        return false;
+      }
       return super.push(chunk, encoding);
     }
     if (this.#end === undefined) {
@@ -92,6 +106,12 @@
   }
 }
 
+/** A connector for undici, which passes on the sockets that it creates. */
+export type UpstreamConnector = (
+  target: buildConnector.Options,
+  callback: (...result: [null, UpstreamSocket] | [Error, null]) => void,
+) => void;
+
 export interface UpstreamConnectorOptions {
   /** A connection that is not open within this time fails. */
   readonly timeout: Milliseconds;
@@ -105,7 +125,7 @@
   timeout,
   createSocket = () => new UpstreamSocket(),
   onReset = () => undefined,
-}: UpstreamConnectorOptions): buildConnector.connector {
+}: UpstreamConnectorOptions): UpstreamConnector {
   return ({ hostname, port }, callback) => {
     const address = `${hostname}:${port}`;
     const socket = createSocket();
