--- a/__tests__/requests/endless-responses.test.ts
+++ b/__tests__/requests/endless-responses.test.ts
@@ -3,6 +3,15 @@
 import { createEngineClient } from '../../platform/engine-client.js';
 import { HttpUpstreamClient } from '../../src/sidecar/attempts/index.js';
 import { EndlessResponse, RawUpstream, waitFor } from '../support/index.js';
+import {
+  admit,
+  chat,
+  Cleanup,
+  FakeWatched,
+  modelGroup,
+  startGateway,
+  startSidecar,
+} from './fixture.js';
 
 /** Time in which a call must end and its connection be closed, in milliseconds. */
 const limit = 4000;
@@ -89,3 +98,49 @@
     });
   },
 );
+
+/** The whole path through a sidecar, with one attempt; resolves with the text of the caller's answer, or undefined if it broke off. */
+async function askThroughSidecar(
+  cleanup: Cleanup,
+  isStreamed: boolean,
+): Promise<string | undefined> {
+  const group = modelGroup('');
+  const sidecar = await startSidecar(`http://${upstream.address}`, admit(group), cleanup);
+  const watched = new FakeWatched();
+  watched.set([modelGroup(sidecar.address)]);
+  const { url } = await startGateway(watched, cleanup);
+  const response = await chat(
+    url,
+    { stream: isStreamed },
+    { 'pistachiospoke-non-idempotent': 'true' },
+  );
+  return response.text().catch(() => undefined);
+}
+
+const endlessAnswers = {
+  'a success': ['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', false],
+  'a failure': ['HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n', false],
+  'a rejection with a pause': [
+    'HTTP/1.1 503 Full\r\nRetry-After: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
+    false,
+  ],
+  'an event of a stream': [
+    'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n',
+    true,
+  ],
+} as const;
+
+// Guards against a sidecar that reads the answer of its upstream for ever, although its caller has got a failure.
+describe.each(Object.entries(endlessAnswers))(
+  'an answer without end through a sidecar: %s',
+  (_, [first, isStreamed]) => {
+    it('ends the request, and its connection is closed', async () => {
+      [beginning, repeated] = [first, `400\r\n${'x'.repeat(1024)}\r\n`];
+      const cleanup = new Cleanup();
+      closers.push(() => cleanup.run());
+      const asking = askThroughSidecar(cleanup, isStreamed);
+      await expectEnd(asking);
+      expect((await asking)?.includes('"name"') ?? true).toBe(true);
+    });
+  },
+);
--- a/src/gateway/direct/upstream-attempt.ts
+++ b/src/gateway/direct/upstream-attempt.ts
@@ -70,7 +70,7 @@
     this.#isOver = true;
     this.#discardTimer = setTimeout(() => {
       this.cancel();
-    }, maximumDiscardTime);
+    }, maximumDiscardTime).unref();
     this.resume();
   }
 
