Count an upstream that sends bytes that are no answer as broken

A success without a receipt, or an error response or event without end, closed the connection, but the upstream was neither probed for a crash nor passed over. An upstream that crashes right after the head of a response without a receipt was not counted as crashed, and a prompt segment that crashes upstreams was not held back.

Such attempts now end like any broken one: the upstream is probed and suspected.

--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -316,7 +316,7 @@
           this.#handleHead(attempt, target, status, answerHeaders, raw);
         },
         onData: (bytes) => {
-          this.#handleData(attempt, bytes);
+          this.#handleData(attempt, target, bytes);
         },
         onEnd: () => {
           this.#handleEnd(attempt, target);
@@ -358,7 +358,7 @@
       return;
     }
     if (facts.isUnproven) {
-      this.#abortAttempt(attempt, `success without a receipt: status ${status}`);
+      this.#failAttempt(attempt, target, `success without a receipt: status ${status}`);
       return;
     }
     if (isUpstreamFailure(status)) {
@@ -398,7 +398,7 @@
     return isReplaced;
   }
 
-  #handleData(attempt: UpstreamAttempt, bytes: Buffer): void {
+  #handleData(attempt: UpstreamAttempt, target: Target, bytes: Buffer): void {
     const now = this.#now();
     if (this.#firstDataAt === undefined) {
       this.#firstDataAt = now;
@@ -408,7 +408,7 @@
     this.#dispatch?.noteFirstEvent(now);
     this.#responseWriter.push(bytes);
     if (this.#responseWriter.isOverlong) {
-      this.#abortAttempt(attempt, 'error response or event without end');
+      this.#failAttempt(attempt, target, 'error response or event without end');
       return;
     }
     if (this.#responseWriter.isPassedOn) {
@@ -471,6 +471,12 @@
     this.#handle({ type: isSent ? 'broken' : 'unreachable', now: this.#now() });
   }
 
+  /** Closes the connection of an attempt whose bytes are no answer; its upstream may be about to crash. */
+  #failAttempt(attempt: UpstreamAttempt, target: Target, reason: string): void {
+    attempt.cancel();
+    this.#handleError(attempt, target, new Error(reason), true);
+  }
+
   #abortAttempt(attempt: UpstreamAttempt, reason: string): void {
     this.#logEvent('attempt aborted', { reason });
     this.#abandon(attempt);
