--- a/src/gateway/direct/upstream-attempt.ts
+++ b/src/gateway/direct/upstream-attempt.ts
@@ -3,14 +3,17 @@
 import type { Dispatcher } from 'undici';
 
 import type { Milliseconds } from '../../common/index.js';
-import type { LimitedClient, LimitedRequestOptions } from '../../wire/index.js';
+import {
+  lowestFinalStatus,
+  type LimitedClient,
+  type LimitedRequestOptions,
+} from '../../wire/index.js';
 
 /** One request to one upstream, sent with undici. */
 
 /** A response that is discarded may go on for so many bytes and so long; then its connection is closed. */
 const maximumDiscardedBytes = 64 * 1024;
 const maximumDiscardTime: Milliseconds = 1000;
-const lowestFinalStatus = 200;
 
 /** Callbacks of an attempt; none is called after `cancel` or `discard`. */
 export interface AttemptListener {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -20,6 +20,7 @@
 export { MessageQueue } from './message-queue.js';
 export {
   LimitedClient,
+  lowestFinalStatus,
   type LimitedClientOptions,
   type LimitedRequestOptions,
 } from './limited-client.js';
--- a/src/wire/limited-client.ts
+++ b/src/wire/limited-client.ts
@@ -9,7 +9,8 @@
 
 /** An HTTP client for one connection to an upstream, which closes it if the head of a response does not end. */
 
-const lowestFinalStatus = 200;
+/** Responses with a lower status are interim. */
+export const lowestFinalStatus = 200;
 
 export interface LimitedClientOptions extends Omit<Client.Options, 'connect'> {
   readonly connect: UpstreamConnector;
