Log and measure what reads, changes and announcements wait for at control

An operator's read or change that got no answer left a single error at the host that forwarded it. The hypotheses for the configuration that was not read back could not be told apart with that.

- A failed read is logged with the leader that was asked, the duration and the reason.
- A start logs how long reading the data folder took and how many entries it held; a new leader logs when it has committed an entry of its term, from which on it can confirm reads.

No behaviour changes.

--- a/__tests__/consensus/consensus-node.test.ts
+++ b/__tests__/consensus/consensus-node.test.ts
@@ -119,6 +119,8 @@
     clock: systemClock,
     random: createRandomSource(name.charCodeAt(0)),
     observer: {
+      opened: () => undefined,
+      termCommitted: () => undefined,
       leadershipChanged: () => undefined,
       failed: (failure) => failures.push(failure),
     },
--- a/__tests__/control/large-documents.test.ts
+++ b/__tests__/control/large-documents.test.ts
@@ -24,6 +24,7 @@
 } from '../../src/routing/index.js';
 import { RpcClientPool } from '../../src/wire/index.js';
 import { createDocument, streamRoute } from '../routing/documents.js';
+import { createForwardedCalls } from './forwarded-calls.js';
 
 const heartbeatSeconds = 0.1;
 const linkBitsPerSecond = 100_000_000;
@@ -56,7 +57,13 @@
       },
     };
     const clients = new RpcClientPool();
-    const shared = { log, clients, clock: systemClock, findAddress: () => undefined };
+    const shared = {
+      log,
+      clients,
+      clock: systemClock,
+      findAddress: () => undefined,
+      forwarded: createForwardedCalls(),
+    };
     this.routing = new RoutingControl({
       ...shared,
       submitter: new CommandSubmitter(shared),
--- a/__tests__/control/leader-client.test.ts
+++ b/__tests__/control/leader-client.test.ts
@@ -4,6 +4,7 @@
 import { RoutingService } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
 import { createRpcServer, RpcClientPool } from '../../src/wire/index.js';
 import { reservePort } from '../support/index.js';
+import { createForwardedCalls } from './forwarded-calls.js';
 
 let clients: RpcClientPool;
 let server: ReturnType<typeof createRpcServer> | undefined;
@@ -22,7 +23,11 @@
   const address = `127.0.0.1:${await reservePort()}`;
   server = createRpcServer({ address, routes: describeLeader(service) });
   await server.open();
-  return new LeaderClient({ clients, findAddress: () => address });
+  return new LeaderClient({
+    clients,
+    findAddress: () => address,
+    forwarded: createForwardedCalls(),
+  });
 }
 
 function describeLeader(service: { readonly confirmIndex?: () => { readonly index: bigint } }) {
@@ -44,7 +49,11 @@
   });
 
   it('is unknown without a leader, or if it does not answer', async () => {
-    const client = new LeaderClient({ clients, findAddress: () => '127.0.0.1:1' });
+    const client = new LeaderClient({
+      clients,
+      findAddress: () => '127.0.0.1:1',
+      forwarded: createForwardedCalls(),
+    });
     expect((await client.confirmIndex(undefined)).val).toMatchObject({ code: 'notFresh' });
     expect((await client.confirmIndex('leader')).val).toMatchObject({ code: 'notFresh' });
   });
--- a/__tests__/control/outcome-reports.test.ts
+++ b/__tests__/control/outcome-reports.test.ts
@@ -15,6 +15,7 @@
 } from '../../src/generated/pistachiospoke/v1/routing_pb.js';
 import { RpcClientPool } from '../../src/wire/index.js';
 import { createDocument } from '../routing/documents.js';
+import { createForwardedCalls } from './forwarded-calls.js';
 
 type HandleReport = (report: DemandReport) => unknown;
 
@@ -35,7 +36,13 @@
       propose: (command) => Promise.resolve(new Ok(this.#machine.apply(1, command))),
     };
     const clock = { monotonic: () => this.now, wall: () => this.now };
-    const shared = { log, clients: new RpcClientPool(), clock, findAddress: () => undefined };
+    const shared = {
+      log,
+      clients: new RpcClientPool(),
+      clock,
+      findAddress: () => undefined,
+      forwarded: createForwardedCalls(),
+    };
     this.#routing = new RoutingControl({
       ...shared,
       submitter: new CommandSubmitter(shared),
--- a/bench/consensus/log-role.ts
+++ b/bench/consensus/log-role.ts
@@ -67,6 +67,8 @@
     random: createEntropySource(),
     observer: {
       notice: reportProgress,
+      opened: () => undefined,
+      termCommitted: () => undefined,
       leadershipChanged: () => undefined,
       failed: (failure) => {
         reportProgress(failure.detail);
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -19,6 +19,7 @@
   type ConsensusEvent,
   type ConsensusMessage,
   type CoreTuning,
+  type LogEntry,
   type Member,
   type Membership,
   type MembershipChange,
@@ -35,8 +36,26 @@
 /** Longest time that a stopping leader waits for another host to take over. */
 const resignTimeout: Milliseconds = 1000;
 
+/** How long reading the data folder took, and what it held. */
+export interface OpenedLog {
+  readonly duration: Milliseconds;
+  readonly snapshotIndex: number;
+  /** Number of entries after the snapshot. */
+  readonly entries: number;
+}
+
+/** The first entry that a leader has committed in its term; from then on it can confirm reads. */
+export interface CommittedTerm {
+  readonly term: number;
+  readonly index: number;
+  /** Time since this host became leader. */
+  readonly duration: Milliseconds;
+}
+
 /** Receives events for an operator. */
 export interface ConsensusObserver {
+  readonly opened: (log: OpenedLog) => void;
+  readonly termCommitted: (committed: CommittedTerm) => void;
   readonly leadershipChanged: (view: LeadershipView) => void;
   /** The node has stopped because of a failure (`diskFailed`, `internal`); the process must exit. */
   readonly failed: (failure: Failure) => void;
@@ -83,6 +102,7 @@
   #queuedProposals: Proposal[] = [];
   #snapshotIndex = 0;
   #appliedIndex = 0;
+  #leadingSince: Milliseconds = 0;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: ConsensusNodeOptions<Answer>) {
@@ -99,7 +119,8 @@
 
   /** Reads the data folder and joins the log; rejects with a FailureError when the folder is not usable. */
   async open(): Promise<void> {
-    const { name, peers, machine, folder, tuning, random, transport } = this.#options;
+    const { name, peers, machine, folder, tuning, random, transport, observer } = this.#options;
+    const startedAt = this.#now();
     const stored = await folder.open();
     if (stored.snapshot !== undefined) {
       machine.restoreSnapshot(stored.snapshot.index, stored.snapshot.data);
@@ -107,6 +128,11 @@
       this.#appliedIndex = stored.snapshot.index;
     }
     this.#core = new ConsensusCore({ name, peers, tuning, random }, stored);
+    observer.opened({
+      duration: this.#now() - startedAt,
+      snapshotIndex: this.#snapshotIndex,
+      entries: stored.entries.length,
+    });
     transport.open();
     this.#timer = setInterval(() => {
       this.#tick();
@@ -260,6 +286,7 @@
         return;
       }
       case 'leadershipChanged':
+        this.#leadingSince = this.#now();
         this.#options.observer.leadershipChanged(effect.view);
         return;
     }
@@ -279,6 +306,9 @@
 
   #apply({ entry, proposalId }: CommittedEntry): void {
     this.#appliedIndex = entry.index;
+    if (entry.payload.type === 'leaderStart') {
+      this.#reportCommittedTerm(entry);
+    }
     if (entry.payload.type !== 'command') {
       return;
     }
@@ -288,6 +318,14 @@
     }
   }
 
+  #reportCommittedTerm({ index, term }: LogEntry): void {
+    const view = this.view();
+    if (view.type === 'leader' && view.term === term) {
+      const duration = this.#now() - this.#leadingSince;
+      this.#options.observer.termCommitted({ term, index, duration });
+    }
+  }
+
   #takeSnapshotWhenDue(): void {
     if (this.#appliedIndex - this.#snapshotIndex < this.#options.snapshotInterval) {
       return;
--- a/src/control/routing/leader-client.ts
+++ b/src/control/routing/leader-client.ts
@@ -1,4 +1,4 @@
-import { Code, ConnectError } from '@connectrpc/connect';
+import { Code, ConnectError, type Client } from '@connectrpc/connect';
 import { Err, Ok, type Result } from 'ts-results';
 
 import {
@@ -11,6 +11,7 @@
 import { RoutingService } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import type { Announcement } from '../../routing/index.js';
 import type { RpcClientPool } from '../../wire/index.js';
+import type { ForwardedCalls } from '../forwarded-calls.js';
 
 /** Forwards calls of operators and instances to the leader. */
 
@@ -22,6 +23,12 @@
 export interface LeaderClientOptions {
   readonly clients: RpcClientPool;
   readonly findAddress: (name: string) => string | undefined;
+  readonly forwarded: ForwardedCalls;
+}
+
+interface Target {
+  readonly leader: string;
+  readonly client: Client<typeof RoutingService>;
 }
 
 interface CallAnswer {
@@ -38,12 +45,14 @@
 
   /** Reads the operator's source text of the active document from the leader. */
   async read(leader: string | undefined): Promise<Result<string, Failure>> {
-    const client = this.#findClient(leader);
-    if (client === undefined) {
+    const target = this.#findTarget(leader);
+    if (target === undefined) {
       return new Err(createFailure('notFresh', 'no leader'));
     }
     try {
-      const answer = await client.read({}, { timeoutMs: callTimeout });
+      const answer = await this.#options.forwarded.measure('read', target.leader, () =>
+        target.client.read({}, { timeoutMs: callTimeout }),
+      );
       return decodeAnswer(answer).map(() => answer.source);
     } catch (error) {
       return new Err(createFailure('notFresh', String(error)));
@@ -52,12 +61,14 @@
 
   /** Log index from which on the state has every change that was acknowledged before the call. */
   async confirmIndex(leader: string | undefined): Promise<Result<number, Failure>> {
-    const client = this.#findClient(leader);
-    if (client === undefined) {
+    const target = this.#findTarget(leader);
+    if (target === undefined) {
       return new Err(createFailure('notFresh', 'no leader'));
     }
     try {
-      const answer = await client.confirmIndex({}, { timeoutMs: confirmTimeout });
+      const answer = await this.#options.forwarded.measure('confirmation', target.leader, () =>
+        target.client.confirmIndex({}, { timeoutMs: confirmTimeout }),
+      );
       return decodeAnswer(answer).map(() => Number(answer.index));
     } catch (error) {
       // A leader of an earlier version cannot be asked; gateways that start during the upgrade must not wait for its end.
@@ -73,25 +84,28 @@
     leader: string | undefined,
     announcement: Announcement,
   ): Promise<Result<undefined, Failure>> {
-    const client = this.#findClient(leader);
-    if (client === undefined) {
+    const target = this.#findTarget(leader);
+    if (target === undefined) {
       return new Err(createFailure('noQuorum', 'no leader'));
     }
     try {
       const text = JSON.stringify(announcement);
-      return decodeAnswer(
-        await client.announce({ announcement: text }, { timeoutMs: callTimeout }),
+      const answer = await this.#options.forwarded.measure('announcement', target.leader, () =>
+        target.client.announce({ announcement: text }, { timeoutMs: callTimeout }),
       );
+      return decodeAnswer(answer);
     } catch (error) {
       // The leader may have recorded it before the connection failed.
       return new Err(createFailure('changeUncertain', String(error)));
     }
   }
 
-  #findClient(leader: string | undefined) {
+  #findTarget(leader: string | undefined): Target | undefined {
     const { clients, findAddress } = this.#options;
     const address = leader === undefined ? undefined : findAddress(leader);
-    return address === undefined ? undefined : clients.client(RoutingService, address);
+    return leader === undefined || address === undefined
+      ? undefined
+      : { leader, client: clients.client(RoutingService, address) };
   }
 }
 
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -41,6 +41,7 @@
   encodeUpstreamLimits,
   type RpcClientPool,
 } from '../../wire/index.js';
+import type { ForwardedCalls } from '../forwarded-calls.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
 import type { CommandAnswer, ControlState, EvacuationAction } from '../state/index.js';
 import { leadershipStaleness } from './cold-allocator.js';
@@ -67,6 +68,7 @@
 const statusInterval: Milliseconds = 500;
 /** Limit for log lines about unusable announcements, since their sender may repeat them many times a second. */
 const unusableLogLimit = { burst: 20, perSecond: 1 };
+const failedReadLogLimit = { burst: 20, perSecond: 1 };
 /** Number of characters of an unusable announcement that are logged, enough to identify its sender. */
 const maxLoggedCharacters = 200;
 
@@ -75,6 +77,7 @@
   readonly log: ReplicatedLog<CommandAnswer>;
   readonly submitter: CommandSubmitter;
   readonly clients: RpcClientPool;
+  readonly forwarded: ForwardedCalls;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly name: string;
@@ -109,6 +112,7 @@
   readonly #barrier: ReadBarrier;
   readonly #engines: EngineLoop;
   readonly #unusableLog: RateLimitedLog;
+  readonly #failedReadLog: RateLimitedLog;
   readonly #unusableCount: Counter;
   #timer: NodeJS.Timeout | undefined;
   #leader = '';
@@ -118,6 +122,7 @@
   constructor(options: RoutingControlOptions) {
     this.#options = options;
     this.#unusableLog = new RateLimitedLog(options.logger, options.clock, unusableLogLimit);
+    this.#failedReadLog = new RateLimitedLog(options.logger, options.clock, failedReadLogLimit);
     this.#unusableCount = new Counter({
       name: 'pistachiospoke_announcements_unusable_total',
       help: 'Announcements that named no instance to use and changed nothing.',
@@ -255,11 +260,16 @@
 
   /** Reads the operator's source text of the active document, never a stale one; fails with `notFresh` if freshness cannot be confirmed. */
   async read(): Promise<Result<string, Failure>> {
+    const { name, clock } = this.#options;
+    const startedAt = clock.monotonic();
     const leader = this.leaderName;
-    if (leader === this.#options.name) {
-      return this.#readLocally();
+    const result =
+      leader === name ? await this.#readLocally() : await this.#leaderClient.read(leader);
+    if (result.err) {
+      const duration = Math.round(clock.monotonic() - startedAt);
+      this.#failedReadLog.info({ leader, duration, failure: result.val }, 'read failed');
     }
-    return this.#leaderClient.read(leader);
+    return result;
   }
 
   /** Handles an announcement of an instance; resolves once it is recorded, so that the instance can be told. */
--- a/src/control/shell/command-submitter.ts
+++ b/src/control/shell/command-submitter.ts
@@ -13,6 +13,7 @@
   type SubmitResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
+import type { ForwardedCalls } from '../forwarded-calls.js';
 import {
   decodeCommandAnswer,
   formatCommand,
@@ -33,6 +34,7 @@
   readonly clock: Clock;
   /** Address of a control host by its name. */
   readonly findAddress: (name: string) => string | undefined;
+  readonly forwarded: ForwardedCalls;
 }
 
 export class CommandSubmitter {
@@ -68,9 +70,8 @@
     }
     const client = this.#options.clients.client(ConsensusService, address);
     try {
-      const response = await client.forward(
-        { command: formatCommand(command) },
-        { timeoutMs: forwardTimeout },
+      const response = await this.#options.forwarded.measure('command', leader, () =>
+        client.forward({ command: formatCommand(command) }, { timeoutMs: forwardTimeout }),
       );
       return decodeSubmitResponse(response);
     } catch (error) {
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -24,6 +24,7 @@
 } from '../../settings/index.js';
 import { createRpcServer, RpcClientPool } from '../../wire/index.js';
 import { buildPublishedState } from '../build-published-state.js';
+import { ForwardedCalls } from '../forwarded-calls.js';
 import { HostDirectory } from '../host-directory.js';
 import { RoutingControl } from '../routing/index.js';
 import { ControlStateMachine } from '../state/index.js';
@@ -87,7 +88,8 @@
       this.routing.handleLeadershipChange();
     };
     this.#log = createControlLog({ settings, machine: this.#machine, clock, logger, onLeadership });
-    const shared = { log: this.#log, clients: this.#clients, clock, logger };
+    const forwarded = new ForwardedCalls({ clock, logger, registry: this.#registry });
+    const shared = { log: this.#log, clients: this.#clients, clock, logger, forwarded };
     const findAddress = (name: string) => this.#findAddress(name);
     const readPolicy = () => this.#machine.read().configuration.policy;
     this.#observer = new HostObserver({ clock, logger, readPolicy });
--- a/src/control/shell/log.ts
+++ b/src/control/shell/log.ts
@@ -56,6 +56,12 @@
       notice: (message) => {
         logger.warn(message);
       },
+      opened: ({ duration, ...log }) => {
+        logger.info({ ...log, duration: Math.round(duration) }, 'replicated log opened');
+      },
+      termCommitted: ({ duration, ...committed }) => {
+        logger.info({ ...committed, duration: Math.round(duration) }, 'leader can confirm reads');
+      },
       leadershipChanged: (view) => {
         logger.info({ view }, 'leadership changed');
         onLeadership(view);
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -20,6 +20,7 @@
   type SubmitResponse,
 } from '../../generated/pistachiospoke/v1/control_pb.js';
 import type { RpcClientPool } from '../../wire/index.js';
+import type { ForwardedCalls } from '../forwarded-calls.js';
 import {
   encodeCommandAnswer,
   checkSubmittedCommand,
@@ -44,6 +45,7 @@
   readonly submitter: CommandSubmitter;
   readonly clients: RpcClientPool;
   readonly findAddress: (name: string) => string | undefined;
+  readonly forwarded: ForwardedCalls;
   readonly describe: () => ViewSource;
   readonly logger: Logger;
   /** Starts or ends an evacuation; the value is whether that changed anything. */
@@ -135,10 +137,12 @@
     if (address === undefined) {
       return refuseStale();
     }
+    const { clients, forwarded } = this.#options;
+    const callOptions = { headers: { [forwardedHeader]: '1' }, timeoutMs: forwardTimeout };
     try {
-      return await this.#options.clients
-        .client(ControlService, address)
-        .get(request, { headers: { [forwardedHeader]: '1' }, timeoutMs: forwardTimeout });
+      return await forwarded.measure('read', leader, () =>
+        clients.client(ControlService, address).get(request, callOptions),
+      );
     } catch {
       return refuseStale();
     }
