Known red: reads at control hosts whose connections to each other went silent

Three deployed control programs reach each other through relays, runners announce themselves at each host, and an operator reads the configuration with a patience of one second. All open connections go silent at once, new ones work. From three seconds later on, 32 of 48 reads get no response: all of those at the two hosts that don't lead, while the log has a leader and commits. 3 of 3 runs, and without end: a script with one connection of the pool got no answer in 16 s.

That is what the record shows: heartbeats of the log pass, forwarded changes end with deadline_exceeded.

--- /dev/null
+++ b/__tests__/processes/platform-silent-connections.test.ts
@@ -0,0 +1,62 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { waitFor } from '../support/index.js';
+import { RelayedControl, type CallOutcome } from './relayed-control.js';
+
+/** Time in milliseconds after which hosts that reach each other again have to answer as before. */
+const contactLimit = 3000;
+/** How long callers go on asking each host after that. */
+const observation = 4000;
+const readInterval = 250;
+
+let control: RelayedControl;
+let heartbeats: AbortController;
+
+function createManifest(version: number): string {
+  const route = { host: 'desk.example', path_prefix: '/lookup/', kind: 'idempotent' };
+  return JSON.stringify({
+    version,
+    routes: [{ name: 'lookup', ...route, timeout_ms: 2000, service: 'desk', attempts: 2 }],
+    services: [{ name: 'desk', max_conns: 100 }],
+  });
+}
+
+/** Reads at every host again and again, like operators that do not wait for each other. */
+async function readForAWhile(): Promise<readonly CallOutcome[]> {
+  const reads: Promise<CallOutcome>[] = [];
+  const end = performance.now() + observation;
+  while (performance.now() < end) {
+    for (let host = 0; host < control.hostCount; host += 1) {
+      reads.push(control.read(host));
+    }
+    await sleep(readInterval);
+  }
+  return Promise.all(reads);
+}
+
+beforeEach(async () => {
+  control = await RelayedControl.start();
+  heartbeats = new AbortController();
+  await control.put(createManifest(1));
+});
+
+afterEach(async () => {
+  heartbeats.abort();
+  await control.stop();
+});
+
+describe('control hosts whose open connections to each other went silent', () => {
+  // Guards against calls to the leader that wait on a silent connection until each of them times out, for minutes.
+  it('answer reads at every host again', async () => {
+    void control.sendHeartbeats(heartbeats.signal);
+    await waitFor('reads at every host', async () =>
+      (await readForAWhile()).every((read) => read.type === 'answered' && read.status === 200),
+    );
+    control.silenceConnections();
+    await sleep(contactLimit);
+    const silent = (await readForAWhile()).filter((read) => read.type === 'silence');
+    expect(silent).toHaveLength(0);
+  });
+});
