--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -1,3 +1,4 @@
+export { DarkHost } from './dark-host.js';
 export { EndlessResponse } from './endless-response.js';
 export { Fleet, type ChatOptions, type FleetMember, type FleetOptions } from './fleet.js';
 export {
