Limit the time to open a connection between processes

What callers saw: calls to a host that had no power when its connection was opened waited until their own timeout, 5 s for a change, and the connection went on waiting after the host was back: the kernel repeats a lost first packet only with growing pauses.

Cause: the streams of the log and the connections of gateways to sidecars have a timeout for connecting, the shared connections between processes had none.

Change: a connection that is not accepted within a second fails, with its calls, and the next call opens a new one. The test 'fail for want of a connection while a host has no power' needs no time bound: before, the call ended with deadline_exceeded after 5 s, now with unavailable and the reason.

Same class as the silent connections: a wait on the state of a connection that nothing bounds.

--- a/__tests__/wire/silent-connections.test.ts
+++ b/__tests__/wire/silent-connections.test.ts
@@ -11,6 +11,8 @@
 /** Calls start so often that the next one begins before the last one ends. */
 const callInterval = 700;
 const silentCalls = 6;
+/** Timeout in milliseconds of a call whose caller waits for long. */
+const longTimeout = 5000;
 /** The kernel repeats a lost first packet at most every second at first, and with growing pauses later: none at 5.4 to 6.9 s. */
 const darkMilliseconds = 5400;
 
@@ -36,9 +38,9 @@
 }
 
 /** Resolves with the source, or with what the call failed with. */
-async function read(address: string): Promise<string> {
+async function read(address: string, timeoutMs = callTimeout): Promise<string> {
   try {
-    const call = clients.client(RoutingService, address).read({}, { timeoutMs: callTimeout });
+    const call = clients.client(RoutingService, address).read({}, { timeoutMs });
     return (await call).source;
   } catch (error) {
     return String(error);
@@ -76,6 +78,13 @@
     expect((await Promise.all(reads)).at(-1)).toBe('document');
   });
 
+  // Guards against calls that spend all their time on a connection that is never opened.
+  it('fail for want of a connection while a host has no power', async () => {
+    const dark = await DarkHost.open(port);
+    cleanups.push(() => dark.close());
+    expect(await read(`127.0.0.1:${port}`, longTimeout)).toContain('[unavailable]');
+  });
+
   // Guards against waiting for a first packet that the kernel repeats only after seconds.
   it('are answered once a host without power is back', async () => {
     const dark = await DarkHost.open(port);
--- a/src/wire/rpc-client.ts
+++ b/src/wire/rpc-client.ts
@@ -7,6 +7,7 @@
 
 /** Pings on a connection with open streams detect a dead peer; callers handle a live peer that sends nothing on a stream. */
 const defaultTimeouts: RpcConnectionTimeouts = {
+  connect: 1000,
   pingInterval: 2000,
   pingAnswer: 1500,
 };
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -20,6 +20,8 @@
 
 /** How long a connection may go unanswered. */
 export interface RpcConnectionTimeouts {
+  /** Longest time to open a connection. The kernel repeats a lost first packet only after 1, 3, 7 and 15 seconds. */
+  readonly connect: Milliseconds;
   /** Time without a byte, while a call is open, after which a ping is sent. */
   readonly pingInterval: Milliseconds;
   /** Longest time to the answer of a ping. */
@@ -96,9 +98,18 @@
   }
 
   #openSocket(): Socket {
-    const { host, port } = parseAddressOrThrow(this.#options.address);
+    const { address, timeouts } = this.#options;
+    const { host, port } = parseAddressOrThrow(address);
     const socket = connect(port, host);
+    const timer = setTimeout(() => {
+      const reason = `${address} did not accept a connection in ${timeouts.connect} ms`;
+      socket.destroy(new ConnectError(reason, Code.Unavailable));
+    }, timeouts.connect);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+    });
     socket.once('close', () => {
+      clearTimeout(timer);
       this.#sockets.delete(socket);
     });
     this.#sockets.add(socket);
