Answer a read at the leader that nothing confirms

What callers saw: a read at a leader whose first entry is not committed, for instance since its disk hangs while another host is away, got no response until the leader stepped down or the disk came back. The operator moves on after a second of silence instead of being told that the host cannot be sure.

Cause: a change fails after a limit, a read that waits for its confirmation had none.

Failed before: 'answers a read that nothing confirms' waited until the end of the test.

--- a/__tests__/consensus/consensus-node.test.ts
+++ b/__tests__/consensus/consensus-node.test.ts
@@ -96,6 +96,7 @@
   name: string,
   files: MemoryFileSystem,
   transport: ConsensusTransport,
+  onLeading: () => void = () => undefined,
 ): Member {
   const machine = new ListMachine();
   const failures: Failure[] = [];
@@ -121,7 +122,11 @@
     observer: {
       opened: () => undefined,
       termCommitted: () => undefined,
-      leadershipChanged: () => undefined,
+      leadershipChanged: ({ type }) => {
+        if (type === 'leader') {
+          onLeading();
+        }
+      },
       failed: (failure) => failures.push(failure),
     },
   });
@@ -137,12 +142,15 @@
 
 async function openInMemory(
   disks: readonly MemoryFileSystem[],
+  onLeading: (name: string, network: MemoryNetwork) => void = () => undefined,
 ): Promise<{ readonly network: MemoryNetwork; readonly members: readonly Member[] }> {
   const network = new MemoryNetwork();
   const manager = createManager();
   const members = names.map((name, position) => {
     const files = disks[position] ?? new MemoryFileSystem();
-    const member = createMember(name, files, network.connect(name));
+    const member = createMember(name, files, network.connect(name), () => {
+      onLeading(name, network);
+    });
     network.add(name, member.node);
     manager.add(member.node);
     return member;
@@ -241,6 +249,24 @@
     await proposeSomewhere(others, 'on the others');
   });
 
+  // Guards against callers of a read that wait for as long as the disk of a new leader hangs.
+  it('answers a read that nothing confirms', async () => {
+    const disks = names.map(() => new MemoryFileSystem());
+    const { members } = await openInMemory(disks, (leader, network) => {
+      disks[names.indexOf(leader)]?.stall();
+      const other = names.find((name) => name !== leader);
+      network.partitioned.add(other ?? '');
+    });
+    const leader = await findLeader(members);
+    const { val } = await leader.node.confirmRead();
+    const { type } = leader.node.view();
+    disks.forEach((disk) => {
+      disk.resume();
+    });
+    expect(val).toMatchObject({ code: 'notFresh' });
+    expect(type).toBe('leader');
+  });
+
   it('transfers the leadership before a planned stop', async () => {
     const { members } = await openInMemory([]);
     const leader = await findLeader(members);
--- a/__tests__/storage/memory-file-system.ts
+++ b/__tests__/storage/memory-file-system.ts
@@ -7,6 +7,11 @@
   synced: Buffer;
 }
 
+interface Stall {
+  readonly resumed: Promise<void>;
+  readonly resume: () => void;
+}
+
 /** An in-memory file system: content is durable once its file is synced, a name once its folder is synced. */
 export class MemoryFileSystem implements FileSystem {
   #names = new Map<string, MemoryFile>();
@@ -14,6 +19,21 @@
   /** Number of operations that succeed before every further one fails. */
   remainingOperations = Number.POSITIVE_INFINITY;
   syncCount = 0;
+  #stall: Stall | undefined;
+
+  /** Lets every further operation wait, as a disk that hangs does. */
+  stall(): void {
+    let resume: () => void = () => undefined;
+    const resumed = new Promise<void>((resolve) => {
+      resume = resolve;
+    });
+    this.#stall = { resumed, resume };
+  }
+
+  resume(): void {
+    this.#stall?.resume();
+    this.#stall = undefined;
+  }
 
   /** Discards unsynced data, except the first `keptBytes` bytes of what was appended after the last sync. */
   crash(keptBytes: number): void {
@@ -104,12 +124,14 @@
     return file;
   }
 
-  #operate(operation: () => void): Promise<void> {
+  async #operate(operation: () => void): Promise<void> {
+    if (this.#stall !== undefined) {
+      await this.#stall.resumed;
+    }
     if (this.remainingOperations <= 0) {
-      return Promise.reject(new Error('the disk is gone'));
+      throw new Error('the disk is gone');
     }
     this.remainingOperations -= 1;
     operation();
-    return Promise.resolve();
   }
 }
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -33,6 +33,8 @@
 
 /** Interval of the core's ticks: several per heartbeat, yet rare enough for their cost to be negligible. */
 const tickInterval: Milliseconds = 50;
+/** Longest wait for the confirmation of a read. Callers ask another host after a second without an answer. */
+const readTimeout: Milliseconds = 750;
 /** Longest time that a stopping leader waits for another host to take over. */
 const resignTimeout: Milliseconds = 1000;
 
@@ -227,6 +229,10 @@
     this.#handle({ type: 'tick', now });
     const failure = createFailure('changeUncertain', 'the commit took too long');
     this.#proposals.failStartedBy(now - this.#options.commitTimeout, failure);
+    this.#reads.failStartedBy(
+      now - readTimeout,
+      createFailure('notFresh', 'not confirmed in time'),
+    );
   }
 
   #submitProposals(): void {
