Answer reads and announcements at followers before their callers leave

What callers saw: the first read at a host whose connection to the leader had gone silent got no response. Operators and runners wait for a second; a forwarded read waited 1.5 s and the announcement of an instance too, so that the caller was gone before it was told to ask another host.

Change: a read is tried twice for 400 ms, the second time on another connection if nothing arrived on the first, and announcements are answered after 800 ms. The connections between control hosts are pinged like the streams of the log, after the shortest election timeout without an answer, so that a change that is alone on a silent connection fails after a second instead of five.

--- a/__tests__/processes/platform-silent-connections.test.ts
+++ b/__tests__/processes/platform-silent-connections.test.ts
@@ -10,6 +10,8 @@
 /** How long callers go on asking each host after that. */
 const observation = 4000;
 const readInterval = 250;
+/** Each round may elect another leader, to which a host has no connection yet; a few of them meet an old one. */
+const rounds = 5;
 
 let control: RelayedControl;
 let heartbeats: AbortController;
@@ -47,16 +49,37 @@
   await control.stop();
 });
 
+/** Reads at every host at the same time. */
+function readOnce(): Promise<readonly CallOutcome[]> {
+  return Promise.all(Array.from({ length: control.hostCount }, (_, host) => control.read(host)));
+}
+
+function isManifest(read: CallOutcome): boolean {
+  return read.type === 'answered' && read.status === 200;
+}
+
+async function waitForReads(): Promise<void> {
+  await waitFor('reads at every host', async () => (await readOnce()).every(isManifest));
+}
+
 describe('control hosts whose open connections to each other went silent', () => {
   // Guards against calls to the leader that wait on a silent connection until each of them times out, for minutes.
   it('answer reads at every host again', async () => {
     void control.sendHeartbeats(heartbeats.signal);
-    await waitFor('reads at every host', async () =>
-      (await readForAWhile()).every((read) => read.type === 'answered' && read.status === 200),
-    );
+    await waitForReads();
     control.silenceConnections();
     await sleep(contactLimit);
     const silent = (await readForAWhile()).filter((read) => read.type === 'silence');
     expect(silent).toHaveLength(0);
   });
+
+  // Guards against a first read that finds out that the connection is silent and leaves its caller without an answer.
+  it('answer the first read at every host', async () => {
+    for (let round = 0; round < rounds; round += 1) {
+      await waitForReads();
+      control.silenceConnections();
+      await sleep(contactLimit);
+      expect((await readOnce()).filter((read) => !isManifest(read))).toHaveLength(0);
+    }
+  });
 });
--- a/src/control/forwarded-calls.ts
+++ b/src/control/forwarded-calls.ts
@@ -1,13 +1,19 @@
+import type { CallOptions } from '@connectrpc/connect';
 import type { Logger } from 'pino';
 import { Histogram, type Registry } from 'prom-client';
 
-import { RateLimitedLog, type Clock } from '../common/index.js';
+import { RateLimitedLog, type Clock, type Milliseconds } from '../common/index.js';
 
 /** Times the calls that this control host forwards to the leader, so that a wait for the leader can be told from a wait for a connection. */
 
 const logLimit = { burst: 20, perSecond: 1 };
 const durationBuckets = [0.005, 0.02, 0.1, 0.25, 0.5, 1, 2, 5];
 const millisecondsPerSecond = 1000;
+/**
+ * Callers move on to another control host after a second without an answer. Two attempts at a read have to fit into that, so that a
+ * connection that went silent costs the caller nothing but time.
+ */
+const readAttemptTimeout: Milliseconds = 400;
 
 /** Kinds of forwarded calls. */
 export type ForwardedCallKind = 'announcement' | 'command' | 'confirmation' | 'read';
@@ -57,6 +63,21 @@
     }
   }
 
+  /** Makes a call that changes nothing, and once more if it is not answered; each attempt has to ask for a connection. */
+  async measureRead<Answer>(
+    leader: string,
+    send: (options: Required<Pick<CallOptions, 'timeoutMs'>>) => Promise<Answer>,
+  ): Promise<Answer> {
+    const attempt = (): Promise<Answer> =>
+      this.measure('read', leader, () => send({ timeoutMs: readAttemptTimeout }));
+    try {
+      return await attempt();
+    } catch {
+      // The failure is logged already.
+      return attempt();
+    }
+  }
+
   #observe(call: ForwardedCallKind, outcome: string, startedAt: number): number {
     const duration = this.#clock.monotonic() - startedAt;
     this.#durations.observe({ call, outcome }, duration / millisecondsPerSecond);
--- a/src/control/routing/leader-client.ts
+++ b/src/control/routing/leader-client.ts
@@ -15,7 +15,8 @@
 
 /** Forwards calls of operators and instances to the leader. */
 
-const callTimeout: Milliseconds = 1500;
+/** A runner asks another control host after a second without an answer. */
+const announceTimeout: Milliseconds = 800;
 /** Gateways that start wait for this call; another control host may answer them sooner. */
 const confirmTimeout: Milliseconds = 500;
 
@@ -28,7 +29,7 @@
 
 interface Target {
   readonly leader: string;
-  readonly client: Client<typeof RoutingService>;
+  readonly address: string;
 }
 
 interface CallAnswer {
@@ -50,8 +51,8 @@
       return new Err(createFailure('notFresh', 'no leader'));
     }
     try {
-      const answer = await this.#options.forwarded.measure('read', target.leader, () =>
-        target.client.read({}, { timeoutMs: callTimeout }),
+      const answer = await this.#options.forwarded.measureRead(target.leader, (options) =>
+        this.#connect(target).read({}, options),
       );
       return decodeAnswer(answer).map(() => answer.source);
     } catch (error) {
@@ -67,7 +68,7 @@
     }
     try {
       const answer = await this.#options.forwarded.measure('confirmation', target.leader, () =>
-        target.client.confirmIndex({}, { timeoutMs: confirmTimeout }),
+        this.#connect(target).confirmIndex({}, { timeoutMs: confirmTimeout }),
       );
       return decodeAnswer(answer).map(() => Number(answer.index));
     } catch (error) {
@@ -91,7 +92,7 @@
     try {
       const text = JSON.stringify(announcement);
       const answer = await this.#options.forwarded.measure('announcement', target.leader, () =>
-        target.client.announce({ announcement: text }, { timeoutMs: callTimeout }),
+        this.#connect(target).announce({ announcement: text }, { timeoutMs: announceTimeout }),
       );
       return decodeAnswer(answer);
     } catch (error) {
@@ -101,11 +102,12 @@
   }
 
   #findTarget(leader: string | undefined): Target | undefined {
-    const { clients, findAddress } = this.#options;
-    const address = leader === undefined ? undefined : findAddress(leader);
-    return leader === undefined || address === undefined
-      ? undefined
-      : { leader, client: clients.client(RoutingService, address) };
+    const address = leader === undefined ? undefined : this.#options.findAddress(leader);
+    return leader === undefined || address === undefined ? undefined : { leader, address };
+  }
+
+  #connect({ address }: Target): Client<typeof RoutingService> {
+    return this.#options.clients.client(RoutingService, address);
   }
 }
 
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -55,7 +55,7 @@
 
 export class ControlProcess {
   readonly #options: ControlProcessOptions;
-  readonly #clients = new RpcClientPool();
+  readonly #clients: RpcClientPool;
   readonly #directory = new HostDirectory();
   readonly #watchers = new WatcherDirectory();
   readonly #machine = new ControlStateMachine(() => {
@@ -81,6 +81,13 @@
   constructor(options: ControlProcessOptions) {
     this.#options = options;
     const { settings, clock, logger } = options;
+    // As for the streams of the log: a peer that is silent for longer has lost its leadership, or its followers.
+    const silence = settings.timeouts.electionMilliseconds;
+    this.#clients = new RpcClientPool({
+      connect: silence,
+      pingInterval: silence,
+      pingAnswer: silence,
+    });
     this.#metricsClient = createMetrics(settings.metrics, { control: settings.name });
     this.#metrics = new ControlMetrics(this.#metricsClient);
     const onLeadership = (view: LeadershipView): void => {
--- a/src/control/shell/operator-service.ts
+++ b/src/control/shell/operator-service.ts
@@ -3,13 +3,7 @@
 import type { Logger } from 'pino';
 import type { Result } from 'ts-results';
 
-import {
-  assertNever,
-  createFailure,
-  encodeOutcome,
-  type Failure,
-  type Milliseconds,
-} from '../../common/index.js';
+import { assertNever, createFailure, encodeOutcome, type Failure } from '../../common/index.js';
 import type { ReplicatedLog } from '../../consensus/index.js';
 import {
   ControlService,
@@ -37,7 +31,6 @@
 
 /** Marks a read that was already forwarded, so that two hosts that disagree about the leader do not forward it back and forth. */
 const forwardedHeader = 'pistachiospoke-forwarded';
-const forwardTimeout: Milliseconds = 3000;
 
 /** Options of the operator service. */
 export interface OperatorServiceOptions {
@@ -138,10 +131,10 @@
       return refuseStale();
     }
     const { clients, forwarded } = this.#options;
-    const callOptions = { headers: { [forwardedHeader]: '1' }, timeoutMs: forwardTimeout };
+    const headers = { [forwardedHeader]: '1' };
     try {
-      return await forwarded.measure('read', leader, () =>
-        clients.client(ControlService, address).get(request, callOptions),
+      return await forwarded.measureRead(leader, (options) =>
+        clients.client(ControlService, address).get(request, { ...options, headers }),
       );
     } catch {
       return refuseStale();
