--- a/__tests__/requests/response-endings.test.ts
+++ b/__tests__/requests/response-endings.test.ts
@@ -2,20 +2,16 @@
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import { UpstreamAttempt, UpstreamConnections } from '../../src/gateway/direct/index.js';
-import { HttpUpstreamClient } from '../../src/sidecar/attempts/index.js';
+import type { UpstreamAttempt } from '../../src/gateway/direct/index.js';
 import { RawUpstream, waitFor, type ConnectionEnd } from '../support/index.js';
-
-type Ending = 'whole' | 'broken';
-
-/** What a client has received so far. */
-interface Received {
-  hasHead: boolean;
-  body: string;
-}
-
-/** Sends a request to the upstream and tells how the client takes the end of the response. */
-type Send = (received: Received) => Promise<Ending>;
+import {
+  openGatewayClient,
+  openSidecarClient,
+  type Ending,
+  type Received,
+  type Send,
+  type UpstreamClient,
+} from './upstream-clients.js';
 
 const closers: (() => unknown)[] = [];
 let head = '';
@@ -39,63 +35,18 @@
   await Promise.all(closers.splice(0).map((close) => close()));
 });
 
-/** A gateway's connections to upstreams; `onFirstData` is called with each attempt before its first bytes are counted. */
-function openGateway(onFirstData: (attempt: UpstreamAttempt) => void = () => undefined): Send {
-  const connections = new UpstreamConnections();
-  closers.push(() => {
-    connections.close();
-  });
-  return (received) =>
-    new Promise((resolve) => {
-      const attempt = new UpstreamAttempt(
-        connections.find(upstream.address, 1),
-        { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) },
-        {
-          onStart: () => undefined,
-          onHead: () => {
-            received.hasHead = true;
-          },
-          onData: (bytes) => {
-            if (received.body === '') {
-              onFirstData(attempt);
-            }
-            received.body += bytes.toString();
-          },
-          onEnd: () => {
-            resolve('whole');
-          },
-          onError: () => {
-            resolve('broken');
-          },
-        },
-      );
-    });
+function openGateway(onFirstData?: (attempt: UpstreamAttempt) => void): Send {
+  return keep(openGatewayClient(() => upstream.address, onFirstData));
 }
 
-/** A sidecar's connections to its upstream; `beforeReading` is awaited between the head and the body of a response. */
-function openSidecar(beforeReading: () => Promise<void> = () => Promise.resolve()): Send {
-  const client = new HttpUpstreamClient(() => `http://${upstream.address}`);
-  closers.push(() => client.close());
-  const request = {
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: Buffer.alloc(0),
-    affinityKey: '',
-  };
-  return async (received) => {
-    try {
-      const { chunks } = await client.start(request, new AbortController().signal);
-      received.hasHead = true;
-      await beforeReading();
-      for await (const bytes of chunks) {
-        received.body += Buffer.from(bytes).toString();
-      }
-      return 'whole';
-    } catch {
-      return 'broken';
-    }
-  };
+function openSidecar(beforeReading?: () => Promise<void>): Send {
+  return keep(openSidecarClient(() => upstream.address, beforeReading));
+}
+
+/** Closes the client after the test. */
+function keep({ send, close }: UpstreamClient): Send {
+  closers.push(close);
+  return send;
 }
 
 async function endResponse(send: Send, how: ConnectionEnd): Promise<Ending> {
