--- a/__tests__/processes/platform-silent-connections.test.ts
+++ b/__tests__/processes/platform-silent-connections.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import { waitFor } from '../support/index.js';
-import { RelayedControl, type CallOutcome } from './relayed-control.js';
+import { RelayedControl, type CallOutcome } from '../platform/relayed-control.js';
 
 /** Time in milliseconds after which hosts that reach each other again have to answer as before. */
 const contactLimit = 3000;
