Soak: connections between control hosts also go silent after the final fault

Half of the soaks let the open connections go silent two seconds after the hosts were started again, and the manifests have between 0 and 700 routes.

--- a/__tests__/platform/soak/control-faults.ts
+++ b/__tests__/platform/soak/control-faults.ts
@@ -25,6 +25,7 @@
 const longestDowntime = 1500;
 const longestFreeze = 2500;
 const longestCut = 4000;
+const reconnectTime = 2000;
 
 export interface ControlFaultsOptions {
   readonly control: RelayedControl;
@@ -54,7 +55,7 @@
     await Promise.all(running);
   }
 
-  /** Strikes once more; resolves when all hosts are started again. */
+  /** Strikes once more, half of the time with connections that go silent after the hosts are started again. */
   async strikeFinally(): Promise<void> {
     const { control, random } = this.#options;
     const kind = this.#draw(finalKinds);
@@ -72,6 +73,12 @@
         control.start(host);
       }),
     );
+    if (random.integerBelow(2) === 0) {
+      // By then the hosts have called each other again.
+      await pause(reconnectTime);
+      this.#note('silence');
+      control.silenceConnections();
+    }
   }
 
   async #cause(kind: FaultKind): Promise<void> {
--- a/__tests__/processes/platform-control-soak.test.ts
+++ b/__tests__/processes/platform-control-soak.test.ts
@@ -15,6 +15,8 @@
 const readRounds = 8;
 const readInterval = 250;
 const largestManifest = 700;
+/** Spreads the sizes of the manifests over the seeds. */
+const routeStep = 137;
 
 let control: RelayedControl | undefined;
 let heartbeats: AbortController | undefined;
@@ -52,7 +54,7 @@
       control = running;
       heartbeats = new AbortController();
       void running.sendHeartbeats(heartbeats.signal);
-      const routeCount = random.integerBelow(largestManifest);
+      const routeCount = (seed * routeStep) % largestManifest;
       const load = new ConfigurationLoad({ control: running, random, routeCount });
       const faults = new ControlFaults({ control: running, random });
       await load.start();
