Name no version in a watch until a control host has confirmed one

What callers saw: requests of a gateway that starts reached a failure domain that had been evacuated before, for as long as the grace period of a new evacuation.

Cause: a gateway that starts is told by a control host that lags behind that its state is not confirmed, and opens the watch again. By then it has a document from that host and names its version. A control host takes a watcher with a version for one that has a confirmed state, asks no leader, and vouches for its own state as long as that is less than 1.5 s old by its clock: for one that was stopped for a moment, it is. The evacuation then arrives as a new one.

Change: the watcher names the version of its document only once its state has been confirmed. Until then each watch passes the read barrier.

--- a/src/watch/routing-watcher.ts
+++ b/src/watch/routing-watcher.ts
@@ -122,7 +122,7 @@
   async #watch(address: string, stream: AbortController): Promise<void> {
     const { clients, watcher, kind, logger } = this.#options;
     this.#idleTimeout.restart(address, stream);
-    const version = BigInt(this.#tracker.read().table?.document.version ?? 0);
+    const version = BigInt(this.#findConfirmedVersion());
     const responses = clients
       .client(RoutingService, address)
       .watch({ watcher, kind, version }, { signal: stream.signal });
@@ -138,6 +138,15 @@
     }
   }
 
+  /**
+   * Version of the document in a state that a control host has confirmed; 0 while there is none. A control host that is told another
+   * version confirms its own state without asking the leader, though this host may have got the same old state from it before.
+   */
+  #findConfirmedVersion(): number {
+    const { confirmedAt, table } = this.#tracker.read();
+    return confirmedAt === undefined ? 0 : (table?.document.version ?? 0);
+  }
+
   /** Applies the events of one message; returns false when the watcher must switch to another control host. */
   #applyEvents(events: readonly RoutingEvent[], address: string): boolean {
     let isChanged = false;
