Limit the time to begin the stream of messages to a peer

Cause: a stream connects with a timeout, then makes its call. If the time of day says that the connection is older than the ping interval (the process stood still in between, or the clock was stepped), the session manager pings first. On a silent connection its idle timeout closes the session, which forgets the pending ping; the call then waits for ever and the host sends that peer nothing until it restarts. Two such streams leave a cluster without a leader, or a leader without a quorum.

Change: a stream that has not begun within two connection timeouts is given up, and opened again after the back-off.

--- a/src/consensus/peer-stream.ts
+++ b/src/consensus/peer-stream.ts
@@ -17,6 +17,8 @@
 const queueCapacity = 2000;
 const shortestBackOff: Milliseconds = 50;
 const longestBackOff: Milliseconds = 1000;
+/** Time to connect and to begin the stream, in timeouts of the connection. */
+const openingTimeouts = 2;
 /** A stream that lasted this long resets the back-off. */
 const stableStreamDuration: Milliseconds = 5000;
 
@@ -83,17 +85,26 @@
       idleConnectionTimeoutMs: connectionTimeout,
     });
     const queue = new MessageQueue<ConsensusEnvelope>(queueCapacity);
+    const opening = new AbortController();
+    // The session manager pings a connection again before its first call if the time of day says that it is not new. If the
+    // connection is silent, that ping may neither succeed nor fail.
+    const timer = setTimeout(() => {
+      if (sessionManager.state() !== 'open') {
+        opening.abort();
+      }
+    }, openingTimeouts * connectionTimeout);
     try {
       if (!(await this.#connect(sessionManager))) {
         return;
       }
       const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
       this.#queue = queue;
-      const { signal } = this.#closing;
+      const signal = AbortSignal.any([this.#closing.signal, opening.signal]);
       await createClient(ConsensusService, transport).exchange(queue, { signal });
     } catch {
       // Whatever ended the stream, the next one starts after the back-off.
     } finally {
+      clearTimeout(timer);
       this.#queue = undefined;
       queue.close();
     }
