--- a/__tests__/platform/soak/control-faults.ts
+++ b/__tests__/platform/soak/control-faults.ts
@@ -2,6 +2,7 @@
 
 import type { RandomSource } from '../../../src/common/index.js';
 import type { RelayedControl } from '../relayed-control.js';
+import { causeFaults } from './cause-faults.js';
 
 /** Faults of control hosts in a soak. They come in series and overlap; at most one disk is lost, with the final fault. */
 
@@ -44,15 +45,10 @@
   }
 
   /** Causes faults until the time is over and resolves when all of them have ended. */
-  async run(duration: number, meanInterval: number): Promise<void> {
+  run(duration: number, meanInterval: number): Promise<void> {
     const { random } = this.#options;
-    const running: Promise<void>[] = [];
-    const end = performance.now() + duration;
-    while (performance.now() < end) {
-      running.push(this.#cause(this.#draw(drawnKinds)));
-      await pause(random.integerBelow(2 * meanInterval));
-    }
-    await Promise.all(running);
+    const cause = (): Promise<void> => this.#cause(this.#draw(drawnKinds));
+    return causeFaults({ duration, meanInterval, random, cause });
   }
 
   /** Strikes once more, half of the time with connections that go silent after the hosts are started again. */
--- a/__tests__/platform/soak/soak-faults.ts
+++ b/__tests__/platform/soak/soak-faults.ts
@@ -4,6 +4,7 @@
 import type { PlatformDeployment } from '../deployment.js';
 import { drainTime } from '../received-requests.js';
 import type { TestEngine } from '../test-engine.js';
+import { causeFaults } from './cause-faults.js';
 import type { GatewayLives } from './gateway-lives.js';
 
 /** Faults, restarts and changes of a soak. They come in series and overlap. */
@@ -61,15 +62,10 @@
   }
 
   /** Causes faults until the time is over and resolves when all of them have ended. */
-  async run(duration: number, meanInterval: number): Promise<void> {
+  run(duration: number, meanInterval: number): Promise<void> {
     const { random } = this.#options;
-    const running: Promise<void>[] = [];
-    const end = performance.now() + duration;
-    while (performance.now() < end) {
-      running.push(this.#cause(this.#draw(drawnKinds)));
-      await pause(random.integerBelow(2 * meanInterval));
-    }
-    await Promise.all(running);
+    const cause = (): Promise<void> => this.#cause(this.#draw(drawnKinds));
+    return causeFaults({ duration, meanInterval, random, cause });
   }
 
   async #cause(kind: FaultKind): Promise<void> {
