--- a/src/control/forwarded-calls.ts
+++ b/src/control/forwarded-calls.ts
@@ -63,7 +63,7 @@
     }
   }
 
-  /** Makes a call that changes nothing, and once more if it is not answered; each attempt has to ask for a connection. */
+  /** Makes a call that changes nothing, and once more if it is not answered. `send` asks the pool for a client each time. */
   async measureRead<Answer>(
     leader: string,
     send: (options: Required<Pick<CallOptions, 'timeoutMs'>>) => Promise<Answer>,
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -20,7 +20,7 @@
 
 /** How long a connection may go unanswered. */
 export interface RpcConnectionTimeouts {
-  /** Longest time to open a connection. The kernel repeats a lost first packet only after 1, 3, 7 and 15 seconds. */
+  /** Longest time to open a connection. The kernel would repeat a lost first packet with growing pauses, for minutes. */
   readonly connect: Milliseconds;
   /** Time without a byte, while a call is open, after which a ping is sent. */
   readonly pingInterval: Milliseconds;
