--- a/__tests__/platform/soak/configuration-load.ts
+++ b/__tests__/platform/soak/configuration-load.ts
@@ -1,6 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { RandomSource } from '../../../src/common/index.js';
+import { createPlainManifest } from '../plain-manifest.js';
 import type { CallOutcome, RelayedControl } from '../relayed-control.js';
 
 /** Operators of a soak, who change the configuration and read it back at any host, and what control may answer them. */
@@ -127,17 +128,7 @@
       `lookup-${version}`,
       ...Array.from({ length: routeCount }, (_, index) => `route-${index}`),
     ];
-    const route = { host: 'desk.example', kind: 'idempotent', timeout_ms: 2000, attempts: 2 };
-    return JSON.stringify({
-      version,
-      routes: names.map((name) => ({
-        ...route,
-        name,
-        path_prefix: `/${name}/`,
-        service: 'desk',
-      })),
-      services: [{ name: 'desk', max_conns: 100 }],
-    });
+    return createPlainManifest(version, names);
   }
 }
 
--- a/__tests__/processes/platform-silent-connections.test.ts
+++ b/__tests__/processes/platform-silent-connections.test.ts
@@ -2,8 +2,9 @@
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import { waitFor } from '../support/index.js';
+import { createPlainManifest } from '../platform/plain-manifest.js';
 import { RelayedControl, type CallOutcome } from '../platform/relayed-control.js';
+import { waitFor } from '../support/index.js';
 
 /** Time in milliseconds after which hosts that reach each other again have to answer as before. */
 const contactLimit = 3000;
@@ -16,15 +17,6 @@
 let control: RelayedControl;
 let heartbeats: AbortController;
 
-function createManifest(version: number): string {
-  const route = { host: 'desk.example', path_prefix: '/lookup/', kind: 'idempotent' };
-  return JSON.stringify({
-    version,
-    routes: [{ name: 'lookup', ...route, timeout_ms: 2000, service: 'desk', attempts: 2 }],
-    services: [{ name: 'desk', max_conns: 100 }],
-  });
-}
-
 /** Reads at every host again and again, like operators that do not wait for each other. */
 async function readForAWhile(): Promise<readonly CallOutcome[]> {
   const reads: Promise<CallOutcome>[] = [];
@@ -41,7 +33,7 @@
 beforeEach(async () => {
   control = await RelayedControl.start();
   heartbeats = new AbortController();
-  await control.put(createManifest(1));
+  await control.put(createPlainManifest(1, ['lookup']));
 });
 
 afterEach(async () => {
--- a/__tests__/requests/endless-responses.test.ts
+++ b/__tests__/requests/endless-responses.test.ts
@@ -12,6 +12,7 @@
   startGateway,
   startSidecar,
 } from './fixture.js';
+import { sidecarRequest } from './upstream-clients.js';
 
 /** Time in which a call must end and its connection be closed, in milliseconds. */
 const limit = 4000;
@@ -64,14 +65,7 @@
     [beginning, repeated] = [first, then];
     const client = new HttpUpstreamClient(() => `http://${upstream.address}`);
     closers.push(() => client.close());
-    const request = {
-      method: 'GET',
-      path: '/',
-      headers: [],
-      body: Buffer.alloc(0),
-      affinityKey: '',
-    };
-    const call = client.start(request, new AbortController().signal);
+    const call = client.start(sidecarRequest, new AbortController().signal);
     await expectEnd(expect(call).rejects.toMatchObject({ failure: { code: 'upstreamFailed' } }));
   });
 });
--- a/__tests__/requests/upstream-clients.ts
+++ b/__tests__/requests/upstream-clients.ts
@@ -58,22 +58,24 @@
   };
 }
 
+/** A request that a sidecar sends to its upstream. */
+export const sidecarRequest = {
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+  affinityKey: '',
+};
+
 /** A sidecar's connections to its upstream; `beforeReading` is awaited between the head and the body of a response. */
 export function openSidecarClient(
   readAddress: () => string,
   beforeReading: () => Promise<void> = () => Promise.resolve(),
 ): UpstreamClient {
   const client = new HttpUpstreamClient(() => `http://${readAddress()}`);
-  const request = {
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: Buffer.alloc(0),
-    affinityKey: '',
-  };
   const send: Send = async (received) => {
     try {
-      const { chunks } = await client.start(request, new AbortController().signal);
+      const { chunks } = await client.start(sidecarRequest, new AbortController().signal);
       received.hasHead = true;
       await beforeReading();
       for await (const bytes of chunks) {
