Log and measure what a stopping gateway owes its callers

The record of lost requests has a number at most: how many deliveries were cut. It does not say when they had come, whether their response had begun, or that bodies were arriving and responses waiting to be sent. A server of its own now keeps the requests whose response has not been sent; the shutdown, moved to a class of its own, logs them at the signal, when the port closes and at the end, and a gauge counts them by phase. The logic of the shutdown is unchanged.

--- /dev/null
+++ b/src/gateway/direct/caller-drain.ts
@@ -0,0 +1,101 @@
+import type { IncomingMessage } from 'node:http';
+
+import type { Logger } from 'pino';
+
+import { pause, type Clock, type Milliseconds } from '../../common/index.js';
+import { findPhase, type CallerServer, type Exchange } from '../caller-server.js';
+import type { ActiveDeliveries } from './active-deliveries.js';
+
+/** Finishes the requests of callers when a gateway stops. */
+
+/** Time between becoming unready and closing the port. A load balancer removes a gateway after two failed checks, one second apart. */
+const unreadyPeriod: Milliseconds = 2500;
+/** Requests still in flight this long before the end of the grace period are cut off. */
+const graceMargin: Milliseconds = 400;
+const pollInterval: Milliseconds = 50;
+/** Log lines about single requests; a gateway that is full has thousands. */
+const maximumLoggedRequests = 100;
+
+export interface CallerDrainOptions {
+  readonly server: CallerServer;
+  readonly deliveries: ActiveDeliveries;
+  /** Time from the signal until the process has ended. */
+  readonly grace: Milliseconds;
+  readonly identify: (request: IncomingMessage) => string | undefined;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class CallerDrain {
+  readonly #options: CallerDrainOptions;
+  #startedAt: Milliseconds | undefined;
+
+  constructor(options: CallerDrainOptions) {
+    this.#options = options;
+  }
+
+  get isStopping(): boolean {
+    return this.#startedAt !== undefined;
+  }
+
+  /** Becomes unready, then stops accepting connections, then waits for requests in flight until the grace period ends. */
+  async run(): Promise<void> {
+    const { server, deliveries, grace, clock } = this.#options;
+    const startedAt = clock.monotonic();
+    this.#startedAt = startedAt;
+    this.#logOwed('finishing the requests of callers');
+    await sleep(Math.min(unreadyPeriod, grace / 2));
+    server.close();
+    server.closeIdleConnections();
+    this.#logOwed('port closed');
+    const end = startedAt + grace - graceMargin;
+    while (deliveries.size > 0 && clock.monotonic() < end) {
+      await sleep(pollInterval);
+      server.closeIdleConnections();
+    }
+    this.#logCut();
+  }
+
+  #logOwed(message: string): void {
+    const { server, deliveries, logger } = this.#options;
+    const owed = { ...server.countExchanges(), deliveries: deliveries.size };
+    logger.info({ after: this.#measure(), connections: server.connectionCount, owed }, message);
+  }
+
+  #logCut(): void {
+    const { server, logger } = this.#options;
+    const { size } = server.exchanges;
+    if (size === 0) {
+      return;
+    }
+    logger.warn(
+      { after: this.#measure(), cut: size, phases: server.countExchanges() },
+      'requests cut off at the end of the grace period',
+    );
+    for (const exchange of [...server.exchanges].slice(0, maximumLoggedRequests)) {
+      logger.info(this.#describe(exchange), 'request cut off');
+    }
+  }
+
+  #describe(exchange: Exchange): object {
+    const { identify, clock } = this.#options;
+    const { request, response, receivedAt } = exchange;
+    return {
+      requestId: identify(request),
+      phase: findPhase(exchange),
+      isBegun: response.headersSent,
+      age: Math.round(clock.monotonic() - receivedAt),
+      // Negative if it was received before the stop.
+      receivedAfter: Math.round(receivedAt - (this.#startedAt ?? receivedAt)),
+    };
+  }
+
+  #measure(): Milliseconds {
+    const now = this.#options.clock.monotonic();
+    return Math.round(now - (this.#startedAt ?? now));
+  }
+}
+
+function sleep(time: Milliseconds): Promise<void> {
+  return pause(time, new AbortController().signal);
+}
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Logger } from 'pino';
 
@@ -6,7 +6,6 @@
   closeServer,
   createIdentifier,
   openServer,
-  pause,
   probeUpstream,
   RateLimitedLog,
   type Clock,
@@ -26,10 +25,12 @@
 import { formatIdentity, listIdentities, parseSubject } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
+import { CallerServer } from '../caller-server.js';
 import { readBody } from '../shell/body.js';
 import { AccountFairness } from './account-fairness.js';
 import { ActiveDeliveries } from './active-deliveries.js';
 import { admitRequest, type Admitted } from './admission.js';
+import { CallerDrain } from './caller-drain.js';
 import { createChoiceObserver } from './choice-observer.js';
 import { readLastEventId, type InboundRequest } from './inbound-request.js';
 import { ConnectionShedder } from './connection-shedder.js';
@@ -58,11 +59,6 @@
 
 /** HTTP server of a gateway that sends requests directly to upstreams. */
 
-/** Time between becoming unready and closing the port. A load balancer removes a gateway after two failed checks, one second apart. */
-const unreadyPeriod: Milliseconds = 2500;
-/** Requests still in flight this long before the end of the grace period are cut off. */
-const graceMargin: Milliseconds = 400;
-const drainPollInterval: Milliseconds = 50;
 /** Load information expires without an event, so waiting requests choose a target again at this interval. */
 const waitingRetryInterval: Milliseconds = 50;
 /** Enough log lines to explain any failure at normal load, and a sample under many failures, when logging must not delay callers. */
@@ -82,7 +78,8 @@
 export class DirectGateway implements ManagedPart {
   readonly name = 'direct gateway';
   readonly #options: DirectGatewayOptions;
-  readonly #server: Server;
+  readonly #server: CallerServer;
+  readonly #drain: CallerDrain;
   readonly #connections: UpstreamConnections;
   readonly #loads = new TargetLoads();
   readonly #progress = new StreamProgress();
@@ -106,7 +103,6 @@
   /** Number of gateways that share the limits on retries and connections. */
   #gateways: number;
   #position: GatewayPosition | undefined;
-  #isStopping = false;
   #unsubscribe: (() => void) | undefined;
   #waitingRetryTimer: NodeJS.Timeout | undefined;
 
@@ -204,9 +200,18 @@
       settings.memory === undefined
         ? undefined
         : new MemoryGuard({ ...settings.memory, metrics, clock, log: this.#log });
-    this.#server = createServer((request, response) => {
+    this.#server = new CallerServer(clock, (request, response) => {
       void this.#serve(request, response);
     });
+    metrics.observeOwed(() => this.#server.countExchanges());
+    this.#drain = new CallerDrain({
+      server: this.#server,
+      deliveries: this.#deliveries,
+      grace: settings.bounds.graceMilliseconds,
+      identify: ({ headers }) => dialect.readRequest(headers).requestId,
+      clock,
+      logger,
+    });
     this.#shedder = new ConnectionShedder({
       server: this.#server,
       onShed: () => {
@@ -219,7 +224,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.#isStopping && this.#guard.isUsable;
+    return !this.#drain.isStopping && this.#guard.isUsable;
   }
 
   /** Returns the concurrent demand by model and ends the measured interval. */
@@ -286,27 +291,9 @@
     }, waitingRetryInterval);
   }
 
-  /** Graceful shutdown: becomes unready, then stops accepting connections, then waits for requests in flight until the grace period ends. */
+  /** Graceful shutdown: finishes the requests of callers within the grace period. */
   async close(): Promise<void> {
-    const { settings, clock, logger } = this.#options;
-    const end = clock.monotonic() + settings.bounds.graceMilliseconds - graceMargin;
-    this.#isStopping = true;
-    await pause(
-      Math.min(unreadyPeriod, settings.bounds.graceMilliseconds / 2),
-      new AbortController().signal,
-    );
-    this.#server.close();
-    this.#server.closeIdleConnections();
-    while (this.#deliveries.size > 0 && clock.monotonic() < end) {
-      await pause(drainPollInterval, new AbortController().signal);
-      this.#server.closeIdleConnections();
-    }
-    if (this.#deliveries.size > 0) {
-      logger.warn(
-        { cut: this.#deliveries.size },
-        'requests cut off at the end of the grace period',
-      );
-    }
+    await this.#drain.run();
     this.#unsubscribe?.();
     this.#stallWatch.close();
     this.#shedder.close();
@@ -357,7 +344,7 @@
       response,
       answer: new ResponseWriter(
         response,
-        () => this.#isStopping,
+        () => this.#drain.isStopping,
         () => this.#memory?.isShort === true,
       ),
       facts: dialect.readRequest(request.headers),
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../../common/index.js';
 import type { DropReason, Unavailability } from '../../dispatch/index.js';
 import type { CrashSubject } from '../../routing/index.js';
+import type { ExchangePhase } from '../caller-server.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { QueueObserver } from './waiting-requests.js';
 
@@ -41,7 +42,10 @@
   readonly #assigned: Histogram<'route'>;
   readonly #duration: Histogram<'route'>;
 
+  readonly #registry: Registry;
+
   constructor(registry: Registry) {
+    this.#registry = registry;
     const registers = [registry];
     this.#ended = new Counter({
       name: 'pistachiospoke_requests_ended_total',
@@ -190,6 +194,21 @@
     });
   }
 
+  /** Measures what callers are owed whenever the metrics are read. */
+  observeOwed(count: () => Readonly<Record<ExchangePhase, number>>): void {
+    new Gauge({
+      name: 'pistachiospoke_requests_owed',
+      help: 'Requests whose response has not been sent completely, by phase.',
+      labelNames: ['phase'],
+      registers: [this.#registry],
+      collect() {
+        for (const [phase, size] of Object.entries(count())) {
+          this.set({ phase }, size);
+        }
+      },
+    });
+  }
+
   noteRefusal(code: string): void {
     this.#refused.inc({ code });
   }
