A stopping gateway rejects requests that come after its port has closed

Callers lost requests that a gateway took late in its grace period: its port closes 2.5 s after the signal, but a connection whose response began before the signal says nothing of a close and carried the next request. That one was passed on, with whatever was left of the grace period, and cut at its end.

Once the port is closed, requests are rejected at once as not run (503, code 'stopping', to be sent again at once), and a connection ends together with the last response that it owes, not up to 50 ms later, so that its caller sends nothing more on it. Of requests that came without waiting for responses, the last one says that the connection ends; nothing is served after that.

--- a/__tests__/platform/plain-service.ts
+++ b/__tests__/platform/plain-service.ts
@@ -37,6 +37,11 @@
   response.writeHead(200, { 'x-attempt-id': id, 'x-response-seal': `seal of ${id}` }).end('sound');
 }
 
+/** Header fields of a request to the service, as a caller sends them. */
+export function createServiceHeaders(id: string): Readonly<Record<string, string>> {
+  return { host, authorization: `Bearer ${apiKey}`, 'x-attempt-id': id };
+}
+
 export class PlainService {
   readonly upstreams: readonly TestUpstream[];
   readonly #deployment: PlatformDeployment;
@@ -89,7 +94,7 @@
       port,
       path,
       agent: new Agent(),
-      headers: { host, authorization: `Bearer ${apiKey}`, 'x-attempt-id': id },
+      headers: createServiceHeaders(id),
     });
     return new Promise((resolve) => {
       const finish = (answer: Omit<ServiceAnswer, 'duration'>): void => {
--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -8,6 +8,7 @@
   fleetService,
   type FleetAddresses,
 } from './fleet-settings.js';
+export { formatHead, OpenConnection, type RequestHead } from './open-connection.js';
 export { reservePort } from './ports.js';
 export { ProgramGroup, RunningProgram, type ProgramExit, type ProgramOptions } from './programs.js';
 export { RawUpstream, type ConnectionEnd } from './raw-upstream.js';
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -18,44 +18,104 @@
   readonly receivedAt: Milliseconds;
 }
 
+interface Connection {
+  /** Requests in order of arrival; more than one if the caller does not wait for responses. */
+  readonly exchanges: Exchange[];
+  /** Whether a response has said that the connection ends after it. */
+  isEnding: boolean;
+}
+
 export class CallerServer extends Server {
-  readonly #exchanges = new Set<Exchange>();
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new Map<Socket, Connection>();
+  /** `serving`; `leaving`: callers are told to go elsewhere; `closed`: the port is closed, and connections end once they owe nothing. */
+  #stage: 'serving' | 'leaving' | 'closed' = 'serving';
 
   constructor(clock: Clock, serve: RequestListener) {
     super();
     this.on('connection', (socket) => {
-      this.#sockets.add(socket);
-      socket.on('close', () => this.#sockets.delete(socket));
+      this.#connections.set(socket, { exchanges: [], isEnding: false });
+      socket.on('close', () => this.#connections.delete(socket));
     });
     this.on('request', (request, response) => {
-      this.#add({ request, response, receivedAt: clock.monotonic() });
-      serve(request, response);
+      if (this.#add({ request, response, receivedAt: clock.monotonic() })) {
+        serve(request, response);
+      }
     });
   }
 
   get connectionCount(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
   }
 
-  get exchanges(): ReadonlySet<Exchange> {
-    return this.#exchanges;
+  /** Whether requests still come on connections that were open when the port closed. */
+  get isClosed(): boolean {
+    return this.#stage === 'closed';
+  }
+
+  get exchanges(): readonly Exchange[] {
+    return [...this.#connections.values()].flatMap(({ exchanges }) => exchanges);
   }
 
   /** Number of exchanges by phase. */
   countExchanges(): Readonly<Record<ExchangePhase, number>> {
     const counts = { receiving: 0, answering: 0, sending: 0 };
-    for (const exchange of this.#exchanges) {
+    for (const exchange of this.exchanges) {
       counts[findPhase(exchange)] += 1;
     }
     return counts;
   }
 
-  #add(exchange: Exchange): void {
-    this.#exchanges.add(exchange);
-    exchange.response.on('close', () => {
-      this.#exchanges.delete(exchange);
+  /** From now on each response is the last one of its connection. */
+  leave(): void {
+    this.#stage = 'leaving';
+  }
+
+  /** Stops listening. Connections end as soon as they owe nothing. */
+  override close(callback?: (error?: Error) => void): this {
+    this.#stage = 'closed';
+    return super.close(callback);
+  }
+
+  /**
+   * Whether the connection ends after this response, which then has to say so. Later requests on the connection are not served, as the
+   * caller must not count on them.
+   */
+  endsConnection(response: ServerResponse): boolean {
+    const connection = this.#find(response.req);
+    if (this.#stage === 'serving' || connection?.exchanges.at(-1)?.response !== response) {
+      return false;
+    }
+    connection.isEnding = true;
+    return true;
+  }
+
+  /** Returns whether the request is to be served. */
+  #add(exchange: Exchange): boolean {
+    const { request, response } = exchange;
+    const connection = this.#find(request);
+    if (connection === undefined || connection.isEnding) {
+      request.resume();
+      return false;
+    }
+    connection.exchanges.push(exchange);
+    response.on('close', () => {
+      this.#remove(connection, exchange);
     });
+    return true;
+  }
+
+  #remove(connection: Connection, exchange: Exchange): void {
+    const { exchanges } = connection;
+    const { socket } = exchange.request;
+    exchanges.splice(exchanges.indexOf(exchange), 1);
+    if (exchanges.length === 0 && this.#stage === 'closed') {
+      // At once: a caller that sees the end with the response sends nothing more on this connection.
+      socket.destroySoon();
+    }
+  }
+
+  #find({ socket }: IncomingMessage): Connection | undefined {
+    return this.#connections.get(socket);
   }
 }
 
--- a/src/gateway/direct/caller-drain.ts
+++ b/src/gateway/direct/caller-drain.ts
@@ -8,7 +8,10 @@
 
 /** Finishes the requests of callers when a gateway stops. */
 
-/** Time between becoming unready and closing the port. A load balancer removes a gateway after two failed checks, one second apart. */
+/**
+ * Time between becoming unready and closing the port. A load balancer removes a gateway after two failed checks, one second apart. Requests
+ * that come later are rejected: what is left of the grace period may be too short for them.
+ */
 const unreadyPeriod: Milliseconds = 2500;
 /** Requests still in flight this long before the end of the grace period are cut off. */
 const graceMargin: Milliseconds = 400;
@@ -34,19 +37,15 @@
     this.#options = options;
   }
 
-  get isStopping(): boolean {
-    return this.#startedAt !== undefined;
-  }
-
-  /** Becomes unready, then stops accepting connections, then waits for requests in flight until the grace period ends. */
+  /** Becomes unready, then closes the port, then waits for requests in flight until the grace period ends. */
   async run(): Promise<void> {
     const { server, deliveries, grace, clock } = this.#options;
     const startedAt = clock.monotonic();
     this.#startedAt = startedAt;
+    server.leave();
     this.#logOwed('finishing the requests of callers');
     await sleep(Math.min(unreadyPeriod, grace / 2));
     server.close();
-    server.closeIdleConnections();
     this.#logOwed('port closed');
     const end = startedAt + grace - graceMargin;
     while (deliveries.size > 0 && clock.monotonic() < end) {
@@ -56,6 +55,10 @@
     this.#logCut();
   }
 
+  get isStopping(): boolean {
+    return this.#startedAt !== undefined;
+  }
+
   #logOwed(message: string): void {
     const { server, deliveries, logger } = this.#options;
     const owed = { ...server.countExchanges(), deliveries: deliveries.size };
@@ -64,15 +67,15 @@
 
   #logCut(): void {
     const { server, logger } = this.#options;
-    const { size } = server.exchanges;
-    if (size === 0) {
+    const { exchanges } = server;
+    if (exchanges.length === 0) {
       return;
     }
     logger.warn(
-      { after: this.#measure(), cut: size, phases: server.countExchanges() },
+      { after: this.#measure(), cut: exchanges.length, phases: server.countExchanges() },
       'requests cut off at the end of the grace period',
     );
-    for (const exchange of [...server.exchanges].slice(0, maximumLoggedRequests)) {
+    for (const exchange of exchanges.slice(0, maximumLoggedRequests)) {
       logger.info(this.#describe(exchange), 'request cut off');
     }
   }
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -4,6 +4,7 @@
 
 import {
   closeServer,
+  createFailure,
   createIdentifier,
   openServer,
   probeUpstream,
@@ -49,6 +50,7 @@
 import { MemoryGuard, type HeldCaller } from './memory-guard.js';
 import { OutcomeMeter } from './outcome-meter.js';
 import { describeTimes, isInTime } from './request-times.js';
+import { retryAtOnce } from './retry-after.js';
 import { SharedRetryBudget } from './shared-retry-budget.js';
 import { StallWatch } from './stall-watch.js';
 import { StartWatch } from './start-watch.js';
@@ -344,12 +346,15 @@
       response,
       answer: new ResponseWriter(
         response,
-        () => this.#drain.isStopping,
+        () => this.#server.endsConnection(response),
         () => this.#memory?.isShort === true,
       ),
       facts: dialect.readRequest(request.headers),
       startedAt: clock.monotonic(),
     };
+    if (this.#rejectLate(call)) {
+      return;
+    }
     await this.#guard.waitForStart();
     const admission = admitRequest({
       table: this.#guard.table,
@@ -370,12 +375,28 @@
       held.requestBytes = size;
     });
     held.isReceiving = false;
-    if (body.ok) {
+    if (body.err) {
+      this.#endUnread(call, body.val);
+    } else if (!this.#rejectLate(call)) {
       held.delivery = this.#deliver(call, admission, body.val);
-    } else if (body.val.code === 'cancelled') {
+    }
+  }
+
+  /** Rejects a request for which too little of the grace period is left; the caller reaches another gateway with its next connection. */
+  #rejectLate(call: InboundRequest): boolean {
+    if (!this.#server.isClosed) {
+      return false;
+    }
+    this.#refuse(call, createFailure('stopping', '', retryAtOnce));
+    return true;
+  }
+
+  /** Ends a request whose body could not be read. */
+  #endUnread(call: InboundRequest, failure: Failure): void {
+    if (failure.code === 'cancelled') {
       call.answer.cut();
     } else {
-      this.#refuse(call, body.val);
+      this.#refuse(call, failure);
     }
   }
 
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -47,7 +47,7 @@
 
 export class ResponseWriter {
   readonly #response: ServerResponse;
-  readonly #mayCloseConnection: () => boolean;
+  readonly #endsConnection: () => boolean;
   readonly #isMemoryShort: () => boolean;
   #head: Head | undefined;
   #framer = new EventFramer();
@@ -60,12 +60,12 @@
 
   constructor(
     response: ServerResponse,
-    mayCloseConnection: () => boolean,
+    endsConnection: () => boolean,
     isMemoryShort: () => boolean = () => false,
   ) {
     this.#response = response;
     this.#isMemoryShort = isMemoryShort;
-    this.#mayCloseConnection = mayCloseConnection;
+    this.#endsConnection = endsConnection;
   }
 
   /** Identifier of the last event that was forwarded completely. */
@@ -199,7 +199,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
       ...(retry === undefined ? {} : { 'retry-after': String(retry / millisecondsPerSecond) }),
-      ...(this.#mayCloseConnection() ? { connection: 'close' } : {}),
+      ...(this.#endsConnection() ? { connection: 'close' } : {}),
     });
     this.#response.end(body);
   }
@@ -229,7 +229,7 @@
     if (!head.isFramed) {
       this.#response.useChunkedEncodingByDefault = false;
     }
-    if (this.#mayCloseConnection() || !head.isFramed) {
+    if (this.#endsConnection() || !head.isFramed) {
       fields.push('connection', 'close');
     }
     this.#response.writeHead(head.status, fields);
--- a/src/gateway/direct/retry-after.ts
+++ b/src/gateway/direct/retry-after.ts
@@ -15,6 +15,9 @@
  */
 const returnSpread = 0.1;
 
+/** For a caller that is sent away while other gateways serve. */
+export const retryAtOnce: Milliseconds = 0;
+
 /**
  * Returns the delay before the retry of a caller that is refused with this much time remaining.
  * `unavailableFor`: time for which a retry is known to be refused as well.
