Count what a stopping gateway owes and close its connections by the same count

Callers of a gateway that was stopped lost responses that were written but not sent yet, and requests whose body was still arriving when nothing else was under way. What was owed was counted as deliveries, which begin after the body and end when the response is written; connections were closed by Node's own count, in which a response is over once it is written, and all at once when there were no deliveries left.

Shown on the deployed programs: a request whose body arrives until after the port has closed ended without a response, with a length and in chunks; of 24 responses to callers that read slowly, some lost what the kernel had not taken.

A request is owed from its head until its response has been sent. The shutdown waits for that, and a connection is closed only when it owes nothing. Requests whose body arrives too late are rejected; the rest of a rejected body is read before its connection is closed, since unread bytes would reset it.

--- a/__tests__/processes/platform-gateway-stop.test.ts
+++ b/__tests__/processes/platform-gateway-stop.test.ts
@@ -11,6 +11,7 @@
   servicePaths,
 } from '../platform/plain-service.js';
 import { formatHead, OpenConnection, waitFor } from '../support/index.js';
+import { measureSocketCapacity } from '../support/socket-capacity.js';
 
 /** Times in milliseconds. The port of a gateway closes after half of the grace period. */
 const grace = 2000;
@@ -21,6 +22,7 @@
 
 /** More than a gateway holds back of a response before it sends its head. */
 const largePart = 'x'.repeat(300 * 1024);
+const kilobyte = 1024;
 const lastChunk = '\r\n0\r\n\r\n';
 
 let deployment: PlatformDeployment;
@@ -28,7 +30,7 @@
 let stoppedCount = 0;
 
 beforeAll(async () => {
-  const gatewayCount = 2;
+  const gatewayCount = 5;
   deployment = await PlatformDeployment.start(0, gatewayCount, grace, undefined, {}, 'deployment');
   service = new PlainService(deployment, 2);
   await service.open(gatewayCount);
@@ -91,6 +93,11 @@
   expect(wasPassedOn(id)).toBe(false);
 }
 
+/** Length of a body that consists of `x`, without the sizes of its chunks. */
+function countBytes(received: string): number {
+  return received.slice(received.indexOf('\r\n\r\n')).replace(/[^x]/g, '').length;
+}
+
 describe('a gateway that is stopped', () => {
   // Guards against requests that are passed on when too little of the grace period is left, and cut at its end.
   it('rejects a request that comes on an open connection after the port has closed', async () => {
@@ -138,4 +145,61 @@
     const isAnswered = connection.received.split(lastChunk).length > 2;
     expect(isAnswered || !wasPassedOn('next')).toBe(true);
   });
+
+  // Guards against connections that are closed while the body of their request arrives, without a response.
+  it.each([
+    ['a length', { 'content-length': '10' }, ['12345', '67890']],
+    ['chunks', { 'transfer-encoding': 'chunked' }, ['5\r\n12345\r\n', '5\r\n67890\r\n0\r\n\r\n']],
+  ] as const)(
+    'answers a request whose body of %s is still arriving',
+    async (name, headers, parts) => {
+      setHandler(answerAfter(longRun));
+      const { address, stop } = takeGateway();
+      const id = `arriving in ${name}`;
+      const connection = await OpenConnection.open(address);
+      connection.write(createHead(id, headers));
+      connection.write(parts[0]);
+      await pause(100);
+      stop();
+      await pause(afterPortCloses);
+      connection.write(parts[1]);
+      await connection.closed;
+      expectRejection(connection.received, id);
+    },
+  );
+
+  // Guards against responses that are taken for sent once they are written, and lose what waits for a slow caller.
+  it('sends the rest of each response to a caller that reads slowly', async () => {
+    const capacity = await measureSocketCapacity();
+    const sizes = Array.from({ length: 24 }, (_, index) => capacity + (index - 10) * 30 * kilobyte);
+    setHandler((request, response) => {
+      const id = String(request.headers['x-attempt-id']);
+      const size = sizes[Number(id.split('-')[1])] ?? 0;
+      response.writeHead(200, {
+        'x-attempt-id': id,
+        'x-response-seal': 'seal',
+        'content-length': size,
+      });
+      response.end('x'.repeat(size));
+    });
+    const { address, stop } = takeGateway();
+    const connections = await Promise.all(
+      sizes.map(async (_, index) => {
+        const connection = await OpenConnection.open(address);
+        connection.pauseReading();
+        connection.write(createHead(`slow-${index}`));
+        return connection;
+      }),
+    );
+    await pause(200);
+    stop();
+    await pause(portCloses + 50);
+    connections.forEach((connection) => {
+      connection.resumeReading();
+    });
+    await Promise.all(connections.map(({ closed }) => closed));
+    const lengths = connections.map(({ received }) => countBytes(received));
+    expect(lengths).toEqual(sizes);
+    expect(connections.every(({ received }) => received.endsWith(lastChunk))).toBe(true);
+  });
 });
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -21,6 +21,8 @@
 interface Connection {
   /** Requests in order of arrival; more than one if the caller does not wait for responses. */
   readonly exchanges: Exchange[];
+  /** Bytes that had arrived when the connection last owed nothing; more have arrived since if a request is under way. */
+  idleBytes: number;
   /** Whether a response has said that the connection ends after it. */
   isEnding: boolean;
 }
@@ -33,7 +35,7 @@
   constructor(clock: Clock, serve: RequestListener) {
     super();
     this.on('connection', (socket) => {
-      this.#connections.set(socket, { exchanges: [], isEnding: false });
+      this.#connections.set(socket, { exchanges: [], idleBytes: 0, isEnding: false });
       socket.on('close', () => this.#connections.delete(socket));
     });
     this.on('request', (request, response) => {
@@ -76,6 +78,15 @@
     return super.close(callback);
   }
 
+  /** Closes the connections that owe nothing. Node takes a response for sent once it is written, and would lose the rest of it. */
+  override closeIdleConnections(): void {
+    for (const [socket, connection] of this.#connections) {
+      if (connection.exchanges.length === 0 && socket.bytesRead === connection.idleBytes) {
+        socket.destroySoon();
+      }
+    }
+  }
+
   /**
    * Whether the connection ends after this response, which then has to say so. Later requests on the connection are not served, as the
    * caller must not count on them.
@@ -108,7 +119,11 @@
     const { exchanges } = connection;
     const { socket } = exchange.request;
     exchanges.splice(exchanges.indexOf(exchange), 1);
-    if (exchanges.length === 0 && this.#stage === 'closed') {
+    if (exchanges.length > 0) {
+      return;
+    }
+    connection.idleBytes = socket.bytesRead;
+    if (this.#stage === 'closed') {
       // At once: a caller that sees the end with the response sends nothing more on this connection.
       socket.destroySoon();
     }
--- a/src/gateway/direct/caller-drain.ts
+++ b/src/gateway/direct/caller-drain.ts
@@ -37,9 +37,9 @@
     this.#options = options;
   }
 
-  /** Becomes unready, then closes the port, then waits for requests in flight until the grace period ends. */
+  /** Becomes unready, then closes the port, then waits until all responses have been sent or the grace period ends. */
   async run(): Promise<void> {
-    const { server, deliveries, grace, clock } = this.#options;
+    const { server, grace, clock } = this.#options;
     const startedAt = clock.monotonic();
     this.#startedAt = startedAt;
     server.leave();
@@ -47,11 +47,7 @@
     await sleep(Math.min(unreadyPeriod, grace / 2));
     server.close();
     this.#logOwed('port closed');
-    const end = startedAt + grace - graceMargin;
-    while (deliveries.size > 0 && clock.monotonic() < end) {
-      await sleep(pollInterval);
-      server.closeIdleConnections();
-    }
+    await this.#waitForResponses(startedAt + grace - graceMargin);
     this.#logCut();
   }
 
@@ -59,6 +55,13 @@
     return this.#startedAt !== undefined;
   }
 
+  async #waitForResponses(end: Milliseconds): Promise<void> {
+    const { server, clock } = this.#options;
+    while (server.exchanges.length > 0 && clock.monotonic() < end) {
+      await sleep(pollInterval);
+    }
+  }
+
   #logOwed(message: string): void {
     const { server, deliveries, logger } = this.#options;
     const owed = { ...server.countExchanges(), deliveries: deliveries.size };
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -195,13 +195,33 @@
       error: { code: number, name: failure.code, message, advice, detail: failure.detail },
     });
     const retry = failure.retryAfterMilliseconds;
+    const endsConnection = this.#endsConnection();
     this.#response.writeHead(httpStatus, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
       ...(retry === undefined ? {} : { 'retry-after': String(retry / millisecondsPerSecond) }),
-      ...(this.#endsConnection() ? { connection: 'close' } : {}),
+      ...(endsConnection ? { connection: 'close' } : {}),
     });
-    this.#response.end(body);
+    if (endsConnection) {
+      this.#endAfterRequest(body);
+    } else {
+      this.#response.end(body);
+    }
+  }
+
+  /** Closing a connection with unread bytes resets it, and the caller may lose the response, so the rest of the request is read first. */
+  #endAfterRequest(body: string): void {
+    const response = this.#response;
+    const { req: request } = response;
+    if (request.complete) {
+      response.end(body);
+      return;
+    }
+    response.write(body);
+    request.on('end', () => {
+      response.end();
+    });
+    request.resume();
   }
 
   #pushEvents(bytes: Buffer): void {
