Reset what a gateway could not send within its grace period

A response that only the end of its connection delimits looked complete when the gateway gave up on a slow caller, since its connection was closed in order. The connections that still owe a response are reset now, and the log says how many. The test shows it for a response that has begun; that no reset was sent to a caller with unread bytes cannot be seen from Node, which reports an end there.

--- a/__tests__/gateway/caller-server.test.ts
+++ b/__tests__/gateway/caller-server.test.ts
@@ -90,4 +90,17 @@
     await connection.closed;
     expect(connection.received).toContain('answer 0');
   });
+
+  // Guards against a response that is cut and looks complete, since only the end of its connection delimits it.
+  it('resets a connection that owes a response when it gives up', async () => {
+    connection.write(head);
+    await waitForRequests(1);
+    const [, response] = served[0] ?? [];
+    response?.writeHead(200, { connection: 'close' });
+    response?.write('begun');
+    await waitFor('the response to begin', () => connection.received.includes('begun'));
+    server.resetOwing();
+    await connection.closed;
+    expect(connection.isReset).toBe(true);
+  });
 });
--- a/__tests__/support/open-connection.ts
+++ b/__tests__/support/open-connection.ts
@@ -14,6 +14,7 @@
   readonly #socket: Socket;
   #chunks: Buffer[] = [];
   #isEnded = false;
+  #isReset = false;
 
   private constructor(socket: Socket) {
     this.#socket = socket;
@@ -26,7 +27,9 @@
     socket.on('end', () => {
       this.#isEnded = true;
     });
-    socket.on('error', () => undefined);
+    socket.on('error', () => {
+      this.#isReset = true;
+    });
     socket.on('data', (bytes: Buffer) => this.#chunks.push(bytes));
   }
 
@@ -44,6 +47,11 @@
     return this.#isEnded;
   }
 
+  /** Whether the connection ended with a reset, so that what was received is not complete. */
+  get isReset(): boolean {
+    return this.#isReset;
+  }
+
   /** Everything received so far. */
   get received(): string {
     const all = Buffer.concat(this.#chunks);
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -87,6 +87,17 @@
     }
   }
 
+  /** Resets the connections that owe a response, so that none looks complete that only the end of its connection delimits. */
+  resetOwing(): void {
+    for (const [socket, { exchanges }] of this.#connections) {
+      if (exchanges.length > 0) {
+        socket.resetAndDestroy();
+        // By itself, the reset would wait until all bytes have been sent.
+        socket.destroy();
+      }
+    }
+  }
+
   /**
    * Whether the connection ends after this response, which then has to say so. Later requests on the connection are not served, as the
    * caller must not count on them.
--- a/src/gateway/direct/caller-drain.ts
+++ b/src/gateway/direct/caller-drain.ts
@@ -15,7 +15,7 @@
 const unreadyPeriod: Milliseconds = 2500;
 /** Requests still in flight this long before the end of the grace period are ended with a failure. */
 const graceMargin: Milliseconds = 400;
-/** Responses that have not been sent this long before the end of the grace period are cut off. */
+/** Responses that have not been sent this long before the end of the grace period are reset. */
 const sendingMargin: Milliseconds = 150;
 const pollInterval: Milliseconds = 50;
 /** Log lines about single requests; a gateway that is full has thousands. */
@@ -50,9 +50,10 @@
     server.close();
     this.#logOwed('port closed');
     await this.#waitForResponses(startedAt + grace - graceMargin);
-    this.#logCut();
+    this.#logUnfinished();
     deliveries.stop();
     await this.#waitForResponses(startedAt + grace - sendingMargin);
+    this.#resetUnsent();
   }
 
   get isStopping(): boolean {
@@ -72,18 +73,27 @@
     logger.info({ after: this.#measure(), connections: server.connectionCount, owed }, message);
   }
 
-  #logCut(): void {
+  #logUnfinished(): void {
     const { server, logger } = this.#options;
     const { exchanges } = server;
     if (exchanges.length === 0) {
       return;
     }
-    logger.warn(
-      { after: this.#measure(), cut: exchanges.length, phases: server.countExchanges() },
-      'requests cut off at the end of the grace period',
-    );
+    this.#logOwed('requests left at the end of the grace period');
     for (const exchange of exchanges.slice(0, maximumLoggedRequests)) {
-      logger.info(this.#describe(exchange), 'request cut off');
+      logger.info(this.#describe(exchange), 'request left at the end of the grace period');
+    }
+  }
+
+  #resetUnsent(): void {
+    const { server, logger } = this.#options;
+    const { length } = server.exchanges;
+    if (length > 0) {
+      logger.warn(
+        { after: this.#measure(), cut: length },
+        'connections reset with their responses unsent',
+      );
+      server.resetOwing();
     }
   }
 
