Processes log the signals that arrive while they stop

A second SIGTERM left nothing in the log: the process was gone before it could write a line. Each SIGTERM, SIGINT and SIGHUP after the first stop signal is now logged, with the time since the first. What a signal does has not changed: where a second one ended the process, it is logged and raised again.

--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -3,7 +3,7 @@
 import { EventLoopWatch } from './event-loop-watch.js';
 import { FailureError } from './failure.js';
 import { LifecycleManager, type ManagedPart } from './lifecycle.js';
-import { systemClock } from './time.js';
+import { systemClock, type Milliseconds } from './time.js';
 
 /** Runs the parts of a process until it receives a termination signal. */
 
@@ -27,8 +27,10 @@
   for (const part of [watch, ...parts]) {
     lifecycle.add(part);
   }
+  let stoppingSince: Milliseconds | undefined;
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.once(signal, () => {
+      stoppingSince ??= systemClock.monotonic();
       logger.info({ signal }, 'stopping');
       void lifecycle.close().then(() => {
         logger.info('stopped');
@@ -42,6 +44,7 @@
       logger.info('SIGHUP: changed settings take effect at the next start');
     });
   }
+  logSignalsWhileStopping(logger, () => stoppingSince);
   try {
     await lifecycle.open();
     logger.info('started');
@@ -50,6 +53,28 @@
   }
 }
 
+/** Logs each signal that arrives after the first one; its effect stays as it is without the log. */
+function logSignalsWhileStopping(
+  logger: Logger,
+  readStoppingSince: () => Milliseconds | undefined,
+): void {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+    const logSignal = (): void => {
+      const since = readStoppingSince();
+      if (since === undefined) {
+        return;
+      }
+      const sinceFirst = Math.round(systemClock.monotonic() - since);
+      logger.warn({ signal, sinceFirst }, 'signal while stopping');
+      if (process.listenerCount(signal) === 1) {
+        process.off(signal, logSignal);
+        process.kill(process.pid, signal);
+      }
+    };
+    process.prependListener(signal, logSignal);
+  }
+}
+
 function describeError(error: unknown): object {
   if (error instanceof FailureError) {
     return { code: error.failure.code, error: error.message };
