A second signal no longer ends a process that is stopping

Callers saw streams end in the middle, and calls cut, about as many as the process had under way. The handlers of SIGTERM and SIGINT were installed for the first signal only: the next one of the same kind had Node's default action and ended the process at once. Supervisors repeat their signal, two series of stops may overlap, and npm passes on a Ctrl-C that the terminal has sent to the program already.

The handlers stay now, and later signals are only logged. A stop is bounded as before: by the grace period of a gateway, the hard limit of a sidecar, the supervisor's SIGKILL. An operator who presses Ctrl-C twice waits as after once.

The launcher was not tried.

--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -36,7 +36,6 @@
 const millisecondsPerSecond = 1000;
 const joinDuration = 30;
 const openDuration = 30;
-const eventInterval = 20;
 /** Time after which a crashed engine restarts with a new id. */
 const restartDelay = 300;
 /** A request whose body contains this text crashes the engine that runs it. */
@@ -76,6 +75,8 @@
   readonly received: ReceivedRequest[] = [];
   /** Delay of the report in milliseconds. */
   reportDelay = 0;
+  /** Time between two events of a stream, in milliseconds. */
+  eventInterval = 20;
   /** Bytes sent in place of the next responses of each kind; a response each. */
   readonly faultyResponses: Readonly<Record<EngineCall, string[]>> = {
     report: [],
@@ -335,7 +336,7 @@
         clearInterval(timer);
         response.end();
       }
-    }, eventInterval);
+    }, this.eventInterval);
     response.on('close', () => {
       clearInterval(timer);
     });
--- a/__tests__/processes/path-shutdown.test.ts
+++ b/__tests__/processes/path-shutdown.test.ts
@@ -1,9 +1,14 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
 import { afterEach, describe, expect, it } from 'vitest';
 
-import { Fleet, waitFor } from '../support/index.js';
+import { Fleet, waitFor, type RunningProgram } from '../support/index.js';
 
 /** Planned stops of every role while requests are in flight. */
 
+/** A supervisor repeats its signal while the process is finishing its requests. */
+const repeatDelay = 1000;
+
 let fleet: Fleet | undefined;
 
 afterEach(async () => {
@@ -48,6 +53,24 @@
     }
   });
 
+  // Failure: a second SIGTERM has its default action and ends the process with all that is under way.
+  it.each(['gateway', 'sidecar'])(
+    'of a %s cuts off no answer when it is repeated',
+    async (kind) => {
+      fleet = await Fleet.start({ tokenMilliseconds, serviceHosts: 0 });
+      const programs = fleet.list(kind).map(({ program }) => program);
+      await expectWholeStreamsAcross(fleet, async () => {
+        signalAll(programs);
+        await pause(repeatDelay);
+        signalAll(programs);
+      });
+      for (const program of programs) {
+        expect(await program.waitForExit()).toEqual({ code: 0, signal: null });
+        expect(program.output).toContain('"msg":"signal while stopping"');
+      }
+    },
+  );
+
   /*
    * Symptom: callers of one gateway wait for their timeout after a runner's host was stopped.
    * Sequence: two groups; one is stopped; requests go on coming.
@@ -77,6 +100,12 @@
   });
 });
 
+function signalAll(programs: readonly RunningProgram[]): void {
+  for (const program of programs) {
+    program.signal('SIGTERM');
+  }
+}
+
 /** The text of a streamed answer as it comes. */
 class ReadStream {
   readonly ended: Promise<void>;
@@ -98,7 +127,10 @@
 }
 
 /** Streams that have begun before the stop must come to their end. */
-async function expectWholeStreamsAcross(running: Fleet, stop: () => void): Promise<void> {
+async function expectWholeStreamsAcross(
+  running: Fleet,
+  stop: () => Promise<void> | void,
+): Promise<void> {
   const responses = await Promise.all(
     Array.from({ length: 8 }, (_, index) =>
       running.chat({ content: `word${index}`, isStreamed: true, tokens }),
@@ -106,7 +138,7 @@
   );
   const streams = responses.map((response) => new ReadStream(response));
   await waitFor('every stream to begin', () => streams.every(({ text }) => text.includes('#3 ')));
-  stop();
+  await stop();
   await Promise.all(streams.map(({ ended }) => ended));
   streams.forEach(({ text }, index) => {
     expect(text).toContain(`word${index}#${tokens - 1} `);
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -66,8 +66,10 @@
   return files.length;
 }
 
+/** A terminal sends Ctrl-C to npm as well, which passes it on: the second signal of one Ctrl-C must not leave programs behind. */
 async function stopAll(status = 0) {
   if (isStopping) {
+    console.log(`still stopping; after ${stopTimeout / 1000} s a program is killed`);
     return;
   }
   isStopping = true;
@@ -135,8 +137,8 @@
 runOnce(process.execPath, ['scripts/build.mjs']);
 rmSync(runFolder, { recursive: true, force: true });
 mkdirSync(runFolder, { recursive: true });
-process.once('SIGINT', () => void stopAll());
-process.once('SIGTERM', () => void stopAll());
+process.on('SIGINT', () => void stopAll());
+process.on('SIGTERM', () => void stopAll());
 
 const counts = {
   control: startSettings(examples, 'pistachiospoke-control'),
--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -27,24 +27,7 @@
   for (const part of [watch, ...parts]) {
     lifecycle.add(part);
   }
-  let stoppingSince: Milliseconds | undefined;
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.once(signal, () => {
-      stoppingSince ??= systemClock.monotonic();
-      logger.info({ signal }, 'stopping');
-      void lifecycle.close().then(() => {
-        logger.info('stopped');
-        process.exit(0);
-      });
-    });
-  }
-  if (process.listenerCount('SIGHUP') === 0) {
-    // The default action of SIGHUP would terminate the process and lose its work in progress.
-    process.on('SIGHUP', () => {
-      logger.info('SIGHUP: changed settings take effect at the next start');
-    });
-  }
-  logSignalsWhileStopping(logger, () => stoppingSince);
+  handleSignals(lifecycle, logger);
   try {
     await lifecycle.open();
     logger.info('started');
@@ -53,25 +36,36 @@
   }
 }
 
-/** Logs each signal that arrives after the first one; its effect stays as it is without the log. */
-function logSignalsWhileStopping(
-  logger: Logger,
-  readStoppingSince: () => Milliseconds | undefined,
-): void {
-  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
-    const logSignal = (): void => {
-      const since = readStoppingSince();
-      if (since === undefined) {
-        return;
-      }
-      const sinceFirst = Math.round(systemClock.monotonic() - since);
+/**
+ * Closes the parts at the first stop signal and then ends the process. Later signals shorten nothing: supervisors and terminals repeat
+ * them, and what is under way would be lost. The parts bound the time that their closing takes.
+ */
+function handleSignals(lifecycle: LifecycleManager, logger: Logger): void {
+  const canReload = process.listenerCount('SIGHUP') > 0;
+  let stoppingSince: Milliseconds | undefined;
+  const receive = (signal: NodeJS.Signals): void => {
+    const now = systemClock.monotonic();
+    if (stoppingSince !== undefined) {
+      const sinceFirst = Math.round(now - stoppingSince);
       logger.warn({ signal, sinceFirst }, 'signal while stopping');
-      if (process.listenerCount(signal) === 1) {
-        process.off(signal, logSignal);
-        process.kill(process.pid, signal);
+      return;
+    }
+    if (signal === 'SIGHUP') {
+      if (!canReload) {
+        logger.info('SIGHUP: changed settings take effect at the next start');
       }
-    };
-    process.prependListener(signal, logSignal);
+      return;
+    }
+    stoppingSince = now;
+    logger.info({ signal }, 'stopping');
+    void lifecycle.close().then(() => {
+      logger.info('stopped');
+      process.exit(0);
+    });
+  };
+  // The default action of each of these would end the process and lose its work in progress.
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+    process.on(signal, receive);
   }
 }
 
