Soaks share lives of processes of any kind, streams of any length and the work of upstreams

A test engine takes the size of its stream from the request's header fields, and notes when its work on each request began and how it ended. The plain service reports to control hosts in turn, so that it outlasts the stop of one, and its upstreams have names of their own. Each soak names only the part of its size that differs from the usual. No check is changed; not run yet.

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -7,7 +7,7 @@
 
 /** The first three are the initial members of the log; the last one is started later as a replacement. */
 const controlHosts = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
-const initialControlCount = 3;
+export const initialControlCount = 3;
 const host = 'desk.example';
 const apiKey = 'key-1';
 export const streamPath = '/draft/1';
@@ -269,7 +269,7 @@
     const before = this.#sidecars[index];
     before?.signal('SIGKILL');
     await before?.waitForExit();
-    this.#startSidecar(index);
+    this.startSidecar(index);
     return this.sidecarProgram(index);
   }
 
@@ -315,11 +315,12 @@
       };
       const file = await this.group.write(`sidecar-${index}.json`, JSON.stringify(settings));
       this.#settingsFiles.set(nameSidecar(index), file);
-      this.#startSidecar(index);
+      this.startSidecar(index);
     }
   }
 
-  #startSidecar(index: number): void {
+  /** Starts the sidecar of an engine, which must not be running. */
+  startSidecar(index: number): void {
     const label = nameSidecar(index);
     const file = this.#settingsFiles.get(label) ?? '';
     this.#sidecars[index] = this.group.start(`${this.#build}/sidecar`, ['--settings', file], {
--- /dev/null
+++ b/__tests__/platform/event-stream.ts
@@ -0,0 +1,32 @@
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+
+/** The stream with which a test engine answers. Header fields of the request set its size. */
+
+export const streamHeaders = { eventCount: 'x-event-count', eventBytes: 'x-event-bytes' } as const;
+export const usualEventCount = 20;
+/** Time between two events, in milliseconds. */
+export const usualEventInterval = 20;
+
+/** Writes events at a constant rate, from the one after the last that the caller has; stops when the connection is closed. */
+export function writeEvents(
+  headers: IncomingHttpHeaders,
+  response: ServerResponse,
+  interval: number,
+): void {
+  const last = Number(headers[streamHeaders.eventCount] ?? usualEventCount);
+  const padding = '.'.repeat(Number(headers[streamHeaders.eventBytes] ?? 0));
+  let next = Number(headers['last-event-id'] ?? 0) + 1;
+  const timer = setInterval(() => {
+    if (next <= last) {
+      response.write(`id: ${next}\ndata: token ${next}${padding}\n\n`);
+    }
+    next += 1;
+    if (next > last) {
+      clearInterval(timer);
+      response.end();
+    }
+  }, interval);
+  response.on('close', () => {
+    clearInterval(timer);
+  });
+}
--- a/__tests__/platform/plain-service.ts
+++ b/__tests__/platform/plain-service.ts
@@ -7,7 +7,7 @@
 
 import { TestUpstream } from '../direct/upstream.js';
 import { waitFor } from '../support/index.js';
-import type { PlatformDeployment } from './deployment.js';
+import { initialControlCount, type PlatformDeployment } from './deployment.js';
 
 /** A plain service with test upstreams in a deployment of processes. */
 
@@ -45,12 +45,15 @@
 export class PlainService {
   readonly upstreams: readonly TestUpstream[];
   readonly #deployment: PlatformDeployment;
+  readonly #timeout: number;
   #sequence = 0;
   #heartbeats: NodeJS.Timeout | undefined;
   #requestCount = 0;
 
-  constructor(deployment: PlatformDeployment, upstreamCount: number) {
+  /** `timeout`: time that its routes give their requests, in milliseconds. */
+  constructor(deployment: PlatformDeployment, upstreamCount: number, timeout = routeTimeout) {
     this.#deployment = deployment;
+    this.#timeout = timeout;
     this.upstreams = Array.from({ length: upstreamCount }, () => new TestUpstream());
   }
 
@@ -60,10 +63,7 @@
       upstream.handle = answerSoundly;
       await upstream.open();
     }
-    await waitFor('the manifest to be accepted', async () => {
-      const body = addService(this.#deployment.manifest(manifestVersion));
-      return (await this.#deployment.callControl(0, 'POST', '/Config.Put', body)).status === 200;
-    });
+    await waitFor('the manifest to be accepted', () => this.putManifest(0, manifestVersion));
     this.#heartbeats = setInterval(() => {
       this.upstreams.forEach((upstream, index) => void this.#announce(upstream, index));
     }, heartbeatInterval);
@@ -78,6 +78,14 @@
     }
   }
 
+  /** Offers a manifest with the service to a control host; returns whether it was accepted. */
+  async putManifest(control: number, version: number, serviceFields?: object): Promise<boolean> {
+    const manifest = this.#deployment.manifest(version, serviceFields);
+    const body = addService(manifest, this.#timeout);
+    const { status } = await this.#deployment.callControl(control, 'POST', '/Config.Put', body);
+    return status === 200;
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#heartbeats);
     await Promise.all(this.upstreams.map((upstream) => upstream.close()));
@@ -131,14 +139,22 @@
       cold_left_ms: 0,
       sequence: this.#sequence,
     });
-    await this.#deployment.callControl(0, 'POST', `/Instances.Heartbeat/i-${index}`, body);
+    const path = `/Instances.Heartbeat/desk-${index}`;
+    const round = Math.floor(this.#sequence / this.upstreams.length);
+    for (let call = 0; call < initialControlCount; call += 1) {
+      const control = (round + call) % initialControlCount;
+      const { status } = await this.#deployment.callControl(control, 'POST', path, body);
+      if (status === 200) {
+        return;
+      }
+    }
   }
 }
 
 /** Adds the service and its routes to a manifest. */
-function addService(manifest: string): string {
+function addService(manifest: string, timeout: number): string {
   const { routes, services, ...rest } = JSON.parse(manifest) as Record<string, object[]>;
-  const shared = { host, service: serviceName, timeout_ms: routeTimeout, attempts: 2 };
+  const shared = { host, service: serviceName, timeout_ms: timeout, attempts: 2 };
   return JSON.stringify({
     ...rest,
     routes: [
--- a/__tests__/platform/soak/soak-callers.ts
+++ b/__tests__/platform/soak/soak-callers.ts
@@ -4,7 +4,7 @@
 
 import type { RandomSource } from '../../../src/common/index.js';
 import { createStreamHeaders, streamPath, type PlatformDeployment } from '../deployment.js';
-import type { GatewayLives } from './gateway-lives.js';
+import type { ProcessLives } from './process-lives.js';
 import { findUsableSince } from './usable-head.js';
 
 /** Callers of a soak. Each keeps its connection to a gateway until that process closes it, and then goes to the next gateway. */
@@ -33,7 +33,7 @@
 export class SoakCallers {
   readonly results: CallerResult[] = [];
   readonly #deployment: PlatformDeployment;
-  readonly #lives: GatewayLives;
+  readonly #lives: ProcessLives;
   readonly #random: RandomSource;
   readonly #describeHeaders: DescribeHeaders;
   readonly #running: readonly Promise<void>[];
@@ -41,7 +41,7 @@
 
   constructor(
     deployment: PlatformDeployment,
-    lives: GatewayLives,
+    lives: ProcessLives,
     random: RandomSource,
     callerCount: number,
     describeHeaders: DescribeHeaders = () => ({}),
@@ -59,7 +59,7 @@
   }
 
   async #run(caller: number): Promise<void> {
-    let gateway = caller % this.#lives.gatewayCount;
+    let gateway = caller % this.#lives.processCount;
     let client = this.#connect(gateway);
     for (let count = 0; !this.#isStopping; count += 1) {
       const id = [this.#lives.currentKey(gateway), caller, count].join(idSeparator);
@@ -70,7 +70,7 @@
       if (!result.isWhole) {
         await client.destroy();
         await pause(reconnectDelay);
-        gateway = (gateway + 1) % this.#lives.gatewayCount;
+        gateway = (gateway + 1) % this.#lives.processCount;
         client = this.#connect(gateway);
       }
       await pause(this.#random.integerBelow(maximumPause));
--- a/__tests__/platform/soak/soak-faults.ts
+++ b/__tests__/platform/soak/soak-faults.ts
@@ -5,7 +5,7 @@
 import { drainTime } from '../received-requests.js';
 import type { TestEngine } from '../test-engine.js';
 import { causeFaults } from './cause-faults.js';
-import type { GatewayLives } from './gateway-lives.js';
+import type { ProcessLives } from './process-lives.js';
 
 /** Faults, restarts and changes of a soak. They come in series and overlap. */
 
@@ -43,7 +43,7 @@
 
 export interface SoakFaultsOptions {
   readonly deployment: PlatformDeployment;
-  readonly lives: GatewayLives;
+  readonly lives: ProcessLives;
   readonly random: RandomSource;
 }
 
@@ -135,7 +135,7 @@
   }
 
   async #withGateway(act: (gateway: number) => Promise<void>): Promise<void> {
-    const gateway = this.#options.random.integerBelow(this.#options.lives.gatewayCount);
+    const gateway = this.#options.random.integerBelow(this.#options.lives.processCount);
     if (this.#busyGateways.has(gateway)) {
       return;
     }
--- a/__tests__/platform/soak/soak-judge.ts
+++ b/__tests__/platform/soak/soak-judge.ts
@@ -2,7 +2,7 @@
 
 import { listLate, listPauses, maximumInPause } from '../received-requests.js';
 import type { ReceivedRequest, TestEngine } from '../test-engine.js';
-import type { GatewayLives } from './gateway-lives.js';
+import type { ProcessLives } from './process-lives.js';
 import { idSeparator, type CallerResult } from './soak-callers.js';
 import { settlingTime } from './usable-head.js';
 
@@ -16,7 +16,7 @@
 
 export interface SoakRecord {
   readonly engines: readonly TestEngine[];
-  readonly lives: GatewayLives;
+  readonly lives: ProcessLives;
   readonly results: readonly CallerResult[];
 }
 
--- a/__tests__/platform/soak/soak-settings.ts
+++ b/__tests__/platform/soak/soak-settings.ts
@@ -16,15 +16,27 @@
 /** Time without faults in which callers must be served again. */
 export const recoveryTime = 8000;
 
-export function readSoakSettings(defaultEngineCount: number): SoakSettings {
+type SoakSize = Omit<SoakSettings, 'seeds'>;
+
+const usualSize: SoakSize = {
+  gatewayCount: 3,
+  engineCount: 8,
+  callerCount: 12,
+  duration: 12_000,
+  meanFaultInterval: 500,
+};
+
+/** `size`: what a soak has by default in place of the usual size. */
+export function readSoakSettings(size: Partial<SoakSize> = {}): SoakSettings {
+  const defaults = { ...usualSize, ...size };
   const firstSeed = readNumber('FIRST_SEED', 1);
   return {
     seeds: Array.from({ length: readNumber('SEEDS', 2) }, (_, index) => firstSeed + index),
-    gatewayCount: readNumber('GATEWAYS', 3),
-    engineCount: readNumber('ENGINES', defaultEngineCount),
-    callerCount: readNumber('CALLERS', 12),
-    duration: readNumber('MILLISECONDS', 12_000),
-    meanFaultInterval: readNumber('FAULT_INTERVAL', 500),
+    gatewayCount: readNumber('GATEWAYS', defaults.gatewayCount),
+    engineCount: readNumber('ENGINES', defaults.engineCount),
+    callerCount: readNumber('CALLERS', defaults.callerCount),
+    duration: readNumber('MILLISECONDS', defaults.duration),
+    meanFaultInterval: readNumber('FAULT_INTERVAL', defaults.meanFaultInterval),
   };
 }
 
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -1,6 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { usualEventInterval, writeEvents } from './event-stream.js';
+import { beginWork, endWork, type Work } from './work.js';
+
 /** A fake model runner that follows the platform's documentation: it reports its state, executes orders and streams responses. */
 
 interface GroupMembership {
@@ -59,6 +62,8 @@
   readonly joinsWhileOpen: string[] = [];
   /** Attempt ids of the requests that the engine began to run. */
   readonly runs: string[] = [];
+  /** The work on these requests. */
+  readonly work: Work[] = [];
   /** Attempt ids of the requests that crashed this engine. */
   readonly crashes: string[] = [];
   /** Identifiers of prompt segments that crash the engine when it begins to answer. */
@@ -76,7 +81,7 @@
   /** Delay of the report in milliseconds. */
   reportDelay = 0;
   /** Time between two events of a stream, in milliseconds. */
-  eventInterval = 20;
+  eventInterval = usualEventInterval;
   /** Bytes sent in place of the next responses of each kind; a response each. */
   readonly faultyResponses: Readonly<Record<EngineCall, string[]>> = {
     report: [],
@@ -138,6 +143,9 @@
   /** Stops immediately and closes all connections. */
   async crash(): Promise<void> {
     clearTimeout(this.#restartTimer);
+    this.work.forEach((work) => {
+      endWork(work, 'crashed');
+    });
     const server = this.#server;
     this.#server = undefined;
     this.#group = undefined;
@@ -316,6 +324,7 @@
       return;
     }
     this.runs.push(id);
+    this.work.push(beginWork(id, response));
     if (body.includes(crashingContent) || this.#hasCrashingSegment(request)) {
       void this.#crashDuring(id, response);
       return;
@@ -327,18 +336,6 @@
       ...this.#leavingHeader,
       ...(this.rateLimit === undefined ? {} : { 'server-limit': String(this.rateLimit) }),
     });
-    let next = Number(request.headers['last-event-id'] ?? 0) + 1;
-    const last = 20;
-    const timer = setInterval(() => {
-      response.write(`id: ${next}\ndata: token ${next}\n\n`);
-      next += 1;
-      if (next > last) {
-        clearInterval(timer);
-        response.end();
-      }
-    }, this.eventInterval);
-    response.on('close', () => {
-      clearInterval(timer);
-    });
+    writeEvents(request.headers, response, this.eventInterval);
   }
 }
--- a/__tests__/processes/platform-availability-soak.test.ts
+++ b/__tests__/processes/platform-availability-soak.test.ts
@@ -5,7 +5,7 @@
 
 import { createRandomSource } from '../../src/common/index.js';
 import { PlatformDeployment } from '../platform/deployment.js';
-import { GatewayLives } from '../platform/soak/gateway-lives.js';
+import { ProcessLives } from '../platform/soak/process-lives.js';
 import { SoakCallers } from '../platform/soak/soak-callers.js';
 import { SoakFaults } from '../platform/soak/soak-faults.js';
 import { countOutcomes, describeOutcome, findFaults } from '../platform/soak/soak-judge.js';
@@ -17,7 +17,7 @@
 } from '../platform/soak/soak-settings.js';
 
 const { seeds, gatewayCount, engineCount, callerCount, duration, meanFaultInterval } =
-  readSoakSettings(8);
+  readSoakSettings();
 
 const nanosecondsPerMillisecond = 1e6;
 
@@ -36,7 +36,7 @@
     'sends them nothing in pauses and after departures, seed %i',
     async (seed) => {
       const random = createRandomSource(seed);
-      const lives = new GatewayLives(gatewayCount);
+      const lives = new ProcessLives(gatewayCount);
       const running = await PlatformDeployment.start(engineCount, gatewayCount, grace);
       deployment = running;
       await running.waitForGroups(initialGroups);
--- a/__tests__/processes/platform-control-soak.test.ts
+++ b/__tests__/processes/platform-control-soak.test.ts
@@ -8,7 +8,7 @@
 import { ControlFaults } from '../platform/soak/control-faults.js';
 import { readSoakSettings } from '../platform/soak/soak-settings.js';
 
-const { seeds, duration, meanFaultInterval } = readSoakSettings(0);
+const { seeds, duration, meanFaultInterval } = readSoakSettings();
 
 /** Time in milliseconds after a fault of most control hosts until they answer as before. */
 const contactLimit = 6000;
--- a/__tests__/processes/platform-segment-soak.test.ts
+++ b/__tests__/processes/platform-segment-soak.test.ts
@@ -5,7 +5,7 @@
 import { createRandomSource } from '../../src/common/index.js';
 import { PlatformDeployment } from '../platform/deployment.js';
 import { listCrashedStarts, listCrashTimes } from '../platform/received-requests.js';
-import { GatewayLives } from '../platform/soak/gateway-lives.js';
+import { ProcessLives } from '../platform/soak/process-lives.js';
 import { idSeparator, SoakCallers } from '../platform/soak/soak-callers.js';
 import { SoakFaults } from '../platform/soak/soak-faults.js';
 import { countOutcomes, describeOutcome, findFaults } from '../platform/soak/soak-judge.js';
@@ -17,7 +17,7 @@
 } from '../platform/soak/soak-settings.js';
 
 const { seeds, gatewayCount, engineCount, callerCount, duration, meanFaultInterval } =
-  readSoakSettings(10);
+  readSoakSettings({ engineCount: 10 });
 
 const crashingSegments = ['bad1', 'bad2'];
 /** Share of the requests that hold one of them. */
@@ -48,7 +48,7 @@
     'holds back these segments and nothing else, seed %i',
     async (seed) => {
       const random = createRandomSource(seed);
-      const lives = new GatewayLives(gatewayCount);
+      const lives = new ProcessLives(gatewayCount);
       const running = await PlatformDeployment.start(engineCount, gatewayCount, grace);
       deployment = running;
       const { engines } = running;
