--- /dev/null
+++ b/__tests__/platform/soak/kept-connection.ts
@@ -0,0 +1,155 @@
+import { Agent, request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+
+import { z } from 'zod';
+
+import { describeHeaders, describePath, isWholeAnswer, type RequestPlan } from './request-plan.js';
+
+/** A connection of a caller that stays open between its requests for as long as the gateway keeps it. Times in milliseconds. */
+
+/** How a request ended for its caller. `status` is 0 if there was no response. */
+export type Ending =
+  | {
+      readonly type: 'answered';
+      readonly status: number;
+      /** Name of the result code of a failure; empty for a success. */
+      readonly name: string;
+      readonly isWhole: boolean;
+    }
+  | { readonly type: 'broken'; readonly status: number; readonly error: string };
+
+export interface Exchange {
+  readonly id: string;
+  readonly plan: RequestPlan;
+  /** Key of the life of the gateway that took the connection. */
+  readonly life: string;
+  readonly startedAt: number;
+  /** Time at which the last byte of the request had been sent; undefined if it was not. */
+  readonly sentAt: number | undefined;
+  readonly endedAt: number;
+  readonly ending: Ending;
+}
+
+const errorSchema = z.object({ error: z.object({ name: z.string() }) });
+
+export class KeptConnection {
+  readonly gateway: number;
+  readonly #address: string;
+  readonly #readLife: () => string;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #socket: Socket | undefined;
+  #life = '';
+
+  /** `readLife`: gives the key of the present life of the gateway. */
+  constructor(gateway: number, address: string, readLife: () => string) {
+    this.gateway = gateway;
+    this.#address = address;
+    this.#readLife = readLife;
+  }
+
+  /** Whether the next request goes on the connection that carried the last one. */
+  get isOpen(): boolean {
+    return this.#socket?.writable === true && this.#socket.readable;
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  /** Sends a request and resolves once its answer is complete or its connection has ended. */
+  async send(id: string, plan: RequestPlan): Promise<Exchange> {
+    const [host, port] = this.#address.split(':');
+    const startedAt = performance.now();
+    const life = this.#readLife();
+    let sentAt: number | undefined;
+    const request = sendRequest({
+      agent: this.#agent,
+      host,
+      port,
+      method: 'POST',
+      path: describePath(plan),
+      headers: describeHeaders(id, plan),
+    });
+    request.on('socket', (socket) => {
+      this.#life = socket === this.#socket ? this.#life : life;
+      this.#socket = socket;
+    });
+    request.on('finish', () => {
+      sentAt = performance.now();
+    });
+    const ended = readEnding(request, plan);
+    await Promise.all([ended, sendBody(request, plan)]);
+    const { ending, endedAt } = await ended;
+    return { id, plan, life: this.#life, startedAt, sentAt, endedAt, ending };
+  }
+}
+
+interface TimedEnding {
+  readonly ending: Ending;
+  readonly endedAt: number;
+}
+
+function readEnding(request: ClientRequest, plan: RequestPlan): Promise<TimedEnding> {
+  return new Promise((resolve) => {
+    const finish = (ending: Ending): void => {
+      resolve({ ending, endedAt: performance.now() });
+    };
+    request.on('error', (error) => {
+      finish({ type: 'broken', status: 0, error: String(error) });
+    });
+    request.on('response', (response) => {
+      void readResponse(response, plan).then(finish);
+    });
+  });
+}
+
+async function readResponse(response: IncomingMessage, plan: RequestPlan): Promise<Ending> {
+  const status = response.statusCode ?? 0;
+  let body = '';
+  let failure: unknown = 'ended early';
+  response.on('error', (error) => {
+    failure = error;
+  });
+  await pause(plan.readDelay);
+  response.setEncoding('latin1').on('data', (text: string) => {
+    body += text;
+  });
+  if (!response.closed) {
+    await new Promise((resolve) => response.on('close', resolve));
+  }
+  if (!response.complete) {
+    return { type: 'broken', status, error: `${String(failure)} after ${body.length} bytes` };
+  }
+  const isSuccess = status === 200;
+  const name = isSuccess ? '' : readErrorName(body);
+  return { type: 'answered', status, name, isWhole: !isSuccess || isWholeAnswer(plan, body) };
+}
+
+function readErrorName(body: string): string {
+  try {
+    return errorSchema.parse(JSON.parse(body)).error.name;
+  } catch {
+    return body.slice(0, 80);
+  }
+}
+
+/** Sends the pieces at equal intervals; stops once the connection has ended. */
+async function sendBody(request: ClientRequest, { body }: RequestPlan): Promise<void> {
+  const { bytes, pieces, duration } = body;
+  request.flushHeaders();
+  for (let piece = 0; piece < pieces; piece += 1) {
+    if (piece > 0) {
+      await pause(duration / (pieces - 1));
+    }
+    if (request.destroyed) {
+      return;
+    }
+    const from = Math.floor((bytes * piece) / pieces);
+    const until = Math.floor((bytes * (piece + 1)) / pieces);
+    if (until > from) {
+      request.write('.'.repeat(until - from));
+    }
+  }
+  request.end();
+}
