--- a/__tests__/processes/platform-stop-soak.test.ts
+++ b/__tests__/processes/platform-stop-soak.test.ts
@@ -15,6 +15,7 @@
 import { StopFaults } from '../platform/soak/stop-faults.js';
 import { findWrongEnds, StopJudge } from '../platform/soak/stop-judge.js';
 import { stopGrace } from '../platform/soak/stop-verdict.js';
+import { waitFor } from '../support/index.js';
 import type { Work } from '../platform/work.js';
 
 const { seeds, gatewayCount, engineCount, callerCount, duration, meanFaultInterval } =
@@ -45,10 +46,10 @@
     async (seed) => {
       const running = await PlatformDeployment.start(engineCount, gatewayCount, stopGrace);
       deployment = running;
-      await running.waitForGroups(initialGroups);
       const plain = new PlainService(running, upstreamCount, timeLimit);
       service = plain;
       await plain.open(gatewayCount);
+      await waitFor('open groups', () => running.findHeads().length >= initialGroups);
       const plainWork: Work[] = [];
       for (const upstream of plain.upstreams) {
         upstream.handle = createPlainAnswers(plainWork);
