The soak of stops measures its own stalls and what a process had written

Where the soak's own process stands still, it sees the end of a connection late: that time no longer counts against the 200 ms in which a request may cross the close. A signal that ends a process before it has written anything is no fault, as no program can handle it by then; SIGHUP series leave out such processes.

--- a/__tests__/platform/soak/kept-connection.ts
+++ b/__tests__/platform/soak/kept-connection.ts
@@ -27,6 +27,8 @@
   readonly startedAt: number;
   /** Time at which the last byte of the request had been sent; undefined if it was not. */
   readonly sentAt: number | undefined;
+  /** Time at which the response began; undefined if there was none. */
+  readonly headAt: number | undefined;
   readonly endedAt: number;
   readonly ending: Ending;
 }
@@ -63,6 +65,7 @@
     const startedAt = performance.now();
     const life = this.#readLife();
     let sentAt: number | undefined;
+    let headAt: number | undefined;
     const request = sendRequest({
       agent: this.#agent,
       host,
@@ -78,10 +81,13 @@
     request.on('finish', () => {
       sentAt = performance.now();
     });
+    request.on('response', () => {
+      headAt = performance.now();
+    });
     const ended = readEnding(request, plan);
     await Promise.all([ended, sendBody(request, plan)]);
     const { ending, endedAt } = await ended;
-    return { id, plan, life: this.#life, startedAt, sentAt, endedAt, ending };
+    return { id, plan, life: this.#life, startedAt, sentAt, headAt, endedAt, ending };
   }
 }
 
--- a/__tests__/platform/soak/process-lives.ts
+++ b/__tests__/platform/soak/process-lives.ts
@@ -9,14 +9,14 @@
 
 export interface LifeEnd extends ProgramExit {
   readonly at: number;
+  /** Whether the process had written anything: before that, no program can handle a signal. */
+  readonly hasWritten: boolean;
 }
 
 export interface ProcessLife {
   readonly startedAt: number;
   /** Time of the first SIGTERM; undefined while there is none. */
   stoppedAt: number | undefined;
-  /** Whether the process had written anything by then: before that, no program can handle a signal. */
-  hadStarted: boolean;
   killedAt: number | undefined;
   end: LifeEnd | undefined;
   readonly freezes: Span[];
@@ -64,12 +64,8 @@
     this.#lives[index]?.push(createLife());
   }
 
-  noteStop(index: number, hadStarted = true): void {
-    const life = this.current(index);
-    if (life.stoppedAt === undefined) {
-      life.stoppedAt = performance.now();
-      life.hadStarted = hadStarted;
-    }
+  noteStop(index: number): void {
+    this.current(index).stoppedAt ??= performance.now();
   }
 
   noteKill(index: number): void {
@@ -80,8 +76,8 @@
     this.current(index).hangUps.push(performance.now());
   }
 
-  noteEnd(index: number, exit: ProgramExit): void {
-    this.current(index).end = { ...exit, at: performance.now() };
+  noteEnd(index: number, exit: ProgramExit, hasWritten: boolean): void {
+    this.current(index).end = { ...exit, at: performance.now(), hasWritten };
   }
 
   noteFreeze(index: number, from: number): void {
@@ -110,7 +106,6 @@
   return {
     startedAt: performance.now(),
     stoppedAt: undefined,
-    hadStarted: true,
     killedAt: undefined,
     end: undefined,
     freezes: [],
--- a/__tests__/platform/soak/soak-process.ts
+++ b/__tests__/platform/soak/soak-process.ts
@@ -42,6 +42,11 @@
     return this.#options.readProgram().isRunning;
   }
 
+  /** Whether the process has written anything: before that, no program can handle a signal. */
+  get hasWritten(): boolean {
+    return this.#options.readProgram().output !== '';
+  }
+
   /** Sends SIGTERM and waits for the end. A process that is ending already gets one more. */
   async stop(): Promise<void> {
     this.signal('SIGTERM');
@@ -93,7 +98,7 @@
     note(`${this.label} gets ${signal}`);
     switch (signal) {
       case 'SIGTERM':
-        lives.noteStop(index, program.output !== '');
+        lives.noteStop(index);
         break;
       case 'SIGKILL':
         lives.noteKill(index);
@@ -119,7 +124,7 @@
     }, hangLimit);
     const exit = await program.waitForExit();
     clearTimeout(killer);
-    lives.noteEnd(index, exit);
+    lives.noteEnd(index, exit, program.output !== '');
     note(`${this.label} has ended with ${String(exit.code ?? exit.signal)}`);
   }
 
--- a/__tests__/platform/soak/stop-faults.ts
+++ b/__tests__/platform/soak/stop-faults.ts
@@ -125,7 +125,9 @@
         return this.#drawProcess('gateway').kill();
       case 'hangUpSeries':
         return this.#runSeries(this.#draw(processKinds), (process) => {
-          process.signal('SIGHUP');
+          if (process.hasWritten) {
+            process.signal('SIGHUP');
+          }
           return Promise.resolve();
         });
       case 'controlStop':
--- a/__tests__/platform/soak/stop-verdict.ts
+++ b/__tests__/platform/soak/stop-verdict.ts
@@ -31,11 +31,15 @@
   | 'upstream at work in the last part'
   | 'lost';
 
-/** `life`: that of the gateway. `work`: what upstreams did for the request, in order. */
+/**
+ * `life`: that of the gateway. `work`: what upstreams did for the request, in order. `stalled`: time for which the caller stood still since
+ * it had sent the request.
+ */
 export function judgeExchange(
   exchange: Exchange,
   life: ProcessLife,
   work: readonly Work[],
+  stalled: number,
 ): Verdict {
   const { startedAt, sentAt, endedAt, ending } = exchange;
   if (ending.type === 'answered') {
@@ -54,7 +58,7 @@
   if (!isAroundPlannedWork(life, sentAt, endedAt)) {
     return 'outside planned stops';
   }
-  if (work.length === 0 && endedAt - sentAt <= crossingTime) {
+  if (work.length === 0 && endedAt - sentAt - stalled <= crossingTime) {
     return 'crossed the close';
   }
   if (work.at(-1)?.end?.type === 'crashed') {
