--- a/__tests__/platform/soak/request-plan.ts
+++ b/__tests__/platform/soak/request-plan.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '../../../src/common/index.js';
 import { createStreamHeaders, streamPath } from '../deployment.js';
-import { eventInterval, streamHeaders } from '../event-stream.js';
+import { usualEventInterval, streamHeaders } from '../event-stream.js';
 import { servicePaths } from '../plain-service.js';
 import { plainHeaders } from './plain-answers.js';
 
@@ -112,7 +112,7 @@
 function drawStream(random: RandomSource, isLarge: boolean): AnswerPlan {
   const { shortest, longest } = random.fraction() < longStreamShare ? longStream : shortStream;
   const duration = drawBetween(random, shortest, longest);
-  const eventCount = Math.max(1, Math.round(duration / eventInterval));
+  const eventCount = Math.max(1, Math.round(duration / usualEventInterval));
   const eventBytes = isLarge ? Math.round(largeAnswer / eventCount) : random.integerBelow(200);
   return { type: 'stream', eventCount, eventBytes: Math.min(eventBytes, largestEvent) };
 }
