A stopping gateway does not pass waiting requests on in the slots that it frees

What callers saw: at the end of the grace period a request that waited for a slot was sent to an upstream and aborted in the same moment. One that must not run twice might have run, and was answered with 502 instead of 503 'stopping'.

Cause: the gateway ends its requests one after the other. Each that ends frees its slot, and the next one that waits takes it before its own turn to end.

Why it works: the requests that wait end first, while no slot has become free. None is left to take the slots of the others.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -877,4 +877,26 @@
     await Promise.all([running.answer, urgent.answer, usual.answer]);
     expect(first.received.map(({ url }) => url)).toEqual(['/draft/1', '/digest/1', '/draft/2']);
   });
+
+  // Guards against waiting requests that are passed on, and may run, in slots that a stop of the gateway has freed.
+  it('are not passed on when the gateway ends the request that has it', async () => {
+    const { slots } = engineProfile;
+    first.handle = (_, response) => {
+      response.writeHead(200, { ...stream, 'x-instance-load': `${slots},0,${slots}` });
+      response.write('id: 1\ndata: token 1\n\n');
+    };
+    const headers = { 'x-model': 'small' };
+    const running = call('POST', '/draft/1', headers);
+    await waitFor('the request at the upstream', () => first.received.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    const waiting = call('POST', '/draft/2', headers);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(assignedCount).toBe(1);
+    await gateway.close();
+    const { status, body } = await waiting.answer;
+    expect(assignedCount).toBe(1);
+    expect(status).toBe(503);
+    expect(JSON.parse(body)).toMatchObject({ error: { name: 'stopping' } });
+    expect((await running.answer).isWhole).toBe(false);
+  });
 });
--- a/src/gateway/direct/active-deliveries.ts
+++ b/src/gateway/direct/active-deliveries.ts
@@ -52,9 +52,11 @@
     }
   }
 
-  /** The process is about to end: ends all of them with a failure. */
+  /** The process is about to end: ends all of them with a failure. Those that wait come first, as they would take the slots of the others. */
   stop(): void {
-    for (const delivery of [...this.#deliveries]) {
+    const all = [...this.#deliveries];
+    const waiting = all.filter(({ isWaiting }) => isWaiting);
+    for (const delivery of new Set([...waiting, ...all])) {
       delivery.stop();
     }
   }
