A stopping gateway reads what has arrived before it closes its port

What callers saw: a connection that ended without an answer, for a request that was sent well before the port closed, while the gateway was busy.

Cause: the port is closed by a timer, and timers run before bytes that arrived while the event loop was busy are read. The connection looked idle and was closed with the request unread.

Evidence: the new test failed before, with nothing received, and passes now.

Why it works: a turn of the event loop reads what has arrived first. These requests are served, as they came before the port closed.

--- a/src/gateway/direct/caller-drain.ts
+++ b/src/gateway/direct/caller-drain.ts
@@ -47,6 +47,7 @@
     server.leave();
     this.#logOwed('finishing the requests of callers');
     await sleep(Math.min(unreadyPeriod, grace / 2));
+    await readArrived();
     server.close();
     this.#logOwed('port closed');
     await this.#waitForResponses(startedAt + grace - graceMargin);
@@ -116,6 +117,11 @@
   }
 }
 
+/** Timers run before bytes that arrived while the event loop was busy are read; a connection with such bytes would look idle. */
+function readArrived(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function sleep(time: Milliseconds): Promise<void> {
   return pause(time, new AbortController().signal);
 }
