A stop during the start closes what is opening and opens nothing more

A process that got its signal while it started could go on opening: its parts were closed as far as they were open, the others opened after that, took connections and were ended by the exit with what they had accepted. The close took what was open at that moment and ended the process, while the open went on beside it.

The start is then not reported as `started`.

No deployed program was stopped in the middle of opening a part: it takes milliseconds.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -9,7 +9,12 @@
   formatFailure,
   type Failure,
 } from './failure.js';
-export { LifecycleManager, type LifecycleObserver, type ManagedPart } from './lifecycle.js';
+export {
+  LifecycleManager,
+  type LifecycleObserver,
+  type ManagedPart,
+  type OpenOutcome,
+} from './lifecycle.js';
 export {
   createEntropySource,
   createIdentifier,
--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -29,8 +29,10 @@
   }
   handleSignals(lifecycle, logger);
   try {
-    await lifecycle.open();
-    logger.info('started');
+    const outcome = await lifecycle.open();
+    if (outcome === 'open') {
+      logger.info('started');
+    }
   } catch {
     process.exit(startFailedExitCode);
   }
