Programs act on signals that arrive before they have read their settings

A process that got a signal while its modules were loaded or its settings read ended by it: SIGTERM looked like a crash to its supervisor, and SIGHUP cost a start that nobody had asked for. The handlers were installed after all that. A change of the settings between their reading and the watch was taken for read, and never applied.

Programs now import their signal handlers first, which keep signals until there is someone to act on them, and the event loop delivers what has arrived before the first part opens. The watch of the settings compares with the text that the settings were loaded from. What remains is the time until Node runs the first module, in which nothing serves.

Tests of common, settings, the boundary and the public entry: 47 of 47.

--- a/src/bin/pistachiospoke-control.ts
+++ b/src/bin/pistachiospoke-control.ts
@@ -1,3 +1,4 @@
+import { caughtSignals } from '../common/caught-signals.js';
 import { createLogger, runProcess, systemClock } from '../common/index.js';
 import { ControlProcess } from '../control/index.js';
 import { controlSettingsSchema, readProcessSettings } from '../settings/index.js';
@@ -11,4 +12,4 @@
 );
 const logger = createLogger(settings.name, settings.log.level);
 const control = new ControlProcess({ settings, clock: systemClock, logger });
-await runProcess(control.listParts(), logger);
+await runProcess(control.listParts(), logger, caughtSignals);
--- a/src/bin/pistachiospoke-gateway.ts
+++ b/src/bin/pistachiospoke-gateway.ts
@@ -1,3 +1,4 @@
+import { caughtSignals } from '../common/caught-signals.js';
 import { createEntropySource, createLogger, runProcess, systemClock } from '../common/index.js';
 import { createGatewayParts } from '../gateway/index.js';
 import { gatewaySettingsSchema, readProcessSettings } from '../settings/index.js';
@@ -12,4 +13,4 @@
 const logger = createLogger(settings.name, settings.log.level);
 const clock = systemClock;
 const random = createEntropySource();
-await runProcess(createGatewayParts({ settings, clock, random, logger }), logger);
+await runProcess(createGatewayParts({ settings, clock, random, logger }), logger, caughtSignals);
--- a/src/bin/pistachiospoke-sidecar.ts
+++ b/src/bin/pistachiospoke-sidecar.ts
@@ -1,3 +1,4 @@
+import { caughtSignals } from '../common/caught-signals.js';
 import { createEntropySource, createLogger, runProcess, systemClock } from '../common/index.js';
 import { readProcessSettings, sidecarSettingsSchema } from '../settings/index.js';
 import { SidecarProcess } from '../sidecar/index.js';
@@ -16,4 +17,4 @@
   random: createEntropySource(),
   logger,
 });
-await runProcess(sidecar.listParts(), logger);
+await runProcess(sidecar.listParts(), logger, caughtSignals);
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -34,6 +34,7 @@
 export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
 export { EventLoopWatch, type ProcessUsage } from './event-loop-watch.js';
 export { runProcess } from './process-runner.js';
+export { ProcessSignals, type CaughtSignal, type ReceivedSignal } from './process-signals.js';
 export { parseItems, type ParsedItems } from './parse-items.js';
 export { pause } from './pause.js';
 export { closeServer, openServer } from './http-server.js';
--- a/src/common/process-runner.ts
+++ b/src/common/process-runner.ts
@@ -1,8 +1,11 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
 import type { Logger } from 'pino';
 
 import { EventLoopWatch } from './event-loop-watch.js';
 import { FailureError } from './failure.js';
 import { LifecycleManager, type ManagedPart } from './lifecycle.js';
+import type { ProcessSignals, ReceivedSignal } from './process-signals.js';
 import { systemClock, type Milliseconds } from './time.js';
 
 /** Runs the parts of a process until it receives a termination signal. */
@@ -11,7 +14,11 @@
 const startFailedExitCode = 1;
 
 /** Opens the parts in order. SIGTERM and SIGINT shut down gracefully by closing them in reverse order. */
-export async function runProcess(parts: readonly ManagedPart[], logger: Logger): Promise<void> {
+export async function runProcess(
+  parts: readonly ManagedPart[],
+  logger: Logger,
+  signals: ProcessSignals,
+): Promise<void> {
   const lifecycle = new LifecycleManager({
     opened: (part) => {
       logger.debug({ part }, 'opened');
@@ -27,7 +34,8 @@
   for (const part of [watch, ...parts]) {
     lifecycle.add(part);
   }
-  handleSignals(lifecycle, logger);
+  handleSignals(lifecycle, logger, signals);
+  await receiveEarlySignals();
   try {
     const outcome = await lifecycle.open();
     if (outcome === 'open') {
@@ -38,17 +46,23 @@
   }
 }
 
+/** Lets the event loop deliver the signals that arrived while the program was loading: it polls between two turns. */
+async function receiveEarlySignals(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
 /**
  * Closes the parts at the first stop signal and then ends the process. Later signals shorten nothing: supervisors and terminals repeat
  * them, and what is under way would be lost. The parts bound the time that their closing takes.
  */
-function handleSignals(lifecycle: LifecycleManager, logger: Logger): void {
-  const canReload = process.listenerCount('SIGHUP') > 0;
+function handleSignals(lifecycle: LifecycleManager, logger: Logger, signals: ProcessSignals): void {
+  // A process that reads its settings again listens for SIGHUP itself.
+  const canReload = process.listenerCount('SIGHUP') > 1;
   let stoppingSince: Milliseconds | undefined;
-  const receive = (signal: NodeJS.Signals): void => {
-    const now = systemClock.monotonic();
+  signals.setHandler(({ signal, at }: ReceivedSignal): void => {
     if (stoppingSince !== undefined) {
-      const sinceFirst = Math.round(now - stoppingSince);
+      const sinceFirst = Math.round(at - stoppingSince);
       logger.warn({ signal, sinceFirst }, 'signal while stopping');
       return;
     }
@@ -58,17 +72,13 @@
       }
       return;
     }
-    stoppingSince = now;
+    stoppingSince = at;
     logger.info({ signal }, 'stopping');
     void lifecycle.close().then(() => {
       logger.info('stopped');
       process.exit(0);
     });
-  };
-  // The default action of each of these would end the process and lose its work in progress.
-  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
-    process.on(signal, receive);
-  }
+  });
 }
 
 function describeError(error: unknown): object {
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -17,10 +17,21 @@
   filePath: string,
   overrides: readonly SettingsOverride[] = [],
 ): Result<Settings, readonly SettingsProblem[]> {
-  const text = readText(filePath);
+  const text = readSettingsText(filePath);
   return text.andThen((content) => parseSettings(schema, filePath, content, overrides));
 }
 
+/** Reads the text of a settings file. */
+export function readSettingsText(filePath: string): Result<string, readonly SettingsProblem[]> {
+  try {
+    return new Ok(readFileSync(filePath, 'utf8'));
+  } catch (error) {
+    const message = `cannot be read: ${error instanceof Error ? error.message : String(error)}`;
+    const place = { type: 'file', file: filePath, line: 1, column: 1 } as const;
+    return new Err([{ severity: 'error', place, path: '', message }]);
+  }
+}
+
 /** Parses and validates settings given as text. */
 export function parseSettings<Settings>(
   schema: z.ZodType<Settings>,
@@ -42,16 +53,6 @@
   return new Err(findings.map((finding) => locate(document, overrides, finding)));
 }
 
-function readText(filePath: string): Result<string, readonly SettingsProblem[]> {
-  try {
-    return new Ok(readFileSync(filePath, 'utf8'));
-  } catch (error) {
-    const message = `cannot be read: ${error instanceof Error ? error.message : String(error)}`;
-    const place = { type: 'file', file: filePath, line: 1, column: 1 } as const;
-    return new Err([{ severity: 'error', place, path: '', message }]);
-  }
-}
-
 /** Reports the problem of a value set by a flag at the flag, because the line in the file may be correct. */
 function locate(
   document: TextDocument,
--- a/src/settings/settings-watcher.ts
+++ b/src/settings/settings-watcher.ts
@@ -15,6 +15,8 @@
 export interface SettingsWatcherOptions<Settings> {
   readonly schema: z.ZodType<Settings>;
   readonly file: string;
+  /** Text that the current settings were loaded from. */
+  readonly text: string;
   /** Called with the new settings if they are valid. */
   readonly onChange: (settings: Settings) => void;
   readonly logger: Logger;
@@ -36,16 +38,16 @@
 
   constructor(options: SettingsWatcherOptions<Settings>) {
     this.#options = options;
-    this.#text = this.#readText();
+    this.#text = options.text;
     // Registered here rather than in `open`, because the signal may arrive while the process is still starting.
     process.on('SIGHUP', this.#onSignal);
   }
 
+  /** Also finds a change since the settings were loaded, whose SIGHUP may have come before there was a handler. */
   open(): void {
+    this.#poll();
     this.#timer = setInterval(() => {
-      if (this.#readText() !== this.#text) {
-        this.#read('poll');
-      }
+      this.#poll();
     }, pollInterval);
   }
 
@@ -54,6 +56,12 @@
     clearInterval(this.#timer);
   }
 
+  #poll(): void {
+    if (this.#readText() !== this.#text) {
+      this.#read('poll');
+    }
+  }
+
   #read(cause: string): void {
     const { schema, file, onChange, logger } = this.#options;
     const text = this.#readText();
