A stopping control host answers the calls that it has read

Operators and runners whose call was under way at a stop of a control host got a reset: of eight operators that sent changes one after the other each lost one, committed or not. The server ended all its connections at once, while the log and the leadership were still there to serve the calls.

The server now counts requests from their header until the response has been handed to the system, rather than by Node's count, which takes a response that is written but not sent for idle. A stop takes no more connections, answers what arrives on the open ones with `Connection: close`, for 0.3 s also on idle ones, and closes each once it owes nothing. What has not ended after 2.5 s gets 503: `stopping` if its body is missing, else `changeUncertain`. This part closes first, so the log is there meanwhile. Pages of metrics and readiness are still cut; nothing is lost with them.

The answers at the end of the time limit, and answers to slow readers, have no test.

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -123,7 +123,7 @@
     path: string,
     body?: string,
   ): Promise<CallResult> {
-    const address = `${controlHosts[index] ?? ''}:${this.#ports.operators}`;
+    const address = this.operatorsAddress(index);
     return call(`http://${address}${path}`, { method, ...(body === undefined ? {} : { body }) });
   }
 
@@ -237,6 +237,11 @@
     return `${controlHosts[index] ?? ''}:${this.#ports.internal}`;
   }
 
+  /** Address at which a control host serves operators and runners. */
+  operatorsAddress(index: number): string {
+    return `${controlHosts[index] ?? ''}:${this.#ports.operators}`;
+  }
+
   /** Path of the settings file of a control host. */
   settingsFile(index: number): string {
     return this.#settingsFiles.get(controlHosts[index] ?? '') ?? '';
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -38,6 +38,7 @@
 export { parseItems, type ParsedItems } from './parse-items.js';
 export { pause } from './pause.js';
 export { closeServer, openServer } from './http-server.js';
+export { ServerDrain } from './server-drain.js';
 export { createMetricsPage } from './metrics-page.js';
 export { RateLimitedLog } from './rate-limited-log.js';
 export { LogRateLimiter, type LogRateLimits } from './log-rate-limiter.js';
