Calls between processes are answered before their server closes

A command that a control host had forwarded to the leader, or a call of the command line, was cut 0.5 s after the RPC server began to close, while the change was being committed. And the log, which is closed before the server, failed calls under way as uncertain, though it could have committed them.

An RPC server now knows the unary calls that it is answering and waits up to 1.5 s for them; streams keep their 0.5 s after that, as they last as long as their peers. A control host waits for its unary calls before it gives up watches, leadership and log.

Test of the server: failed before ('http/2 stream closed with error code CANCEL' after 0.5 s of a call of 0.8 s), passes now, 2 of 2 with the silent connection. The wait before the log closes has no test of its own.

--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -198,6 +198,8 @@
           this.#closeWatches();
         },
       },
+      // Closed before the log, without which the calls under way would end as uncertain.
+      { name: 'calls', open: () => undefined, close: server.finishCalls },
     ];
   }
 
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -4,13 +4,16 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import { openServer, type ManagedPart } from '../common/index.js';
+import { openServer, pause, type ManagedPart, type Milliseconds } from '../common/index.js';
 import { compressionThreshold } from './compression.js';
+import { RunningCalls } from './running-calls.js';
 
 /** RPC server for calls between processes of the system: Connect over HTTP/2 without TLS. */
 
-/** Milliseconds that open streams get to end by themselves when the server closes. */
-const closeGracePeriod = 500;
+/** Time that open streams get to end by themselves when the server closes. */
+const closeGracePeriod: Milliseconds = 500;
+/** Time that unary calls get before that. A call that its process forwards is answered within it unless the other process is silent. */
+const callGracePeriod: Milliseconds = 1500;
 
 /** Options of an RPC server. */
 export interface RpcServerOptions {
@@ -18,11 +21,22 @@
   readonly routes: (router: ConnectRouter) => void;
 }
 
-/** Creates a server as a managed part. Closing it ends every session, so that no peer can delay the shutdown. */
-export function createRpcServer(options: RpcServerOptions): ManagedPart {
+/** A server as a managed part. */
+export interface RpcServer extends ManagedPart {
+  /** Waits, for a bounded time, until the unary calls under way are answered; what they need is closed after that. */
+  readonly finishCalls: () => Promise<void>;
+}
+
+/** Creates a server. Closing it answers the unary calls under way and then ends every session, so that no peer can delay the shutdown. */
+export function createRpcServer(options: RpcServerOptions): RpcServer {
   const sessions = new Set<ServerHttp2Session>();
+  const calls = new RunningCalls();
   const server = createServer(
-    connectNodeAdapter({ routes: options.routes, compressMinBytes: compressionThreshold }),
+    connectNodeAdapter({
+      routes: options.routes,
+      compressMinBytes: compressionThreshold,
+      interceptors: [calls.interceptor],
+    }),
   );
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
@@ -39,33 +53,36 @@
   return {
     name: `rpc server ${options.address}`,
     open: () => openServer(server, options.address),
-    close: () => closeServer(server, sessions, sockets),
+    close: () => closeServer(server, calls, sessions, sockets),
+    finishCalls: () => calls.finish(callGracePeriod),
   };
 }
 
 async function closeServer(
   server: Http2Server,
+  calls: RunningCalls,
   sessions: ReadonlySet<ServerHttp2Session>,
   sockets: ReadonlySet<Socket>,
 ): Promise<void> {
+  const ended = new AbortController();
   const closed = new Promise<void>((resolve) => {
     server.close(() => {
+      ended.abort();
       resolve();
     });
   });
   for (const session of sessions) {
     session.close();
   }
-  const timer = setTimeout(() => {
-    for (const session of sessions) {
-      session.destroy();
-    }
-    // Destroying a session that was closed before only half-closes its socket. The peer of a silent connection never
-    // completes that, and the process would not exit on SIGTERM.
-    for (const socket of sockets) {
-      socket.destroy();
-    }
-  }, closeGracePeriod);
+  await calls.finish(callGracePeriod);
+  await pause(closeGracePeriod, ended.signal);
+  for (const session of sessions) {
+    session.destroy();
+  }
+  // Destroying a session that was closed before only half-closes its socket. The peer of a silent connection never
+  // completes that, and the process would not exit on SIGTERM.
+  for (const socket of sockets) {
+    socket.destroy();
+  }
   await closed;
-  clearTimeout(timer);
 }
