A stopping gateway counts what it owes until its responses have been sent

A caller that reads slowly got 3,967,226 of 10,800,708 bytes. A request whose body arrived after the port was closed, with a length or in chunks, got nothing but its '100 Continue'.

Cause: the shutdown waited for runners, which begin after the body and end when the response is written, and closed connections by Node's count, in which a written response is idle, or all at once. It now waits for the exchanges of CallerServer, from the head of a request until its response has been sent, and that server closes connections by the same count. Bytes that wait for a caller who reads nothing are still bounded by the stall limit, which was not checked any more once the response was written. The log says at the signal and when the port closes what is owed, and at the hard limit each request with its age and when it came.

--- /dev/null
+++ b/__tests__/processes/path-stopping-gateway.test.ts
@@ -0,0 +1,85 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { Fleet, OpenConnection, type FleetOptions } from '../support/index.js';
+import {
+  formatChat,
+  formatChunk,
+  formatOwnHead,
+  waitForClosedPort,
+  waitForText,
+} from './gateway-callers.js';
+
+/** Callers of a gateway that gets SIGTERM; what it has begun, it owes them. */
+
+let fleet: Fleet;
+let callers: OpenConnection[] = [];
+
+afterEach(async () => {
+  callers.forEach((caller) => {
+    caller.close();
+  });
+  callers = [];
+  await fleet.stop();
+});
+
+async function startFleet(options: FleetOptions): Promise<void> {
+  fleet = await Fleet.start(options);
+}
+
+async function openCaller(): Promise<OpenConnection> {
+  const caller = await OpenConnection.open(new URL(fleet.origin()).host);
+  callers.push(caller);
+  return caller;
+}
+
+function stopGateway(): void {
+  fleet.member('gateway-1').program.signal('SIGTERM');
+}
+
+async function expectOrderlyExit(): Promise<void> {
+  const exit = await fleet.member('gateway-1').program.waitForExit();
+  expect(exit).toEqual({ code: 0, signal: null });
+}
+
+describe('a gateway that stops', () => {
+  // Guards against closing connections whose responses are written, but have not been read yet.
+  it('sends the rest of a response to a caller that reads slowly', async () => {
+    await startFleet({ serviceHosts: 0 });
+    const caller = await openCaller();
+    caller.write(formatChat({ content: 'x'.repeat(90_000), isStreamed: false, tokens: 120 }));
+    await caller.pauseAtNextBytes();
+    stopGateway();
+    await waitForClosedPort(fleet);
+    caller.resumeReading();
+    await caller.closed;
+    const [head = '', body = ''] = caller.received.split('\r\n\r\n');
+    expect(head).toMatch(/^HTTP\/1.1 200 /);
+    expect(body.length).toBe(Number(/content-length: (\d+)/i.exec(head)?.[1]));
+    await expectOrderlyExit();
+  });
+
+  // Guards against closing the connections of requests whose body is still arriving once no other request is under way.
+  it.each([
+    ['of a length', { 'content-length': '16' }, (text: string) => text, ''],
+    ['in chunks', { 'transfer-encoding': 'chunked' }, formatChunk, formatChunk('')],
+  ] as const)('answers a request whose body arrives later, %s', async (_, framing, format, end) => {
+    await startFleet({ engineHosts: 4 });
+    const caller = await openCaller();
+    caller.write(
+      formatOwnHead('POST', '/services/booking-desk/a', {
+        expect: '100-continue',
+        ...framing,
+      }),
+    );
+    await waitForText(caller, '100 Continue');
+    stopGateway();
+    await waitForClosedPort(fleet);
+    caller.write(format('one half'));
+    caller.write(format(' another'));
+    caller.write(end);
+    await caller.closed;
+    expect(caller.received).toContain('"body":"one half another"');
+    expect(caller.received).toMatch(/connection: close/i);
+    await expectOrderlyExit();
+  });
+});
--- a/__tests__/support/fleet-settings.ts
+++ b/__tests__/support/fleet-settings.ts
@@ -16,7 +16,14 @@
 const fleetKeySha256 = 'c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c';
 
 const failureDomains = ['bole', 'kality', 'merkato'] as const;
-const quickShutdown = { graceMilliseconds: 200, hardLimitMilliseconds: 60_000 };
+
+/** Times of a graceful shutdown in milliseconds. */
+export interface ShutdownTimes {
+  readonly graceMilliseconds: number;
+  readonly hardLimitMilliseconds: number;
+}
+
+const quickShutdown: ShutdownTimes = { graceMilliseconds: 200, hardLimitMilliseconds: 60_000 };
 
 export function createControlSettings(
   own: FleetAddresses,
@@ -37,6 +44,7 @@
   own: FleetAddresses,
   index: number,
   control: readonly string[],
+  shutdown = quickShutdown,
 ): object {
   return {
     name: own.name,
@@ -45,7 +53,7 @@
     internal: own.address,
     control,
     limits: { maximumBodyBytes: 100_000 },
-    shutdown: quickShutdown,
+    shutdown,
   };
 }
 
--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -8,6 +8,7 @@
   fleetModel,
   fleetService,
   type FleetAddresses,
+  type ShutdownTimes,
 } from './fleet-settings.js';
 import { reservePort } from './ports.js';
 import { ProgramGroup, type RunningProgram } from './programs.js';
@@ -24,6 +25,8 @@
   readonly serviceAnswerMilliseconds?: number;
   /** Text in a message that ends the stand-in engine that answers it. */
   readonly crashOn?: string;
+  /** Times in which gateways stop. */
+  readonly gatewayShutdown?: ShutdownTimes;
   /** Receives the addresses of the control hosts and returns the relay addresses that gateways and sidecars use instead. */
   readonly relayControl?: RelayControl;
   /** Like `relayControl`, for gateways only; called once per gateway. */
@@ -203,7 +206,7 @@
 }
 
 type CompleteOptions = typeof defaults &
-  Pick<FleetOptions, 'relayControl' | 'relayGatewayControl' | 'crashOn'>;
+  Pick<FleetOptions, 'relayControl' | 'relayGatewayControl' | 'crashOn' | 'gatewayShutdown'>;
 
 async function defineMembers(
   group: ProgramGroup,
@@ -229,7 +232,8 @@
     ...services.map((own) => define(own, 'sidecar', createSidecarSettings(own, 'desk', control))),
     ...gateways.map(async (own, index) => {
       const ownControl = (await options.relayGatewayControl?.(own.name, control)) ?? control;
-      return define(own, 'gateway', createGatewaySettings(own, index, ownControl));
+      const settings = createGatewaySettings(own, index, ownControl, options.gatewayShutdown);
+      return define(own, 'gateway', settings);
     }),
     ...engines.map((sidecar, index) =>
       defineUpstream(`engine-${index + 1}`, sidecar, [
--- a/__tests__/support/open-connection.ts
+++ b/__tests__/support/open-connection.ts
@@ -67,6 +67,16 @@
     this.#socket.pause();
   }
 
+  /** Stops reading after the next bytes, and resolves when these have arrived. */
+  async pauseAtNextBytes(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#socket.once('data', () => {
+        this.#socket.pause();
+        resolve();
+      });
+    });
+  }
+
   resumeReading(): void {
     this.#socket.resume();
   }
--- a/src/gateway/shell/caller-answer.ts
+++ b/src/gateway/shell/caller-answer.ts
@@ -37,14 +37,17 @@
 export class CallerAnswer {
   readonly #response: ServerResponse;
   readonly #requestId: RequestId;
+  readonly #endsConnection: () => boolean;
   #isStream = false;
   #chunks: Uint8Array[] = [];
   #head: { readonly status: number; readonly headers: readonly HeaderField[] } | undefined;
   #lastWrite: Milliseconds = 0;
 
-  constructor(response: ServerResponse, requestId: RequestId) {
+  /** `endsConnection` returns whether the connection ends after the response; called when the response begins. */
+  constructor(response: ServerResponse, requestId: RequestId, endsConnection: () => boolean) {
     this.#response = response;
     this.#requestId = requestId;
+    this.#endsConnection = endsConnection;
   }
 
   /** Whether too many bytes are buffered for the caller. */
@@ -100,13 +103,19 @@
       const seconds = Math.ceil(failure.retryAfterMilliseconds / millisecondsPerSecond);
       this.#response.setHeader('retry-after', Math.max(1, seconds));
     }
-    this.#response.writeHead(httpStatus, {
-      'content-type': 'application/json',
-      'content-length': body.length,
-    });
+    this.#response.setHeader('content-type', 'application/json');
+    this.#response.setHeader('content-length', body.length);
+    this.#beginResponse(httpStatus);
     this.#response.end(body);
   }
 
+  /** Sends an answer of the gateway's own that is no failure of a request. */
+  send(status: number, contentType: string, text: string): void {
+    this.#response.setHeader('content-type', contentType);
+    this.#beginResponse(status);
+    this.#response.end(text);
+  }
+
   /** Sends a comment on an idle stream, so that the caller can detect a connection that went silent. */
   keepAlive(now: Milliseconds, interval: Milliseconds): void {
     const isDue = now - this.#lastWrite >= interval;
@@ -133,6 +142,13 @@
     if (length !== undefined && this.#response.req.method !== 'HEAD') {
       this.#response.setHeader('content-length', length);
     }
+    this.#beginResponse(status);
+  }
+
+  #beginResponse(status: number): void {
+    if (this.#endsConnection()) {
+      this.#response.shouldKeepAlive = false;
+    }
     this.#response.writeHead(status);
   }
 }
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { Err, Ok, type Result } from 'ts-results';
@@ -6,14 +6,13 @@
 import {
   assertNever,
   createFailure,
-  createIdentifier,
   openServer,
   type Failure,
   type ManagedPart,
   type Milliseconds,
 } from '../../common/index.js';
-import type { Account, RequestId } from '../../model/index.js';
-import { createRequestId } from '../../sidecar/attempts/index.js';
+import type { Account } from '../../model/index.js';
+import { CallerServer } from '../caller-server.js';
 import { defaultRequestLimits } from '../limits.js';
 import { LoadTracker } from '../load-tracker.js';
 import { listModelNames } from '../reach.js';
@@ -22,7 +21,8 @@
 import { findAccount } from './accounts.js';
 import { AttemptConnections } from './attempt-connections.js';
 import { readBody } from './body.js';
-import { CallerAnswer } from './caller-answer.js';
+import type { CallerRequest } from './caller-request.js';
+import { CallerRequests } from './caller-requests.js';
 import { defaultCallerLimits, defaultDrainLimits, type GatewayOptions } from './gateway-options.js';
 import { matchRoute, type RouteMatch } from './paths.js';
 import {
@@ -44,11 +44,12 @@
 export class Gateway implements ManagedPart {
   readonly name = 'gateway';
   readonly #options: GatewayOptions;
-  readonly #server: Server;
+  readonly #server: CallerServer;
   readonly #connections = new AttemptConnections();
   readonly #dependencies: RunnerDependencies;
-  readonly #runners = new Set<RequestRunner>();
+  readonly #requests: CallerRequests;
   readonly #runningByAccount = new Map<string, number>();
+  #running = 0;
   #phase: 'serving' | 'unready' | 'stopping' = 'serving';
   #timer: NodeJS.Timeout | undefined;
   #loads = new LoadTracker();
@@ -56,9 +57,13 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#server = createServer((request, response) => {
-      void this.#serve(request, response);
+    this.#server = new CallerServer(options.clock, (_, response) => {
+      void this.#serve(response);
     });
+    const endsConnection = (response: ServerResponse): boolean => {
+      return this.#server.endsConnection(response);
+    };
+    this.#requests = new CallerRequests({ ...options, endsConnection });
     const limits = options.requestLimits ?? defaultRequestLimits;
     this.#dependencies = {
       router: new Router(options.watched.read, this.#loads),
@@ -72,6 +77,7 @@
       claims: options.claims,
       noticeRevision: options.watched.noticeRevision,
       callerLimits: options.callerLimits ?? defaultCallerLimits,
+      endsConnection,
       ...(options.crashLedger === undefined ? {} : { crashLedger: options.crashLedger }),
     };
   }
@@ -84,7 +90,7 @@
 
   /** Number of requests without a final answer. */
   get inFlight(): number {
-    return this.#runners.size;
+    return this.#running;
   }
 
   /** Whether new requests are refused because the process is shutting down. */
@@ -99,119 +105,108 @@
       this.#loads.retain(new Set(state.groups.keys()));
     });
     this.#timer = setInterval(() => {
-      this.#tick();
+      this.#requests.tick();
     }, tickInterval);
   }
 
-  /** Shuts down gracefully: reports unready, then refuses new requests and waits for those in flight up to a limit. */
+  /**
+   * Shuts down gracefully: reports unready, then refuses new requests and waits for those in
+   * flight up to a limit.
+   */
   async close(): Promise<void> {
     const { unreadyPeriod, hardLimit } = this.#options.drain ?? defaultDrainLimits;
-    const end = this.#now() + unreadyPeriod + hardLimit;
+    const stoppedAt = this.#now();
+    const end = stoppedAt + unreadyPeriod + hardLimit;
     this.#phase = 'unready';
+    this.#logOwed('finishing the requests of callers');
     await pause(unreadyPeriod);
     this.#phase = 'stopping';
     this.#server.close();
-    this.#server.closeIdleConnections();
-    while (this.#runners.size > 0 && this.#now() < end) {
-      await pause(tickInterval);
-    }
-    this.#logAbortedRequests();
+    this.#logOwed('port closed');
+    await this.#waitForWork(end);
+    this.#requests.logAborted(stoppedAt);
     clearInterval(this.#timer);
     this.#unsubscribe?.();
     this.#server.closeAllConnections();
     this.#connections.close();
   }
 
-  #logAbortedRequests(): void {
-    if (this.#runners.size > 0) {
-      const requests = [...this.#runners].map(({ description }) => description);
-      this.#options.logger.warn(
-        { requests },
-        'shutdown hard limit reached; aborting requests in flight',
-      );
-    }
+  #logOwed(message: string): void {
+    const owed = this.#server.countExchanges();
+    this.#options.logger.info({ connections: this.#server.connectionCount, owed }, message);
   }
 
-  #tick(): void {
-    for (const runner of this.#runners) {
-      runner.tick();
+  async #waitForWork(end: Milliseconds): Promise<void> {
+    while (this.#server.exchanges.length > 0 && this.#now() < end) {
+      await pause(tickInterval);
     }
   }
 
-  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const id = createRequestId(this.#options.clock.wall(), createIdentifier());
-    const route = matchRoute(request.method ?? 'GET', request.url ?? '/');
+  async #serve(response: ServerResponse): Promise<void> {
+    const caller = this.#requests.add(response);
+    const { req: request } = response;
     try {
-      await this.#answer(route, id, request, response);
+      await this.#answer(matchRoute(request.method ?? 'GET', request.url ?? '/'), caller);
     } catch (error) {
-      this.#options.logger.error({ err: error, requestId: id }, 'request failed');
-      this.#fail(response, id, createFailure('internal', ''));
+      this.#options.logger.error({ err: error, requestId: caller.id }, 'request failed');
+      this.#fail(caller, createFailure('internal', ''));
     }
   }
 
-  async #answer(
-    route: RouteMatch,
-    id: RequestId,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #answer(route: RouteMatch, caller: CallerRequest): Promise<void> {
+    const { request, response } = caller;
     switch (route.type) {
       case 'live':
-        sendText(response, 200, 'live\n');
+        caller.sendText(200, 'live\n');
         return;
       case 'ready':
-        this.#answerReady(response);
+        this.#answerReady(caller);
         return;
       case 'unknown':
-        this.#fail(response, id, createFailure('unknownPath', request.url ?? ''));
+        this.#fail(caller, createFailure('unknownPath', request.url ?? ''));
         return;
       case 'wrongMethod':
         response.setHeader('allow', route.allowed);
-        this.#fail(response, id, createFailure('unsupportedMethod', request.method ?? ''));
+        this.#fail(caller, createFailure('unsupportedMethod', request.method ?? ''));
         return;
       case 'models':
-        this.#answerModels(id, request, response);
+        this.#answerModels(caller);
         return;
       case 'chat':
       case 'service':
-        await this.#answerRequest(route, id, request, response);
+        await this.#answerRequest(route, caller);
         return;
       default:
         assertNever(route);
     }
   }
 
-  #answerReady(response: ServerResponse): void {
+  #answerReady(caller: CallerRequest): void {
     const isReady = this.#phase === 'serving' && this.#options.watched.read().isSynchronized;
-    sendText(response, isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
+    caller.sendText(isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
   }
 
-  #answerModels(id: RequestId, request: IncomingMessage, response: ServerResponse): void {
-    const account = this.#authenticate(request);
+  #answerModels(caller: CallerRequest): void {
+    const account = this.#authenticate(caller.request);
     if (account.err) {
-      this.#fail(response, id, account.val);
+      this.#fail(caller, account.val);
       return;
     }
     const names = listModelNames(this.#options.watched.read(), account.val);
     const data = names.map((name) => ({ id: name, object: 'model', owned_by: 'pistachiospoke' }));
-    response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(JSON.stringify({ object: 'list', data }));
+    caller.sendJson({ object: 'list', data });
   }
 
-  async #answerRequest(
-    route: ForwardedRouteMatch,
-    id: RequestId,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  async #answerRequest(route: ForwardedRouteMatch, caller: CallerRequest): Promise<void> {
+    const { id, request } = caller;
     const admitted = this.#admit(request);
     if (admitted.err) {
-      this.#fail(response, id, admitted.val);
+      this.#fail(caller, admitted.val);
       return;
     }
     const body = await readBody(request, this.#options.maximumBodyBytes);
     if (body.err) {
-      this.#fail(response, id, body.val);
+      this.#fail(caller, body.val);
       return;
     }
     const parsed = this.#parse(route, request, body.val, {
@@ -222,10 +217,10 @@
       defaultTimeout: this.#options.defaultTimeout ?? defaultTimeout,
     });
     if (parsed.err) {
-      this.#fail(response, id, parsed.val);
+      this.#fail(caller, parsed.val);
       return;
     }
-    this.#start(parsed.val, response);
+    this.#start(parsed.val, caller);
   }
 
   /** Makes the checks that do not need the body. */
@@ -260,16 +255,21 @@
       : parseService(request, body, context, route.path);
   }
 
-  #start(request: ParsedRequest, response: ServerResponse): void {
+  #start(request: ParsedRequest, caller: CallerRequest): void {
+    if (caller.response.destroyed) {
+      this.#fail(caller, createFailure('cancelled', ''));
+      return;
+    }
     const { account } = request.facts;
-    const runner = new RequestRunner(request, response, this.#dependencies, (outcome) => {
-      this.#runners.delete(runner);
-      this.#runningByAccount.set(account, (this.#runningByAccount.get(account) ?? 1) - 1);
-      this.#observe(outcome);
-    });
-    this.#runners.add(runner);
+    this.#running += 1;
     this.#runningByAccount.set(account, (this.#runningByAccount.get(account) ?? 0) + 1);
-    runner.start();
+    caller.run(
+      new RequestRunner(request, caller.response, this.#dependencies, (outcome) => {
+        this.#running -= 1;
+        this.#runningByAccount.set(account, (this.#runningByAccount.get(account) ?? 1) - 1);
+        this.#observe(outcome);
+      }),
+    );
   }
 
   #observe(outcome: RequestOutcome): void {
@@ -282,16 +282,16 @@
     if (outcome.firstBytes !== undefined) {
       metrics.timing('gateway.first_bytes', outcome.firstBytes, { target });
     }
-    metrics.gauge('gateway.in_flight', this.#runners.size);
+    metrics.gauge('gateway.in_flight', this.#running);
     observe?.(outcome);
   }
 
-  #fail(response: ServerResponse, id: RequestId, failure: Failure): void {
+  #fail(caller: CallerRequest, failure: Failure): void {
     this.#options.metrics.increment('gateway.refused', { result: failure.code });
-    if (this.#phase === 'stopping' || failure.code === 'bodyTooLarge') {
-      response.setHeader('connection', 'close');
+    if (failure.code === 'bodyTooLarge') {
+      caller.response.shouldKeepAlive = false;
     }
-    new CallerAnswer(response, id).fail(failure);
+    caller.fail(failure);
   }
 
   #now(): Milliseconds {
@@ -302,8 +302,3 @@
 export function createGateway(options: GatewayOptions): Gateway {
   return new Gateway(options);
 }
-
-function sendText(response: ServerResponse, status: number, text: string): void {
-  response.writeHead(status, { 'content-type': 'text/plain' });
-  response.end(text);
-}
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -21,6 +21,7 @@
   StreamNumber,
 } from '../messages.js';
 import { RequestController, type RequestDependencies } from '../request-controller.js';
+import type { RequestStage } from '../request-machine.js';
 import type { AttemptConnections, StreamHandle } from './attempt-connections.js';
 import { CallerAnswer } from './caller-answer.js';
 import { ClaimedKey } from './claimed-key.js';
@@ -34,6 +35,8 @@
   readonly claims: ClaimClient;
   readonly noticeRevision: (revision: Revision) => void;
   readonly callerLimits: CallerLimits;
+  /** Whether the connection ends after this response; called when the response begins. */
+  readonly endsConnection: (response: ServerResponse) => boolean;
 }
 
 /** Time limits of the caller's side of a request. */
@@ -84,16 +87,17 @@
     this.#dependencies = dependencies;
     this.#response = response;
     this.#done = done;
-    this.#answer = new CallerAnswer(response, request.facts.id);
+    this.#answer = new CallerAnswer(response, request.facts.id, () =>
+      dependencies.endsConnection(response),
+    );
     this.#controller = new RequestController(request.facts, dependencies);
     this.#claimedKey = new ClaimedKey(request.facts, dependencies.claims, dependencies.logger);
     this.#arrivedAt = this.#now();
     this.#lastProgressAt = this.#arrivedAt;
   }
 
-  /** Id and stage of the request, for the log entry when a shutdown aborts it. */
-  get description(): string {
-    return `${this.#request.facts.id} (${this.#controller.stage})`;
+  get stage(): RequestStage {
+    return this.#controller.stage;
   }
 
   start(): void {
@@ -109,10 +113,9 @@
   tick(): void {
     const now = this.#now();
     this.#handle({ type: 'tick', now });
-    if (this.#isDone) {
-      return;
+    if (!this.#isDone) {
+      this.#answer.keepAlive(now, this.#dependencies.callerLimits.keepAliveInterval);
     }
-    this.#answer.keepAlive(now, this.#dependencies.callerLimits.keepAliveInterval);
     this.#checkStall(now);
   }
 
