An unready gateway ends each connection with its next response

Callers of a gateway that was stopped stayed on their connections, since nothing told them that it was leaving.

Only refusals of the last phase carried 'Connection: close'. CallerServer now decides when a response begins, from the signal on and for every response.

--- a/__tests__/processes/path-stopping-gateway.test.ts
+++ b/__tests__/processes/path-stopping-gateway.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
-import { Fleet, OpenConnection, type FleetOptions } from '../support/index.js';
+import { Fleet, OpenConnection, waitFor, type FleetOptions } from '../support/index.js';
 import {
   formatChat,
   formatChunk,
@@ -82,4 +82,50 @@
     expect(caller.received).toMatch(/connection: close/i);
     await expectOrderlyExit();
   });
+
+  // Guards against callers who stay on their connections because nothing tells them that the gateway stops.
+  it('closes each connection with the next response while it is not ready', async () => {
+    await startFleet({
+      gatewayShutdown: { graceMilliseconds: 5000, hardLimitMilliseconds: 10_000 },
+    });
+    const service = '/services/booking-desk/a';
+    const requests = [
+      ['200', formatOwnHead('GET', '/livez')],
+      ['503', formatOwnHead('GET', '/readyz')],
+      ['200', formatOwnHead('GET', '/v1/models')],
+      ['404', formatOwnHead('GET', '/nowhere')],
+      ['405', formatOwnHead('GET', '/v1/chat/completions')],
+      ['400', `${formatOwnHead('POST', '/v1/chat/completions', { 'content-length': '2' })}{}`],
+      ['200', formatOwnHead('GET', service)],
+      [
+        '200',
+        `${formatOwnHead('POST', service, { 'transfer-encoding': 'chunked' })}${formatChunk('a')}${formatChunk('')}`,
+      ],
+      ['200', formatChat({ content: 'hello', isStreamed: false, tokens: 2 })],
+      ['200', formatChat({ content: 'hello', isStreamed: true, tokens: 2 })],
+    ] as const;
+    const kept = await Promise.all(requests.map(() => openCaller()));
+    await Promise.all(
+      kept.map(async (caller) => {
+        caller.write(formatOwnHead('GET', '/nowhere'));
+        await waitForText(caller, '}}');
+      }),
+    );
+    stopGateway();
+    await waitFor('the gateway to be unready', async () => {
+      return (await fetch(`${fleet.origin()}/readyz`)).status === 503;
+    });
+    const heads = await Promise.all(
+      kept.map(async (caller, index) => {
+        const before = caller.received.length;
+        caller.write(requests[index]?.[1] ?? '');
+        await waitFor('a response', () => caller.received.slice(before).includes('\r\n\r\n'));
+        return caller.received.slice(before).split('\r\n\r\n')[0] ?? '';
+      }),
+    );
+    expect(heads.map((head) => head.slice('HTTP/1.1 '.length, 12))).toEqual(
+      requests.map(([status]) => status),
+    );
+    expect(heads.filter((head) => !/connection: close/i.test(head))).toEqual([]);
+  });
 });
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -110,7 +110,7 @@
   }
 
   /**
-   * Shuts down gracefully: reports unready, then refuses new requests and waits for those in
+   * Shuts down gracefully: reports unready and ends connections with their next response, then refuses new requests and waits for those in
    * flight up to a limit.
    */
   async close(): Promise<void> {
@@ -118,6 +118,7 @@
     const stoppedAt = this.#now();
     const end = stoppedAt + unreadyPeriod + hardLimit;
     this.#phase = 'unready';
+    this.#server.leave();
     this.#logOwed('finishing the requests of callers');
     await pause(unreadyPeriod);
     this.#phase = 'stopping';
