A refusal that ends its connection waits until the body has been read

A request that comes on a kept connection after the port was closed is refused, and its connection ends. Bytes of its body that arrive after that make the kernel reset the connection, and a caller that reads only after it has sent everything never sees the refusal.

--- a/__tests__/processes/path-stopping-gateway.test.ts
+++ b/__tests__/processes/path-stopping-gateway.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { Fleet, OpenConnection, waitFor, type FleetOptions } from '../support/index.js';
@@ -11,6 +13,13 @@
 
 /** Callers of a gateway that gets SIGTERM; what it has begun, it owes them. */
 
+/** Time between two tokens of a stream. */
+const tokenMilliseconds = 20;
+/** A body in parts takes half a second. */
+const part = 'x'.repeat(100);
+const partCount = 25;
+const partInterval = 20;
+
 let fleet: Fleet;
 let callers: OpenConnection[] = [];
 
@@ -32,6 +41,11 @@
   return caller;
 }
 
+async function beginStream(caller: OpenConnection, tokens: number): Promise<void> {
+  caller.write(formatChat({ content: 'word', isStreamed: true, tokens }));
+  await waitForText(caller, '#3 ');
+}
+
 function stopGateway(): void {
   fleet.member('gateway-1').program.signal('SIGTERM');
 }
@@ -128,4 +142,41 @@
     );
     expect(heads.filter((head) => !/connection: close/i.test(head))).toEqual([]);
   });
+
+  // Guards against closing the connection of a refused request while its body arrives: the kernel resets it, and the answer is lost.
+  it.each([
+    ['of a length', { 'content-length': String(part.length * partCount) }, (text: string) => text],
+    ['in chunks', { 'transfer-encoding': 'chunked' }, formatChunk],
+  ] as const)(
+    'refuses what comes on a kept connection, with a body %s',
+    async (_, framing, format) => {
+      await startFleet({ serviceHosts: 0, tokenMilliseconds });
+      const [caller, companion, other] = [
+        await openCaller(),
+        await openCaller(),
+        await openCaller(),
+      ];
+      await beginStream(caller, 100);
+      await beginStream(companion, 100);
+      await beginStream(other, 200);
+      stopGateway();
+      await waitForClosedPort(fleet);
+      // Like a client that reads only after it has sent the whole request.
+      caller.pauseReading();
+      caller.write(formatOwnHead('POST', '/v1/chat/completions', framing));
+      await waitForText(companion, '[DONE]');
+      for (let count = 0; count < partCount; count += 1) {
+        caller.write(format(part));
+        await sleep(partInterval);
+      }
+      caller.resumeReading();
+      await caller.closed;
+      expect(caller.failure).toBeUndefined();
+      const refusal = caller.received.split('[DONE]').at(-1);
+      expect(refusal).toMatch(/connection: close/i);
+      expect(refusal).toContain('"name":"stopping"');
+      await waitForText(other, '[DONE]');
+      await expectOrderlyExit();
+    },
+  );
 });
--- a/src/gateway/shell/caller-answer.ts
+++ b/src/gateway/shell/caller-answer.ts
@@ -8,6 +8,7 @@
 } from '../../common/index.js';
 import type { RequestId } from '../../model/index.js';
 import type { HeaderField } from '../../sidecar/attempts/index.js';
+import { endAfterBody } from './end-after-body.js';
 import { headerNames } from './request-parser.js';
 
 /** Bytes buffered for a slow caller before reading of the upstream's answer is paused. */
@@ -106,7 +107,7 @@
     this.#response.setHeader('content-type', 'application/json');
     this.#response.setHeader('content-length', body.length);
     this.#beginResponse(httpStatus);
-    this.#response.end(body);
+    endAfterBody(this.#response, body);
   }
 
   /** Sends an answer of the gateway's own that is no failure of a request. */
