A gateway answers at the hard limit what it could not finish

At the hard limit connections were closed, although the pages of the settings say that what is in flight is ended with an error.

--- a/__tests__/processes/path-stopping-gateway.test.ts
+++ b/__tests__/processes/path-stopping-gateway.test.ts
@@ -179,4 +179,35 @@
       await expectOrderlyExit();
     },
   );
+
+  // Guards against cutting, without an answer, what has not been finished when the time to stop is over.
+  it('answers at the hard limit what it could not finish', async () => {
+    const gatewayShutdown = { graceMilliseconds: 100, hardLimitMilliseconds: 1000 };
+    await startFleet({ tokenMilliseconds, gatewayShutdown });
+    const stream = await openCaller();
+    const plain = await openCaller();
+    const receiving = await openCaller();
+    const claiming = await openCaller();
+    await beginStream(stream, 10_000);
+    plain.write(formatChat({ content: 'word', isStreamed: false, tokens: 10_000 }));
+    const service = '/services/booking-desk/a';
+    const fields = { 'content-length': '4', expect: '100-continue' };
+    receiving.write(formatOwnHead('POST', service, fields));
+    await waitForText(receiving, '100 Continue');
+    receiving.write('ha');
+    // A claim without an answer: the request waits, and has not been sent to any upstream.
+    fleet.member('control-1').program.signal('SIGSTOP');
+    claiming.write(formatOwnHead('POST', service, { ...fields, 'idempotency-key': 'one' }));
+    await waitForText(claiming, '100 Continue');
+    claiming.write('body');
+    stopGateway();
+    const ended = [stream, plain, receiving, claiming];
+    await Promise.all(ended.map(({ closed }) => closed));
+    expect(stream.received.slice(-500)).toMatch(/event: error\ndata: [^\n]*\n\n\r\n0\r\n\r\n$/);
+    expect(plain.received).toContain('"name":"answerLost"');
+    expect(receiving.received).toContain('"name":"stopping"');
+    expect(claiming.received).toContain('"name":"stopping"');
+    expect(ended.map(({ failure }) => failure)).toEqual(ended.map(() => undefined));
+    await expectOrderlyExit();
+  });
 });
--- a/bench/requests/naive.ts
+++ b/bench/requests/naive.ts
@@ -52,6 +52,8 @@
         return this.#tick(event.now);
       case 'callerGone':
         return this.#fail('cancelled');
+      case 'shutDown':
+        return this.#fail('stopping');
       case 'claimAnswered':
       case 'accepted':
       case 'head':
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -64,6 +64,8 @@
   | { readonly type: 'callerGone'; readonly now: Milliseconds }
   /** Whether the caller reads too slowly; reading of the stream is paused meanwhile. */
   | { readonly type: 'callerSlow'; readonly now: Milliseconds; readonly isSlow: boolean }
+  /** The process ends; there is no time to wait for more. */
+  | { readonly type: 'shutDown'; readonly now: Milliseconds }
   | { readonly type: 'tick'; readonly now: Milliseconds };
 
 /** Events of a Run or Resume stream. */
--- a/src/gateway/request-controller.ts
+++ b/src/gateway/request-controller.ts
@@ -127,6 +127,8 @@
         return this.#passToFollower(event, (follower) => follower.handleAskFailure(event.now));
       case 'callerGone':
         return this.#abort('cancelled');
+      case 'shutDown':
+        return this.#abort('stopping');
       case 'callerSlow':
         this.#follower?.setCallerSlow(event.isSlow, event.now);
         return [];
--- a/src/gateway/shell/caller-request.ts
+++ b/src/gateway/shell/caller-request.ts
@@ -1,11 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Failure, Milliseconds } from '../../common/index.js';
+import { createFailure, type Failure, type Milliseconds } from '../../common/index.js';
 import type { RequestId } from '../../model/index.js';
 import type { RequestStage } from '../request-machine.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { RequestRunner } from './request-runner.js';
 
+const stoppingRetryAfter: Milliseconds = 1000;
+
 /** What a request is waiting for; `receiving`: its body, `sending`: that the caller reads its response. */
 export type CallerRequestStage = 'receiving' | 'sending' | RequestStage;
 
@@ -41,6 +43,10 @@
     this.#answer = new CallerAnswer(response, id, endsConnection);
   }
 
+  get isAnswered(): boolean {
+    return this.response.headersSent;
+  }
+
   describe(now: Milliseconds, stoppedAt: Milliseconds): CallerRequestDescription {
     return {
       requestId: this.id,
@@ -59,6 +65,15 @@
     this.#runner?.tick();
   }
 
+  /** Ends the request now: with a response that says whether it may have run. */
+  shutDown(): void {
+    if (this.#runner !== undefined) {
+      this.#runner.shutDown();
+    } else if (!this.isAnswered) {
+      this.fail(createFailure('stopping', '', stoppingRetryAfter));
+    }
+  }
+
   fail(failure: Failure): void {
     this.#answer.fail(failure);
   }
--- a/src/gateway/shell/caller-requests.ts
+++ b/src/gateway/shell/caller-requests.ts
@@ -42,8 +42,8 @@
     }
   }
 
-  /** Logs what is cut off. `stoppedAt`: when the gateway began to stop. */
-  logAborted(stoppedAt: Milliseconds): void {
+  /** Ends all requests with their final answer. `stoppedAt`: when the gateway began to stop. */
+  shutDown(stoppedAt: Milliseconds): void {
     if (this.#requests.size === 0) {
       return;
     }
@@ -54,7 +54,10 @@
       .map((caller) => caller.describe(now, stoppedAt));
     logger.warn(
       { after: Math.round(now - stoppedAt), count: this.#requests.size, requests },
-      'shutdown hard limit reached; aborting requests in flight',
+      'shutdown hard limit reached; ending requests in flight',
     );
+    for (const caller of this.#requests) {
+      caller.shutDown();
+    }
   }
 }
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -37,6 +37,8 @@
 const tickInterval: Milliseconds = 50;
 const socketKeepAlive: Milliseconds = 10_000;
 const shortRetryAfter: Milliseconds = 1000;
+/** Time before the hard limit at which what is not over gets its final answer, so that its bytes can leave. */
+const maximumAnswerPeriod: Milliseconds = 500;
 
 type ForwardedRouteMatch = Extract<RouteMatch, { readonly type: 'chat' | 'service' }>;
 
@@ -111,7 +113,7 @@
 
   /**
    * Shuts down gracefully: reports unready and ends connections with their next response, then refuses new requests and waits for those in
-   * flight up to a limit.
+   * flight. At the hard limit, those get their final answer.
    */
   async close(): Promise<void> {
     const { unreadyPeriod, hardLimit } = this.#options.drain ?? defaultDrainLimits;
@@ -124,8 +126,9 @@
     this.#phase = 'stopping';
     this.#server.close();
     this.#logOwed('port closed');
+    await this.#waitForWork(end - Math.min(maximumAnswerPeriod, hardLimit / 2));
+    this.#requests.shutDown(stoppedAt);
     await this.#waitForWork(end);
-    this.#requests.logAborted(stoppedAt);
     clearInterval(this.#timer);
     this.#unsubscribe?.();
     this.#server.closeAllConnections();
@@ -206,6 +209,9 @@
       return;
     }
     const body = await readBody(request, this.#options.maximumBodyBytes);
+    if (caller.isAnswered) {
+      return;
+    }
     if (body.err) {
       this.#fail(caller, body.val);
       return;
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -119,6 +119,11 @@
     this.#checkStall(now);
   }
 
+  /** Sends the final answer now, because the process ends. */
+  shutDown(): void {
+    this.#handle({ type: 'shutDown', now: this.#now() });
+  }
+
   /**
    * A caller whose connection went silent reads nothing, and no error is raised: the kernel would retransmit for many
    * minutes while the upstream works for nobody. It is detected by buffered bytes of which none is read for too long.
