A stopping gateway waits until the outcomes of claimed keys are recorded

The outcome of a call with a key is recorded after its answer, and nothing counted that: a gateway that left right after the answer lost it.

The shutdown now waits for open records as it does for responses, up to the hard limit.

--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -52,6 +52,8 @@
   readonly #requests: CallerRequests;
   readonly #runningByAccount = new Map<string, number>();
   #running = 0;
+  /** Outcomes of claimed keys that are not recorded yet. */
+  #settling = 0;
   #phase: 'serving' | 'unready' | 'stopping' = 'serving';
   #timer: NodeJS.Timeout | undefined;
   #loads = new LoadTracker();
@@ -78,6 +80,12 @@
       connections: this.#connections,
       claims: options.claims,
       noticeRevision: options.watched.noticeRevision,
+      trackSettlement: (settlement) => {
+        this.#settling += 1;
+        void settlement.finally(() => {
+          this.#settling -= 1;
+        });
+      },
       callerLimits: options.callerLimits ?? defaultCallerLimits,
       endsConnection,
       ...(options.crashLedger === undefined ? {} : { crashLedger: options.crashLedger }),
@@ -141,7 +149,7 @@
   }
 
   async #waitForWork(end: Milliseconds): Promise<void> {
-    while (this.#server.exchanges.length > 0 && this.#now() < end) {
+    while (this.#server.exchanges.length + this.#settling > 0 && this.#now() < end) {
       await pause(tickInterval);
     }
   }
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -33,6 +33,8 @@
   readonly logger: Logger;
   readonly connections: AttemptConnections;
   readonly claims: ClaimClient;
+  /** Called with the recording of the outcome of a claimed key, which goes on after the final answer. */
+  readonly trackSettlement: (settlement: Promise<void>) => void;
   readonly noticeRevision: (revision: Revision) => void;
   readonly callerLimits: CallerLimits;
   /** Whether the connection ends after this response; called when the response begins. */
@@ -151,7 +153,7 @@
         void this.#claim();
         return;
       case 'settle':
-        void this.#claimedKey.settle(effect.outcome);
+        this.#dependencies.trackSettlement(this.#claimedKey.settle(effect.outcome));
         return;
       case 'run':
         this.#run(effect);
