A stream of the log ends when its peer announces a stop

Cause: the streams of the log left the end of a silent connection to the session manager of the RPC library. After a GOAWAY the manager keeps the session open until its streams end, and a ping on such a session of Node.js fails at once; the manager neither repeats it nor takes it for a dead connection. If the connection goes silent before the stopping peer closes it, the stream stays open for ever, and the leader never reaches that host again.

Each stream has a session of its own now, which ends with a GOAWAY, with a ping that fails and with one that is not answered in time, so that nothing is left to wait for: silence shows within two connection timeouts. A host announces its stop after its log is closed, so ending the stream with the GOAWAY loses nothing. The manager's verification of idle connections, which needed a limit of its own, is gone with it.

--- a/src/consensus/peer-stream.ts
+++ b/src/consensus/peer-stream.ts
@@ -2,7 +2,7 @@
 
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 
 import type { Clock, Milliseconds, RandomSource } from '../common/index.js';
 import {
@@ -12,13 +12,12 @@
 } from '../generated/pistachiospoke/v1/control_pb.js';
 import { MessageQueue } from '../wire/index.js';
 import { formatMessage, type ConsensusMessage, type NodeName } from './core/index.js';
+import { PeerSession } from './peer-session.js';
 
 /** Messages queued for a peer that reads slowly. When the queue overflows the stream ends, and the core resends. */
 const queueCapacity = 2000;
 const shortestBackOff: Milliseconds = 50;
 const longestBackOff: Milliseconds = 1000;
-/** Time to connect and to begin the stream, in timeouts of the connection. */
-const openingTimeouts = 2;
 /** A stream that lasted this long resets the back-off. */
 const stableStreamDuration: Milliseconds = 5000;
 
@@ -41,6 +40,7 @@
 export class PeerStream {
   readonly #options: PeerStreamOptions;
   readonly #closing = new AbortController();
+  #session: PeerSession | undefined;
   #queue: MessageQueue<ConsensusEnvelope> | undefined;
   #running: Promise<void> = Promise.resolve();
 
@@ -60,7 +60,7 @@
 
   async close(): Promise<void> {
     this.#closing.abort();
-    this.#queue?.close();
+    this.#session?.end();
     await this.#running;
   }
 
@@ -78,54 +78,27 @@
 
   async #exchange(): Promise<void> {
     const { address, connectionTimeout } = this.#options;
-    const baseUrl = `http://${address}`;
-    const sessionManager = new Http2SessionManager(baseUrl, {
-      pingIntervalMs: connectionTimeout,
-      pingTimeoutMs: connectionTimeout,
-      idleConnectionTimeoutMs: connectionTimeout,
-    });
+    const session = new PeerSession({ address, timeout: connectionTimeout });
     const queue = new MessageQueue<ConsensusEnvelope>(queueCapacity);
-    const opening = new AbortController();
-    // The session manager pings a connection again before its first call if the time of day says that it is not new. If the
-    // connection is silent, that ping may neither succeed nor fail.
-    const timer = setTimeout(() => {
-      if (sessionManager.state() !== 'open') {
-        opening.abort();
-      }
-    }, openingTimeouts * connectionTimeout);
+    this.#session = session;
     try {
-      if (!(await this.#connect(sessionManager))) {
-        return;
-      }
-      const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
+      await session.connect();
+      const transport = createConnectTransport({
+        baseUrl: session.authority,
+        httpVersion: '2',
+        sessionManager: session,
+      });
       this.#queue = queue;
-      const signal = AbortSignal.any([this.#closing.signal, opening.signal]);
-      await createClient(ConsensusService, transport).exchange(queue, { signal });
+      await createClient(ConsensusService, transport).exchange(queue, { signal: session.ended });
     } catch {
       // Whatever ended the stream, the next one starts after the back-off.
     } finally {
-      clearTimeout(timer);
       this.#queue = undefined;
       queue.close();
+      session.end();
     }
   }
 
-  /** Connects with a timeout: an attempt to reach a partitioned host would last for minutes, even past the partition's end. */
-  async #connect(sessionManager: Http2SessionManager): Promise<boolean> {
-    const { connectionTimeout } = this.#options;
-    const timer = new AbortController();
-    const timeout = sleep(connectionTimeout, 'error' as const, { signal: timer.signal });
-    timeout.catch(() => undefined);
-    const state = await Promise.race([sessionManager.connect(), timeout]);
-    timer.abort();
-    if (sessionManager.state() === 'connecting') {
-      // An open session is never aborted here. If a failed ping is just closing it, its error listener is already removed,
-      // and the error would crash the process. A session without streams closes by itself.
-      sessionManager.abort();
-    }
-    return state !== 'error' && !this.#closing.signal.aborted;
-  }
-
   async #backOff(failures: number): Promise<void> {
     const maximumWait = Math.min(shortestBackOff * 2 ** failures, longestBackOff);
     const wait = maximumWait * (0.5 + this.#options.random.fraction() / 2);
