A stopping sidecar owes its answers until gateways have read them

The drain of a sidecar counted attempts until the upstream had answered. The end of an answer that a slow gateway had not read yet was still queued then; the sidecar left, and the server cut the stream 0.5 s later.

The drain now also counts responses with messages that their connection has not read, within the same hard limit.

Test of the attempt service with an answer of 1.5 MB that is not read: the count used before is 0, the test's 'expected 0 to be 1'; with the new count it passes.

--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -88,6 +88,8 @@
   readonly #options: AttemptServiceOptions;
   readonly #controller: AttemptController;
   readonly #streams = new Map<SubscriberId, ResponseStream>();
+  /** Streams that have their last message, which their connections may not have read yet. */
+  readonly #endingStreams = new Set<ResponseStream>();
   readonly #requests = new Map<AttemptKey, UpstreamRequest>();
   readonly #relay: UpstreamRelay;
   readonly #pendingQueries = new Map<number, (state: AttemptState) => void>();
@@ -121,6 +123,16 @@
     return this.#controller.unfinishedCount;
   }
 
+  /** Number of attempts that are unfinished or whose last messages have not been read by a connection. */
+  get owedCount(): number {
+    for (const stream of this.#endingStreams) {
+      if (stream.length === 0) {
+        this.#endingStreams.delete(stream);
+      }
+    }
+    return this.unfinishedCount + this.#endingStreams.size;
+  }
+
   /** Number of queued or running attempts of one group; the group's drain is complete at 0. */
   countUnfinished(group: GroupName): number {
     return this.#controller.countUnfinished(group);
@@ -254,8 +266,7 @@
         this.#streams.get(effect.subscriber)?.push(effect.message);
         return;
       case 'closeSubscriber':
-        this.#streams.get(effect.subscriber)?.close();
-        this.#streams.delete(effect.subscriber);
+        this.#closeStream(effect.subscriber);
         return;
       case 'confirm':
         void this.#confirm(effect);
@@ -279,6 +290,18 @@
     }
   }
 
+  #closeStream(subscriber: SubscriberId): void {
+    const stream = this.#streams.get(subscriber);
+    this.#streams.delete(subscriber);
+    if (stream === undefined) {
+      return;
+    }
+    stream.close();
+    if (stream.length > 0) {
+      this.#endingStreams.add(stream);
+    }
+  }
+
   async #confirm(effect: EffectOf<'confirm'>): Promise<void> {
     const code = await this.#checkGroup(effect);
     this.#handle({ type: 'confirmed', now: this.#now(), key: effect.key, code });
--- a/src/sidecar/shell/drain-runner.ts
+++ b/src/sidecar/shell/drain-runner.ts
@@ -7,7 +7,7 @@
 
 /** Operations of a sidecar that a graceful shutdown uses. */
 export interface DrainTarget {
-  /** Number of unfinished attempts that this sidecar admitted. */
+  /** Number of attempts that this sidecar admitted and whose responses are not delivered. */
   readonly countRunning: () => number;
   /** Whether any lead may still hold a lease on this host. */
   readonly isHeld: () => boolean;
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -263,7 +263,7 @@
   #drain(): Promise<void> {
     const { clock, settings, logger } = this.#options;
     const target = {
-      countRunning: () => this.#attempts.unfinishedCount,
+      countRunning: () => this.#attempts.owedCount,
       isHeld: () => this.#member.findHolder() !== undefined,
       refuseNewWork: () => {
         this.#writeStop({ type: 'draining' });
