A stopping gateway ends connections whose last body came after its response

What callers saw: a connection that stayed open after the port had closed, until the gateway had finished the requests of all others. Further requests on it were rejected.

Cause: a connection counted as idle if no bytes had arrived since its last response. The rest of a body that was refused early arrives after the response, so that the connection never looked idle again.

Why it works: the bytes are counted at the end of the request where that comes after the response. In a gateway that has closed its port the connection ends there too, after the body has been read, so that no reset takes the response.

--- a/__tests__/gateway/caller-server.test.ts
+++ b/__tests__/gateway/caller-server.test.ts
@@ -103,4 +103,20 @@
     await connection.closed;
     expect(connection.isReset).toBe(true);
   });
+
+  // Guards against a connection that stays open because the body of a request arrived after its response.
+  it('ends a connection that owes nothing, though a body arrived after its response', async () => {
+    const headers = { host: 'desk.example', 'content-length': '10' };
+    connection.write(`${formatHead({ method: 'POST', path: '/', headers })}12345`);
+    await waitForRequests(1);
+    const [request] = served[0] ?? [];
+    request?.resume();
+    answer(0);
+    await waitFor('the answer', () => connection.received.includes('answer 0'));
+    connection.write('67890');
+    await waitFor('the rest of the body', () => request?.complete === true);
+    server.leave();
+    server.close();
+    await waitFor('the end of the connection', () => connection.isEnded);
+  });
 });
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -128,9 +128,20 @@
 
   #remove(connection: Connection, exchange: Exchange): void {
     const { exchanges } = connection;
-    const { socket } = exchange.request;
+    const { request } = exchange;
     exchanges.splice(exchanges.indexOf(exchange), 1);
-    if (exchanges.length > 0) {
+    if (request.complete) {
+      this.#noteIdle(connection, request.socket);
+      return;
+    }
+    // The response came before the end of the body.
+    request.once('end', () => {
+      this.#noteIdle(connection, request.socket);
+    });
+  }
+
+  #noteIdle(connection: Connection, socket: Socket): void {
+    if (connection.exchanges.length > 0) {
       return;
     }
     connection.idleBytes = socket.bytesRead;
