--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -39,7 +39,7 @@
       socket.on('close', () => this.#connections.delete(socket));
     });
     this.on('request', (request, response) => {
-      if (this.#add({ request, response, receivedAt: clock.monotonic() })) {
+      if (this.#accept({ request, response, receivedAt: clock.monotonic() })) {
         serve(request, response);
       }
     });
@@ -49,8 +49,8 @@
     return this.#connections.size;
   }
 
-  /** Whether requests still come on connections that were open when the port closed. */
-  get isClosed(): boolean {
+  /** Whether the port is closed. Requests may still come on connections that are open. */
+  get isPortClosed(): boolean {
     return this.#stage === 'closed';
   }
 
@@ -78,7 +78,10 @@
     return super.close(callback);
   }
 
-  /** Closes the connections that owe nothing. Node takes a response for sent once it is written, and would lose the rest of it. */
+  /**
+   * Closes the connections that owe nothing; `close` calls it. Node takes a response for sent once it is written, and would lose the rest
+   * of it.
+   */
   override closeIdleConnections(): void {
     for (const [socket, connection] of this.#connections) {
       if (connection.exchanges.length === 0 && socket.bytesRead === connection.idleBytes) {
@@ -111,8 +114,8 @@
     return true;
   }
 
-  /** Returns whether the request is to be served. */
-  #add(exchange: Exchange): boolean {
+  /** Returns whether the request is to be served; one that follows the last response of its connection is not. */
+  #accept(exchange: Exchange): boolean {
     const { request, response } = exchange;
     const connection = this.#find(request);
     if (connection === undefined || connection.isEnding) {
--- a/src/gateway/direct/caller-drain.ts
+++ b/src/gateway/direct/caller-drain.ts
@@ -15,7 +15,7 @@
 const unreadyPeriod: Milliseconds = 2500;
 /** Requests still in flight this long before the end of the grace period are ended with a failure. */
 const graceMargin: Milliseconds = 400;
-/** Responses that have not been sent this long before the end of the grace period are reset. */
+/** Responses that have not been sent this long before the end of the grace period are reset; the rest of it is for the other parts. */
 const sendingMargin: Milliseconds = 150;
 const pollInterval: Milliseconds = 50;
 /** Log lines about single requests; a gateway that is full has thousands. */
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -384,7 +384,7 @@
 
   /** Rejects a request for which too little of the grace period is left; the caller reaches another gateway with its next connection. */
   #rejectLate(call: InboundRequest): boolean {
-    if (!this.#server.isClosed) {
+    if (!this.#server.isPortClosed) {
       return false;
     }
     this.#refuse(call, createFailure('stopping', '', retryAtOnce));
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -209,7 +209,10 @@
     }
   }
 
-  /** Closing a connection with unread bytes resets it, and the caller may lose the response, so the rest of the request is read first. */
+  /**
+   * Sends the whole body at once, and ends the response when the rest of the request has been read: closing a connection with unread bytes
+   * resets it, and the caller may lose the response.
+   */
   #endAfterRequest(body: string): void {
     const response = this.#response;
     const { req: request } = response;
