One answer to each caller of a gateway

A request of the gateway for groups had two objects that answer its caller, one for refusals and one for the runner, each with its own way to ask whether the connection ends.

--- a/src/gateway/shell/caller-request.ts
+++ b/src/gateway/shell/caller-request.ts
@@ -26,7 +26,7 @@
   readonly id: RequestId;
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly #answer: CallerAnswer;
+  readonly answer: CallerAnswer;
   readonly #arrivedAt: Milliseconds;
   #runner: RequestRunner | undefined;
 
@@ -40,7 +40,7 @@
     this.request = response.req;
     this.response = response;
     this.#arrivedAt = arrivedAt;
-    this.#answer = new CallerAnswer(response, id, endsConnection);
+    this.answer = new CallerAnswer(response, id, endsConnection);
   }
 
   get isAnswered(): boolean {
@@ -75,15 +75,15 @@
   }
 
   fail(failure: Failure): void {
-    this.#answer.fail(failure);
+    this.answer.fail(failure);
   }
 
   sendText(status: number, text: string): void {
-    this.#answer.send(status, 'text/plain', text);
+    this.answer.send(status, 'text/plain', text);
   }
 
   sendJson(value: object): void {
-    this.#answer.send(200, 'application/json', JSON.stringify(value));
+    this.answer.send(200, 'application/json', JSON.stringify(value));
   }
 
   get #stage(): CallerRequestStage {
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -64,10 +64,10 @@
     this.#server = new CallerServer(options.clock, (_, response) => {
       void this.#serve(response);
     });
-    const endsConnection = (response: ServerResponse): boolean => {
-      return this.#server.endsConnection(response);
-    };
-    this.#requests = new CallerRequests({ ...options, endsConnection });
+    this.#requests = new CallerRequests({
+      ...options,
+      endsConnection: (response) => this.#server.endsConnection(response),
+    });
     const limits = options.requestLimits ?? defaultRequestLimits;
     this.#dependencies = {
       router: new Router(options.watched.read, this.#loads),
@@ -87,7 +87,6 @@
         });
       },
       callerLimits: options.callerLimits ?? defaultCallerLimits,
-      endsConnection,
       ...(options.crashLedger === undefined ? {} : { crashLedger: options.crashLedger }),
     };
   }
@@ -279,7 +278,7 @@
     this.#running += 1;
     this.#runningByAccount.set(account, (this.#runningByAccount.get(account) ?? 0) + 1);
     caller.run(
-      new RequestRunner(request, caller.response, this.#dependencies, (outcome) => {
+      new RequestRunner(request, caller, this.#dependencies, (outcome) => {
         this.#running -= 1;
         this.#runningByAccount.set(account, (this.#runningByAccount.get(account) ?? 1) - 1);
         this.#observe(outcome);
--- a/src/gateway/shell/request-runner.ts
+++ b/src/gateway/shell/request-runner.ts
@@ -23,7 +23,7 @@
 import { RequestController, type RequestDependencies } from '../request-controller.js';
 import type { RequestStage } from '../request-machine.js';
 import type { AttemptConnections, StreamHandle } from './attempt-connections.js';
-import { CallerAnswer } from './caller-answer.js';
+import type { CallerAnswer } from './caller-answer.js';
 import { ClaimedKey } from './claimed-key.js';
 import type { ParsedRequest } from './request-parser.js';
 
@@ -37,8 +37,6 @@
   readonly trackSettlement: (settlement: Promise<void>) => void;
   readonly noticeRevision: (revision: Revision) => void;
   readonly callerLimits: CallerLimits;
-  /** Whether the connection ends after this response; called when the response begins. */
-  readonly endsConnection: (response: ServerResponse) => boolean;
 }
 
 /** Time limits of the caller's side of a request. */
@@ -60,6 +58,12 @@
   readonly firstBytes: Milliseconds | undefined;
 }
 
+/** The caller's side of a request. */
+export interface CallerChannel {
+  readonly response: ServerResponse;
+  readonly answer: CallerAnswer;
+}
+
 type EffectOf<Type extends RequestEffect['type']> = Extract<RequestEffect, { readonly type: Type }>;
 
 /** Executes the effects of the `RequestController` of one request. */
@@ -81,7 +85,7 @@
 
   constructor(
     request: ParsedRequest,
-    response: ServerResponse,
+    { response, answer }: CallerChannel,
     dependencies: RunnerDependencies,
     done: (outcome: RequestOutcome) => void,
   ) {
@@ -89,9 +93,7 @@
     this.#dependencies = dependencies;
     this.#response = response;
     this.#done = done;
-    this.#answer = new CallerAnswer(response, request.facts.id, () =>
-      dependencies.endsConnection(response),
-    );
+    this.#answer = answer;
     this.#controller = new RequestController(request.facts, dependencies);
     this.#claimedKey = new ClaimedKey(request.facts, dependencies.claims, dependencies.logger);
     this.#arrivedAt = this.#now();
