Gateways log and count stream events that do not belong to their stream

Cause: nothing said that an event of a stream was out of place, so the three hypotheses of the incident could not be told apart: bytes of an upstream that are passed on unread, bytes of another response, or a wrong join of two attempts.

Change: an EventReader reads the events of a stream beside the framer that passes them on. What is passed on does not change. The line 'event does not belong to its stream' names the upstream, the attempt, the last sound event and the fault, and pistachiospoke_event_faults_total counts by service and fault. What a sound event is comes from the dialect: numbered by one.

--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,6 +3,7 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
+import { EventReader, findFirstNumber } from '../events/index.js';
 import { isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
 import {
@@ -376,11 +377,21 @@
     const isStream =
       this.#request.route.kind === 'streaming' &&
       (headers['content-type'] ?? '').startsWith('text/event-stream');
-    if (!this.#responseWriter.begin(status, raw, isStream)) {
+    const reader = isStream ? this.#createReader() : undefined;
+    if (!this.#responseWriter.begin(status, raw, reader)) {
       this.#abortAttempt(attempt, `response cannot continue the stream: status ${status}`);
     }
   }
 
+  #createReader(): EventReader {
+    const { route, resumeAfter } = this.#request;
+    const { lastEventId } = this.#responseWriter;
+    // An upstream may ignore the identifier that a caller sends on a route whose streams are not resumable.
+    const isFirstKnown = route.isResumable || (lastEventId ?? resumeAfter) === undefined;
+    const first = isFirstKnown ? findFirstNumber(lastEventId ?? resumeAfter) : undefined;
+    return new EventReader(this.#dependencies.dialect.eventFormat, first);
+  }
+
   #noteRejection({ code }: Failure): void {
     if (code !== 'requestQuarantined') {
       return;
@@ -411,7 +422,16 @@
     }
     this.#stream?.noteBytes(now);
     this.#dispatch?.noteFirstEvent(now);
+    const hadFault = this.#responseWriter.eventFault !== undefined;
     this.#responseWriter.push(bytes);
+    const { eventFault, lastEventId } = this.#responseWriter;
+    if (eventFault !== undefined && !hadFault) {
+      this.#dependencies.observer.noteEventFault(target, eventFault, {
+        requestId: this.#request.requestId,
+        attempt: this.#controller.attemptCount,
+        lastEventId,
+      });
+    }
     if (this.#responseWriter.isOverlong) {
       this.#failAttempt(attempt, target, 'error response or event without end');
       return;
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -2,6 +2,7 @@
 
 import type { Milliseconds } from '../../common/index.js';
 import type { UpstreamLoad } from '../../dispatch/index.js';
+import type { EventFormat } from '../events/index.js';
 
 /** Interface to the headers that a deployment's callers and upstreams use; an adapter implements it. */
 
@@ -65,6 +66,8 @@
 export type RawHeaders = readonly string[];
 
 export interface Dialect {
+  /** What the responses on streaming routes consist of. */
+  readonly eventFormat: EventFormat;
   readonly readRequest: (headers: IncomingHttpHeaders) => RequestMetadata;
   /** Returns the caller's headers with those that the gateway sets, which replace any that the caller sent under the same names. */
   readonly writeUpstreamHeaders: (
--- a/src/gateway/direct/direct-metrics.ts
+++ b/src/gateway/direct/direct-metrics.ts
@@ -4,6 +4,7 @@
 import type { DropReason, Unavailability } from '../../dispatch/index.js';
 import type { CrashSubject } from '../../routing/index.js';
 import type { ExchangePhase } from '../caller-server.js';
+import type { EventFault } from '../events/index.js';
 import type { DeliveryOutcome } from './delivery-outcome.js';
 import type { QueueObserver } from './waiting-requests.js';
 
@@ -25,6 +26,7 @@
   readonly #rejectedForCrashes: Counter<'subject'>;
   readonly #shedConnections: Counter;
   readonly #upstreamResets: Counter;
+  readonly #eventFaults: Counter<'service' | 'fault'>;
   readonly #heldBytes: Gauge;
   readonly #slowCallers: Counter<'action'>;
   readonly #pauses: Counter<'service'>;
@@ -93,6 +95,12 @@
       help: 'Connections that upstreams reset.',
       registers,
     });
+    this.#eventFaults = new Counter({
+      name: 'pistachiospoke_event_faults_total',
+      help: 'Streams of upstreams with an event that does not belong to them, by service and what is wrong with it.',
+      labelNames: ['service', 'fault'],
+      registers,
+    });
     this.#heldBytes = new Gauge({
       name: 'pistachiospoke_held_bytes',
       help: 'Bytes of requests and responses held for callers; 0 without a memory budget.',
@@ -256,6 +264,10 @@
     this.#upstreamResets.inc();
   }
 
+  noteEventFault(service: string, fault: EventFault): void {
+    this.#eventFaults.inc({ service, fault });
+  }
+
   noteHeldBytes(bytes: number): void {
     this.#heldBytes.set(bytes);
   }
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -4,6 +4,7 @@
 import { isFramedResponse } from '../../wire/index.js';
 import { endAfterBody } from '../end-after-body.js';
 import { EventFramer } from '../event-framer.js';
+import type { EventFault, EventReader } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
 
@@ -52,6 +53,9 @@
   readonly #isMemoryShort: () => boolean;
   #head: Head | undefined;
   #framer = new EventFramer();
+  /** Undefined if the current response is no stream, or has had a fault. */
+  #reader: EventReader | undefined;
+  #eventFault: EventFault | undefined;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
   #isHeadWritten = false;
@@ -74,6 +78,11 @@
     return this.#lastEventId;
   }
 
+  /** What is wrong with the first event of the current response that does not belong to it; undefined if there is none. */
+  get eventFault(): EventFault | undefined {
+    return this.#eventFault;
+  }
+
   /** Whether a part of the response has been forwarded to the caller. */
   get isPassedOn(): boolean {
     return this.#isHeadWritten;
@@ -121,10 +130,13 @@
   }
 
   /**
-   * Takes the status and headers of a response. A stream that continues on another upstream keeps the headers already sent to the caller;
+   * Takes the status and headers of a response, and the reader of its events if it is a stream. A stream that continues on another upstream keeps the headers already sent to the caller;
    * returns false if the new response cannot continue it.
    */
-  begin(status: number, rawHeaders: RawHeaders, isStream: boolean): boolean {
+  begin(status: number, rawHeaders: RawHeaders, reader: EventReader | undefined): boolean {
+    const isStream = reader !== undefined;
+    this.#reader = reader;
+    this.#eventFault = undefined;
     this.#framer = new EventFramer();
     this.#buffered = [];
     this.#bufferedBytes = 0;
@@ -211,6 +223,10 @@
   }
 
   #pushEvents(bytes: Buffer): void {
+    this.#eventFault ??= this.#reader?.push(bytes).fault;
+    if (this.#eventFault !== undefined) {
+      this.#reader = undefined;
+    }
     const events = this.#framer.push(bytes);
     if (events.length === 0) {
       return;
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -7,6 +7,7 @@
   UpstreamAvailability,
 } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
+import type { EventFault } from '../events/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
 import type { ResponseMetadata } from './dialect.js';
 
@@ -18,6 +19,14 @@
   readonly sentAt: Milliseconds;
 }
 
+/** How far a stream has come. */
+export interface StreamPosition {
+  readonly requestId: string | undefined;
+  readonly attempt: number;
+  /** Identifier of the last event that was forwarded. */
+  readonly lastEventId: string | undefined;
+}
+
 export interface UpstreamObserverOptions {
   readonly loads: TargetLoads;
   readonly permits: RequestPermits;
@@ -75,6 +84,19 @@
     }
   }
 
+  /** An event of a stream does not belong to it. */
+  noteEventFault(
+    target: Target,
+    fault: EventFault,
+    { requestId, attempt, lastEventId }: StreamPosition,
+  ): void {
+    const { metrics, log } = this.#options;
+    const { key, service, instance } = target;
+    metrics.noteEventFault(service, fault);
+    const fields = { target: key, upstream: formatIdentity(instance), requestId, attempt };
+    log.info({ ...fields, fault, lastEventId }, 'event does not belong to its stream');
+  }
+
   /** A late response to an earlier request counts too: it comes on a connection to the same process. */
   #noteAvailability(
     target: Target,
--- /dev/null
+++ b/src/gateway/events/event-reader.ts
@@ -0,0 +1,160 @@
+import { EventFields, parseEventNumber } from './event-fields.js';
+import type { EventFault, EventFormat } from './event-format.js';
+
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+const noBytes = Buffer.alloc(0);
+/** As Latin-1; a stream may begin with it. */
+const byteOrderMark = '\u00ef\u00bb\u00bf';
+
+/** Whole events that belong to the stream. */
+export interface ReadEvents {
+  readonly bytes: Uint8Array;
+  /** What is wrong with the event after them; nothing that follows belongs to the stream. */
+  readonly fault: EventFault | undefined;
+}
+
+/**
+ * Reads a stream of server-sent events and returns the events that belong to it.
+ *
+ * A receiver takes whatever ends with a blank line for an event. But a response may break inside an event, and a faulty upstream may send
+ * other bytes on a connection that works.
+ *
+ * The event that ends a stream is held back until the response is complete, since a caller takes a stream with it for a whole one.
+ */
+export class EventReader {
+  readonly #format: EventFormat;
+  /** Number of the next event; undefined if it is not known. */
+  #expected: number | undefined;
+  #held: Buffer = noBytes;
+  /** Offset in the bytes held of the first line that has not been read. */
+  #lineStart = 0;
+  #isFirstLine = true;
+  #fields: EventFields;
+  #hasEnded = false;
+  #lastEventId: string | undefined;
+
+  /** `expected`: number of the first event, if events are numbered; undefined if it is not known. */
+  constructor(format: EventFormat, expected?: number) {
+    this.#format = format;
+    this.#expected = expected;
+    this.#fields = new EventFields(format);
+  }
+
+  /** Number of bytes currently held back. */
+  get heldBytes(): number {
+    return this.#held.length;
+  }
+
+  /** Identifier of the last event that has one. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Adds bytes and returns the events that they complete. Must not be called after a fault. */
+  push(bytes: Uint8Array): ReadEvents {
+    this.#held = this.#held.length === 0 ? viewAsBuffer(bytes) : Buffer.concat([this.#held, bytes]);
+    const events: Buffer[] = [];
+    for (let line = this.#readLine(); line !== undefined; line = this.#readLine()) {
+      const fault = line === '' ? this.#endBlock() : this.#fields.addLine(line);
+      if (fault !== undefined) {
+        this.#held = noBytes;
+        return { bytes: join(events), fault };
+      }
+      if (line === '') {
+        events.push(this.#takeBlock());
+      }
+    }
+    return { bytes: join(events), fault: undefined };
+  }
+
+  /** Returns the bytes held back at the end of a complete response; undefined if it ends inside an event. */
+  finish(): Uint8Array | undefined {
+    const isEvent = !this.#fields.isEmpty;
+    if (this.#hasLastReturn()) {
+      return this.#endBlock() === undefined ? this.#findPassed(this.#held, isEvent) : undefined;
+    }
+    const isInside = isEvent || this.#held.length > this.#lineStart;
+    return isInside ? undefined : this.#findPassed(this.#held, isEvent);
+  }
+
+  /** Whether the last line is blank and ends with a carriage return, which a line feed could have followed. */
+  #hasLastReturn(): boolean {
+    const isLast = this.#held.length === this.#lineStart + 1;
+    return isLast && this.#held[this.#lineStart] === carriageReturn;
+  }
+
+  /** Returns the next line without its end; undefined if it is not complete. */
+  #readLine(): string | undefined {
+    const start = this.#lineStart;
+    const end = findLineEnd(this.#held, start);
+    if (end === undefined) {
+      return undefined;
+    }
+    const isPair = this.#held[end] === carriageReturn && this.#held[end + 1] === lineFeed;
+    this.#lineStart = end + (isPair ? 2 : 1);
+    const line = this.#held.toString('latin1', start, end);
+    const isFirst = this.#isFirstLine;
+    this.#isFirstLine = false;
+    return isFirst && line.startsWith(byteOrderMark) ? line.slice(byteOrderMark.length) : line;
+  }
+
+  /** Handles the blank line after an event, or after comments. */
+  #endBlock(): EventFault | undefined {
+    const fields = this.#fields;
+    if (fields.isEmpty) {
+      return undefined;
+    }
+    const fault = this.#hasEnded ? 'afterEnd' : fields.findFault(this.#expected);
+    if (fault !== undefined) {
+      return fault;
+    }
+    this.#hasEnded = fields.isEnd;
+    this.#lastEventId = fields.identifier ?? this.#lastEventId;
+    const number = parseEventNumber(fields.identifier ?? '');
+    this.#expected = number === undefined ? undefined : number + 1;
+    return undefined;
+  }
+
+  /** Takes the event that has just ended, or comments, out of the bytes held. Returns nothing if it must not be passed on, or not yet. */
+  #takeBlock(): Buffer {
+    const isEvent = !this.#fields.isEmpty;
+    this.#fields = new EventFields(this.#format);
+    if (this.#hasEnded) {
+      return noBytes;
+    }
+    const block = this.#held.subarray(0, this.#lineStart);
+    this.#held = this.#held.subarray(this.#lineStart);
+    this.#lineStart = 0;
+    return this.#findPassed(block, isEvent);
+  }
+
+  /** Comments have no number, so a stream of numbered events is passed on without them. */
+  #findPassed(block: Buffer, isEvent: boolean): Buffer {
+    return isEvent || this.#format.type === 'plain' ? block : noBytes;
+  }
+}
+
+/** Offset of the end of the line that begins at `start`; undefined if the line may go on. */
+function findLineEnd(buffer: Buffer, start: number): number | undefined {
+  for (let at = start; at < buffer.length; at += 1) {
+    if (buffer[at] === lineFeed) {
+      return at;
+    }
+    if (buffer[at] === carriageReturn) {
+      // Both together are one line end.
+      return at + 1 < buffer.length ? at : undefined;
+    }
+  }
+  return undefined;
+}
+
+/** Wraps the bytes without copying. */
+function viewAsBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
+function join(events: readonly Buffer[]): Buffer {
+  const [first = noBytes, ...others] = events.filter(({ length }) => length > 0);
+  return others.length === 0 ? first : Buffer.concat([first, ...others]);
+}
