Reproduce stream events of no run that reach callers

What callers saw: events with an empty identifier on resumable streams, of upstreams that had sent garbage, in streams that ended as whole or ran into the caller's time limit.

Test: platform-spoiled-streams, at a deployed gateway with three upstreams of a plain service. An upstream spoils one stream in one of 19 ways, after four events or at its start, then goes on, ends or resets; further streams end inside an event or are resumed at a wrong place.

--- a/__tests__/platform/plain-service.ts
+++ b/__tests__/platform/plain-service.ts
@@ -19,8 +19,13 @@
 /** Time that a route gives its requests, in milliseconds. */
 export const routeTimeout = 1500;
 
-/** Paths of its routes; requests of `once` are not idempotent. */
-export const servicePaths = { again: '/again/1', once: '/once/1' } as const;
+/** Paths of its routes; requests of `once` are not idempotent, and streams of `flowOnce` cannot be resumed. */
+export const servicePaths = {
+  again: '/again/1',
+  once: '/once/1',
+  flow: '/flow/1',
+  flowOnce: '/flow-once/1',
+} as const;
 
 export interface ServiceAnswer {
   /** 0 if there was no response. */
@@ -92,7 +97,12 @@
   }
 
   /** Sends a request on a new connection and reads nothing of the answer's body for `readAfter` milliseconds. */
-  async call(gateway: number, path: string, readAfter = 0): Promise<ServiceAnswer> {
+  async call(
+    gateway: number,
+    path: string,
+    readAfter = 0,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<ServiceAnswer> {
     const startedAt = performance.now();
     this.#requestCount += 1;
     const id = `r-${this.#requestCount}`;
@@ -102,7 +112,7 @@
       port,
       path,
       agent: new Agent(),
-      headers: createServiceHeaders(id),
+      headers: { ...createServiceHeaders(id), ...headers },
     });
     return new Promise((resolve) => {
       const finish = (answer: Omit<ServiceAnswer, 'duration'>): void => {
@@ -161,6 +171,8 @@
       ...(routes ?? []),
       { ...shared, name: 'again', path_prefix: '/again/', kind: 'idempotent' },
       { ...shared, name: 'once', path_prefix: '/once/', kind: 'non_idempotent' },
+      { ...shared, name: 'flow', path_prefix: '/flow/', kind: 'streaming', resumable: true },
+      { ...shared, name: 'flow-once', path_prefix: '/flow-once/', kind: 'streaming' },
     ],
     services: [...(services ?? []), { name: serviceName, max_conns: 100 }],
   });
--- /dev/null
+++ b/__tests__/platform/spoiled-stream.ts
@@ -0,0 +1,95 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+
+/** Streams of a plain service, and what a faulty upstream sends in them. */
+
+export const eventCount = 10;
+/** Time between two writes of a stream, in milliseconds; each arrives by itself. */
+const writeInterval = 10;
+
+export function formatEvent(id: number): string {
+  return `id: ${id}\ndata: token ${id}\n\n`;
+}
+
+/** The events from one to another, both included. */
+export function formatEvents(first: number, last: number): string {
+  const ids = Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index);
+  return ids.map(formatEvent).join('');
+}
+
+export const wholeStream = formatEvents(1, eventCount);
+
+/** What belongs to no event of the stream, in place of the event with the given number. */
+export const spoiledEvents: Readonly<Record<string, (next: number) => string>> = {
+  'an event without an id': () => 'data: of no run\n\n',
+  'an event with an empty id': () => 'id:\ndata: of no run\n\n',
+  'an event with a blank id': () => 'id: \ndata: of no run\n\n',
+  text: () => 'no event\n\n',
+  'text glued to the next event': (next) => `no event\n${formatEvent(next)}`,
+  'text that ends with carriage returns': () => 'data: of no run\r\r',
+  bytes: () => '\0\u00ff\u00fe\n\n',
+  'a second response': () => 'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nno event',
+  'a field of a head': (next) => `Content-Length: 8\n${formatEvent(next)}`,
+  'an earlier event': (next) => formatEvent(next - 3),
+  'the same event again': (next) => formatEvent(next - 1),
+  'an event too late': (next) => formatEvent(next + 1),
+  'an id that is a word': () => 'id: abc\ndata: of no run\n\n',
+  'a negative id': (next) => `id: -${next}\ndata: of no run\n\n`,
+  'an id with a fraction': (next) => `id: ${next}.5\ndata: of no run\n\n`,
+  'an id with leading zeros': (next) => `id: 00${next}\ndata: of no run\n\n`,
+  'an id of twenty digits': () => 'id: 12345678901234567890\ndata: of no run\n\n',
+  'two ids': (next) => `id: ${next}\nid: ${next}\ndata: of no run\n\n`,
+  'an event without data': (next) => `id: ${next}\n\n`,
+};
+
+/** What follows the spoiled event. */
+export const continuations = ['the other events', 'its end', 'a reset'] as const;
+export type Continuation = (typeof continuations)[number];
+
+/** Number of the event after which the caller, or the gateway, resumes the stream; 0 from the start. */
+export function readResumePoint({ headers }: IncomingMessage): number {
+  return Number(headers['last-event-id'] ?? 0);
+}
+
+export function beginStream(request: IncomingMessage, response: ServerResponse): void {
+  const id = String(request.headers['x-attempt-id']);
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'x-attempt-id': id,
+    'x-response-seal': `seal of ${id}`,
+  });
+}
+
+/** Sends all events after the last one that the other side has. */
+export function streamSoundly(request: IncomingMessage, response: ServerResponse): void {
+  beginStream(request, response);
+  response.end(formatEvents(readResumePoint(request) + 1, eventCount));
+}
+
+/** Sends sound events up to the given one, then the spoiled one, then what is to follow. */
+export async function streamSpoiled(
+  request: IncomingMessage,
+  response: ServerResponse,
+  soundCount: number,
+  spoiled: string,
+  continuation: Continuation,
+): Promise<void> {
+  beginStream(request, response);
+  response.flushHeaders();
+  const first = readResumePoint(request) + 1;
+  const writes = [formatEvents(first, soundCount), spoiled].filter((text) => text !== '');
+  for (const text of writes) {
+    response.write(Buffer.from(text, 'latin1'));
+    await pause(writeInterval);
+  }
+  switch (continuation) {
+    case 'the other events':
+      response.end(formatEvents(soundCount + 1, eventCount));
+      return;
+    case 'its end':
+      response.end();
+      return;
+    case 'a reset':
+      response.socket?.resetAndDestroy();
+  }
+}
