Gateways pass on no event that does not belong to its stream

Cause: a gateway cut the bytes of a stream at blank lines and read nothing of what lay between them, then searched what it had passed on for an identifier after which to resume. Bytes of a faulty upstream were believed because they came on a connection that works.

Change: EventReader decides for each event whether it is the next one of its stream. At the first one that is not, the sound events before it are passed on, the upstream's connection is closed and the attempt counts as broken: the stream is resumed elsewhere after the last sound event where its route and the budgets allow it, and otherwise broken off, or answered with 502 if nothing was sent yet. The upstream counts as suspect and is probed, as after other broken responses. Also, an event without end in the same read as sound events no longer fails a response whose head has just been sent.

Why it works: nothing is passed on any more that has not been checked, on the first attempt and on later ones, and the place at which a stream is resumed is the number of an event that was checked.

--- a/__tests__/gateway/event-reader.test.ts
+++ b/__tests__/gateway/event-reader.test.ts
@@ -25,9 +25,11 @@
       return { passed, fault, isWhole: false };
     }
   }
-  const rest = reader.finish();
-  passed += Buffer.from(rest ?? []).toString('latin1');
-  return { passed, fault: undefined, isWhole: rest !== undefined };
+  if (reader.isInsideEvent) {
+    return { passed, fault: undefined, isWhole: false };
+  }
+  passed += Buffer.from(reader.finish()).toString('latin1');
+  return { passed, fault: undefined, isWhole: true };
 }
 
 function readText(format: EventFormat, text: string, expected?: number): ReadStream {
@@ -146,7 +148,7 @@
           expect(passed === '' || /\n\r?\n$/.test(passed)).toBe(true);
           expect(passed).not.toContain('[DONE]');
         }
-        expect(passed + Buffer.from(reader.finish() ?? []).toString('latin1')).toBe(text);
+        expect(passed + Buffer.from(reader.finish()).toString('latin1')).toBe(text);
       }),
       propertyOptions,
     );
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,7 +3,7 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
-import { EventReader, findFirstNumber } from '../events/index.js';
+import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
 import { isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
 import {
@@ -422,27 +422,26 @@
     }
     this.#stream?.noteBytes(now);
     this.#dispatch?.noteFirstEvent(now);
-    const hadFault = this.#responseWriter.eventFault !== undefined;
-    this.#responseWriter.push(bytes);
-    const { eventFault, lastEventId } = this.#responseWriter;
-    if (eventFault !== undefined && !hadFault) {
-      this.#dependencies.observer.noteEventFault(target, eventFault, {
-        requestId: this.#request.requestId,
-        attempt: this.#controller.attemptCount,
-        lastEventId,
-      });
-    }
-    if (this.#responseWriter.isOverlong) {
-      this.#failAttempt(attempt, target, 'error response or event without end');
-      return;
-    }
+    const fault = this.#responseWriter.push(bytes);
     if (this.#responseWriter.isPassedOn) {
       this.#timer.noteForwarded(now);
       this.#handle({ type: 'passedOn' });
-      if (this.#responseWriter.isSlow) {
-        this.pauseReading();
-      }
     }
+    if (fault !== undefined) {
+      this.#noteEventFault(target, fault);
+      this.#failAttempt(attempt, target, 'event does not belong to its stream');
+    } else if (this.#responseWriter.isOverlong) {
+      this.#failAttempt(attempt, target, 'error response or event without end');
+    } else if (this.#responseWriter.isPassedOn && this.#responseWriter.isSlow) {
+      this.pauseReading();
+    }
+  }
+
+  #noteEventFault(target: Target, fault: EventFault): void {
+    const { requestId } = this.#request;
+    const attempt = this.#controller.attemptCount;
+    const { lastEventId } = this.#responseWriter;
+    this.#dependencies.observer.noteEventFault(target, fault, { requestId, attempt, lastEventId });
   }
 
   #handleEnd(attempt: UpstreamAttempt, target: Target): void {
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -3,7 +3,6 @@
 import { findResultCode, type Failure } from '../../common/index.js';
 import { isFramedResponse } from '../../wire/index.js';
 import { endAfterBody } from '../end-after-body.js';
-import { EventFramer } from '../event-framer.js';
 import type { EventFault, EventReader } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
@@ -38,7 +37,6 @@
 interface Head {
   readonly status: number;
   readonly rawHeaders: RawHeaders;
-  readonly isStream: boolean;
   /**
    * False if the body is delimited only by the end of the upstream's connection. It may be truncated then, because the upstream may have
    * ended in the middle of it. With a content length or a final chunk, a truncated body would look complete to the caller, who would not
@@ -52,10 +50,8 @@
   readonly #endsConnection: () => boolean;
   readonly #isMemoryShort: () => boolean;
   #head: Head | undefined;
-  #framer = new EventFramer();
-  /** Undefined if the current response is no stream, or has had a fault. */
+  /** Undefined if the current response is no stream. */
   #reader: EventReader | undefined;
-  #eventFault: EventFault | undefined;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
   #isHeadWritten = false;
@@ -78,11 +74,6 @@
     return this.#lastEventId;
   }
 
-  /** What is wrong with the first event of the current response that does not belong to it; undefined if there is none. */
-  get eventFault(): EventFault | undefined {
-    return this.#eventFault;
-  }
-
   /** Whether a part of the response has been forwarded to the caller. */
   get isPassedOn(): boolean {
     return this.#isHeadWritten;
@@ -108,19 +99,19 @@
 
   /** Whether the current response is a stream that would end inside an event, and only the end of its connection says that it ends there. */
   get isInsideEvent(): boolean {
-    return this.#head?.isStream === true && this.isUnframed && this.#framer.isInsideEvent;
+    return this.isUnframed && this.#reader?.isInsideEvent === true;
   }
 
   /** Whether the current response holds more bytes back than any sound one, so that its end cannot be expected. */
   get isOverlong(): boolean {
     const isError = !this.#isHeadWritten && this.#bufferedBytes > maximumErrorBytes;
-    return isError || this.#framer.heldBytes > maximumEventBytes;
+    return isError || this.#heldEventBytes > maximumEventBytes;
   }
 
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
   get heldBytes(): number {
     const buffered = this.#isHeadWritten ? 0 : this.#bufferedBytes;
-    return buffered + this.#framer.heldBytes;
+    return buffered + this.#heldEventBytes;
   }
 
   /** Whether too many bytes are queued for the caller; while memory is short, as soon as its connection takes no more. */
@@ -134,10 +125,7 @@
    * returns false if the new response cannot continue it.
    */
   begin(status: number, rawHeaders: RawHeaders, reader: EventReader | undefined): boolean {
-    const isStream = reader !== undefined;
     this.#reader = reader;
-    this.#eventFault = undefined;
-    this.#framer = new EventFramer();
     this.#buffered = [];
     this.#bufferedBytes = 0;
     const isFramed = isFramedResponse(status, (name) => readHeader(rawHeaders, name));
@@ -145,18 +133,25 @@
     if (this.#isHeadWritten) {
       // A framed stream must not continue with an unframed response, whose end cannot be told from an interruption.
       const isContinuable = isFramed || this.#head?.isFramed === false;
-      return isStream && isContinuable && status === this.#head?.status;
+      return reader !== undefined && isContinuable && status === this.#head?.status;
     }
-    this.#head = { status, rawHeaders, isStream, isFramed };
+    this.#head = { status, rawHeaders, isFramed };
     return true;
   }
 
-  /** Takes bytes of the current response. Complete events of a stream are forwarded at once. */
-  push(bytes: Buffer): void {
-    if (this.#head?.isStream === true) {
-      this.#pushEvents(bytes);
-      return;
+  /**
+   * Takes bytes of the current response. The events of a stream are forwarded at once, up to the first one that does not belong to it;
+   * returns what is wrong with that one.
+   */
+  push(bytes: Buffer): EventFault | undefined {
+    if (this.#reader !== undefined) {
+      return this.#pushEvents(bytes, this.#reader);
     }
+    this.#pushBody(bytes);
+    return undefined;
+  }
+
+  #pushBody(bytes: Buffer): void {
     if (this.#isHeadWritten) {
       this.#response.write(bytes);
       return;
@@ -172,12 +167,11 @@
 
   /** Ends a complete response. */
   finish(): void {
-    if (this.#head?.isStream === true) {
-      const rest = this.#framer.finish();
+    if (this.#reader !== undefined) {
       if (!this.#isHeadWritten) {
         this.#writeHead(undefined);
       }
-      this.#response.end(rest);
+      this.#response.end(this.#reader.finish());
       return;
     }
     if (this.#isHeadWritten) {
@@ -222,20 +216,20 @@
     }
   }
 
-  #pushEvents(bytes: Buffer): void {
-    this.#eventFault ??= this.#reader?.push(bytes).fault;
-    if (this.#eventFault !== undefined) {
-      this.#reader = undefined;
-    }
-    const events = this.#framer.push(bytes);
-    if (events.length === 0) {
-      return;
-    }
-    if (!this.#isHeadWritten) {
-      this.#writeHead(undefined);
+  get #heldEventBytes(): number {
+    return this.#reader?.heldBytes ?? 0;
+  }
+
+  #pushEvents(bytes: Buffer, reader: EventReader): EventFault | undefined {
+    const { bytes: events, fault } = reader.push(bytes);
+    if (events.length > 0) {
+      if (!this.#isHeadWritten) {
+        this.#writeHead(undefined);
+      }
+      this.#lastEventId = reader.lastEventId ?? this.#lastEventId;
+      this.#response.write(events);
     }
-    this.#lastEventId = findLastEventId(events) ?? this.#lastEventId;
-    this.#response.write(events);
+    return fault;
   }
 
   #writeHead(length: number | undefined): void {
@@ -286,10 +280,3 @@
   );
   return values.length === 0 ? undefined : values.join(',');
 }
-
-/** Returns the identifier of the last event that has one. */
-function findLastEventId(events: Uint8Array): string | undefined {
-  const text = Buffer.from(events.buffer, events.byteOffset, events.byteLength).toString('utf8');
-  const matches = [...text.matchAll(/^id: ?(.*?)\r?$/gm)];
-  return matches.at(-1)?.[1];
-}
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -68,18 +68,21 @@
     return { bytes: join(events), fault: undefined };
   }
 
-  /** Returns the bytes held back at the end of a complete response; undefined if it ends inside an event. */
-  finish(): Uint8Array | undefined {
-    const isEvent = !this.#fields.isEmpty;
-    if (this.#hasLastReturn()) {
-      return this.#endBlock() === undefined ? this.#findPassed(this.#held, isEvent) : undefined;
+  /** Whether the response would end inside an event, or with one that does not belong to the stream. */
+  get isInsideEvent(): boolean {
+    if (this.#hasLastReturn) {
+      return this.#findFault() !== undefined;
     }
-    const isInside = isEvent || this.#held.length > this.#lineStart;
-    return isInside ? undefined : this.#findPassed(this.#held, isEvent);
+    return !this.#fields.isEmpty || this.#held.length > this.#lineStart;
+  }
+
+  /** Returns the bytes held back; called when the response is complete and does not end inside an event. */
+  finish(): Uint8Array {
+    return this.#findPassed(this.#held, !this.#fields.isEmpty);
   }
 
   /** Whether the last line is blank and ends with a carriage return, which a line feed could have followed. */
-  #hasLastReturn(): boolean {
+  get #hasLastReturn(): boolean {
     const isLast = this.#held.length === this.#lineStart + 1;
     return isLast && this.#held[this.#lineStart] === carriageReturn;
   }
@@ -102,11 +105,8 @@
   /** Handles the blank line after an event, or after comments. */
   #endBlock(): EventFault | undefined {
     const fields = this.#fields;
-    if (fields.isEmpty) {
-      return undefined;
-    }
-    const fault = this.#hasEnded ? 'afterEnd' : fields.findFault(this.#expected);
-    if (fault !== undefined) {
+    const fault = this.#findFault();
+    if (fields.isEmpty || fault !== undefined) {
       return fault;
     }
     this.#hasEnded = fields.isEnd;
@@ -116,6 +116,13 @@
     return undefined;
   }
 
+  #findFault(): EventFault | undefined {
+    if (this.#fields.isEmpty) {
+      return undefined;
+    }
+    return this.#hasEnded ? 'afterEnd' : this.#fields.findFault(this.#expected);
+  }
+
   /** Takes the event that has just ended, or comments, out of the bytes held. Returns nothing if it must not be passed on, or not yet. */
   #takeBlock(): Buffer {
     const isEvent = !this.#fields.isEmpty;
