A stream that ends inside an event is broken off, whatever announces its end

What callers saw: a part of an event, or bytes that are no event, as the end of a whole stream.

Cause: only responses without a length or chunks were asked whether they end inside an event, since the final chunk of the others was taken for a promise that the last event is whole. A faulty upstream sends it after any bytes.

Change: each stream is asked.

--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -97,9 +97,9 @@
     return this.#head !== undefined && !this.#isCurrentFramed;
   }
 
-  /** Whether the current response is a stream that would end inside an event, and only the end of its connection says that it ends there. */
+  /** Whether the current response is a stream that would end inside an event. It was broken off then, whatever else says that it is complete. */
   get isInsideEvent(): boolean {
-    return this.isUnframed && this.#reader?.isInsideEvent === true;
+    return this.#reader?.isInsideEvent === true;
   }
 
   /** Whether the current response holds more bytes back than any sound one, so that its end cannot be expected. */
