A response that is broken off delivers what was written before

What callers saw: a connection that ends without a response, or without the last sound events, when a stream is broken off in the turn of the event loop in which they were written.

Cause: Node holds the chunks of one turn back and sends them together; destroying the connection discards them.

Change: the connection sends what it holds before it is destroyed. The test's client reads as soon as the head arrives, since what it has not read when the connection breaks is lost too.

Evidence: 'a stream that ends inside an event ... is broken off if it cannot be resumed' got 'socket hang up' without the change, also with that client, and gets the four sound events with it.

--- a/__tests__/platform/plain-service.ts
+++ b/__tests__/platform/plain-service.ts
@@ -123,11 +123,17 @@
       });
       request.on('response', (response) => {
         let body = '';
-        setTimeout(() => {
+        const read = (): void => {
           response.setEncoding('latin1').on('data', (text: string) => {
             body += text;
           });
-        }, readAfter);
+        };
+        // What has not been read when the connection breaks is lost.
+        if (readAfter === 0) {
+          read();
+        } else {
+          setTimeout(read, readAfter);
+        }
         response.on('error', () => undefined);
         response.on('close', () => {
           finish({ status: response.statusCode ?? 0, body, isWhole: response.complete });
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -189,8 +189,11 @@
    * connection, so that connection is reset.
    */
   cut(): void {
+    const { socket } = this.#response;
+    // Node sends the chunks of one turn of the event loop together at its end.
+    socket?.uncork();
     if (this.#head?.isFramed === false) {
-      this.#response.socket?.resetAndDestroy();
+      socket?.resetAndDestroy();
     }
     this.#response.destroy();
   }
