Streams are recognized by their media type, and only in successes

What callers saw: a response with the content type 'Text/Event-Stream' was passed on unread, also half an event as its end. With events checked, a client error whose body is an event would have been taken for a faulty stream.

Cause: the direct gateway compared the beginning of the header with 'text/event-stream' as it stands, for any status.

Change: one function decides for gateways and sidecars by the media type without parameters, in any case of letters; only a success is a stream, and other responses are passed on whole.

--- a/__tests__/processes/platform-spoiled-streams.test.ts
+++ b/__tests__/processes/platform-spoiled-streams.test.ts
@@ -219,6 +219,15 @@
     expect(body).toBe(wholeStream);
   });
 
+  it('is not expected of an upstream that rejects the request', async () => {
+    const rejection = 'event: error\ndata: a part of the prompt is unknown\n\n';
+    const { status, body } = await callSpoiled(servicePaths.flow, (request, response) => {
+      const fields = { 'x-attempt-id': String(request.headers['x-attempt-id']) };
+      response.writeHead(400, { ...fields, 'content-type': 'text/event-stream' }).end(rejection);
+    });
+    expect({ status, body }).toEqual({ status: 400, body: rejection });
+  });
+
   it('is served again by an upstream that has sent a spoiled one', async () => {
     const [faulty] = service.upstreams;
     await callSpoiled(servicePaths.flow, (request, response) =>
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,8 +3,9 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
+import { isEventStreamType } from '../../wire/index.js';
 import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
-import { isUpstreamFailure } from '../response-status.js';
+import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
 import {
   DeliveryController,
@@ -376,7 +377,8 @@
     }
     const isStream =
       this.#request.route.kind === 'streaming' &&
-      (headers['content-type'] ?? '').startsWith('text/event-stream');
+      isSuccess(status) &&
+      isEventStreamType(headers['content-type']);
     const reader = isStream ? this.#createReader() : undefined;
     if (!this.#responseWriter.begin(status, raw, reader)) {
       this.#abortAttempt(attempt, `response cannot continue the stream: status ${status}`);
--- a/src/sidecar/attempts/event-stream.ts
+++ b/src/sidecar/attempts/event-stream.ts
@@ -1,15 +1,16 @@
+import { isEventStreamType } from '../../wire/index.js';
 import type { HeaderField } from './messages.js';
 
 /** Event streams in responses of upstreams. */
 
-const eventStreamType = 'text/event-stream';
 /** The longest end of an event: two line ends of two characters each. */
 const longestEventEnd = 4;
 
 /** Whether a response is a stream of server-sent events. */
 export function isEventStream(headers: readonly HeaderField[]): boolean {
-  const type = headers.find(({ name }) => name.toLowerCase() === 'content-type')?.value ?? '';
-  return type.toLowerCase().startsWith(eventStreamType);
+  return isEventStreamType(
+    headers.find(({ name }) => name.toLowerCase() === 'content-type')?.value,
+  );
 }
 
 /** The last bytes of an event stream, which tell whether it ends inside an event. */
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,3 +1,4 @@
+export { isEventStreamType } from './event-stream-type.js';
 export {
   decodeArtifact,
   decodeGroup,
