Reading an event keeps no copy of its lines and searches each byte once

Cause: an event of many short lines kept a string for each of them, and a long line that arrives in small parts was searched from its start for each part.

Change: only the last identifier and what the check needs of the data are kept; the search for the end of a line goes on where it stopped.

Result: the tests of the reader pass unchanged.

--- a/src/gateway/events/event-fields.ts
+++ b/src/gateway/events/event-fields.ts
@@ -22,8 +22,10 @@
 
 export class EventFields {
   readonly #format: EventFormat;
-  readonly #identifiers: string[] = [];
-  readonly #data: string[] = [];
+  #identifierCount = 0;
+  #identifier: string | undefined;
+  #dataCount = 0;
+  #isEndMarker = false;
   #hasFields = false;
 
   constructor(format: EventFormat) {
@@ -37,12 +39,12 @@
 
   /** Whether this event is the last of its stream. */
   get isEnd(): boolean {
-    return this.#format.type === 'plain' && this.#data.length === 1 && this.#data[0] === endMarker;
+    return this.#format.type === 'plain' && this.#dataCount === 1 && this.#isEndMarker;
   }
 
   /** Undefined if there is none. */
   get identifier(): string | undefined {
-    return this.#identifiers.at(-1);
+    return this.#identifier;
   }
 
   /** Takes a line without its end. */
@@ -56,11 +58,13 @@
       return 'malformed';
     }
     this.#hasFields = true;
-    const value = colon < 0 ? '' : line.slice(colon + 1).replace(/^ /, '');
+    const value = colon < 0 ? '' : line.slice(line[colon + 1] === ' ' ? colon + 2 : colon + 1);
     if (name === 'id') {
-      this.#identifiers.push(value);
+      this.#identifierCount += 1;
+      this.#identifier = value;
     } else if (name === 'data') {
-      this.#data.push(value);
+      this.#dataCount += 1;
+      this.#isEndMarker = value === endMarker;
     }
     return undefined;
   }
@@ -70,18 +74,18 @@
     if (this.#format.type === 'plain') {
       return undefined;
     }
-    const [identifier = ''] = this.#identifiers;
-    if (identifier === '' && this.#identifiers.length <= 1) {
+    const identifier = this.#identifier ?? '';
+    if (identifier === '' && this.#identifierCount <= 1) {
       return 'withoutId';
     }
     const number = parseEventNumber(identifier);
-    if (number === undefined || this.#identifiers.length > 1) {
+    if (number === undefined || this.#identifierCount > 1) {
       return 'invalidId';
     }
     if (expected !== undefined && number !== expected) {
       return 'unexpectedId';
     }
-    return this.#data.length === 0 ? 'withoutData' : undefined;
+    return this.#dataCount === 0 ? 'withoutData' : undefined;
   }
 
   #isField(name: string, hasColon: boolean): boolean {
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -29,6 +29,8 @@
   #held: Buffer = noBytes;
   /** Offset in the bytes held of the first line that has not been read. */
   #lineStart = 0;
+  /** Offset up to which that line has been searched for its end. */
+  #searchedTo = 0;
   #isFirstLine = true;
   #fields: EventFields;
   #hasEnded = false;
@@ -90,12 +92,14 @@
   /** Returns the next line without its end; undefined if it is not complete. */
   #readLine(): string | undefined {
     const start = this.#lineStart;
-    const end = findLineEnd(this.#held, start);
+    const end = findLineEnd(this.#held, this.#searchedTo);
     if (end === undefined) {
+      this.#searchedTo = Math.max(start, this.#held.length - 1);
       return undefined;
     }
     const isPair = this.#held[end] === carriageReturn && this.#held[end + 1] === lineFeed;
     this.#lineStart = end + (isPair ? 2 : 1);
+    this.#searchedTo = this.#lineStart;
     const line = this.#held.toString('latin1', start, end);
     const isFirst = this.#isFirstLine;
     this.#isFirstLine = false;
@@ -133,6 +137,7 @@
     const block = this.#held.subarray(0, this.#lineStart);
     this.#held = this.#held.subarray(this.#lineStart);
     this.#lineStart = 0;
+    this.#searchedTo = 0;
     return this.#findPassed(block, isEvent);
   }
 
@@ -142,7 +147,7 @@
   }
 }
 
-/** Offset of the end of the line that begins at `start`; undefined if the line may go on. */
+/** Offset of the first line end from `start` on; undefined if there is none, or only the first half of one. */
 function findLineEnd(buffer: Buffer, start: number): number | undefined {
   for (let at = start; at < buffer.length; at += 1) {
     if (buffer[at] === lineFeed) {
