A success that does not name its request answers none

What callers saw: body and receipt of another caller's request, as a success, also across accounts. An upstream sends a second answer late, where the next one is expected, and its X-Attempt-Id is missing or cannot be read, or stands there twice.

Cause: a response counted as one to another request only if it had an identifier and that was a different one. Several fields of that name are an array, which was read as none. Upstreams repeat the identifier in their responses, so a success without it is not theirs.

Change: the dialect says whether a response has to name its request; on the platform each success does. One that does not, or that names several, is handled as a late response to another request: the connection is closed, and the request is repeated where it may be, or answered with 502. What such a response says about limits and coldness is ignored too. Test upstreams repeat the identifier now.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -320,6 +320,27 @@
     expect(answer.status).toBe(502);
     expect(answer.body).not.toContain('of another');
   });
+
+  // Guards against forwarding a late response whose request cannot be recognized to the caller whose response is due.
+  it.each([
+    ['no identifier', undefined],
+    ['an empty identifier', ''],
+    ['the identifier of another request twice', ['r-0', 'r-0']],
+    ['its identifier and another one', ['r-1', 'r-0']],
+  ])('that name %s never reach the caller', async (_, identifier) => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      if (identifier === undefined) {
+        response.removeHeader('x-attempt-id');
+      } else {
+        response.setHeader('x-attempt-id', identifier);
+      }
+      response.end('of another');
+    };
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('of another');
+  });
 });
 
 describe('refusals', () => {
--- a/__tests__/direct/upstream.ts
+++ b/__tests__/direct/upstream.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-/** An HTTP upstream for tests that records the requests it receives; the test sets their handler. Its responses have a receipt. */
+/** An HTTP upstream for tests that records the requests it receives; the test sets their handler. Its responses have a receipt and name their request. */
 export class TestUpstream {
   readonly received: { readonly url: string; readonly headers: IncomingMessage['headers'] }[] = [];
   handle: (request: IncomingMessage, response: ServerResponse) => void = () => undefined;
@@ -12,6 +12,7 @@
       this.received.push({ url: request.url ?? '', headers: request.headers });
       request.resume();
       response.setHeader('x-response-seal', 'seal');
+      response.setHeader('x-attempt-id', request.headers['x-attempt-id'] ?? '');
       this.handle(request, response);
     });
   }
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -7,6 +7,7 @@
 import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
+import { mayBelongTo } from './dialect.js';
 import {
   DeliveryController,
   type ChoiceMode,
@@ -348,7 +349,7 @@
     const facts = dialect.readResponse(status, headers);
     this.#hasResponseHead = true;
     observer.noteResponse(target, facts, { requestId, sentAt: this.#sentAt });
-    if (facts.requestId !== undefined && facts.requestId !== requestId) {
+    if (!mayBelongTo(facts, requestId)) {
       // A late response to an earlier request on this connection. The outcome of the present request is unknown.
       this.#abortAttempt(attempt, 'response belongs to another request');
       return;
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -49,6 +49,8 @@
   readonly isUnproven: boolean;
   /** The request that the response belongs to; undefined if the upstream does not say. */
   readonly requestId: string | undefined;
+  /** Whether the response has to say to which request it belongs. */
+  readonly needsRequestId: boolean;
   readonly load: UpstreamLoad | undefined;
   /** Whether the request reached an upstream other than the intended one. */
   readonly isMisdirected: boolean;
@@ -62,6 +64,16 @@
   readonly coldFor: Milliseconds | undefined;
 }
 
+/** Whether a response may be the one to the request with the given identifier, rather than a late one to an earlier request. */
+export function mayBelongTo(
+  { requestId, needsRequestId }: ResponseMetadata,
+  identifier: string | undefined,
+): boolean {
+  return requestId === undefined
+    ? identifier === undefined || !needsRequestId
+    : requestId === identifier;
+}
+
 /** Header names and values alternating, as in Node's `rawHeaders`. */
 export type RawHeaders = readonly string[];
 
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -9,7 +9,7 @@
 import { formatIdentity } from '../../routing/index.js';
 import type { EventFault } from '../events/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
-import type { ResponseMetadata } from './dialect.js';
+import { mayBelongTo, type ResponseMetadata } from './dialect.js';
 
 /** Records what the headers of responses say about the upstreams that sent them. */
 
@@ -121,17 +121,17 @@
 
   #noteCold(
     { key, instance }: Target,
-    { isMisdirected, requestId: answeredId, coldFor }: ResponseMetadata,
+    facts: ResponseMetadata,
     { requestId }: AnsweredRequest,
   ): void {
+    const { isMisdirected, coldFor } = facts;
     const { permits, clock, log } = this.#options;
     const upstream = formatIdentity(instance);
     if (isMisdirected) {
       permits.noteMisdirected(upstream);
       return;
     }
-    const isOther = answeredId !== undefined && answeredId !== requestId;
-    if (coldFor === undefined || isOther) {
+    if (coldFor === undefined || !mayBelongTo(facts, requestId)) {
       return;
     }
     if (permits.noteCold(upstream, coldFor, clock.monotonic())) {
@@ -142,10 +142,11 @@
   /** Ignores responses from another upstream or to another request: their rate limit may not be that of the target. */
   #noteRateLimit(
     target: Target,
-    { isMisdirected, requestId: answeredId, requestsPerSecond }: ResponseMetadata,
+    facts: ResponseMetadata,
     { requestId, sentAt }: AnsweredRequest,
   ): void {
-    if (isMisdirected || (answeredId !== undefined && answeredId !== requestId)) {
+    const { isMisdirected, requestsPerSecond } = facts;
+    if (isMisdirected || !mayBelongTo(facts, requestId)) {
       return;
     }
     const { permits, clock, log } = this.#options;
