A broken response that has no chunks is reset without its last bytes

What callers saw: the first events of a stream without a length, and an orderly close of the connection, so that the part looks whole.

Cause: since 'A response that is broken off delivers what was written before', what was written in the turn of the event loop in which the response is broken off is sent, and then the connection is reset. Where both arrive together, Node's client reports the end of the stream. Responses to callers of HTTP/1.0 have no chunks either, and their connections were closed in order.

Change: only a response in chunks sends what it holds, since its caller sees that the last chunk is missing. Any other is reset at once, at the cost of the events of that turn.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -921,3 +921,40 @@
     expect((await running.answer).isWhole).toBe(false);
   });
 });
+
+describe('streams of faulty upstreams', () => {
+  const sound = 'id: 1\ndata: a\n\n';
+  const model = { 'x-model': 'small' };
+  const rest = 'id: 2\ndata: b\n\n';
+
+  function openGroups(isResumable: boolean): void {
+    const table = new RouteTable(createDocument({ routes: [{ ...streamRoute, isResumable }] }));
+    const engineGroups = new Map([createGroup('small/1', first), createGroup('small/2', second)]);
+    changeView({ table, engineGroups });
+  }
+
+  function handleInTurn(
+    ...handlers: ((request: IncomingMessage, response: ServerResponse) => void)[]
+  ): void {
+    let count = 0;
+    for (const upstream of [first, second]) {
+      upstream.handle = (request, response) => {
+        handlers[count]?.(request, response);
+        count += 1;
+      };
+    }
+  }
+
+  // Guards against a caller that sees an orderly close after a part of a stream, because data was sent right before the reset.
+  it('that have no length are not complete if a fault follows sound events at once', async () => {
+    openGroups(false);
+    handleInTurn((_, response) => {
+      beginUnframed(response, 'text/event-stream');
+      response.end(`${sound}no event\n\n`);
+    });
+    // A reset may come before the head.
+    const answer = await call('POST', '/draft/7', model).answer.catch(() => undefined);
+    expect(answer?.isWhole).not.toBe(true);
+    expect(answer?.body ?? '').not.toContain('no event');
+  });
+});
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -185,14 +185,16 @@
   }
 
   /**
-   * Breaks the connection, because a partly forwarded response must not look complete. An unframed one ends with an orderly close of its
-   * connection, so that connection is reset.
+   * Breaks the connection, because a partly forwarded response must not look complete. One without chunks may end with an orderly close of
+   * its connection, so that connection is reset. What has not been sent yet is lost then: some clients see an orderly close if data arrives
+   * right before a reset.
    */
   cut(): void {
     const { socket } = this.#response;
-    // Node sends the chunks of one turn of the event loop together at its end.
-    socket?.uncork();
-    if (this.#head?.isFramed === false) {
+    if (this.#response.chunkedEncoding) {
+      // Node sends the chunks of one turn of the event loop together at its end.
+      socket?.uncork();
+    } else {
       socket?.resetAndDestroy();
     }
     this.#response.destroy();
