Each success on a streaming route is read as a stream

What callers saw: events without an identifier in a response whose head does not say that it is a stream, and a byte order mark in the middle of a stream that was resumed, before an event whose identifier a receiver then does not find.

Cause: the content type of a faulty upstream decided whether its bytes are checked, and each response of a resumed stream could begin with a byte order mark. Several Content-Type fields made the check of the type fail with an error of its own.

Change: on a streaming route a deployment's upstreams send nothing but events, so the events of each success are read; only the first part of a stream may begin with a byte order mark.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -957,4 +957,45 @@
     expect(answer?.isWhole).not.toBe(true);
     expect(answer?.body ?? '').not.toContain('no event');
   });
+
+  // Guards against an event whose caller does not find its identifier, because a byte order mark comes before it.
+  it('pass on no byte order mark of the response that resumes them', async () => {
+    openGroups(true);
+    const type = { 'content-type': 'text/event-stream' };
+    handleInTurn(
+      (_, response) => {
+        response.writeHead(200, type).write(sound);
+        setTimeout(() => response.destroy(), 20);
+      },
+      (_, response) => {
+        response.writeHead(200, type).end(`\uFEFF${rest}`);
+      },
+    );
+    const { body } = await call('POST', '/draft/7', model).answer;
+    expect(`${sound}${rest}`.startsWith(body), body).toBe(true);
+  });
+
+  // Guards against events that no run made in a response whose head does not say that it is a stream.
+  it.each([[{}], [{ 'content-type': 'text/plain' }]])(
+    'are not passed on unread if the head has %j',
+    async (fields) => {
+      openGroups(false);
+      handleInTurn((_, response) => {
+        response.writeHead(200, fields).end(`${sound}id:\ndata: of no run\n\n`);
+      });
+      const { body } = await call('POST', '/draft/7', model).answer;
+      expect(body).not.toContain('of no run');
+    },
+  );
+
+  // Guards against passing on the response to another request because its head names that request twice.
+  it('are not taken for those of another request if the head has two identifiers', async () => {
+    openGroups(false);
+    handleInTurn((_, response) => {
+      response.setHeader('x-attempt-id', ['r-0', 'r-0']);
+      response.writeHead(200, { 'content-type': 'text/event-stream' }).end(sound);
+    });
+    const { status, body } = await call('POST', '/draft/7', model).answer;
+    expect({ status, hasEvents: body.includes(sound) }).toEqual({ status: 502, hasEvents: false });
+  });
 });
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,7 +3,6 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
-import { isEventStreamType } from '../../wire/index.js';
 import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
@@ -376,10 +375,7 @@
     if (isUpstreamFailure(status) && this.#tryReplaceFailure(attempt, status)) {
       return;
     }
-    const isStream =
-      this.#request.route.kind === 'streaming' &&
-      isSuccess(status) &&
-      isEventStreamType(headers['content-type']);
+    const isStream = this.#request.route.kind === 'streaming' && isSuccess(status);
     const reader = isStream ? this.#createReader() : undefined;
     if (!this.#responseWriter.begin(status, raw, reader)) {
       this.#abortAttempt(attempt, `response cannot continue the stream: status ${status}`);
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -31,7 +31,8 @@
   #lineStart = 0;
   /** Offset up to which that line has been searched for its end. */
   #searchedTo = 0;
-  #isFirstLine = true;
+  /** Whether a byte order mark may come next; not where a stream is resumed. */
+  #isFirstLine: boolean;
   #fields: EventFields;
   #hasEnded = false;
   #lastEventId: string | undefined;
@@ -40,6 +41,7 @@
   constructor(format: EventFormat, expected?: number) {
     this.#format = format;
     this.#expected = expected;
+    this.#isFirstLine = expected === undefined || expected === 1;
     this.#fields = new EventFields(format);
   }
 
