Streams of a lost group stay with its head while no retry is left

What callers saw: a member of a group crashed that was not its head, an earlier crash had spent the retry budget, and the streams that the head still wrote were broken off within 30 ms (retryBudgetSpent), some of them in the stops of gateways, in which no stream may be lost.

Cause: the controller cancelled the attempt at a lost target first and asked for a retry afterwards, so that a refused retry left the request without any upstream. Failures and stalls ask first, and leave the attempt where it is if no retry is left.

Fix: if another target can take the request, a lost target is left as a stalled one is: only once the retry budget has granted the retry. Otherwise the attempt goes on. It ends with the response, the connection of the upstream, the deadline, the process or the caller, as any other; each later change of the routing state and each check of a stalled target asks again. One retry is taken for one move, as before. If no other target can take the request, nothing changes, and a request that is quarantined is still taken back.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -5,6 +5,7 @@
   DeliveryController,
   type CrashAssessment,
   type DeliveryEffect,
+  type DeliveryEvent,
   type DeliveryOptions,
 } from '../../src/gateway/direct/index.js';
 import { createTarget } from './targets.js';
@@ -318,6 +319,64 @@
     expect(session.controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
   });
 
+  // Guards against streams that are broken off while their head still responds: its group is lost, and the retry budget is spent.
+  it.each([false, true])(
+    'stays at a lost group while the retry budget is spent, partly forwarded: %s',
+    (isPassedOn) => {
+      const session = new Session();
+      const { controller } = session;
+      controller.handle({ type: 'started', now: 0 });
+      if (isPassedOn) {
+        controller.handle({ type: 'passedOn' });
+      }
+      session.lost.add('a');
+      session.repeats = 0;
+      expect(controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
+      expect(controller.attemptCount).toBe(1);
+      expect(controller.wakeAt).toBe(6000);
+      session.repeats = 1;
+      const moved = controller.handle({ type: 'targetsChanged', now: 500 });
+      expect(describeEffects(moved)).toEqual(['cancel', 'send b 5500']);
+      expect(session.repeats).toBe(0);
+    },
+  );
+
+  // Guards against a request without an end after it has stayed at a lost group.
+  it.each<[DeliveryEvent, readonly string[]]>([
+    [{ type: 'ended' }, ['finish']],
+    [{ type: 'broken', now: 400 }, ['cut retryBudgetSpent']],
+    [{ type: 'stopped', now: 400 }, ['cancel', 'cut stopping']],
+    [{ type: 'ticked', now: 6000 }, ['cancel', 'cut deadlineAfterStart']],
+    [{ type: 'callerLeft' }, ['cancel']],
+  ])('that stayed at a lost group ends on %o', (event, expected) => {
+    const session = new Session();
+    const { controller } = session;
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'passedOn' });
+    session.lost.add('a');
+    session.repeats = 0;
+    expect(controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
+    expect(describeEffects(controller.handle(event))).toEqual(expected);
+    expect(controller.isOver).toBe(true);
+  });
+
+  // Guards against silent streams that nothing moves: control reports no further change after the loss of their group.
+  it('moves from a lost group that has stalled once the retry budget allows it', () => {
+    const session = new Session();
+    const { controller } = session;
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'passedOn' });
+    session.lost.add('a');
+    session.repeats = 0;
+    const stalled = new Set(['a']);
+    expect(controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
+    expect(controller.handle({ type: 'stalled', now: 700, stalled })).toEqual([]);
+    session.repeats = 1;
+    const moved = controller.handle({ type: 'stalled', now: 800, stalled });
+    expect(describeEffects(moved)).toEqual(['cancel', 'send b 5200']);
+    expect(session.repeats).toBe(0);
+  });
+
   it('breaks the connection of a partly forwarded response that cannot continue', () => {
     const session = new Session();
     session.controller.handle({ type: 'started', now: 0 });
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -220,10 +220,25 @@
     if (isServing || !this.#options.isRetryable) {
       return [];
     }
+    const replacement = this.#findReplacement(now);
+    if (replacement !== undefined) {
+      // Without a retry left, the head may still complete the response. Later changes and stalls try again.
+      return this.#replaceAttempt({ type: 'cancel' }, now, () => replacement);
+    }
     this.#mayHaveRun = true;
     return [{ type: 'cancel' }, ...this.#retryPossiblyStarted(now, 'groupBroken')];
   }
 
+  /** Another target that can accept the request now; undefined if there is none, or if the request may not be sent again. */
+  #findReplacement(now: Milliseconds): TargetChoice | undefined {
+    const { choose, assessCrashes } = this.#dependencies;
+    if (!this.#mayRetry(now) || assessCrashes(now) === 'quarantined') {
+      return undefined;
+    }
+    const choice = choose(this.#tried, now, { type: 'urgent' });
+    return choice.type === 'target' ? choice : undefined;
+  }
+
   #handleTick(now: Milliseconds): readonly DeliveryEffect[] {
     const phase = this.#phase;
     if (now >= this.#options.deadline) {
