Streams of a lost group stay with its head after their last attempt

What callers saw: a stream whose route allows no further attempt was broken off (groupBroken) as soon as control reported that its group had lost a member, although its head was still connected.

Cause: a retryable request left its lost target in any case, also where it could go nowhere else; requests that are not retryable stayed.

Fix: a partly forwarded response that may not be sent again stays, and ends with its upstream, its deadline, the process or the caller. If the head writes nothing more, its caller learns that later than before, when the head breaks off. A request without a response yet still fails at once, since its caller can retry elsewhere while there is time.

Evidence: the new case failed before ("cut groupBroken") and passes now; the other pins what is unchanged.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -341,6 +341,31 @@
     },
   );
 
+  // Guards against streams that are broken off while their head still responds: its group is lost, and no other attempt is allowed.
+  it.each<[boolean, readonly string[]]>([
+    [true, []],
+    [false, ['cancel', 'fail answerLost']],
+  ])(
+    'stays at a lost group with its last attempt if partly forwarded: %s',
+    (isPassedOn, expected) => {
+      const session = new Session({ attempts: 1 });
+      const { controller } = session;
+      controller.handle({ type: 'started', now: 0 });
+      if (isPassedOn) {
+        controller.handle({ type: 'passedOn' });
+      }
+      session.lost.add('a');
+      const effects = controller.handle({ type: 'targetsChanged', now: 300 });
+      expect(describeEffects(effects)).toEqual(expected);
+      expect(controller.wakeAt).toBe(isPassedOn ? 6000 : undefined);
+      expect(session.repeats).toBe(10);
+      if (isPassedOn) {
+        const broken = controller.handle({ type: 'broken', now: 400 });
+        expect(describeEffects(broken)).toEqual(['cut answerBroken']);
+      }
+    },
+  );
+
   // Guards against a request without an end after it has stayed at a lost group.
   it.each<[DeliveryEvent, readonly string[]]>([
     [{ type: 'ended' }, ['finish']],
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -217,7 +217,9 @@
     if (!isSent()) {
       return isServing && isAvailable(target, now) ? [] : this.#withdraw(target, now);
     }
-    if (isServing || !this.#options.isRetryable) {
+    // Nothing but the lost target can complete a partly forwarded response that may not move. The caller of any other can retry at once.
+    const isBound = !this.#options.isRetryable || (this.#isPassedOn && !this.#mayRetry(now));
+    if (isServing || isBound) {
       return [];
     }
     const replacement = this.#findReplacement(now);
