Long events cost time in proportion to their length

A faulty upstream sent an event stream whose line did not end, a byte a chunk. The gateway stood still: with two such streams one sound request took 13 to 21 s and others got 504, 503 or no answer.

Cause: each part of an incomplete event was joined with all bytes held, and the last line was searched from its beginning again. For the 256 KB that an event may have, that is quadratic in the number of chunks.

The reader now holds bytes in a buffer that grows by doubling, and goes on searching where it stopped. It copies what it holds, so that a small chunk does not keep the whole read in memory.

--- a/__tests__/gateway/event-reader.test.ts
+++ b/__tests__/gateway/event-reader.test.ts
@@ -171,3 +171,25 @@
     },
   );
 });
+
+// Guards against an event loop that stands still for seconds, since each byte of a long line makes the reader go through all of it.
+describe('a long event that arrives byte by byte', () => {
+  const length = 256 * 1024;
+  const timeout = 10_000;
+
+  it.each([
+    ['one line', 'x'.repeat(length)],
+    ['many lines', 'x\ndata: '.repeat(length / 8)],
+    ['many lines with pairs of line ends', 'x\r\ndata: '.repeat(length / 9)],
+  ])(
+    'is read in time: %s',
+    (_, data) => {
+      const text = `data: ${data}\n\n`;
+      const reader = new EventReader({ type: 'plain' });
+      const read = Array.from(Buffer.from(text), (byte) => reader.push(Buffer.of(byte)));
+      expect(Buffer.concat(read.map(({ bytes }) => bytes)).toString()).toBe(text);
+      expect(read.every(({ fault }) => fault === undefined)).toBe(true);
+    },
+    timeout,
+  );
+});
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from '../../common/index.js';
 import { EventFields, parseEventNumber } from './event-fields.js';
 import type { EventFault, EventFormat } from './event-format.js';
 
@@ -26,9 +27,11 @@
   readonly #format: EventFormat;
   /** Number of the next event; undefined if it is not known. */
   #expected: number | undefined;
-  #held: Buffer = noBytes;
+  readonly #held = new ByteBuffer();
   /** Offset in the bytes held of the first line that has not been read. */
   #lineStart = 0;
+  /** Offset up to which no end of that line was found. */
+  #searchedTo = 0;
   #isFirstLine = true;
   #fields: EventFields;
   #hasEnded = false;
@@ -53,12 +56,12 @@
 
   /** Adds bytes and returns the events that they complete. Must not be called after a fault. */
   push(bytes: Uint8Array): ReadEvents {
-    this.#held = this.#held.length === 0 ? viewAsBuffer(bytes) : Buffer.concat([this.#held, bytes]);
+    this.#held.append(bytes);
     const events: Buffer[] = [];
     for (let line = this.#readLine(); line !== undefined; line = this.#readLine()) {
       const fault = line === '' ? this.#endBlock() : this.#fields.addLine(line);
       if (fault !== undefined) {
-        this.#held = noBytes;
+        this.#held.clear();
         return { bytes: join(events), fault };
       }
       if (line === '') {
@@ -78,25 +81,28 @@
 
   /** Returns the bytes held back; called when the response is complete and does not end inside an event. */
   finish(): Uint8Array {
-    return this.#findPassed(this.#held, !this.#fields.isEmpty);
+    return this.#findPassed(this.#held.bytes, !this.#fields.isEmpty);
   }
 
   /** Whether the last line is blank and ends with a carriage return, which a line feed could have followed. */
   get #hasLastReturn(): boolean {
     const isLast = this.#held.length === this.#lineStart + 1;
-    return isLast && this.#held[this.#lineStart] === carriageReturn;
+    return isLast && this.#held.bytes[this.#lineStart] === carriageReturn;
   }
 
   /** Returns the next line without its end; undefined if it is not complete. */
   #readLine(): string | undefined {
-    const start = this.#lineStart;
-    const end = findLineEnd(this.#held, start);
+    const { bytes } = this.#held;
+    const end = findLineEnd(bytes, this.#searchedTo);
     if (end === undefined) {
+      // A carriage return at the end has to be seen again with the byte after it.
+      this.#searchedTo = bytes.at(-1) === carriageReturn ? bytes.length - 1 : bytes.length;
       return undefined;
     }
-    const isPair = this.#held[end] === carriageReturn && this.#held[end + 1] === lineFeed;
+    const line = bytes.toString('latin1', this.#lineStart, end);
+    const isPair = bytes[end] === carriageReturn && bytes[end + 1] === lineFeed;
     this.#lineStart = end + (isPair ? 2 : 1);
-    const line = this.#held.toString('latin1', start, end);
+    this.#searchedTo = this.#lineStart;
     const isFirst = this.#isFirstLine;
     this.#isFirstLine = false;
     return isFirst && line.startsWith(byteOrderMark) ? line.slice(byteOrderMark.length) : line;
@@ -130,9 +136,9 @@
     if (this.#hasEnded) {
       return noBytes;
     }
-    const block = this.#held.subarray(0, this.#lineStart);
-    this.#held = this.#held.subarray(this.#lineStart);
+    const block = this.#held.take(this.#lineStart);
     this.#lineStart = 0;
+    this.#searchedTo = 0;
     return this.#findPassed(block, isEvent);
   }
 
@@ -142,7 +148,7 @@
   }
 }
 
-/** Offset of the end of the line that begins at `start`; undefined if the line may go on. */
+/** Offset of the first line end from `start` on; undefined if the line may go on. */
 function findLineEnd(buffer: Buffer, start: number): number | undefined {
   for (let at = start; at < buffer.length; at += 1) {
     if (buffer[at] === lineFeed) {
@@ -156,11 +162,6 @@
   return undefined;
 }
 
-/** Wraps the bytes without copying. */
-function viewAsBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
-
 function join(events: readonly Buffer[]): Buffer {
   const [first = noBytes, ...others] = events.filter(({ length }) => length > 0);
   return others.length === 0 ? first : Buffer.concat([first, ...others]);
