Bytes of a response cost a gateway no more memory than they are

Cause: up to its limit (256 KB of a success, 1 MB of a client error) a response was kept as a list of the received parts. Each part is an object of some hundred bytes, and refers to the whole read that it came with. The memory budget counts only the bytes themselves.

They are now copied into one buffer that grows by doubling.

--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-import { findResultCode, type Failure } from '../../common/index.js';
+import { ByteBuffer, findResultCode, type Failure } from '../../common/index.js';
 import { isFramedResponse } from '../../wire/index.js';
 import { endAfterBody } from '../end-after-body.js';
 import type { EventFault, EventReader } from '../events/index.js';
@@ -52,8 +52,7 @@
   #head: Head | undefined;
   /** Undefined if the current response is no stream. */
   #reader: EventReader | undefined;
-  #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteBuffer();
   #isHeadWritten = false;
   /** Whether the headers of the current response delimit its body. */
   #isCurrentFramed = false;
@@ -104,13 +103,13 @@
 
   /** Whether the current response holds more bytes back than any sound one, so that its end cannot be expected. */
   get isOverlong(): boolean {
-    const isError = !this.#isHeadWritten && this.#bufferedBytes > maximumErrorBytes;
+    const isError = !this.#isHeadWritten && this.#buffered.length > maximumErrorBytes;
     return isError || this.#heldEventBytes > maximumEventBytes;
   }
 
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
   get heldBytes(): number {
-    const buffered = this.#isHeadWritten ? 0 : this.#bufferedBytes;
+    const buffered = this.#isHeadWritten ? 0 : this.#buffered.length;
     return buffered + this.#heldEventBytes;
   }
 
@@ -126,8 +125,7 @@
    */
   begin(status: number, rawHeaders: RawHeaders, reader: EventReader | undefined): boolean {
     this.#reader = reader;
-    this.#buffered = [];
-    this.#bufferedBytes = 0;
+    this.#buffered.clear();
     const isFramed = isFramedResponse(status, (name) => readHeader(rawHeaders, name));
     this.#isCurrentFramed = isFramed;
     if (this.#isHeadWritten) {
@@ -156,12 +154,10 @@
       this.#response.write(bytes);
       return;
     }
-    this.#buffered.push(bytes);
-    this.#bufferedBytes += bytes.length;
-    if (this.#bufferedBytes > maximumBufferedBytes && isSuccess(this.#head?.status)) {
+    this.#buffered.append(bytes);
+    if (this.#buffered.length > maximumBufferedBytes && isSuccess(this.#head?.status)) {
       this.#writeHead(undefined);
-      this.#response.write(Buffer.concat(this.#buffered));
-      this.#buffered = [];
+      this.#response.write(this.#buffered.take(this.#buffered.length));
     }
   }
 
@@ -178,8 +174,7 @@
       this.#response.end();
       return;
     }
-    const body = Buffer.concat(this.#buffered);
-    this.#buffered = [];
+    const body = this.#buffered.take(this.#buffered.length);
     this.#writeHead(this.#head?.isFramed === true ? body.length : undefined);
     this.#response.end(body);
   }
