A stream of comments without end is given up

A faulty upstream sent comments or blank lines without end in place of the events of a stream. The gateway read them as fast as they came until the timeout of the route, its caller got 504, and other callers waited up to 2.6 s.

Cause: the limit for the size of an event counted only the bytes that are held back, and comments between events are passed on or dropped.

The limit is now one for the bytes since the last event. A sound stream has far fewer comments than 256 KB between two events.

--- a/__tests__/processes/platform-flooded-gateway.test.ts
+++ b/__tests__/processes/platform-flooded-gateway.test.ts
@@ -131,3 +131,27 @@
     },
   );
 });
+
+// Guards against reading comments and blank lines, which are no answer, until the timeout of the route.
+describe('a stream without events', () => {
+  it.each([
+    ['comments', ': x\n\n'],
+    ['blank lines', '\n'],
+  ])('is given up while its caller waits, and answered elsewhere: %s', async (_, repeated) => {
+    floodMarked(events, repeated);
+    const callers: OpenConnection[] = [];
+    await waitFor('a request at the faulty upstream', async () => {
+      callers.push(await callFlooded(servicePaths.flow));
+      await pause(callInterval);
+      return floods.length > 0;
+    });
+    await Promise.all(callers.map((caller) => waitFor('an answer', () => caller.received !== '')));
+    expect(callers.map(({ received }) => received.slice(0, 12))).toEqual(
+      callers.map(() => 'HTTP/1.1 200'),
+    );
+    expect(floods.every(({ isClosed }) => isClosed)).toBe(true);
+    callers.forEach((caller) => {
+      caller.close();
+    });
+  });
+});
--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -108,7 +108,7 @@
 
   #stream(bytes: Uint8Array): AppendResult {
     const { bytes: whole, fault } = this.#reader.push(bytes);
-    if (this.#reader.heldBytes > this.#maximumBytes) {
+    if (this.#reader.bytesSinceEvent > this.#maximumBytes) {
       return { type: 'tooLarge' };
     }
     const effects: readonly RequestEffect[] =
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -16,7 +16,7 @@
 const maximumBufferedBytes = 256 * 1024;
 /** A response that is no success is buffered until it is complete; it has at most this size. */
 const maximumErrorBytes = 1024 * 1024;
-/** Size of an event of a stream; an incomplete one is held back. */
+/** Size of an event of a stream, with the comments before it; an incomplete one is held back. */
 const maximumEventBytes = 256 * 1024;
 /** Bytes that may be queued for a slow caller before reading from the upstream is paused. */
 const maximumBacklog = 64 * 1024;
@@ -101,10 +101,10 @@
     return this.#reader?.isInsideEvent === true;
   }
 
-  /** Whether the current response holds more bytes back than any sound one, so that its end cannot be expected. */
+  /** Whether the current response has more bytes than any sound one that make up no event, or must be held back; its end cannot be expected. */
   get isOverlong(): boolean {
     const isError = !this.#isHeadWritten && this.#buffered.length > maximumErrorBytes;
-    return isError || this.#heldEventBytes > maximumEventBytes;
+    return isError || (this.#reader?.bytesSinceEvent ?? 0) > maximumEventBytes;
   }
 
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -32,6 +32,8 @@
   #lineStart = 0;
   /** Offset up to which no end of that line was found. */
   #searchedTo = 0;
+  /** Size of the comments and blank lines since the last event that were taken out of the bytes held. */
+  #skippedBytes = 0;
   #isFirstLine = true;
   #fields: EventFields;
   #hasEnded = false;
@@ -49,6 +51,11 @@
     return this.#held.length;
   }
 
+  /** Number of bytes since the last whole event. */
+  get bytesSinceEvent(): number {
+    return this.#skippedBytes + this.#held.length;
+  }
+
   /** Identifier of the last event that has one. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
@@ -137,6 +144,7 @@
       return noBytes;
     }
     const block = this.#held.take(this.#lineStart);
+    this.#skippedBytes = isEvent ? 0 : this.#skippedBytes + block.length;
     this.#lineStart = 0;
     this.#searchedTo = 0;
     return this.#findPassed(block, isEvent);
