Soak of spoiled streams under stops, kills, freezes and changes

What callers saw: events that no run had made, so far tested one stream at a time with sound processes.

Change: a seeded soak at deployed programs. The faults of the soak of stops run beside; callers keep connections open, some resume what broke, some leave. Each body of a stream with status 200 is compared byte for byte with the events that were due; after the faults and the spoiling all callers must be served again. Streams are compared so in the soak of stops too, where only identifiers were. An error of a connection whose response has begun no longer hides what had arrived of the body.

--- a/__tests__/platform/event-stream.ts
+++ b/__tests__/platform/event-stream.ts
@@ -7,6 +7,13 @@
 /** Time between two events, in milliseconds. */
 export const usualEventInterval = 20;
 
+/** `interval`: time between two events, in milliseconds. */
+export type StreamWriter = (
+  headers: IncomingHttpHeaders,
+  response: ServerResponse,
+  interval: number,
+) => void;
+
 /** Writes events at a constant rate, from the one after the last that the caller has; stops when the connection is closed. */
 export function writeEvents(
   headers: IncomingHttpHeaders,
--- a/__tests__/platform/soak/kept-connection.ts
+++ b/__tests__/platform/soak/kept-connection.ts
@@ -4,6 +4,7 @@
 
 import { z } from 'zod';
 
+import { readStream, type ReceivedStream } from './received-stream.js';
 import { describeHeaders, describePath, isWholeAnswer, type RequestPlan } from './request-plan.js';
 
 /** A connection of a caller that stays open between its requests for as long as the gateway keeps it. Times in milliseconds. */
@@ -31,6 +32,8 @@
   readonly headAt: number | undefined;
   readonly endedAt: number;
   readonly ending: Ending;
+  /** What the caller got of a stream; undefined if there was no success or the answer is no stream. */
+  readonly stream: ReceivedStream | undefined;
 }
 
 const errorSchema = z.object({ error: z.object({ name: z.string() }) });
@@ -84,39 +87,57 @@
     request.on('response', () => {
       headAt = performance.now();
     });
+    const leaving = leaveLater(request, plan);
     const ended = readEnding(request, plan);
     await Promise.all([ended, sendBody(request, plan)]);
-    const { ending, endedAt } = await ended;
-    return { id, plan, life: this.#life, startedAt, sentAt, headAt, endedAt, ending };
+    clearTimeout(leaving);
+    const result = await ended;
+    return { id, plan, life: this.#life, startedAt, sentAt, headAt, ...result };
   }
 }
 
-interface TimedEnding {
-  readonly ending: Ending;
-  readonly endedAt: number;
+type Received = Pick<Exchange, 'ending' | 'stream'>;
+type TimedEnding = Received & Pick<Exchange, 'endedAt'>;
+
+function leaveLater(
+  request: ClientRequest,
+  { leaveAfter }: RequestPlan,
+): NodeJS.Timeout | undefined {
+  return leaveAfter === undefined ? undefined : setTimeout(() => request.destroy(), leaveAfter);
 }
 
 function readEnding(request: ClientRequest, plan: RequestPlan): Promise<TimedEnding> {
   return new Promise((resolve) => {
-    const finish = (ending: Ending): void => {
-      resolve({ ending, endedAt: performance.now() });
+    const finish = (received: Received): void => {
+      resolve({ ...received, endedAt: performance.now() });
     };
+    let isAnswered = false;
     request.on('error', (error) => {
-      finish({ type: 'broken', status: 0, error: String(error) });
+      if (!isAnswered) {
+        const ending = { type: 'broken', status: 0, error: String(error) } as const;
+        finish({ ending, stream: undefined });
+      }
     });
     request.on('response', (response) => {
-      void readResponse(response, plan).then(finish);
+      isAnswered = true;
+      void readResponse(request, response, plan).then(finish);
     });
   });
 }
 
-async function readResponse(response: IncomingMessage, plan: RequestPlan): Promise<Ending> {
+async function readResponse(
+  request: ClientRequest,
+  response: IncomingMessage,
+  plan: RequestPlan,
+): Promise<Received> {
   const status = response.statusCode ?? 0;
   let body = '';
-  let failure: unknown = 'ended early';
-  response.on('error', (error) => {
-    failure = error;
-  });
+  let failure: Error | undefined;
+  const noteFailure = (error: Error): void => {
+    failure ??= error;
+  };
+  request.on('error', noteFailure);
+  response.on('error', noteFailure);
   await pause(plan.readDelay);
   response.setEncoding('latin1').on('data', (text: string) => {
     body += text;
@@ -124,12 +145,16 @@
   if (!response.closed) {
     await new Promise((resolve) => response.on('close', resolve));
   }
+  const isSuccess = status === 200;
+  const { answer } = plan;
+  const stream = isSuccess && answer.type === 'stream' ? readStream(answer, body) : undefined;
   if (!response.complete) {
-    return { type: 'broken', status, error: `${String(failure)} after ${body.length} bytes` };
+    const error = `${failure === undefined ? 'ended early' : String(failure)} after ${body.length} bytes`;
+    return { ending: { type: 'broken', status, error }, stream };
   }
-  const isSuccess = status === 200;
   const name = isSuccess ? '' : readErrorName(body);
-  return { type: 'answered', status, name, isWhole: !isSuccess || isWholeAnswer(plan, body) };
+  const isWhole = !isSuccess || isWholeAnswer(plan, body);
+  return { ending: { type: 'answered', status, name, isWhole }, stream };
 }
 
 function readErrorName(body: string): string {
--- a/__tests__/platform/soak/request-plan.ts
+++ b/__tests__/platform/soak/request-plan.ts
@@ -2,6 +2,7 @@
 import { createStreamHeaders, streamPath } from '../deployment.js';
 import { usualEventInterval, streamHeaders } from '../event-stream.js';
 import { servicePaths } from '../plain-service.js';
+import { formatEvents } from '../spoiled-stream.js';
 import { plainHeaders } from './plain-answers.js';
 
 /** The requests that callers of the stop soak send. Times in milliseconds. */
@@ -14,8 +15,18 @@
   readonly duration: number;
 }
 
+export interface StreamPlan {
+  readonly type: 'stream';
+  readonly path: string;
+  /** Number of the last event that the caller has; 0 if it has none. */
+  readonly resumeAfter: number;
+  /** Number of the last event. */
+  readonly eventCount: number;
+  readonly eventBytes: number;
+}
+
 export type AnswerPlan =
-  | { readonly type: 'stream'; readonly eventCount: number; readonly eventBytes: number }
+  | StreamPlan
   | {
       readonly type: 'plain';
       readonly isIdempotent: boolean;
@@ -28,6 +39,8 @@
   readonly answer: AnswerPlan;
   /** Time for which the caller reads nothing of the answer's body. */
   readonly readDelay: number;
+  /** Time after the beginning of the request at which the caller closes its connection; undefined if it stays. */
+  readonly leaveAfter?: number;
 }
 
 /** Time that a request has, at its gateway as well as by its own header field. */
@@ -62,7 +75,7 @@
 
 export function describePath({ answer }: RequestPlan): string {
   if (answer.type === 'stream') {
-    return streamPath;
+    return answer.path;
   }
   return answer.isIdempotent ? servicePaths.again : servicePaths.once;
 }
@@ -74,6 +87,7 @@
     case 'stream':
       return {
         ...headers,
+        ...(answer.resumeAfter > 0 ? { 'last-event-id': String(answer.resumeAfter) } : {}),
         [streamHeaders.eventCount]: String(answer.eventCount),
         [streamHeaders.eventBytes]: String(answer.eventBytes),
       };
@@ -86,16 +100,20 @@
   }
 }
 
+/** All bytes of a stream, as a sound upstream sends them. */
+export function formatStream({ resumeAfter, eventCount, eventBytes }: StreamPlan): string {
+  return formatEvents(resumeAfter + 1, eventCount, '.'.repeat(eventBytes));
+}
+
 /** Whether a body is all of the answer that was asked for. */
 export function isWholeAnswer({ answer }: RequestPlan, body: string): boolean {
   if (answer.type === 'plain') {
     return body.length === answer.bytes;
   }
-  const expected = Array.from({ length: answer.eventCount }, (_, index) => `id: ${index + 1}`);
-  return (body.match(/^id: \d+$/gm) ?? []).join() === expected.join();
+  return body === formatStream(answer);
 }
 
-function drawBody(random: RandomSource): BodyPlan {
+export function drawBody(random: RandomSource): BodyPlan {
   const framing = random.fraction() < 0.5 ? 'length' : 'chunks';
   const bytes = 1 + random.integerBelow(largestBody);
   if (random.fraction() >= slowBodyShare) {
@@ -114,7 +132,13 @@
   const duration = drawBetween(random, shortest, longest);
   const eventCount = Math.max(1, Math.round(duration / usualEventInterval));
   const eventBytes = isLarge ? Math.round(largeAnswer / eventCount) : random.integerBelow(200);
-  return { type: 'stream', eventCount, eventBytes: Math.min(eventBytes, largestEvent) };
+  return {
+    type: 'stream',
+    path: streamPath,
+    resumeAfter: 0,
+    eventCount,
+    eventBytes: Math.min(eventBytes, largestEvent),
+  };
 }
 
 function drawPlain(random: RandomSource, isLarge: boolean): AnswerPlan {
@@ -123,6 +147,6 @@
   return { type: 'plain', isIdempotent, bytes, workTime: random.integerBelow(longestWork) };
 }
 
-function drawBetween(random: RandomSource, least: number, most: number): number {
+export function drawBetween(random: RandomSource, least: number, most: number): number {
   return least + random.integerBelow(most - least);
 }
--- a/__tests__/platform/soak/stop-callers.ts
+++ b/__tests__/platform/soak/stop-callers.ts
@@ -4,7 +4,7 @@
 import type { PlatformDeployment } from '../deployment.js';
 import { KeptConnection, type Exchange } from './kept-connection.js';
 import type { ProcessLives } from './process-lives.js';
-import { drawRequestPlan } from './request-plan.js';
+import { drawRequestPlan, type RequestPlan } from './request-plan.js';
 
 /** Callers of the stop soak. Each uses its open connection until the gateway closes it, and only then connects again. */
 
@@ -31,6 +31,8 @@
   readonly lives: ProcessLives;
   readonly random: RandomSource;
   readonly callerCount: number;
+  /** Draws the next request of a caller, whose last one is given, if there was one. */
+  readonly drawPlan?: (random: RandomSource, last: Exchange | undefined) => RequestPlan;
 }
 
 export class StopCallers {
@@ -59,11 +61,13 @@
   }
 
   async #run(caller: Caller): Promise<void> {
-    const { random } = this.#options;
+    const { random, drawPlan = drawRequestPlan } = this.#options;
+    let last: Exchange | undefined;
     let connection = this.#connect(caller.index % this.#options.lives.processCount);
     for (let count = 0; !this.#isStopping; count += 1) {
       const id = `${caller.index}:${count}`;
-      const exchange = await connection.send(id, drawRequestPlan(random));
+      const exchange = await connection.send(id, drawPlan(random, last));
+      last = exchange;
       const isRefused = isRefusedConnection(exchange);
       if (isRefused) {
         this.refusedConnections += 1;
--- a/__tests__/platform/soak/stop-judge.ts
+++ b/__tests__/platform/soak/stop-judge.ts
@@ -46,14 +46,8 @@
     return countWords(this.#exchanges.map((exchange) => this.#judge(exchange)));
   }
 
-  /** Counts how requests ended, by status and name of the result code. */
   countEndings(): Readonly<Record<string, number>> {
-    return countWords(
-      this.#exchanges.map(({ ending }) => {
-        const name = ending.type === 'broken' ? 'broken' : ending.name;
-        return `${ending.status} ${name}`.trim();
-      }),
-    );
+    return countEndings(this.#exchanges);
   }
 
   findLostRequests(): readonly string[] {
@@ -123,6 +117,16 @@
   }
 }
 
+/** Counts how requests ended, by status and name of the result code. */
+export function countEndings(exchanges: readonly Exchange[]): Readonly<Record<string, number>> {
+  return countWords(
+    exchanges.map(({ ending }) => {
+      const name = ending.type === 'broken' ? 'broken' : ending.name;
+      return `${ending.status} ${name}`.trim();
+    }),
+  );
+}
+
 /** Processes that got SIGTERM and ended late or badly. */
 export function findWrongEnds(kind: string, lives: ProcessLives): readonly string[] {
   return lives.list().flatMap(([key, life]) => {
--- /dev/null
+++ b/__tests__/platform/soak/stream-plan.ts
@@ -0,0 +1,60 @@
+import type { RandomSource } from '../../../src/common/index.js';
+import { streamPath } from '../deployment.js';
+import { usualEventInterval } from '../event-stream.js';
+import { servicePaths } from '../plain-service.js';
+import type { Exchange } from './kept-connection.js';
+import { drawBetween, drawBody, type RequestPlan, type StreamPlan } from './request-plan.js';
+
+/** The streams that callers of the soak of spoiled streams request. Times in milliseconds. */
+
+const resumablePaths: readonly string[] = [streamPath, servicePaths.flow];
+/** In the proportions in which they are drawn. */
+const paths = [streamPath, servicePaths.flow, servicePaths.flowOnce] as const;
+const longStreamShare = 0.2;
+const longStream = { shortest: 1500, longest: 3000 };
+const shortStream = { shortest: usualEventInterval, longest: 1000 };
+const largestPadding = 200;
+/** Share of the broken streams that their callers resume. */
+const resumeShare = 0.7;
+const leaveShare = 0.08;
+const longestStay = 1500;
+
+/** Goes on with the caller's last stream if that broke and may be resumed, and else requests a new one. */
+export function drawStreamPlan(random: RandomSource, last: Exchange | undefined): RequestPlan {
+  const resumed = findResumed(last);
+  const isResumed = random.fraction() < resumeShare;
+  const answer = isResumed && resumed !== undefined ? resumed : drawStream(random);
+  const isLeaving = random.fraction() < leaveShare;
+  return {
+    body: drawBody(random),
+    answer,
+    readDelay: 0,
+    ...(isLeaving ? { leaveAfter: random.integerBelow(longestStay) } : {}),
+  };
+}
+
+export function isResumable({ path }: StreamPlan): boolean {
+  return resumablePaths.includes(path);
+}
+
+/** The rest of a broken stream that may be resumed. */
+function findResumed(last: Exchange | undefined): StreamPlan | undefined {
+  if (last?.plan.answer.type !== 'stream' || last.ending.type !== 'broken') {
+    return undefined;
+  }
+  const { answer } = last.plan;
+  const resumeAfter = last.stream?.lastEvent ?? answer.resumeAfter;
+  return isResumable(answer) ? { ...answer, resumeAfter } : undefined;
+}
+
+function drawStream(random: RandomSource): StreamPlan {
+  const { shortest, longest } = random.fraction() < longStreamShare ? longStream : shortStream;
+  const duration = drawBetween(random, shortest, longest);
+  return {
+    type: 'stream',
+    path: paths[random.integerBelow(paths.length)] ?? streamPath,
+    resumeAfter: 0,
+    eventCount: Math.round(duration / usualEventInterval),
+    eventBytes: random.integerBelow(largestPadding),
+  };
+}
--- a/__tests__/platform/spoiled-stream.ts
+++ b/__tests__/platform/spoiled-stream.ts
@@ -7,14 +7,15 @@
 /** Time between two writes of a stream, in milliseconds; each arrives by itself. */
 const writeInterval = 10;
 
-export function formatEvent(id: number): string {
-  return `id: ${id}\ndata: token ${id}\n\n`;
+/** `padding`: further text of the token. */
+export function formatEvent(id: number, padding = ''): string {
+  return `id: ${id}\ndata: token ${id}${padding}\n\n`;
 }
 
 /** The events from one to another, both included. */
-export function formatEvents(first: number, last: number): string {
+export function formatEvents(first: number, last: number, padding = ''): string {
   const ids = Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index);
-  return ids.map(formatEvent).join('');
+  return ids.map((id) => formatEvent(id, padding)).join('');
 }
 
 export const wholeStream = formatEvents(1, eventCount);
--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
-import { usualEventInterval, writeEvents } from './event-stream.js';
+import { usualEventInterval, writeEvents, type StreamWriter } from './event-stream.js';
 import { beginWork, endWork, type Work } from './work.js';
 
 /** A fake model runner that follows the platform's documentation: it reports its state, executes orders and streams responses. */
@@ -82,6 +82,8 @@
   reportDelay = 0;
   /** Time between two events of a stream, in milliseconds. */
   eventInterval = usualEventInterval;
+  /** Writes the events of a stream whose head has been written, and ends it. */
+  writeStream: StreamWriter = writeEvents;
   /** Bytes sent in place of the next responses of each kind; a response each. */
   readonly faultyResponses: Readonly<Record<EngineCall, string[]>> = {
     report: [],
@@ -336,6 +338,6 @@
       ...this.#leavingHeader,
       ...(this.rateLimit === undefined ? {} : { 'server-limit': String(this.rateLimit) }),
     });
-    writeEvents(request.headers, response, this.eventInterval);
+    this.writeStream(request.headers, response, this.eventInterval);
   }
 }
