The links of the control soak run in a process of their own

What was seen: the soak of control hosts is red now and then on a busy machine, 503 with 'no leader' in some rounds of the reads at the end.

Cause, traced before in two plays: the process of the test carried all bytes between the hosts. When it ran no code for longer than the election timeout, all hosts were cut off from each other, the leader stepped down, as it has to, and reads began in the election.

Change: RelayProcess runs the relays in one child, controlled over IPC. One command concerns all relays it names at the same time, and a fault goes on only after the child has confirmed it. The child ends with the test; if it is gone, the next command fails. It measures its own stalls, and the longest one is in the output line of the soak, beside that of the test's process. The tests with silent connections use the same relays.

--- a/__tests__/platform/relayed-control.ts
+++ b/__tests__/platform/relayed-control.ts
@@ -6,8 +6,8 @@
 
 import {
   ProgramGroup,
+  RelayProcess,
   reservePort,
-  SwallowingRelay,
   waitFor,
   type RelayMode,
   type RunningProgram,
@@ -32,7 +32,8 @@
 interface Link {
   readonly from: ControlHost;
   readonly to: ControlHost;
-  readonly relay: SwallowingRelay;
+  /** Address of the relay that carries it. */
+  readonly relay: string;
 }
 
 /** What a caller got: the status and the body, or silence. */
@@ -43,13 +44,20 @@
 export class RelayedControl {
   readonly #group: ProgramGroup;
   readonly #hosts: readonly ControlHost[];
+  readonly #relays: RelayProcess;
   readonly #links: readonly Link[];
   readonly #programs = new Map<ControlHost, RunningProgram>();
   #sequence = 0;
 
-  private constructor(group: ProgramGroup, hosts: readonly ControlHost[], links: readonly Link[]) {
+  private constructor(
+    group: ProgramGroup,
+    hosts: readonly ControlHost[],
+    relays: RelayProcess,
+    links: readonly Link[],
+  ) {
     this.#group = group;
     this.#hosts = hosts;
+    this.#relays = relays;
     this.#links = links;
   }
 
@@ -67,13 +75,14 @@
     const pairs = hosts.flatMap((from) =>
       hosts.filter((to) => to !== from).map((to) => ({ from, to })),
     );
+    const relays = await RelayProcess.start();
     const links = await Promise.all(
       pairs.map(async (pair): Promise<Link> => ({
         ...pair,
-        relay: await SwallowingRelay.open(pair.to.listen),
+        relay: await relays.open(pair.to.listen),
       })),
     );
-    const control = new RelayedControl(group, hosts, links);
+    const control = new RelayedControl(group, hosts, relays, links);
     for (const [index, host] of hosts.entries()) {
       await group.write(`${host.name}.json`, JSON.stringify(control.#createSettings(host)));
       control.start(index);
@@ -116,18 +125,23 @@
   }
 
   /** Sets the mode of all connections between a host and the others, which callers do not use. */
-  setLinks(index: number, mode: RelayMode): void {
+  async setLinks(index: number, mode: RelayMode): Promise<void> {
     const host = this.#find(index);
-    for (const { from, to, relay } of this.#links) {
-      if (from === host || to === host) {
-        relay.setMode(mode);
-      }
-    }
+    const links = this.#links.filter(({ from, to }) => from === host || to === host);
+    await this.#relays.setMode(
+      links.map(({ relay }) => relay),
+      mode,
+    );
   }
 
   /** Loses track of all open connections between control hosts, as a device between them may. */
-  silenceConnections(): void {
-    this.#links.forEach(({ relay }) => relay.swallowOpenConnections());
+  async silenceConnections(): Promise<void> {
+    await this.#relays.swallowOpenConnections(this.#links.map(({ relay }) => relay));
+  }
+
+  /** Longest time in milliseconds in which the relays carried nothing because their process ran no code. */
+  measureLongestRelayStall(): Promise<number> {
+    return this.#relays.measureLongestStall();
   }
 
   /** Reads the manifest at one host. */
@@ -164,7 +178,7 @@
   }
 
   async stop(): Promise<void> {
-    await Promise.all(this.#links.map(({ relay }) => relay.close()));
+    await this.#relays.stop();
     await this.#group.stop();
   }
 
@@ -173,12 +187,12 @@
     const place = { region: 'test', failureDomain: name };
     const voters = this.#hosts.map((each) => ({
       name: each.name,
-      address: each === host ? listen : this.#findRelay(host, each).address,
+      address: each === host ? listen : this.#findRelay(host, each),
     }));
     return { operators, control: { name, ...place, listen, voters, dataFolder, timeouts } };
   }
 
-  #findRelay(from: ControlHost, to: ControlHost): SwallowingRelay {
+  #findRelay(from: ControlHost, to: ControlHost): string {
     const link = this.#links.find((each) => each.from === from && each.to === to);
     if (link === undefined) {
       throw new Error(`no link from ${from.name} to ${to.name}`);
--- a/__tests__/platform/soak/control-faults.ts
+++ b/__tests__/platform/soak/control-faults.ts
@@ -73,7 +73,7 @@
       // By then the hosts have called each other again.
       await pause(reconnectTime);
       this.#note('silence');
-      control.silenceConnections();
+      await control.silenceConnections();
     }
   }
 
@@ -100,14 +100,13 @@
         });
       case 'cut':
         return this.#withHost(kind, longestCut, async (host, during) => {
-          control.setLinks(host, 'swallow');
+          await control.setLinks(host, 'swallow');
           await during();
-          control.setLinks(host, 'carry');
+          await control.setLinks(host, 'carry');
         });
       case 'silence':
         this.#note(kind);
-        control.silenceConnections();
-        return;
+        return control.silenceConnections();
     }
   }
 
--- a/__tests__/processes/platform-control-soak.test.ts
+++ b/__tests__/processes/platform-control-soak.test.ts
@@ -1,3 +1,4 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { afterEach, describe, expect, it } from 'vitest';
@@ -15,6 +16,7 @@
 const readRounds = 8;
 const readInterval = 250;
 const largestManifest = 700;
+const nanosecondsPerMillisecond = 1e6;
 /** Spreads the sizes of the manifests over the seeds. */
 const routeStep = 137;
 
@@ -49,6 +51,8 @@
   it.each(seeds)(
     'give back the newest acknowledged configuration, seed %i',
     async (seed) => {
+      const stalls = monitorEventLoopDelay();
+      stalls.enable();
       const random = createRandomSource(seed);
       const running = await RelayedControl.start();
       control = running;
@@ -64,7 +68,12 @@
       await load.stop();
       const failed = await readBack(load, running.hostCount);
       const { changeCount, readCount, newestAcknowledged } = load;
-      console.log(JSON.stringify({ seed, routeCount, changeCount, readCount, newestAcknowledged }));
+      const longestRelayStall = Math.round(await running.measureLongestRelayStall());
+      const longestTestStall = Math.round(stalls.max / nanosecondsPerMillisecond);
+      const counts = { changeCount, readCount, newestAcknowledged };
+      console.log(
+        JSON.stringify({ seed, routeCount, ...counts, longestRelayStall, longestTestStall }),
+      );
       expect(load.faults, faults.log.join('\n')).toEqual([]);
       expect(failed, faults.log.join('\n')).toEqual([]);
       expect(changeCount).toBeGreaterThan(0);
--- a/__tests__/processes/platform-silent-connections.test.ts
+++ b/__tests__/processes/platform-silent-connections.test.ts
@@ -59,7 +59,7 @@
   it('answer reads at every host again', async () => {
     void control.sendHeartbeats(heartbeats.signal);
     await waitForReads();
-    control.silenceConnections();
+    await control.silenceConnections();
     await sleep(contactLimit);
     const silent = (await readForAWhile()).filter((read) => read.type === 'silence');
     expect(silent).toHaveLength(0);
@@ -69,7 +69,7 @@
   it('answer the first read at every host', async () => {
     for (let round = 0; round < rounds; round += 1) {
       await waitForReads();
-      control.silenceConnections();
+      await control.silenceConnections();
       await sleep(contactLimit);
       expect((await readOnce()).filter((read) => !isManifest(read))).toHaveLength(0);
     }
--- a/__tests__/support/index.ts
+++ b/__tests__/support/index.ts
@@ -12,6 +12,7 @@
 export { reservePort } from './ports.js';
 export { ProgramGroup, RunningProgram, type ProgramExit, type ProgramOptions } from './programs.js';
 export { RawUpstream, type ConnectionEnd } from './raw-upstream.js';
+export { RelayProcess } from './relay-process.js';
 export { SwallowingRelay, type RelayMode } from './relay.js';
 export { beginUnframed, writeAndReset } from './unframed-response.js';
 export { waitFor } from './wait.js';
