--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -96,12 +96,12 @@
     return this.#head !== undefined && !this.#isCurrentFramed;
   }
 
-  /** Whether the current response is a stream that would end inside an event. It was broken off then, whatever else says that it is complete. */
+  /** Whether the current response is a stream that would end inside an event. Then it was broken off, even if it was announced as complete. */
   get isInsideEvent(): boolean {
     return this.#reader?.isInsideEvent === true;
   }
 
-  /** Whether the current response has more bytes than any sound one that make up no event, or must be held back; its end cannot be expected. */
+  /** Whether the current response holds back more bytes than any sound one, or makes up no event of so many, so that its end cannot be expected. */
   get isOverlong(): boolean {
     const isError = !this.#isHeadWritten && this.#buffered.length > maximumErrorBytes;
     return isError || (this.#reader?.bytesSinceEvent ?? 0) > maximumEventBytes;
@@ -120,8 +120,8 @@
   }
 
   /**
-   * Takes the status and headers of a response, and the reader of its events if it is a stream. A stream that continues on another upstream keeps the headers already sent to the caller;
-   * returns false if the new response cannot continue it.
+   * Takes the status and headers of a response, and the reader of its events if it is a stream. A stream that continues on another upstream
+   * keeps the headers already sent to the caller; returns false if the new response cannot continue it.
    */
   begin(status: number, rawHeaders: RawHeaders, reader: EventReader | undefined): boolean {
     this.#reader = reader;
