Upstreams of the flood test stream on streaming routes

The tests of streams without events were red in a whole check, 502 in place of 200: the other upstreams answered with a plain body on a streaming route, which is no answer there since 'Each success on a streaming route is read as a stream'.

--- a/__tests__/processes/platform-flooded-gateway.test.ts
+++ b/__tests__/processes/platform-flooded-gateway.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -10,6 +11,7 @@
   servicePaths,
   type ServiceAnswer,
 } from '../platform/plain-service.js';
+import { streamSoundly } from '../platform/spoiled-stream.js';
 import { Flood } from '../support/flood.js';
 import { formatHead, OpenConnection, waitFor } from '../support/index.js';
 import { readResidentMemory } from '../support/resident-memory.js';
@@ -72,14 +74,22 @@
   return bytes;
 }
 
+function handleSoundly(request: IncomingMessage, response: ServerResponse): void {
+  const isStream = request.url?.startsWith('/flow') === true;
+  (isStream ? streamSoundly : answerSoundly)(request, response);
+}
+
 /** Lets the first upstream answer marked requests without end. */
 function floodMarked(beginning: string, repeated: string): void {
   floods = [];
+  for (const upstream of service.upstreams) {
+    upstream.handle = handleSoundly;
+  }
   const [faulty] = service.upstreams;
   if (faulty !== undefined) {
     faulty.handle = (request, response) => {
       if (request.headers['x-flood'] === undefined) {
-        answerSoundly(request, response);
+        handleSoundly(request, response);
       } else {
         const text = beginning.replace('ID', String(request.headers['x-attempt-id']));
         floods.push(new Flood(request.socket, text, repeated));
