One choice of a replacement, and each identifier parsed once

Read-through of the change; behaviour stays as it is.

- A lost target was replaced through a choice made beforehand and handed on as a function, so that crashes and attempts were assessed twice.
The choice of a replacement and the replacement are two steps now, which lost, stalled and failed targets share.
- The identifier of an event was parsed once to check it and once to count on; it is parsed when its line is read.
- The test of the media type is used by sidecars only, and stands there again.
A getter with one use is gone.

--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -222,25 +222,15 @@
     if (isServing || isBound) {
       return [];
     }
-    const replacement = this.#findReplacement(now);
+    const replacement = this.#findReplacement(now, this.#tried, { type: 'urgent' });
     if (replacement !== undefined) {
       // Without a retry left, the head may still complete the response. Later changes and stalls try again.
-      return this.#replaceAttempt({ type: 'cancel' }, now, () => replacement);
+      return this.#replaceAttempt({ type: 'cancel' }, replacement, now);
     }
     this.#mayHaveRun = true;
     return [{ type: 'cancel' }, ...this.#retryPossiblyStarted(now, 'groupBroken')];
   }
 
-  /** Another target that can accept the request now; undefined if there is none, or if the request may not be sent again. */
-  #findReplacement(now: Milliseconds): TargetChoice | undefined {
-    const { choose, assessCrashes } = this.#dependencies;
-    if (!this.#mayRetry(now) || assessCrashes(now) === 'quarantined') {
-      return undefined;
-    }
-    const choice = choose(this.#tried, now, { type: 'urgent' });
-    return choice.type === 'target' ? choice : undefined;
-  }
-
   #handleTick(now: Milliseconds): readonly DeliveryEffect[] {
     const phase = this.#phase;
     if (now >= this.#options.deadline) {
@@ -301,9 +291,8 @@
     if (this.#isPassedOn) {
       return [];
     }
-    return this.#replaceAttempt({ type: 'discard' }, now, () => {
-      return this.#dependencies.choose(this.#tried, now, { type: 'atOnce' });
-    });
+    const replacement = this.#findReplacement(now, this.#tried, { type: 'atOnce' });
+    return this.#replaceAttempt({ type: 'discard' }, replacement, now);
   }
 
   /**
@@ -317,29 +306,37 @@
     if (!this.#dependencies.isSent()) {
       return [{ type: 'cancel' }, ...this.#resendUnsent(now)];
     }
-    return this.#replaceAttempt({ type: 'cancel' }, now, () => {
-      return this.#dependencies.choose(new Set([...this.#tried, ...stalled]), now, {
-        type: 'urgent',
-      });
-    });
+    const excluded = new Set([...this.#tried, ...stalled]);
+    const replacement = this.#findReplacement(now, excluded, { type: 'urgent' });
+    return this.#replaceAttempt({ type: 'cancel' }, replacement, now);
+  }
+
+  /** Another target that can accept the request now; undefined if there is none, or if the request may not be sent again. */
+  #findReplacement(
+    now: Milliseconds,
+    excluded: ReadonlySet<string>,
+    mode: ChoiceMode,
+  ): Target | undefined {
+    const { choose, assessCrashes } = this.#dependencies;
+    const isAllowed = this.#options.isRetryable && this.#mayRetry(now);
+    if (!isAllowed || assessCrashes(now) === 'quarantined') {
+      return undefined;
+    }
+    const choice = choose(excluded, now, mode);
+    return choice.type === 'target' ? choice.target : undefined;
   }
 
-  /** Replaces an attempt that may have run, if the request is retryable and another upstream can accept it now. */
+  /** Replaces an attempt that may have run, if there is a replacement and a retry is left. */
   #replaceAttempt(
     ending: DeliveryEffect,
+    replacement: Target | undefined,
     now: Milliseconds,
-    choose: () => TargetChoice,
   ): readonly DeliveryEffect[] {
-    const isAllowed = this.#options.isRetryable && this.#mayRetry(now);
-    if (!isAllowed || this.#dependencies.assessCrashes(now) === 'quarantined') {
-      return [];
-    }
-    const choice = choose();
-    if (choice.type !== 'target' || !this.#dependencies.spendRetry()) {
+    if (replacement === undefined || !this.#dependencies.spendRetry()) {
       return [];
     }
     this.#mayHaveRun = true;
-    return [ending, this.#start(choice.target, now)];
+    return [ending, this.#start(replacement, now)];
   }
 
   /** An upstream that has not begun with a quarantined request is spared its crash. */
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -110,7 +110,7 @@
   /** Bytes of a response that is not complete, and that the caller cannot be sent yet. */
   get heldBytes(): number {
     const buffered = this.#isHeadWritten ? 0 : this.#buffered.length;
-    return buffered + this.#heldEventBytes;
+    return buffered + (this.#reader?.heldBytes ?? 0);
   }
 
   /** Whether too many bytes are queued for the caller; while memory is short, as soon as its connection takes no more. */
@@ -216,10 +216,6 @@
     }
   }
 
-  get #heldEventBytes(): number {
-    return this.#reader?.heldBytes ?? 0;
-  }
-
   #pushEvents(bytes: Buffer, reader: EventReader): EventFault | undefined {
     const { bytes: events, fault } = reader.push(bytes);
     if (events.length > 0) {
--- a/src/gateway/events/event-fields.ts
+++ b/src/gateway/events/event-fields.ts
@@ -10,7 +10,7 @@
 const endMarker = '[DONE]';
 
 /** Returns undefined if the identifier is no number. */
-export function parseEventNumber(identifier: string): number | undefined {
+function parseEventNumber(identifier: string): number | undefined {
   return eventNumber.test(identifier) ? Number(identifier) : undefined;
 }
 
@@ -24,6 +24,7 @@
   readonly #format: EventFormat;
   #identifierCount = 0;
   #identifier: string | undefined;
+  #number: number | undefined;
   #dataCount = 0;
   #isEndMarker = false;
   #hasFields = false;
@@ -47,6 +48,11 @@
     return this.#identifier;
   }
 
+  /** The identifier as a number; undefined if it is none. */
+  get number(): number | undefined {
+    return this.#number;
+  }
+
   /** Takes a line without its end. */
   addLine(line: string): EventFault | undefined {
     const colon = line.indexOf(':');
@@ -62,6 +68,7 @@
     if (name === 'id') {
       this.#identifierCount += 1;
       this.#identifier = value;
+      this.#number = parseEventNumber(value);
     } else if (name === 'data') {
       this.#dataCount += 1;
       this.#isEndMarker = value === endMarker;
@@ -74,15 +81,13 @@
     if (this.#format.type === 'plain') {
       return undefined;
     }
-    const identifier = this.#identifier ?? '';
-    if (identifier === '' && this.#identifierCount <= 1) {
+    if ((this.#identifier ?? '') === '' && this.#identifierCount <= 1) {
       return 'withoutId';
     }
-    const number = parseEventNumber(identifier);
-    if (number === undefined || this.#identifierCount > 1) {
+    if (this.#number === undefined || this.#identifierCount > 1) {
       return 'invalidId';
     }
-    if (expected !== undefined && number !== expected) {
+    if (expected !== undefined && this.#number !== expected) {
       return 'unexpectedId';
     }
     return this.#dataCount === 0 ? 'withoutData' : undefined;
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -1,5 +1,5 @@
 import { ByteBuffer } from '../../common/index.js';
-import { EventFields, parseEventNumber } from './event-fields.js';
+import { EventFields } from './event-fields.js';
 import type { EventFault, EventFormat } from './event-format.js';
 
 const lineFeed = 0x0a;
@@ -30,7 +30,7 @@
   readonly #held = new ByteBuffer();
   /** Offset in the bytes held of the first line that has not been read. */
   #lineStart = 0;
-  /** Offset up to which no end of that line was found. */
+  /** Offset from which the search for the end of that line goes on. */
   #searchedTo = 0;
   /** Size of the comments and blank lines since the last event that were taken out of the bytes held. */
   #skippedBytes = 0;
@@ -126,8 +126,7 @@
     }
     this.#hasEnded = fields.isEnd;
     this.#lastEventId = fields.identifier ?? this.#lastEventId;
-    const number = parseEventNumber(fields.identifier ?? '');
-    this.#expected = number === undefined ? undefined : number + 1;
+    this.#expected = fields.number === undefined ? undefined : fields.number + 1;
     return undefined;
   }
 
--- a/src/sidecar/attempts/event-stream.ts
+++ b/src/sidecar/attempts/event-stream.ts
@@ -1,16 +1,15 @@
-import { isEventStreamType } from '../../wire/index.js';
 import type { HeaderField } from './messages.js';
 
 /** Event streams in responses of upstreams. */
 
+const eventStreamType = 'text/event-stream';
 /** The longest end of an event: two line ends of two characters each. */
 const longestEventEnd = 4;
 
-/** Whether a response is a stream of server-sent events. */
+/** Whether a response is a stream of server-sent events; the parameters of its type and the case of its letters do not matter. */
 export function isEventStream(headers: readonly HeaderField[]): boolean {
-  return isEventStreamType(
-    headers.find(({ name }) => name.toLowerCase() === 'content-type')?.value,
-  );
+  const type = headers.find(({ name }) => name.toLowerCase() === 'content-type')?.value;
+  return type?.split(';')[0]?.trim().toLowerCase() === eventStreamType;
 }
 
 /** The last bytes of an event stream, which tell whether it ends inside an event. */
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,4 +1,3 @@
-export { isEventStreamType } from './event-stream-type.js';
 export {
   decodeArtifact,
   decodeGroup,
