One parser of decimals, and one sound upstream in the tests

Read-through of the change; behaviour stays as it is.

- Three tests of processes had the same sound answer, by path a stream or a body, each for itself; test engines wrote an event out by hand.
A getter of the flood that nothing read is gone.

--- a/__tests__/platform/event-stream.ts
+++ b/__tests__/platform/event-stream.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 
+import { formatEvent } from './spoiled-stream.js';
+
 /** The stream with which a test engine answers. Header fields of the request set its size. */
 
 export const streamHeaders = { eventCount: 'x-event-count', eventBytes: 'x-event-bytes' } as const;
@@ -25,7 +27,7 @@
   let next = Number(headers['last-event-id'] ?? 0) + 1;
   const timer = setInterval(() => {
     if (next <= last) {
-      response.write(`id: ${next}\ndata: token ${next}${padding}\n\n`);
+      response.write(formatEvent(next, padding));
     }
     next += 1;
     if (next > last) {
--- a/__tests__/platform/spoiled-stream.ts
+++ b/__tests__/platform/spoiled-stream.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { answerSoundly } from './plain-service.js';
+
 /** Streams of a plain service, and what a faulty upstream sends in them. */
 
 export const eventCount = 10;
@@ -67,6 +69,12 @@
   response.end(formatEvents(readResumePoint(request) + 1, eventCount));
 }
 
+/** Answers as a sound upstream does: with a stream on the streaming routes of the service. */
+export function handleSoundly(request: IncomingMessage, response: ServerResponse): void {
+  const isStream = request.url?.startsWith('/flow') === true;
+  (isStream ? streamSoundly : answerSoundly)(request, response);
+}
+
 /** Sends sound events up to the given one, then the spoiled one, then what is to follow. */
 export async function streamSpoiled(
   request: IncomingMessage,
--- a/__tests__/processes/platform-flooded-gateway.test.ts
+++ b/__tests__/processes/platform-flooded-gateway.test.ts
@@ -1,17 +1,15 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
 import {
-  answerSoundly,
   createServiceHeaders,
   PlainService,
   servicePaths,
   type ServiceAnswer,
 } from '../platform/plain-service.js';
-import { streamSoundly } from '../platform/spoiled-stream.js';
+import { handleSoundly } from '../platform/spoiled-stream.js';
 import { Flood } from '../support/flood.js';
 import { formatHead, OpenConnection, waitFor } from '../support/index.js';
 import { readResidentMemory } from '../support/resident-memory.js';
@@ -74,11 +72,6 @@
   return bytes;
 }
 
-function handleSoundly(request: IncomingMessage, response: ServerResponse): void {
-  const isStream = request.url?.startsWith('/flow') === true;
-  (isStream ? streamSoundly : answerSoundly)(request, response);
-}
-
 /** Lets the first upstream answer marked requests without end. */
 function floodMarked(beginning: string, repeated: string): void {
   floods = [];
--- a/__tests__/processes/platform-gateway-late-requests.test.ts
+++ b/__tests__/processes/platform-gateway-late-requests.test.ts
@@ -3,13 +3,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
-import {
-  answerSoundly,
-  createServiceHeaders,
-  PlainService,
-  servicePaths,
-} from '../platform/plain-service.js';
-import { streamSoundly } from '../platform/spoiled-stream.js';
+import { createServiceHeaders, PlainService, servicePaths } from '../platform/plain-service.js';
+import { handleSoundly } from '../platform/spoiled-stream.js';
 import { formatHead, OpenConnection } from '../support/index.js';
 
 /** Times in milliseconds. The port of the gateway closes 2.5 s after the signal. */
@@ -62,8 +57,7 @@
     for (const upstream of service.upstreams) {
       upstream.handle = (request, response) => {
         setTimeout(() => {
-          const isStream = request.url?.startsWith('/flow') === true;
-          (isStream ? streamSoundly : answerSoundly)(request, response);
+          handleSoundly(request, response);
         }, run);
       };
     }
--- a/__tests__/processes/platform-spoiled-streams.test.ts
+++ b/__tests__/processes/platform-spoiled-streams.test.ts
@@ -3,21 +3,16 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
-import {
-  answerSoundly,
-  PlainService,
-  servicePaths,
-  type ServiceAnswer,
-} from '../platform/plain-service.js';
+import { PlainService, servicePaths, type ServiceAnswer } from '../platform/plain-service.js';
 import {
   beginStream,
   continuations,
   eventCount,
   formatEvent,
   formatEvents,
+  handleSoundly,
   readResumePoint,
   spoiledEvents,
-  streamSoundly,
   streamSpoiled,
   wholeStream,
 } from '../platform/spoiled-stream.js';
@@ -54,11 +49,6 @@
   await deployment.stop();
 });
 
-function handleSoundly(request: IncomingMessage, response: ServerResponse): void {
-  const isStream = request.url?.startsWith('/flow') === true;
-  (isStream ? streamSoundly : answerSoundly)(request, response);
-}
-
 /** Requests a stream that the given handler answers first; every other request is answered soundly. */
 async function callSpoiled(
   path: string,
--- a/__tests__/support/flood.ts
+++ b/__tests__/support/flood.ts
@@ -24,10 +24,6 @@
     return this.#socket.destroyed;
   }
 
-  get sentBytes(): number {
-    return this.#socket.bytesWritten;
-  }
-
   #write(): void {
     // The other connections of this process get their turns between two writes.
     setImmediate(() => {
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -45,6 +45,7 @@
 export { LogRateLimiter, type LogRateLimits } from './log-rate-limiter.js';
 export { digest } from './digest.js';
 export { parseJson } from './json.js';
+export { parseDecimal } from './parse-decimal.js';
 export { parseRetryAfter } from './parse-retry-after.js';
 export {
   probeDelays,
--- a/src/common/parse-retry-after.ts
+++ b/src/common/parse-retry-after.ts
@@ -1,8 +1,7 @@
+import { parseDecimal } from './parse-decimal.js';
 import type { Milliseconds } from './time.js';
 
 const millisecondsPerSecond = 1000;
-/** Few enough digits for a finite number. */
-const seconds = /^\d{1,15}(?:\.\d{1,15})?$/;
 
 /**
  * Parses the value of a `Retry-After` header in seconds, possibly with a fraction; undefined if it is absent or malformed. Dates are not
@@ -11,7 +10,6 @@
 export function parseRetryAfter(
   text: string | readonly string[] | undefined,
 ): Milliseconds | undefined {
-  return typeof text === 'string' && seconds.test(text)
-    ? Number(text) * millisecondsPerSecond
-    : undefined;
+  const seconds = typeof text === 'string' ? parseDecimal(text) : undefined;
+  return seconds === undefined ? undefined : seconds * millisecondsPerSecond;
 }
