Decimals in header fields may have any number of digits behind the point

What upstreams saw: up to 44 requests from one gateway in a pause of 983 ms that they had asked for, where two may come.

Cause: since a decimal had at most 15 digits behind the point, so that a Retry-After with a fraction of 16 digits, as many programs print it, was taken for malformed and ignored.

Change: digits before the point are limited, which keeps the number finite in any unit; digits behind it are not.

--- a/__tests__/platform/header-numbers.test.ts
+++ b/__tests__/platform/header-numbers.test.ts
@@ -56,3 +56,21 @@
     expect(platformDialect.readResponse(200, { 'x-instance-load': value }).load).toEqual(load);
   });
 });
+
+// Guards against requests during a pause that an upstream asked for with more digits than a gateway read.
+describe('decimals', () => {
+  it('keep their value with all digits of their fraction', () => {
+    const number = fc.double({ min: 1e-6, max: 1e14, noNaN: true });
+    fc.assert(
+      fc.property(number, (seconds) => {
+        const { retryAfter, requestsPerSecond } = platformDialect.readResponse(503, {
+          'retry-after': String(seconds),
+          'server-limit': String(seconds),
+        });
+        expect(retryAfter).toBe(seconds * 1000);
+        expect(requestsPerSecond).toBe(seconds);
+      }),
+      { seed: 20_261_207, numRuns: 5000 },
+    );
+  });
+});
--- a/src/common/parse-decimal.ts
+++ b/src/common/parse-decimal.ts
@@ -1,5 +1,5 @@
-/** Few enough digits for a finite number. */
-const decimal = /^\d{1,15}(?:\.\d{1,15})?$/;
+/** Few enough digits before the point for a finite number in any unit. Those behind it may be as many as the sender writes. */
+const decimal = /^\d{1,15}(?:\.\d+)?$/;
 
 /** Parses a non-negative decimal without an exponent; undefined for anything else. */
 export function parseDecimal(text: string): number | undefined {
