Announcements of instances are handled in a class of their own

What it did with announcements (deciding, recording, refusing, removing silent instances) moves to InstanceAnnouncements; behaviour stays as it is.

--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -2,13 +2,12 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Err, Ok, type Result } from 'ts-results';
 import type { Logger } from 'pino';
-import { Counter, type Registry } from 'prom-client';
+import type { Registry } from 'prom-client';
 
 import {
   RateLimitedLog,
   createFailure,
   encodeOutcome,
-  parseJson,
   type Clock,
   type Failure,
   type ManagedPart,
@@ -25,9 +24,7 @@
   type RoutingWatchResponse,
 } from '../../generated/pistachiospoke/v1/routing_pb.js';
 import {
-  announcementSchema,
   checkRoutingDocument,
-  formatIdentity,
   listColdProfiles,
   listIdentities,
   listReturned,
@@ -52,8 +49,7 @@
 import { EngineMetrics } from './engine-metrics.js';
 import { EngineReportService } from './engine-report-service.js';
 import { EvacuationControl } from './evacuation-control.js';
-import { InstanceTracker, type AnnouncementVerdict } from './instance-tracker.js';
-import { InstanceRecorder } from './instance-recorder.js';
+import { InstanceAnnouncements } from './instance-announcements.js';
 import { LeaderClient } from './leader-client.js';
 import { ModelOutcomes } from './model-outcomes.js';
 import { PermitAllocator, type ColdRequest } from './permit-allocator.js';
@@ -66,12 +62,7 @@
 const freshnessLimit: Milliseconds = 1500;
 /** Interval of status messages to watchers; also how often the leader checks for silent instances. */
 const statusInterval: Milliseconds = 500;
-/** Limit for log lines about unusable announcements, since their sender may repeat them many times a second. */
-const unusableLogLimit = { burst: 20, perSecond: 1 };
 const failedReadLogLimit = { burst: 20, perSecond: 1 };
-/** Number of characters of an unusable announcement that are logged, enough to identify its sender. */
-const maxLoggedCharacters = 200;
-
 /** Options of routing on a control host. */
 export interface RoutingControlOptions {
   readonly log: ReplicatedLog<CommandAnswer>;
@@ -98,8 +89,7 @@
   readonly name = 'routing';
   readonly #options: RoutingControlOptions;
   readonly #hub = new RoutingHub();
-  readonly #instances = new InstanceTracker();
-  readonly #recorder: InstanceRecorder;
+  readonly #announcements: InstanceAnnouncements;
   readonly #crashes: CrashRecorder;
   readonly #quarantines: QuarantineObserver;
   readonly #evacuations: EvacuationControl;
@@ -111,9 +101,7 @@
   readonly #leaderClient: LeaderClient;
   readonly #barrier: ReadBarrier;
   readonly #engines: EngineLoop;
-  readonly #unusableLog: RateLimitedLog;
   readonly #failedReadLog: RateLimitedLog;
-  readonly #unusableCount: Counter;
   #timer: NodeJS.Timeout | undefined;
   #leader = '';
   /** Evacuations in the last state, to see which domains return. */
@@ -121,14 +109,13 @@
 
   constructor(options: RoutingControlOptions) {
     this.#options = options;
-    this.#unusableLog = new RateLimitedLog(options.logger, options.clock, unusableLogLimit);
     this.#failedReadLog = new RateLimitedLog(options.logger, options.clock, failedReadLogLimit);
-    this.#unusableCount = new Counter({
-      name: 'pistachiospoke_announcements_unusable_total',
-      help: 'Announcements that named no instance to use and changed nothing.',
-      registers: [options.registry],
+    this.#announcements = new InstanceAnnouncements({
+      ...options,
+      onCold: (upstream, coldFor) => {
+        this.#permits.noteCold(upstream, coldFor, options.clock.monotonic());
+      },
     });
-    this.#recorder = new InstanceRecorder(options.submitter);
     this.#crashes = new CrashRecorder(options);
     this.#quarantines = new QuarantineObserver(options);
     this.#evacuations = new EvacuationControl(options);
@@ -160,7 +147,7 @@
   open(): void {
     this.#timer = setInterval(() => {
       this.#hub.sendStatus(this.#describeStatus());
-      this.#removeSilent();
+      this.#announcements.removeSilent();
       this.#crashes.expire();
       this.#permits.retain(listIdentities(this.#options.readState().routing));
     }, statusInterval);
@@ -188,7 +175,7 @@
         };
       },
       announce: async ({ announcement }) => {
-        const result = await this.#handleForwarded(announcement);
+        const result = await this.#announcements.handleForwarded(announcement);
         return encodeOutcome(findFailure(result));
       },
       confirmIndex: async () => {
@@ -220,7 +207,7 @@
       return;
     }
     this.#leader = status.leader;
-    this.#instances.clear();
+    this.#announcements.clear();
     this.#reports.clear();
     this.#demand.clear();
     this.#outcomes.clear();
@@ -276,7 +263,7 @@
   async announce(announcement: Announcement): Promise<Result<undefined, Failure>> {
     const leader = this.leaderName;
     if (leader === this.#options.name) {
-      return this.#announceLocally(announcement);
+      return this.#announcements.handle(announcement);
     }
     return this.#leaderClient.announce(leader, announcement);
   }
@@ -301,14 +288,7 @@
 
   /** Counts and logs an unusable announcement; returns the failure for its sender. */
   refuseAnnouncement(id: string, reason: string, text: string): Failure {
-    this.#unusableCount.inc();
-    const fields = {
-      id: id.slice(0, maxLoggedCharacters),
-      reason,
-      text: text.slice(0, maxLoggedCharacters),
-    };
-    this.#unusableLog.info(fields, 'unusable announcement');
-    return createFailure('unusableAnnouncement', reason);
+    return this.#announcements.refuse(id, reason, text);
   }
 
   #handleDemandReport(report: DemandReport): MessageInitShape<typeof DemandAnswerSchema> {
@@ -419,68 +399,6 @@
       : new Ok(document.source);
   }
 
-  async #handleForwarded(text: string): Promise<Result<undefined, Failure>> {
-    const parsed = announcementSchema.safeParse(parseJson(text));
-    if (!parsed.success) {
-      return new Err(createFailure('invalidCommand', 'not an announcement'));
-    }
-    return this.#options.log.view().type === 'leader'
-      ? this.#announceLocally(parsed.data)
-      : new Err(createFailure('noQuorum', 'this control host is not the leader'));
-  }
-
-  async #announceLocally(announcement: Announcement): Promise<Result<undefined, Failure>> {
-    const { readState, clock, logger } = this.#options;
-    const verdict = this.#instances.handleAnnouncement(
-      announcement,
-      readState().routing,
-      clock.monotonic(),
-    );
-    this.#noteCold(announcement, verdict);
-    switch (verdict.type) {
-      case 'known':
-        return new Ok(undefined);
-      case 'retired':
-        return new Err(createFailure('retiredInstance', ''));
-      case 'unusable':
-        return new Err(
-          this.refuseAnnouncement(
-            findId(announcement),
-            verdict.reason,
-            JSON.stringify(announcement),
-          ),
-        );
-      case 'record':
-        logger.info({ announcement }, 'recording instance announcement');
-        return this.#recorder.record(verdict.changes);
-    }
-  }
-
-  #noteCold(announcement: Announcement, verdict: AnnouncementVerdict): void {
-    const isUsed = verdict.type === 'known' || verdict.type === 'record';
-    if (isUsed && announcement.type === 'present' && announcement.coldFor !== undefined) {
-      const upstream = formatIdentity(announcement.instance);
-      this.#permits.noteCold(upstream, announcement.coldFor, this.#options.clock.monotonic());
-    }
-  }
-
-  #removeSilent(): void {
-    const { log, clock, readState, instanceSilence, logger } = this.#options;
-    if (log.view().type !== 'leader') {
-      return;
-    }
-    const { routing } = readState();
-    const silent = this.#instances.findRemovable(routing, clock.monotonic(), instanceSilence);
-    if (silent.length === 0) {
-      return;
-    }
-    logger.warn(
-      { silent: silent.map(formatIdentity), instanceSilence },
-      'removing silent instances',
-    );
-    void this.#recorder.record({ present: [], retired: [], silent });
-  }
-
   #describeStatus(): ControlStatus {
     const { log, findAddress, listVoters } = this.#options;
     const leader = this.leaderName;
@@ -492,10 +410,6 @@
   }
 }
 
-function findId(announcement: Announcement): string {
-  return announcement.type === 'present' ? announcement.instance.id : announcement.id;
-}
-
 function findFailure(result: Result<unknown, Failure>): Failure | undefined {
   return result.err ? result.val : undefined;
 }
