An invalid announcement makes no other one beside it void

Cause: announcements that arrive together share a command of the log. Whether an entry fits the schema of the command was asked when the command was applied, which refuses all of it, and the batcher took that answer for a success. So the entry, and what was beside it, was acknowledged and not recorded.

Fix: a control host refuses an announcement that cannot be recorded when it arrives (400). The batcher asks whether an item alone makes a valid command before it puts it beside others, which holds for crash reports too, and fails what a command is refused for.

--- a/src/control/routing/command-batcher.ts
+++ b/src/control/routing/command-batcher.ts
@@ -1,8 +1,8 @@
-import { Ok, type Result } from 'ts-results';
+import { Err, Ok, type Result } from 'ts-results';
 
 import type { Failure } from '../../common/index.js';
 import type { CommandSubmitter } from '../shell/command-submitter.js';
-import type { Command } from '../state/index.js';
+import { checkCommand, type Command, type CommandAnswer } from '../state/index.js';
 
 /** Batches changes known to the leader into entries of the replicated log. */
 
@@ -25,8 +25,16 @@
     this.#createCommand = createCommand;
   }
 
-  /** Resolves when the command containing the item is committed, or fails if its commit cannot be confirmed. */
+  /**
+   * Resolves when the command containing the item has been applied. Fails if the item makes no valid command, if the command is refused, or
+   * if its commit cannot be confirmed.
+   */
   propose(item: Item): Promise<Result<undefined, Failure>> {
+    // The state machine refuses a command as a whole, with all that was batched beside an invalid item.
+    const checked = checkCommand(this.#createCommand([item]));
+    if (checked.err) {
+      return Promise.resolve(checked);
+    }
     return new Promise((resolve) => {
       this.#waiting.push({ item, resolve });
       if (!this.#isProposing) {
@@ -42,7 +50,7 @@
       this.#waiting = [];
       const command = this.#createCommand(batch.map(({ item }) => item));
       const answer = await this.#proposer.proposeLocally(command);
-      const result = answer.ok ? new Ok(undefined) : answer;
+      const result = answer.andThen(readAnswer);
       batch.forEach(({ resolve }) => {
         resolve(result);
       });
@@ -50,3 +58,7 @@
     this.#isProposing = false;
   }
 }
+
+function readAnswer(answer: CommandAnswer): Result<undefined, Failure> {
+  return answer.type === 'refused' ? new Err(answer.failure) : new Ok(undefined);
+}
--- a/src/control/routing/instance-announcements.ts
+++ b/src/control/routing/instance-announcements.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import { Counter, type Registry } from 'prom-client';
 import { Err, Ok, type Result } from 'ts-results';
+import { z } from 'zod';
 
 import {
   RateLimitedLog,
@@ -68,6 +69,14 @@
     return createFailure('unusableAnnouncement', reason);
   }
 
+  /** Returns the failure for the sender of an announcement that cannot be recorded in the log; undefined if it can. */
+  check(announcement: Announcement): Failure | undefined {
+    const parsed = announcementSchema.safeParse(announcement);
+    return parsed.success
+      ? undefined
+      : this.#refuseDecoded(announcement, z.prettifyError(parsed.error));
+  }
+
   /** Handles an announcement that another control host received. */
   async handleForwarded(text: string): Promise<Result<undefined, Failure>> {
     const parsed = announcementSchema.safeParse(parseJson(text));
--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -261,6 +261,10 @@
 
   /** Handles an announcement of an instance; resolves once it is recorded, so that the instance can be told. */
   async announce(announcement: Announcement): Promise<Result<undefined, Failure>> {
+    const unusable = this.#announcements.check(announcement);
+    if (unusable !== undefined) {
+      return new Err(unusable);
+    }
     const leader = this.leaderName;
     if (leader === this.#options.name) {
       return this.#announcements.handle(announcement);
--- a/src/control/state/parse-command.ts
+++ b/src/control/state/parse-command.ts
@@ -23,6 +23,11 @@
   } catch {
     return new Err(createFailure('invalidCommand', 'not JSON'));
   }
+  return checkCommand(value);
+}
+
+/** Checks whether the state machine can read a command. */
+export function checkCommand(value: unknown): Result<Command, Failure> {
   const parsed = commandSchema.safeParse(value);
   if (parsed.success) {
     return new Ok(parsed.data);
