A command whose output is closed ends quietly

Cause: nothing handled the errors of the standard streams, so the first write after the reader had gone ended the process.

Fix: writes to a closed output are dropped, and the command goes on to its own exit code. A change that control has accepted is no failure because nobody reads its output.

Evidence: both tests of the built command line failed before (2 of 2), and pass.

--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -17,8 +17,12 @@
   readonly sleep: (duration: Milliseconds) => Promise<void>;
 }
 
+const brokenPipe = 'EPIPE';
+
 /** The terminal, files and clock of this process. */
 export function createProcessEnvironment(): CommandLineEnvironment {
+  process.stdout.on('error', ignoreBrokenPipe);
+  process.stderr.on('error', ignoreBrokenPipe);
   return {
     write: (text) => process.stdout.write(text),
     writeError: (text) => process.stderr.write(text),
@@ -33,6 +37,13 @@
   };
 }
 
+/** A reader such as `head` may close the output early; the command goes on to its own exit code. */
+function ignoreBrokenPipe(error: NodeJS.ErrnoException): void {
+  if (error.code !== brokenPipe) {
+    throw error;
+  }
+}
+
 /** An account missing from the system's user database has no name; its changes are recorded as by `unknown`. */
 function readUserName(): string {
   try {
