An upstream that sends at full speed gives way to other connections

While an upstream sent a body, a line or trailers without end, other callers of the gateway waited up to a second, and new connections were closed unread.

Cause, traced at a deployed gateway with a caller in a process of its own, whose requests the gateway answers itself (trials): libuv reads up to 32 times 64 KB in a row from a connection that has more bytes, and undici parses them all in that turn of the event loop. With a byte a chunk, blank lines or trailers (undici creates an error for each one above its limit) 64 KB alone take tens of milliseconds. The event loop was held for a second, connections were shed, and with no answer 200 within the second of the test its assertion `some 200` was red. Memory was not the cause: it grew by 39 MB at most, where 64 may be.

Fix: a reader of an upstream's connection gets 4 KB at once, and waits for the next turn of the event loop after 64 KB, or if its work on the last part took a millisecond. Nothing is lost or reordered; a response below 4 KB is read as before.

--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -6,6 +6,13 @@
 
 /** TCP connections to upstreams for undici, on which a reset is never taken for the end of a response. */
 
+/** Bytes that a reader gets at once, so that even the costliest to parse take little time. */
+const maximumReadBytes = 4 * 1024;
+/** A connection gives way to the others after so many bytes. */
+const maximumBytesInTurn = 64 * 1024;
+/** A connection also gives way if its reader has worked for so long on the last bytes. */
+const maximumReadTime: Milliseconds = 1;
+
 /** The upstream reset the connection. undici sends requests that still wait for the connection on another one after a `SocketError`. */
 class ConnectionResetError extends errors.SocketError {
   constructor(cause?: Error) {
@@ -28,11 +35,19 @@
  *
  * The end of the stream is reported only to a reader that asks for more bytes. undici asks for none while a response is paused, and fails
  * an assertion that nothing catches if the stream ends meanwhile.
+ *
+ * In one turn of the event loop a reader gets a limited part of the bytes. Node reads up to 2 MB in a row from a connection that has them;
+ * an upstream that sends without end would keep the process from its other connections for a second.
  */
 export class UpstreamSocket extends Socket {
   /** How the other side has ended the stream; undefined while it has not. */
   #end: 'closed' | 'reset' | 'reported' | undefined;
   #isOfferingEnd = false;
+  #isGivingWay = false;
+  /** Bytes that the reader got since the connection last gave way. */
+  #bytesInTurn = 0;
+  /** Undefined if the reader got no bytes the last time. */
+  #lastReadAt: Milliseconds | undefined;
   /** Called with the size of each read; returns whether the head of the response counts as endless. */
   onRead: (bytes: number) => boolean = () => false;
 
@@ -63,14 +78,46 @@
 
   /** The end is reported after the bytes before it, since they may complete a response that has a length. */
   override read(size?: number): unknown {
-    const chunk: unknown = super.read(size);
-    // Node itself reads no bytes (0) after the end of the stream.
-    if (chunk === null && size !== 0 && this.#end !== undefined && this.readableLength === 0) {
+    // Node itself reads no bytes, also after the end of the stream.
+    if (size === 0) {
+      return super.read(size);
+    }
+    const chunk = this.#mustGiveWay() ? null : this.#readPart(size);
+    if (chunk === null && this.#end !== undefined && this.readableLength === 0) {
       this.#handleRequestForMore(this.#end);
     }
     return chunk;
   }
 
+  #readPart(size?: number): unknown {
+    const part = this.readableLength > maximumReadBytes ? maximumReadBytes : undefined;
+    const chunk: unknown = super.read(size ?? part);
+    this.#bytesInTurn += Buffer.isBuffer(chunk) ? chunk.length : 0;
+    this.#lastReadAt = chunk === null ? undefined : performance.now();
+    return chunk;
+  }
+
+  /** Whether the bytes that are left have to wait for the next turn of the event loop. */
+  #mustGiveWay(): boolean {
+    if (this.#isGivingWay || this.readableLength === 0) {
+      return this.#isGivingWay;
+    }
+    const readTime = this.#lastReadAt === undefined ? 0 : performance.now() - this.#lastReadAt;
+    if (this.#bytesInTurn < maximumBytesInTurn && readTime < maximumReadTime) {
+      return false;
+    }
+    this.#isGivingWay = true;
+    setImmediate(() => {
+      this.#isGivingWay = false;
+      this.#bytesInTurn = 0;
+      this.#lastReadAt = undefined;
+      if (!this.destroyed) {
+        this.emit('readable');
+      }
+    });
+    return true;
+  }
+
   /** Lets a reader that is not paused ask for more bytes. */
   #offerEnd(): void {
     this.#isOfferingEnd = true;
