The request that a busy event loop must not lose has been sent before it goes on

'a gateway that finishes the requests of callers answers a request that arrived while its event loop was busy' was red in one of three runs beside other tests.

The thread now sends when the loop is held, and the loop is held until the request has been sent and the port is due to close. The check is as it was.

--- a/__tests__/direct/caller-drain.test.ts
+++ b/__tests__/direct/caller-drain.test.ts
@@ -13,14 +13,24 @@
 
 /** Times in milliseconds. The port closes after half of the grace period. */
 const grace = 600;
-const sendAfter = grace / 4;
 const busyTime = grace / 2 + 100;
+/** Ends a hung test. */
+const hangTimeout = 60_000;
 
-/** A caller in a thread of its own, which goes on while the event loop of the test is busy. Posts what it has received. */
+/** States of a request that both threads know. */
+const waiting = 0;
+const allowed = 1;
+const sent = 2;
+
+/** A caller in a thread of its own, which sends its request once that is allowed. Posts what it has received. */
 const caller = `
-  const { workerData: { port, head, sendAfter }, parentPort } = require('node:worker_threads');
+  const { workerData: { port, head, state }, parentPort } = require('node:worker_threads');
   const socket = require('node:net').connect(port, '127.0.0.1', () => {
-    setTimeout(() => socket.write(head), sendAfter);
+    Atomics.wait(state, 0, ${waiting});
+    socket.write(head, () => {
+      Atomics.store(state, 0, ${sent});
+      Atomics.notify(state, 0);
+    });
   });
   let received = '';
   socket.on('data', (bytes) => { received += bytes; });
@@ -28,8 +38,12 @@
   socket.on('close', () => parentPort.postMessage(received));
 `;
 
-function blockEventLoop(duration: number): void {
+/** Holds the event loop until the request has arrived, however late its thread gets processor time, and at least for the duration. */
+function blockEventLoop(duration: number, state: Int32Array): void {
   const end = performance.now() + duration;
+  Atomics.store(state, 0, allowed);
+  Atomics.notify(state, 0);
+  Atomics.wait(state, 0, allowed, hangTimeout);
   while (performance.now() < end);
 }
 
@@ -45,7 +59,8 @@
     const { port } = server.address() as AddressInfo;
     const head = formatHead({ method: 'GET', path: '/', headers: { host: 'desk.example' } });
     const accepted = once(server, 'connection');
-    const worker = new Worker(caller, { eval: true, workerData: { port, head, sendAfter } });
+    const state = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+    const worker = new Worker(caller, { eval: true, workerData: { port, head, state } });
     const received = once(worker, 'message');
     await accepted;
     const drain = new CallerDrain({
@@ -57,7 +72,7 @@
       logger: pino({ level: 'silent' }),
     });
     const drained = drain.run();
-    blockEventLoop(busyTime);
+    blockEventLoop(busyTime, state);
     expect((await received)[0]).toContain('answer');
     await drained;
     await closeServer(server);
