Requests of a connection are served one after the other

What callers saw: a request sent behind a response on the same connection ended without an answer when that response was cut (a stream that outlasts the grace period of a stopped gateway, or that its upstream breaks off). It had been passed on, also if it came after the signal and may not be repeated.

Cause: Node hands over each request as soon as it is parsed, and both gateways passed it on at once. Its response can only follow the earlier one on the connection, so it was lost with it. The second one also ran on when the caller left, since Node tells only the response that has the connection.

Why this works: the server serves a request once the response before it has been sent. One that waits behind a cut response has not run; one that waits when the port closes is rejected as not run. Time limits still count from the arrival of the head.

The test 'answers all requests that a connection has brought before it ends' expected both requests to be served at once. It now waits until both have arrived and still asks for both answers.

--- a/__tests__/gateway/caller-server.test.ts
+++ b/__tests__/gateway/caller-server.test.ts
@@ -1,11 +1,10 @@
 import { once } from 'node:events';
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import { closeServer, systemClock } from '../../src/common/index.js';
-import { CallerServer } from '../../src/gateway/caller-server.js';
+import { CallerServer, type Exchange } from '../../src/gateway/caller-server.js';
 import { formatHead, OpenConnection, waitFor } from '../support/index.js';
 
 let server: CallerServer;
@@ -13,11 +12,11 @@
 /** The server's end of the connection. */
 let accepted: Socket;
 /** Requests that were served, in order of arrival. */
-let served: (readonly [IncomingMessage, ServerResponse])[];
+let served: Exchange[];
 
 beforeEach(async () => {
   served = [];
-  server = new CallerServer(systemClock, (...exchange) => {
+  server = new CallerServer(systemClock, (exchange) => {
     served.push(exchange);
   });
   server.listen(0, '127.0.0.1');
@@ -40,7 +39,7 @@
 }
 
 function answer(index: number): void {
-  const response = served[index]?.[1];
+  const response = served[index]?.response;
   if (response === undefined) {
     throw new Error(`there is no request ${index}`);
   }
@@ -52,9 +51,10 @@
   // Guards against a connection that ends after the first of several requests that were sent without waiting for responses.
   it('answers all requests that a connection has brought before it ends', async () => {
     connection.write(head + head);
-    await waitForRequests(2);
+    await waitFor('both requests', () => server.exchanges.length === 2);
     server.leave();
     answer(0);
+    await waitForRequests(2);
     answer(1);
     await connection.closed;
     expect(connection.received).toContain('answer 0');
@@ -66,7 +66,7 @@
     connection.write(head);
     await waitForRequests(1);
     server.leave();
-    const [, first] = served[0] ?? [];
+    const first = served[0]?.response;
     first?.writeHead(200, { connection: server.endsConnection(first) ? 'close' : 'keep-alive' });
     first?.write('begun');
     await waitFor('the response to begin', () => connection.received.includes('begun'));
@@ -79,6 +79,19 @@
     expect(served).toHaveLength(1);
   });
 
+  // Guards against a request that is passed on behind a response that is cut, and ends with it without its own.
+  it('serves no request of a connection that ends with the response before it', async () => {
+    connection.write(head + head);
+    await waitFor('both requests', () => server.exchanges.length === 2);
+    const first = served[0]?.response;
+    first?.write('begun');
+    await waitFor('the response to begin', () => connection.received.includes('begun'));
+    first?.destroy();
+    await connection.closed;
+    await waitFor('the connection to be forgotten', () => server.connectionCount === 0);
+    expect(served).toHaveLength(1);
+  });
+
   it('keeps a connection on which a request is arriving when its port closes', async () => {
     connection.write(head.slice(0, 10));
     await waitFor('a part of the request', () => accepted.bytesRead > 0);
@@ -95,7 +108,7 @@
   it('resets a connection that owes a response when it gives up', async () => {
     connection.write(head);
     await waitForRequests(1);
-    const [, response] = served[0] ?? [];
+    const response = served[0]?.response;
     response?.writeHead(200, { connection: 'close' });
     response?.write('begun');
     await waitFor('the response to begin', () => connection.received.includes('begun'));
@@ -109,7 +122,7 @@
     const headers = { host: 'desk.example', 'content-length': '10' };
     connection.write(`${formatHead({ method: 'POST', path: '/', headers })}12345`);
     await waitForRequests(1);
-    const [request] = served[0] ?? [];
+    const request = served[0]?.request;
     request?.resume();
     answer(0);
     await waitFor('the answer', () => connection.received.includes('answer 0'));
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -1,4 +1,4 @@
-import { Server, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http';
+import { Server, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import type { Clock, Milliseconds } from '../common/index.js';
@@ -19,7 +19,7 @@
 }
 
 interface Connection {
-  /** Requests in order of arrival; more than one if the caller does not wait for responses. */
+  /** Requests in order of arrival; more than one if the caller does not wait for responses. Only the first one is being served. */
   readonly exchanges: Exchange[];
   /** Bytes that had arrived when the connection last owed nothing; more have arrived since if a request is under way. */
   idleBytes: number;
@@ -27,21 +27,25 @@
   isEnding: boolean;
 }
 
+/**
+ * Serves the requests of a connection one after the other. A request behind a response that is cut would end with it, although it has been
+ * passed on.
+ */
 export class CallerServer extends Server {
+  readonly #serve: (exchange: Exchange) => void;
   readonly #connections = new Map<Socket, Connection>();
   /** `serving`; `leaving`: callers are told to go elsewhere; `closed`: the port is closed, and connections end once they owe nothing. */
   #stage: 'serving' | 'leaving' | 'closed' = 'serving';
 
-  constructor(clock: Clock, serve: RequestListener) {
+  constructor(clock: Clock, serve: (exchange: Exchange) => void) {
     super();
+    this.#serve = serve;
     this.on('connection', (socket) => {
       this.#connections.set(socket, { exchanges: [], idleBytes: 0, isEnding: false });
       socket.on('close', () => this.#connections.delete(socket));
     });
     this.on('request', (request, response) => {
-      if (this.#accept({ request, response, receivedAt: clock.monotonic() })) {
-        serve(request, response);
-      }
+      this.#accept({ request, response, receivedAt: clock.monotonic() });
     });
   }
 
@@ -114,25 +118,32 @@
     return true;
   }
 
-  /** Returns whether the request is to be served; one that follows the last response of its connection is not. */
-  #accept(exchange: Exchange): boolean {
+  /** A request that follows the last response of its connection is not served. */
+  #accept(exchange: Exchange): void {
     const { request, response } = exchange;
     const connection = this.#find(request);
     if (connection === undefined || connection.isEnding) {
       request.resume();
-      return false;
+      return;
     }
     connection.exchanges.push(exchange);
     response.on('close', () => {
       this.#remove(connection, exchange);
     });
-    return true;
+    if (connection.exchanges.length === 1) {
+      this.#serve(exchange);
+    }
   }
 
   #remove(connection: Connection, exchange: Exchange): void {
     const { exchanges } = connection;
     const { request } = exchange;
     exchanges.splice(exchanges.indexOf(exchange), 1);
+    const [next] = exchanges;
+    if (next !== undefined) {
+      this.#serveNext(next);
+      return;
+    }
     if (request.complete) {
       this.#noteIdle(connection, request.socket);
       return;
@@ -143,6 +154,12 @@
     });
   }
 
+  #serveNext(exchange: Exchange): void {
+    if (!exchange.request.socket.destroyed) {
+      this.#serve(exchange);
+    }
+  }
+
   #noteIdle(connection: Connection, socket: Socket): void {
     if (connection.exchanges.length > 0) {
       return;
--- a/src/gateway/direct/direct-gateway.ts
+++ b/src/gateway/direct/direct-gateway.ts
@@ -1,5 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
-
 import type { Logger } from 'pino';
 
 import {
@@ -26,7 +24,7 @@
 import { formatIdentity, listIdentities, parseSubject } from '../../routing/index.js';
 import type { RoutingGatewaySettings } from '../../settings/index.js';
 import type { RoutingView } from '../../watch/index.js';
-import { CallerServer } from '../caller-server.js';
+import { CallerServer, type Exchange } from '../caller-server.js';
 import { readBody } from '../shell/body.js';
 import { AccountFairness } from './account-fairness.js';
 import { ActiveDeliveries } from './active-deliveries.js';
@@ -202,8 +200,8 @@
       settings.memory === undefined
         ? undefined
         : new MemoryGuard({ ...settings.memory, metrics, clock, log: this.#log });
-    this.#server = new CallerServer(clock, (request, response) => {
-      void this.#serve(request, response);
+    this.#server = new CallerServer(clock, (exchange) => {
+      void this.#serve(exchange);
     });
     metrics.observeOwed(() => this.#server.countExchanges());
     this.#drain = new CallerDrain({
@@ -339,8 +337,8 @@
     }
   }
 
-  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { dialect, clock, random } = this.#options;
+  async #serve({ request, response, receivedAt }: Exchange): Promise<void> {
+    const { dialect, random } = this.#options;
     const call: InboundRequest = {
       request,
       response,
@@ -350,7 +348,7 @@
         () => this.#memory?.isShort === true,
       ),
       facts: dialect.readRequest(request.headers),
-      startedAt: clock.monotonic(),
+      startedAt: receivedAt,
     };
     if (this.#rejectLate(call)) {
       return;
--- a/src/gateway/shell/caller-request.ts
+++ b/src/gateway/shell/caller-request.ts
@@ -27,19 +27,20 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly answer: CallerAnswer;
-  readonly #arrivedAt: Milliseconds;
+  /** When its head was read. */
+  readonly receivedAt: Milliseconds;
   #runner: RequestRunner | undefined;
 
   constructor(
     id: RequestId,
     response: ServerResponse,
-    arrivedAt: Milliseconds,
+    receivedAt: Milliseconds,
     endsConnection: () => boolean,
   ) {
     this.id = id;
     this.request = response.req;
     this.response = response;
-    this.#arrivedAt = arrivedAt;
+    this.receivedAt = receivedAt;
     this.answer = new CallerAnswer(response, id, endsConnection);
   }
 
@@ -51,8 +52,8 @@
     return {
       requestId: this.id,
       stage: this.#stage,
-      age: Math.round(now - this.#arrivedAt),
-      receivedAfter: Math.round(this.#arrivedAt - stoppedAt),
+      age: Math.round(now - this.receivedAt),
+      receivedAfter: Math.round(this.receivedAt - stoppedAt),
     };
   }
 
--- a/src/gateway/shell/caller-requests.ts
+++ b/src/gateway/shell/caller-requests.ts
@@ -4,6 +4,7 @@
 
 import { createIdentifier, type Clock, type Milliseconds } from '../../common/index.js';
 import { createRequestId } from '../../sidecar/attempts/index.js';
+import type { Exchange } from '../caller-server.js';
 import { CallerRequest } from './caller-request.js';
 
 /** Requests described in the log of a shutdown; a gateway that is full has thousands. */
@@ -25,10 +26,10 @@
     this.#options = options;
   }
 
-  add(response: ServerResponse): CallerRequest {
+  add({ response, receivedAt }: Exchange): CallerRequest {
     const { clock, endsConnection } = this.#options;
     const id = createRequestId(clock.wall(), createIdentifier());
-    const caller = new CallerRequest(id, response, clock.monotonic(), () => {
+    const caller = new CallerRequest(id, response, receivedAt, () => {
       return endsConnection(response);
     });
     this.#requests.add(caller);
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { Err, Ok, type Result } from 'ts-results';
@@ -12,7 +12,7 @@
   type Milliseconds,
 } from '../../common/index.js';
 import type { Account } from '../../model/index.js';
-import { CallerServer } from '../caller-server.js';
+import { CallerServer, type Exchange } from '../caller-server.js';
 import { defaultRequestLimits } from '../limits.js';
 import { LoadTracker } from '../load-tracker.js';
 import { listModelNames } from '../reach.js';
@@ -61,8 +61,8 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#server = new CallerServer(options.clock, (_, response) => {
-      void this.#serve(response);
+    this.#server = new CallerServer(options.clock, (exchange) => {
+      void this.#serve(exchange);
     });
     this.#requests = new CallerRequests({
       ...options,
@@ -153,9 +153,9 @@
     }
   }
 
-  async #serve(response: ServerResponse): Promise<void> {
-    const caller = this.#requests.add(response);
-    const { req: request } = response;
+  async #serve(exchange: Exchange): Promise<void> {
+    const caller = this.#requests.add(exchange);
+    const { request } = exchange;
     try {
       await this.#answer(matchRoute(request.method ?? 'GET', request.url ?? '/'), caller);
     } catch (error) {
@@ -225,7 +225,7 @@
     }
     const parsed = this.#parse(route, request, body.val, {
       id,
-      now: this.#now(),
+      receivedAt: caller.receivedAt,
       account: admitted.val,
       configuration: this.#options.watched.read().configuration,
       defaultTimeout: this.#options.defaultTimeout ?? defaultTimeout,
--- a/src/gateway/shell/request-parser.ts
+++ b/src/gateway/shell/request-parser.ts
@@ -20,7 +20,7 @@
 /** What parsing needs besides the request itself. */
 export interface ParseContext {
   readonly id: RequestId;
-  readonly now: Milliseconds;
+  readonly receivedAt: Milliseconds;
   readonly account: Account;
   readonly configuration: Configuration;
   readonly defaultTimeout: Milliseconds;
@@ -143,7 +143,7 @@
   if (Number.isNaN(priority) || Number.isNaN(timeout)) {
     return new Err(createFailure('invalidRequest', 'Pistachiospoke-Priority or -Timeout-Seconds'));
   }
-  const { account, now, id, configuration, defaultTimeout } = context;
+  const { account, receivedAt, id, configuration, defaultTimeout } = context;
   const isNonIdempotent = readNonIdempotent(headers, method, wanted, configuration);
   const fingerprint = digest([method, path, body]);
   const isClaimed = isNonIdempotent && typeof key === 'string';
@@ -154,7 +154,8 @@
     priority: Math.max(account.limits.priority, priority ?? 0),
     isNonIdempotent,
     claim: isClaimed ? { key, fingerprint } : undefined,
-    deadline: now + (timeout === undefined ? defaultTimeout : timeout * millisecondsPerSecond),
+    deadline:
+      receivedAt + (timeout === undefined ? defaultTimeout : timeout * millisecondsPerSecond),
     route: { wanted, account: account.name, affinityKey },
     crashSubjects: [digest([account.name, method, path, body])],
   };
