An upstream whose responses belong to other requests is avoided

What callers saw: 502 for most requests of a service while one of its upstreams answered with successes that named another request or none. It answered none of its requests, and faster than sound ones, so it had the fewest in flight and got most of them.

Cause: an attempt whose response belongs to another request was ended without suspecting its upstream. Every other form of bytes that are no answer (a reset, no receipt, an event out of place) suspects it.

Change: such a response is handled like the other forms: the upstream is avoided for a while, and probed in case it is about to crash.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -343,6 +343,37 @@
   });
 });
 
+// Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
+describe('an upstream whose responses belong to other requests', () => {
+  const requestCount = 20;
+
+  afterEach(() => {
+    frozenAt = undefined;
+  });
+
+  it.each([
+    ['name another request', 'r-0'],
+    ['name none', ''],
+  ])('is avoided while there are others: they %s', async (_, identifier) => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    first.handle = (_request, response) => {
+      response.setHeader('x-attempt-id', identifier);
+      response.end('of another');
+    };
+    second.handle = (_request, response) => {
+      response.end('sound');
+    };
+    frozenAt = clock.monotonic();
+    for (let count = 0; count < requestCount; count += 1) {
+      await call('POST', '/book/7').answer;
+    }
+    expect(first.received.length).toBeLessThanOrEqual(1);
+    expect(second.received.length).toBeGreaterThanOrEqual(requestCount - 1);
+  });
+});
+
 describe('refusals', () => {
   it.each([
     ['GET', '/nowhere/', {}, 404],
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -350,7 +350,7 @@
     observer.noteResponse(target, facts, { requestId, sentAt: this.#sentAt });
     if (!mayBelongTo(facts, requestId)) {
       // A late response to an earlier request on this connection. The outcome of the present request is unknown.
-      this.#abortAttempt(attempt, 'response belongs to another request');
+      this.#failAttempt(attempt, target, 'response belongs to another request');
       return;
     }
     if (facts.isNotRun) {
