A failure or rejection that does not name its request answers none

What callers and upstreams saw: a request that must not run twice ran at a second upstream, or its caller got 429, 503 or 408, which promise that it has not run. An upstream sends a rejection of an earlier request late, where the next response is expected, and the name in it is missing or cannot be read. Any failure without a name was the answer to the request whose response was due, 404 or 302 too.

Cause: only successes had to name their request. Upstreams repeat the identifier in all their responses, so a failure without it is no more theirs than a success.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -343,6 +343,39 @@
   });
 });
 
+// Guards against a request that runs twice, or that its caller repeats, because a late rejection of an earlier one is taken for its own.
+describe('a rejection that does not name its request', () => {
+  const notRun = { 'x-not-executed': '1' };
+
+  it.each([
+    ['503, not run', 503, notRun, undefined],
+    ['421', 421, {}, undefined],
+    ['429', 429, {}, undefined],
+    ['503', 503, {}, undefined],
+    ['408', 408, {}, ''],
+    ['503, not run, with two names', 503, notRun, ['r-1', 'r-0']],
+  ])('neither repeats the request nor says that it did not run: %s', async (...parameters) => {
+    const [, status, fields, identifier] = parameters;
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    for (const upstream of [first, second]) {
+      upstream.handle = (_, response) => {
+        if (identifier === undefined) {
+          response.removeHeader('x-attempt-id');
+        } else {
+          response.setHeader('x-attempt-id', identifier);
+        }
+        response.writeHead(status, fields).end('of another');
+      };
+    }
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('of another');
+    expect(first.received.length + second.received.length).toBe(1);
+  });
+});
+
 // Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
 describe('an upstream whose responses belong to other requests', () => {
   const requestCount = 20;
