An empty or repeated receipt proves no success

What callers saw: successes with an empty receipt, or with two, that a faulty upstream had sent.

Cause: only the absence of the field counted as no receipt, not a value that is none.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -343,6 +343,23 @@
   });
 });
 
+// Guards against a success without a receipt that passes for one with a receipt, because the field is there.
+describe('a success whose receipt cannot be read', () => {
+  it.each([
+    ['is empty', ''],
+    ['is there twice', ['seal', 'other seal']],
+  ])('never reaches the caller: it %s', async (_, receipt) => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('x-response-seal', receipt);
+      response.end('of no run');
+    };
+    const { status, body } = await call('POST', '/book/7').answer;
+    expect(status).toBe(502);
+    expect(body).not.toContain('of no run');
+  });
+});
+
 // Guards against a request that runs twice, or that its caller repeats, because a late rejection of an earlier one is taken for its own.
 describe('a rejection that does not name its request', () => {
   const notRun = { 'x-not-executed': '1' };
