A success with a content encoding answers no request

What callers saw: compressed bytes, or plain ones that the head calls compressed, as the success of their request, although they ask for bodies without any encoding.

Cause: the receipt alone made a success proven.

Change: on the platform a success with a content encoding is handled like one without a receipt.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -10,7 +10,7 @@
 import { routingGatewaySettingsSchema } from '../../src/settings/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { platformDialect } from '../../platform/wire/requests.js';
-import { createDocument, engineProfile, streamRoute } from '../routing/documents.js';
+import { bookRoute, createDocument, engineProfile, streamRoute } from '../routing/documents.js';
 import { beginUnframed, reservePort, waitFor, writeAndReset } from '../support/index.js';
 import { TestUpstream } from './upstream.js';
 
@@ -343,6 +343,23 @@
   });
 });
 
+// Guards against bytes that their caller cannot read, or reads as others, because an upstream claims that they are compressed.
+describe('a success with a content encoding', () => {
+  it.each(['/book/7', '/draft/7'])('is no answer to the request: %s', async (path) => {
+    const routes = [bookRoute, { ...streamRoute, isResumable: false }];
+    const table = new RouteTable(createDocument({ routes }));
+    const engineGroups = new Map([createGroup('small/1', first)]);
+    changeView({ table, engineGroups, instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('content-encoding', 'gzip');
+      response.end('id: 1\ndata: a\n\n');
+    };
+    const { status, body } = await call('POST', path, { 'x-model': 'small' }).answer;
+    expect(status).toBe(502);
+    expect(body).not.toContain('data: a');
+  });
+});
+
 // Guards against a success without a receipt that passes for one with a receipt, because the field is there.
 describe('a success whose receipt cannot be read', () => {
   it.each([
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -45,7 +45,7 @@
 export interface ResponseMetadata {
   /** Whether the upstream did not run the request and never will. */
   readonly isNotRun: boolean;
-  /** Whether the response is a success without the receipt that upstreams add to each; its bytes answer no request. */
+  /** Whether the response is a success without the receipt that upstreams add to each, or in an encoding; its bytes answer no request. */
   readonly isUnproven: boolean;
   /** The request that the response belongs to; undefined if the upstream does not say. */
   readonly requestId: string | undefined;
