A head that is silent after a pause for a slow caller counts as stalled

What callers saw: a stream that stood still until its time limit and was broken off then, although another group was there to go on with it.

Cause: while reading is paused for a caller, the silence of the upstream says nothing, so the time of the last byte is forgotten. Nothing set it again when reading went on; only the next byte did. A head that froze after the pause sends none, and if no other stream had begun there nothing revealed that it had stalled. A large event is enough for a pause, for a caller that reads at once too.

Change: a stream that had begun counts as silent from the time at which reading goes on.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -771,6 +771,30 @@
     }
   });
 
+  // Guards against a stream that waits at a silent head until its deadline, because reading was paused for its caller after the last bytes.
+  it('continue on another group when their head stalls after a pause for a slow caller', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    const padding = '.'.repeat(200_000);
+    first.handle = (_, response) => {
+      response.writeHead(200, stream).write(`id: 1\ndata: ${padding}\n\n`);
+    };
+    second.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [2]);
+      response.end();
+    };
+    const { answer } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the stream at the head', () => first.received.length === 1);
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { body, isWhole } = await answer;
+    expect({ identifiers: body.match(/id: \d/g), isWhole }).toEqual({
+      identifiers: ['id: 1', 'id: 2'],
+      isWhole: true,
+    });
+  });
+
   it('that are interrupted for good do not look complete', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     first.handle = (_, response) => {
--- a/__tests__/direct/stream-progress.test.ts
+++ b/__tests__/direct/stream-progress.test.ts
@@ -112,6 +112,20 @@
     expect(watch(progress, long, 2 * long).stalled).toEqual(['a']);
   });
 
+  // Guards against a silent head that nothing reveals, because its only stream was paused for its caller after the last bytes.
+  it('are judged from the time at which a paused stream is read again', () => {
+    const progress = new StreamProgress();
+    const held = progress.track('a', 0);
+    const unbegun = progress.track('b', 0);
+    held.noteBytes(0);
+    for (const stream of [held, unbegun]) {
+      stream.pause();
+      stream.resume(long);
+    }
+    expect(watch(progress, 0, long + short)).toEqual(noTargets);
+    expect(watch(progress, long + short, 2 * long).stalled).toEqual(['a']);
+  });
+
   // A gateway that was suspended has not read the data that arrived meanwhile.
   it('are not judged by time without checks', () => {
     const progress = new StreamProgress();
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -204,6 +204,7 @@
   /** The write buffer of the caller's connection has drained. */
   noteDrained(): void {
     this.#attempt?.resume();
+    this.#stream?.resume(this.#now());
   }
 
   #now(): Milliseconds {
--- a/src/gateway/direct/stream-progress.ts
+++ b/src/gateway/direct/stream-progress.ts
@@ -32,6 +32,8 @@
   readonly maximumSilence: Milliseconds;
   readonly #target: TrackedTarget;
   #lastByteAt: Milliseconds | undefined;
+  /** Whether reading is paused after the first bytes. */
+  #isPaused = false;
 
   constructor(
     target: TrackedTarget,
@@ -44,21 +46,31 @@
     target.streams.add(this);
   }
 
-  /** Arrival of the last bytes; undefined before the first, and while the stream is paused. */
+  /** Arrival of the last bytes, or end of a pause since; undefined before the first, and while the stream is paused. */
   get lastByteAt(): Milliseconds | undefined {
     return this.#lastByteAt;
   }
 
   noteBytes(now: Milliseconds): void {
     this.#lastByteAt = now;
+    this.#isPaused = false;
     this.#target.isUnrecovered = false;
   }
 
   /** Records that reading is paused for a slow caller; silence then says nothing about the upstream. */
   pause(): void {
+    this.#isPaused ||= this.#lastByteAt !== undefined;
     this.#lastByteAt = undefined;
   }
 
+  /** Records that reading goes on; if no byte arrives from now on, the upstream is silent. */
+  resume(now: Milliseconds): void {
+    if (this.#isPaused) {
+      this.#isPaused = false;
+      this.#lastByteAt = now;
+    }
+  }
+
   end(): void {
     this.#target.streams.delete(this);
   }
