--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -10,7 +10,7 @@
 import { routingGatewaySettingsSchema } from '../../src/settings/index.js';
 import { emptyRoutingView, type RoutingView } from '../../src/watch/index.js';
 import { platformDialect } from '../../platform/wire/requests.js';
-import { createDocument, engineProfile, streamRoute } from '../routing/documents.js';
+import { bookRoute, createDocument, engineProfile, streamRoute } from '../routing/documents.js';
 import { beginUnframed, reservePort, waitFor, writeAndReset } from '../support/index.js';
 import { TestUpstream } from './upstream.js';
 
@@ -343,6 +343,104 @@
   });
 });
 
+// Guards against bytes that their caller cannot read, or reads as others, because an upstream claims that they are compressed.
+describe('a success with a content encoding', () => {
+  it.each(['/book/7', '/draft/7'])('is no answer to the request: %s', async (path) => {
+    const routes = [bookRoute, { ...streamRoute, isResumable: false }];
+    const table = new RouteTable(createDocument({ routes }));
+    const engineGroups = new Map([createGroup('small/1', first)]);
+    changeView({ table, engineGroups, instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('content-encoding', 'gzip');
+      response.end('id: 1\ndata: a\n\n');
+    };
+    const { status, body } = await call('POST', path, { 'x-model': 'small' }).answer;
+    expect(status).toBe(502);
+    expect(body).not.toContain('data: a');
+  });
+});
+
+// Guards against a success without a receipt that passes for one with a receipt, because the field is there.
+describe('a success whose receipt cannot be read', () => {
+  it.each([
+    ['is empty', ''],
+    ['is there twice', ['seal', 'other seal']],
+  ])('never reaches the caller: it %s', async (_, receipt) => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('x-response-seal', receipt);
+      response.end('of no run');
+    };
+    const { status, body } = await call('POST', '/book/7').answer;
+    expect(status).toBe(502);
+    expect(body).not.toContain('of no run');
+  });
+});
+
+// Guards against a request that runs twice, or that its caller repeats, because a late rejection of an earlier one is taken for its own.
+describe('a rejection that does not name its request', () => {
+  const notRun = { 'x-not-executed': '1' };
+
+  it.each([
+    ['503, not run', 503, notRun, undefined],
+    ['421', 421, {}, undefined],
+    ['429', 429, {}, undefined],
+    ['503', 503, {}, undefined],
+    ['408', 408, {}, ''],
+    ['503, not run, with two names', 503, notRun, ['r-1', 'r-0']],
+  ])('neither repeats the request nor says that it did not run: %s', async (...parameters) => {
+    const [, status, fields, identifier] = parameters;
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    for (const upstream of [first, second]) {
+      upstream.handle = (_, response) => {
+        if (identifier === undefined) {
+          response.removeHeader('x-attempt-id');
+        } else {
+          response.setHeader('x-attempt-id', identifier);
+        }
+        response.writeHead(status, fields).end('of another');
+      };
+    }
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(answer.body).not.toContain('of another');
+    expect(first.received.length + second.received.length).toBe(1);
+  });
+});
+
+// Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
+describe('an upstream whose responses belong to other requests', () => {
+  const requestCount = 20;
+
+  afterEach(() => {
+    frozenAt = undefined;
+  });
+
+  it.each([
+    ['name another request', 'r-0'],
+    ['name none', ''],
+  ])('is avoided while there are others: they %s', async (_, identifier) => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    first.handle = (_request, response) => {
+      response.setHeader('x-attempt-id', identifier);
+      response.end('of another');
+    };
+    second.handle = (_request, response) => {
+      response.end('sound');
+    };
+    frozenAt = clock.monotonic();
+    for (let count = 0; count < requestCount; count += 1) {
+      await call('POST', '/book/7').answer;
+    }
+    expect(first.received.length).toBeLessThanOrEqual(1);
+    expect(second.received.length).toBeGreaterThanOrEqual(requestCount - 1);
+  });
+});
+
 describe('refusals', () => {
   it.each([
     ['GET', '/nowhere/', {}, 404],
@@ -673,6 +771,30 @@
     }
   });
 
+  // Guards against a stream that waits at a silent head until its deadline, because reading was paused for its caller after the last bytes.
+  it('continue on another group when their head stalls after a pause for a slow caller', async () => {
+    changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
+    const padding = '.'.repeat(200_000);
+    first.handle = (_, response) => {
+      response.writeHead(200, stream).write(`id: 1\ndata: ${padding}\n\n`);
+    };
+    second.handle = (_, response) => {
+      response.writeHead(200, stream);
+      sendEvents(response, [2]);
+      response.end();
+    };
+    const { answer } = call('POST', '/draft/1', { 'x-model': 'small' });
+    await waitFor('the stream at the head', () => first.received.length === 1);
+    changeView({
+      engineGroups: new Map([createGroup('small/1', first), createGroup('small/2', second)]),
+    });
+    const { body, isWhole } = await answer;
+    expect({ identifiers: body.match(/id: \d/g), isWhole }).toEqual({
+      identifiers: ['id: 1', 'id: 2'],
+      isWhole: true,
+    });
+  });
+
   it('that are interrupted for good do not look complete', async () => {
     changeView({ engineGroups: new Map([createGroup('small/1', first)]) });
     first.handle = (_, response) => {
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -204,6 +204,7 @@
   /** The write buffer of the caller's connection has drained. */
   noteDrained(): void {
     this.#attempt?.resume();
+    this.#stream?.resume(this.#now());
   }
 
   #now(): Milliseconds {
@@ -350,7 +351,7 @@
     observer.noteResponse(target, facts, { requestId, sentAt: this.#sentAt });
     if (!mayBelongTo(facts, requestId)) {
       // A late response to an earlier request on this connection. The outcome of the present request is unknown.
-      this.#abortAttempt(attempt, 'response belongs to another request');
+      this.#failAttempt(attempt, target, 'response belongs to another request');
       return;
     }
     if (facts.isNotRun) {
@@ -365,7 +366,7 @@
       return;
     }
     if (facts.isUnproven) {
-      this.#failAttempt(attempt, target, `success without a receipt: status ${status}`);
+      this.#failAttempt(attempt, target, `unproven success: status ${status}`);
       return;
     }
     if (isUpstreamFailure(status)) {
