The soak of spoiled streams draws more spoilings, and its judge sees more

What the judge did not see: an answer of another request (the events of all requests with as much text were the same), a success other than 200, a refusal of sound requests as wrong, a refusal that promises that the request has not run although it has, a stream that may not be resumed and ran twice or more attempts than its route allows, a part of an error, and whatever came beside one response: interim responses, trailers, bytes after the end or between two responses, the id of another request, no receipt.

What was not drawn: lines that end with CRLF or CR, and so bytes that are cut inside a line end; comments; several faults in a row; very long lines and lines without end; interim responses before the head; bytes between two chunks; trailers; bytes, a second response (with and without an id) and a refusal after the end of a response, at once or late; heads without an id, with another, with two and without a receipt; errors that are cut off, without end or with a second response; refusals.

Each event names its request. Nothing is checked less than before: shares of what was drawn are as they were, the new ones come on top, and spoiled streams that go on unseen are still counted only among those with spoiled bytes.

--- a/__tests__/platform/soak/kept-connection.ts
+++ b/__tests__/platform/soak/kept-connection.ts
@@ -4,6 +4,7 @@
 
 import { z } from 'zod';
 
+import { ConnectionTail } from './connection-tail.js';
 import { readStream, type ReceivedStream } from './received-stream.js';
 import { describeHeaders, describePath, isWholeAnswer, type RequestPlan } from './request-plan.js';
 
@@ -34,6 +35,8 @@
   readonly ending: Ending;
   /** What the caller got of a stream; undefined if there was no success or the answer is no stream. */
   readonly stream: ReceivedStream | undefined;
+  /** What the caller got beside one response to its request: other heads, fields of another response, trailers and further bytes. */
+  readonly strays: readonly string[];
 }
 
 const errorSchema = z.object({ error: z.object({ name: z.string() }) });
@@ -44,6 +47,7 @@
   readonly #readLife: () => string;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
   #socket: Socket | undefined;
+  #tail: ConnectionTail | undefined;
   #life = '';
 
   /** `readLife`: gives the key of the present life of the gateway. */
@@ -69,6 +73,7 @@
     const life = this.#readLife();
     let sentAt: number | undefined;
     let headAt: number | undefined;
+    const strays: string[] = [];
     const request = sendRequest({
       agent: this.#agent,
       host,
@@ -79,24 +84,34 @@
     });
     request.on('socket', (socket) => {
       this.#life = socket === this.#socket ? this.#life : life;
+      this.#tail = socket === this.#socket ? this.#tail : new ConnectionTail(socket);
       this.#socket = socket;
+      strays.push(...(this.#tail?.begin() ?? []));
+    });
+    request.on('information', ({ statusCode }) => {
+      strays.push(`an interim response with status ${statusCode}`);
     });
     request.on('finish', () => {
       sentAt = performance.now();
     });
-    request.on('response', () => {
+    request.on('response', (response) => {
       headAt = performance.now();
+      strays.push(...listForeignFields(id, response));
     });
     const leaving = leaveLater(request, plan);
-    const ended = readEnding(request, plan);
+    const ended = readEnding(request, id, plan, (response, body) => {
+      strays.push(...listTrailers(response), ...(this.#tail?.end(response, body) ?? []));
+    });
     await Promise.all([ended, sendBody(request, plan)]);
     clearTimeout(leaving);
     const result = await ended;
-    return { id, plan, life: this.#life, startedAt, sentAt, headAt, ...result };
+    return { id, plan, life: this.#life, startedAt, sentAt, headAt, strays, ...result };
   }
 }
 
 type Received = Pick<Exchange, 'ending' | 'stream'>;
+/** Called with each complete response and its body. */
+type CompletionListener = (response: IncomingMessage, body: string) => void;
 type TimedEnding = Received & Pick<Exchange, 'endedAt'>;
 
 function leaveLater(
@@ -106,7 +121,12 @@
   return leaveAfter === undefined ? undefined : setTimeout(() => request.destroy(), leaveAfter);
 }
 
-function readEnding(request: ClientRequest, plan: RequestPlan): Promise<TimedEnding> {
+function readEnding(
+  request: ClientRequest,
+  id: string,
+  plan: RequestPlan,
+  onComplete: CompletionListener,
+): Promise<TimedEnding> {
   return new Promise((resolve) => {
     const finish = (received: Received): void => {
       resolve({ ...received, endedAt: performance.now() });
@@ -120,15 +140,21 @@
     });
     request.on('response', (response) => {
       isAnswered = true;
-      void readResponse(request, response, plan).then(finish);
+      void readResponse(request, response, { id, plan, onComplete }).then(finish);
     });
   });
 }
 
+interface ExpectedResponse {
+  readonly id: string;
+  readonly plan: RequestPlan;
+  readonly onComplete: CompletionListener;
+}
+
 async function readResponse(
   request: ClientRequest,
   response: IncomingMessage,
-  plan: RequestPlan,
+  { id, plan, onComplete }: ExpectedResponse,
 ): Promise<Received> {
   const status = response.statusCode ?? 0;
   let body = '';
@@ -147,16 +173,32 @@
   }
   const isSuccess = status === 200;
   const { answer } = plan;
-  const stream = isSuccess && answer.type === 'stream' ? readStream(answer, body) : undefined;
+  const stream = isSuccess && answer.type === 'stream' ? readStream(id, answer, body) : undefined;
   if (!response.complete) {
     const error = `${failure === undefined ? 'ended early' : String(failure)} after ${body.length} bytes`;
     return { ending: { type: 'broken', status, error }, stream };
   }
+  onComplete(response, body);
   const name = isSuccess ? '' : readErrorName(body);
-  const isWhole = !isSuccess || isWholeAnswer(plan, body);
+  const isWhole = !isSuccess || isWholeAnswer(id, plan, body);
   return { ending: { type: 'answered', status, name, isWhole }, stream };
 }
 
+/** Each success names its request and has a receipt; no response names another request. */
+function listForeignFields(id: string, { headers, statusCode = 0 }: IncomingMessage): string[] {
+  const { 'x-attempt-id': named, 'x-response-seal': receipt } = headers;
+  const isSuccess = statusCode >= 200 && statusCode < 300;
+  const isForeign = isSuccess ? named !== id : named !== undefined && named !== id;
+  return [
+    ...(isForeign ? [`a response with the id ${String(named)}`] : []),
+    ...(isSuccess && receipt === undefined ? ['a success without a receipt'] : []),
+  ];
+}
+
+function listTrailers({ rawTrailers }: IncomingMessage): string[] {
+  return rawTrailers.length === 0 ? [] : [`trailers ${rawTrailers.join()}`];
+}
+
 function readErrorName(body: string): string {
   try {
     return errorSchema.parse(JSON.parse(body)).error.name;
--- a/__tests__/platform/soak/received-stream.ts
+++ b/__tests__/platform/soak/received-stream.ts
@@ -1,3 +1,4 @@
+import { lineEndBytes } from '../spoiled-stream.js';
 import { formatStream, type StreamPlan } from './request-plan.js';
 
 /** What a caller got of a stream. */
@@ -10,11 +11,12 @@
 
 const reportedBytes = 200;
 
-/** Compares the body of a response, in Latin-1, with the stream that was asked for. */
-export function readStream(plan: StreamPlan, body: string): ReceivedStream {
-  const expected = formatStream(plan);
+/** Compares the body of the response to a request, in Latin-1, with the stream that was asked for. */
+export function readStream(id: string, plan: StreamPlan, body: string): ReceivedStream {
+  const expected = formatStream(id, plan);
+  const eventEnd = lineEndBytes[plan.lineEnd].repeat(2);
   const soundLength = findCommonLength(expected, body);
-  const lastEvent = plan.resumeAfter + expected.slice(0, soundLength).split('\n\n').length - 1;
+  const lastEvent = plan.resumeAfter + expected.slice(0, soundLength).split(eventEnd).length - 1;
   const foreign =
     soundLength === body.length ? undefined : body.slice(soundLength, soundLength + reportedBytes);
   return { lastEvent, foreign };
--- a/__tests__/platform/soak/request-plan.ts
+++ b/__tests__/platform/soak/request-plan.ts
@@ -2,7 +2,7 @@
 import { createStreamHeaders, streamPath } from '../deployment.js';
 import { usualEventInterval, streamHeaders } from '../event-stream.js';
 import { servicePaths } from '../plain-service.js';
-import { formatEvents } from '../spoiled-stream.js';
+import { formatEvents, type LineEnd } from '../spoiled-stream.js';
 import { plainHeaders } from './plain-answers.js';
 
 /** The requests that callers of the stop soak send. Times in milliseconds. */
@@ -23,6 +23,7 @@
   /** Number of the last event. */
   readonly eventCount: number;
   readonly eventBytes: number;
+  readonly lineEnd: LineEnd;
 }
 
 export type AnswerPlan =
@@ -90,6 +91,8 @@
         ...(answer.resumeAfter > 0 ? { 'last-event-id': String(answer.resumeAfter) } : {}),
         [streamHeaders.eventCount]: String(answer.eventCount),
         [streamHeaders.eventBytes]: String(answer.eventBytes),
+        [streamHeaders.eventText]: nameOwner(id),
+        [streamHeaders.lineEnd]: answer.lineEnd,
       };
     case 'plain':
       return {
@@ -100,17 +103,24 @@
   }
 }
 
-/** All bytes of a stream, as a sound upstream sends them. */
-export function formatStream({ resumeAfter, eventCount, eventBytes }: StreamPlan): string {
-  return formatEvents(resumeAfter + 1, eventCount, '.'.repeat(eventBytes));
+/** All bytes of the stream of a request, as a sound upstream sends them. */
+export function formatStream(id: string, plan: StreamPlan): string {
+  const { resumeAfter, eventCount, eventBytes, lineEnd } = plan;
+  const padding = `${nameOwner(id)}${'.'.repeat(eventBytes)}`;
+  return formatEvents(resumeAfter + 1, eventCount, padding, lineEnd);
+}
+
+/** Text of each event of a request's stream, so that those of another request are not taken for them. */
+function nameOwner(id: string): string {
+  return `-of-${id}`;
 }
 
 /** Whether a body is all of the answer that was asked for. */
-export function isWholeAnswer({ answer }: RequestPlan, body: string): boolean {
+export function isWholeAnswer(id: string, { answer }: RequestPlan, body: string): boolean {
   if (answer.type === 'plain') {
     return body.length === answer.bytes;
   }
-  return body === formatStream(answer);
+  return body === formatStream(id, answer);
 }
 
 export function drawBody(random: RandomSource): BodyPlan {
@@ -138,6 +148,7 @@
     resumeAfter: 0,
     eventCount,
     eventBytes: Math.min(eventBytes, largestEvent),
+    lineEnd: 'LF',
   };
 }
 
--- a/__tests__/platform/soak/stream-judge.ts
+++ b/__tests__/platform/soak/stream-judge.ts
@@ -1,5 +1,7 @@
 import type { RunningProgram } from '../../support/index.js';
-import type { Exchange } from './kept-connection.js';
+import type { Ending, Exchange } from './kept-connection.js';
+import type { FaultyResponse } from './faulty-response.js';
+import { maximumRuns } from './stream-plan.js';
 import type { SpoiledStream } from './stream-spoiler.js';
 
 /** Finds what callers must not get, however upstreams spoil their streams and whatever else fails. Times in milliseconds. */
@@ -10,11 +12,16 @@
   readonly until: number;
 }
 
+/** Statuses that say that the request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const errorName = /^\w+$/;
+
 /** What upstreams did. */
 export interface UpstreamRecord {
   readonly spoiled: readonly SpoiledStream[];
-  /** Attempt ids of the streams that they have begun. */
-  readonly begun: ReadonlySet<string>;
+  readonly faulty: readonly FaultyResponse[];
+  /** How often they have begun to answer each request, by attempt id. */
+  readonly runs: ReadonlyMap<string, number>;
 }
 
 export class StreamJudge {
@@ -43,8 +50,8 @@
 
   findWrongStreams(): readonly string[] {
     return this.#exchanges.flatMap((exchange) => {
-      const fault = describeFault(exchange);
-      return fault === undefined ? [] : [`${fault}: ${this.#describe(exchange)}`];
+      const faults = [...listFaults(exchange), ...this.#listRunFaults(exchange)];
+      return faults.map((fault) => `${fault}: ${this.#describe(exchange)}`);
     });
   }
 
@@ -69,6 +76,17 @@
       .map((caller) => `caller ${caller} was served nothing in the calm`);
   }
 
+  #listRunFaults({ id, plan, ending }: Exchange): readonly string[] {
+    const runs = this.#upstreams.runs.get(id) ?? 0;
+    const isRefused = ending.type === 'answered' && notRunStatuses.has(ending.status);
+    return [
+      ...(isRefused && runs > 0 ? ['refused as not run, but ran'] : []),
+      ...(plan.answer.type === 'stream' && runs > maximumRuns(plan.answer)
+        ? [`ran ${runs} times`]
+        : []),
+    ];
+  }
+
   #findWithin({ from, until }: CalmSpan): readonly Exchange[] {
     return this.#exchanges.filter(({ startedAt, endedAt }) => {
       return startedAt >= from && endedAt <= until;
@@ -77,16 +95,19 @@
 
   #wasClosedUnread({ id, ending }: Exchange): boolean {
     const isReset = ending.type === 'broken' && ending.error.includes('ECONNRESET');
-    return isReset && ending.status === 0 && !this.#upstreams.begun.has(id);
+    return isReset && ending.status === 0 && !this.#upstreams.runs.has(id);
   }
 
   #listSpoiled(id: string): readonly SpoiledStream[] {
     return this.#upstreams.spoiled.filter((each) => each.id === id);
   }
 
-  #describe({ id, life, plan, ending, stream }: Exchange): string {
+  #describe({ id, life, plan, ending, stream, strays }: Exchange): string {
     const spoiled = this.#listSpoiled(id);
-    return `${id} at gateway ${life} ${JSON.stringify({ ending, stream, spoiled, plan })}`;
+    const faulty = this.#upstreams.faulty.filter((each) => each.id === id);
+    const runs = this.#upstreams.runs.get(id) ?? 0;
+    const facts = { ending, stream, strays, runs, spoiled, faulty, plan };
+    return `${id} at gateway ${life} ${JSON.stringify(facts)}`;
   }
 }
 
@@ -94,14 +115,26 @@
   return all.filter((each) => !some.includes(each));
 }
 
-function describeFault({ ending, stream }: Exchange): string | undefined {
-  if (stream?.foreign !== undefined) {
-    return 'bytes of no event of the stream';
-  }
+function listFaults({ ending, stream, strays }: Exchange): readonly string[] {
+  const foreign = stream?.foreign === undefined ? [] : ['bytes of no event of the stream'];
+  return [...strays, ...foreign, ...listEndingFaults(ending)];
+}
+
+function listEndingFaults(ending: Ending): readonly string[] {
   if (ending.type === 'broken') {
-    return ending.error.includes('Parse Error') ? 'bytes of no response' : undefined;
+    return ending.error.includes('Parse Error') ? ['bytes of no response'] : [];
+  }
+  const { status, name, isWhole } = ending;
+  if (status === 200) {
+    return isWhole ? [] : ['whole without all events'];
+  }
+  if (status < 400) {
+    return ['a status that no upstream sends'];
   }
-  return ending.isWhole ? undefined : 'whole without all events';
+  return [
+    ...(status < 500 ? ['refused as wrong'] : []),
+    ...(errorName.test(name) ? [] : ['a part of an error, or none']),
+  ];
 }
 
 function isServed({ ending }: Exchange): boolean {
--- a/__tests__/platform/soak/stream-plan.ts
+++ b/__tests__/platform/soak/stream-plan.ts
@@ -2,6 +2,7 @@
 import { streamPath } from '../deployment.js';
 import { usualEventInterval } from '../event-stream.js';
 import { servicePaths } from '../plain-service.js';
+import { lineEnds, type LineEnd } from '../spoiled-stream.js';
 import type { Exchange } from './kept-connection.js';
 import { drawBetween, drawBody, type RequestPlan, type StreamPlan } from './request-plan.js';
 
@@ -14,11 +15,20 @@
 const longStream = { shortest: 1500, longest: 3000 };
 const shortStream = { shortest: usualEventInterval, longest: 1000 };
 const largestPadding = 200;
+/** Share of the streams whose lines do not all end with a line feed alone. */
+const otherLineEndShare = 0.3;
 /** Share of the broken streams that their callers resume. */
 const resumeShare = 0.7;
 const leaveShare = 0.08;
 const longestStay = 1500;
 
+/** Most upstreams that one request for a stream may reach: `attempts` of its route, or one if it cannot be resumed. */
+const runLimits: Readonly<Record<string, number>> = {
+  [streamPath]: 3,
+  [servicePaths.flow]: 2,
+  [servicePaths.flowOnce]: 1,
+};
+
 /** Goes on with the caller's last stream if that broke and may be resumed, and else requests a new one. */
 export function drawStreamPlan(random: RandomSource, last: Exchange | undefined): RequestPlan {
   const resumed = findResumed(last);
@@ -37,6 +47,10 @@
   return resumablePaths.includes(path);
 }
 
+export function maximumRuns({ path }: StreamPlan): number {
+  return runLimits[path] ?? 1;
+}
+
 /** The rest of a broken stream that may be resumed. */
 function findResumed(last: Exchange | undefined): StreamPlan | undefined {
   if (last?.plan.answer.type !== 'stream' || last.ending.type !== 'broken') {
@@ -56,5 +70,11 @@
     resumeAfter: 0,
     eventCount: Math.round(duration / usualEventInterval),
     eventBytes: random.integerBelow(largestPadding),
+    lineEnd: drawLineEnd(random),
   };
 }
+
+function drawLineEnd(random: RandomSource): LineEnd {
+  const isOther = random.fraction() < otherLineEndShare;
+  return (isOther ? lineEnds[random.integerBelow(lineEnds.length)] : undefined) ?? 'LF';
+}
--- a/__tests__/platform/spoiled-stream.ts
+++ b/__tests__/platform/spoiled-stream.ts
@@ -9,15 +9,33 @@
 /** Time between two writes of a stream, in milliseconds; each arrives by itself. */
 const writeInterval = 10;
 
+/** How the lines of events may end. */
+export const lineEnds = ['LF', 'CRLF', 'CR'] as const;
+export type LineEnd = (typeof lineEnds)[number];
+export const lineEndBytes: Readonly<Record<LineEnd, string>> = {
+  LF: '\n',
+  CRLF: '\r\n',
+  CR: '\r',
+};
+
+/** More than a gateway takes for an event. */
+const longLine = 'x'.repeat(300 * 1024);
+
 /** `padding`: further text of the token. */
-export function formatEvent(id: number, padding = ''): string {
-  return `id: ${id}\ndata: token ${id}${padding}\n\n`;
+export function formatEvent(id: number, padding = '', lineEnd: LineEnd = 'LF'): string {
+  const end = lineEndBytes[lineEnd];
+  return `id: ${id}${end}data: token ${id}${padding}${end}${end}`;
 }
 
 /** The events from one to another, both included. */
-export function formatEvents(first: number, last: number, padding = ''): string {
+export function formatEvents(
+  first: number,
+  last: number,
+  padding = '',
+  lineEnd: LineEnd = 'LF',
+): string {
   const ids = Array.from({ length: Math.max(0, last - first + 1) }, (_, index) => first + index);
-  return ids.map((id) => formatEvent(id, padding)).join('');
+  return ids.map((id) => formatEvent(id, padding, lineEnd)).join('');
 }
 
 export const wholeStream = formatEvents(1, eventCount);
@@ -43,6 +61,9 @@
   'an id of twenty digits': () => 'id: 12345678901234567890\ndata: of no run\n\n',
   'two ids': (next) => `id: ${next}\nid: ${next}\ndata: of no run\n\n`,
   'an event without data': (next) => `id: ${next}\n\n`,
+  'an event with a very long line': () => `data: ${longLine}\n\n`,
+  'a line without end': () => longLine,
+  'several faults': (next) => `data: of no run\n\nno event\n\nid: -${next}\ndata: of no run\n\n`,
 };
 
 /** What follows the spoiled event. */
--- a/__tests__/processes/platform-spoiled-stream-soak.test.ts
+++ b/__tests__/processes/platform-spoiled-stream-soak.test.ts
@@ -108,6 +108,7 @@
         refusedConnections,
         shedCount,
         spoiled: spoiler.spoiled.length,
+        faulty: spoiler.faulty.length,
         continuedUnseen: judge.continuedUnseen,
         resumedByCallers: judge.resumedByCallers,
       };
@@ -119,6 +120,7 @@
       }
       expect(found, [JSON.stringify(counts), ...log].join('\n')).toEqual([]);
       expect(counts.spoiled).toBeGreaterThan(0);
+      expect(counts.faulty).toBeGreaterThan(0);
       expect(counts.continuedUnseen).toBeGreaterThan(0);
       expect(counts.resumedByCallers).toBeGreaterThan(0);
     },
