--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -313,7 +313,8 @@
     const id = String(request.headers['x-attempt-id']);
     this.arrivals.push(performance.now());
     if (request.headers['x-expect-instance'] !== this.id || !this.isOpen) {
-      response.writeHead(421, { 'x-instance-id': this.id, 'x-not-executed': '1' }).end();
+      const headers = { 'x-attempt-id': id, 'x-instance-id': this.id, 'x-not-executed': '1' };
+      response.writeHead(421, headers).end();
       return;
     }
     const pause =
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -18,7 +18,12 @@
   type GroupPlacement,
 } from './commands.js';
 export { applyHostOverride, drainEvacuated } from './host-override.js';
-export { checkCommand, checkSubmittedCommand, formatCommand, parseCommand } from './parse-command.js';
+export {
+  checkCommand,
+  checkSubmittedCommand,
+  formatCommand,
+  parseCommand,
+} from './parse-command.js';
 export { ControlStateMachine, type StateListener } from './state-machine.js';
 export {
   initialControlState,
