A gateway of sidecars gives up a stream after 256 KiB without an event

What callers saw: while a faulty upstream sent blank lines or comments on a stream without end, a gateway read them for minutes and hardly served anyone else.

Cause: a stream without events was given up only at the size of the largest answer that is not streamed (16 MiB by default), and blank lines are read one by one.

Why this works: the direct gateway has had the bound of 256 KiB for an event with what comes before it; both use the same constant now.

--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -1,5 +1,10 @@
 import { isEventStream, type HeaderField } from '../sidecar/attempts/index.js';
-import { EventReader, type EventFault, type EventFormat } from './events/index.js';
+import {
+  EventReader,
+  maximumEventBytes,
+  type EventFault,
+  type EventFormat,
+} from './events/index.js';
 import type { RequestEffect } from './messages.js';
 import { isSuccess, isUpstreamFailure } from './response-status.js';
 
@@ -108,7 +113,7 @@
 
   #stream(bytes: Uint8Array): AppendResult {
     const { bytes: whole, fault } = this.#reader.push(bytes);
-    if (this.#reader.bytesSinceEvent > this.#maximumBytes) {
+    if (this.#reader.bytesSinceEvent > maximumEventBytes) {
       return { type: 'tooLarge' };
     }
     const effects: readonly RequestEffect[] =
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -3,7 +3,7 @@
 import { ByteBuffer, findResultCode, type Failure } from '../../common/index.js';
 import { isFramedResponse } from '../../wire/index.js';
 import { endAfterBody } from '../end-after-body.js';
-import type { EventFault, EventReader } from '../events/index.js';
+import { maximumEventBytes, type EventFault, type EventReader } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
 
@@ -16,8 +16,6 @@
 const maximumBufferedBytes = 256 * 1024;
 /** A response that is no success is buffered until it is complete; it has at most this size. */
 const maximumErrorBytes = 1024 * 1024;
-/** Size of an event of a stream, with the comments before it; an incomplete one is held back. */
-const maximumEventBytes = 256 * 1024;
 /** Bytes that may be queued for a slow caller before reading from the upstream is paused. */
 const maximumBacklog = 64 * 1024;
 const millisecondsPerSecond = 1000;
--- a/src/gateway/events/event-format.ts
+++ b/src/gateway/events/event-format.ts
@@ -1,5 +1,8 @@
 /** How the events of a stream are written (server-sent events of the HTML standard). */
 
+/** Size of an event with the comments and blank lines before it; no event can be expected after more bytes without one. */
+export const maximumEventBytes = 256 * 1024;
+
 /** What a deployment's streams consist of. */
 export type EventFormat =
   /** Any events of the standard. Their identifiers mean nothing to a gateway; one whose data is `[DONE]` is the last. */
--- a/src/gateway/events/index.ts
+++ b/src/gateway/events/index.ts
@@ -1,3 +1,3 @@
 export { findFirstNumber } from './event-fields.js';
-export type { EventFault, EventFormat } from './event-format.js';
+export { maximumEventBytes, type EventFault, type EventFormat } from './event-format.js';
 export { EventReader, type ReadEvents } from './event-reader.js';
