A sidecar holds few bytes of a response, however small its chunks

What callers saw: an upstream that sent bytes without end filled the memory of its sidecar: by 483 MB in three seconds with comments, by 324 MB with blank lines (64 attempts), by 355 MB in 15 s with a failure byte by byte (15 attempts).

Cause: what waits for a slow gateway was limited by the number of messages (256), each of which may have 64 KiB; and chunks of one byte were kept as objects, which need a hundred times their memory, in the queue, in the bytes kept for a resume and in answers that are assembled.

Why this works: reading from the upstream pauses at 256 KiB queued; pieces beyond the first 32 are joined in blocks; at most 16 KiB wait between parser and reader.

Seen and not fixed: a sidecar whose upstream floods it byte by byte is busy; other requests to that upstream take up to seconds, but got 200.

--- a/__tests__/attempts/attempts.test.ts
+++ b/__tests__/attempts/attempts.test.ts
@@ -189,4 +189,20 @@
     expect(buffer.readFrom(7)).toEqual([]);
     expect(buffer.readFrom(8)).toBeUndefined();
   });
+
+  // Guards against an upstream that sends its bytes one by one, each of which needs a hundred times its memory.
+  it('keeps bytes that come one by one in a few blocks', () => {
+    const maximumBytes = 64 * 1024;
+    const buffer = new ResumeBuffer(maximumBytes);
+    for (let index = 0; index < 2 * maximumBytes; index += 1) {
+      buffer.append(Buffer.of(index % 256));
+    }
+    const kept = buffer.readFrom(buffer.firstOffset) ?? [];
+    expect(kept.length).toBeLessThan(128);
+    expect(buffer.size).toBeLessThanOrEqual(maximumBytes);
+    expect(buffer.size).toBeGreaterThan(0.9 * maximumBytes);
+    expect(Buffer.concat(kept).every((byte, at) => byte === (buffer.firstOffset + at) % 256)).toBe(
+      true,
+    );
+  });
 });
--- a/__tests__/attempts/response-stream.test.ts
+++ b/__tests__/attempts/response-stream.test.ts
@@ -50,11 +50,31 @@
     stream.push({ type: 'keepAlive', load });
     stream.push({ type: 'keepAlive', load });
     let isReady = false;
-    const ready = stream.waitUntilBelow(1).then(() => (isReady = true));
+    const ready = stream.waitUntilBelow(1, Infinity).then(() => (isReady = true));
     await Promise.resolve();
     expect(isReady).toBe(false);
     await stream.next();
     await ready;
     expect(isReady).toBe(true);
   });
+
+  // Guards against a queue whose few messages hold so many bytes that a sidecar with many attempts runs out of memory.
+  it('delay their source until the connection has read enough bytes', async () => {
+    const stream = new ResponseStream();
+    const size = 64 * 1024;
+    stream.push(data(0, 'x'.repeat(size)));
+    stream.push(data(size, 'y'.repeat(size)));
+    stream.push(data(2 * size, 'z'));
+    expect(stream.isAbove(256, size)).toBe(true);
+    let isReady = false;
+    const ready = stream.waitUntilBelow(256, size).then(() => (isReady = true));
+    await Promise.resolve();
+    expect(isReady).toBe(false);
+    await stream.next();
+    await stream.next();
+    await ready;
+    expect(stream.isAbove(256, 0)).toBe(true);
+    await stream.next();
+    expect(stream.isAbove(0, 0)).toBe(false);
+  });
 });
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,5 +1,6 @@
 export { formatAddress, parseAddress, parseAddressOrThrow, type SocketAddress } from './address.js';
 export { Blackboard } from './blackboard.js';
+export { ByteBlocks } from './byte-blocks.js';
 export { ByteBuffer } from './byte-buffer.js';
 export { assertNever, type Controller } from './controller.js';
 export {
--- a/src/gateway/answer-assembler.ts
+++ b/src/gateway/answer-assembler.ts
@@ -1,3 +1,4 @@
+import { ByteBlocks } from '../common/index.js';
 import { isEventStream, type HeaderField } from '../sidecar/attempts/index.js';
 import {
   EventReader,
@@ -22,6 +23,9 @@
 /** Upstreams of models stream chat completions, whose events have no numbers. */
 const eventFormat: EventFormat = { type: 'plain' };
 
+/** Size of the parts in which the body of an answer that is not streamed is kept, in bytes. */
+const blockBytes = 64 * 1024;
+
 interface Head {
   readonly status: number;
   readonly headers: readonly HeaderField[];
@@ -36,7 +40,7 @@
 export class AnswerAssembler {
   readonly #maximumBytes: number;
   #head: Head | undefined;
-  #chunks: Uint8Array[] = [];
+  readonly #body = new ByteBlocks(blockBytes);
   #receivedBytes = 0;
   #reader = new EventReader(eventFormat);
   #hasStarted = false;
@@ -83,7 +87,7 @@
   /** Discards the data of a failed attempt; only allowed before anything was sent to the caller. */
   reset(): void {
     this.#head = undefined;
-    this.#chunks = [];
+    this.#body.clear();
     this.#receivedBytes = 0;
     this.#reader = new EventReader(eventFormat);
   }
@@ -96,13 +100,13 @@
     if (this.#receivedBytes > this.#maximumBytes) {
       return { type: 'tooLarge' };
     }
-    this.#chunks.push(bytes);
+    this.#body.append(bytes);
     return { type: 'effects', effects: [] };
   }
 
   /** Completes the answer and returns the remaining effects. */
   finish(): readonly RequestEffect[] {
-    const rest = this.isStream ? [this.#reader.finish()] : this.#chunks;
+    const rest = this.isStream ? [this.#reader.finish()] : this.#body.blocks;
     const bytes = rest.filter((chunk) => chunk.length > 0);
     return [
       ...this.#start(),
--- a/src/sidecar/attempts/attempt-service.ts
+++ b/src/sidecar/attempts/attempt-service.ts
@@ -79,8 +79,9 @@
 type EffectOf<Type extends AttemptEffect['type']> = Extract<AttemptEffect, { readonly type: Type }>;
 
 const tickInterval: Milliseconds = 50;
-/** Maximum number of messages queued for a slow connection before reading of the upstream's response is paused. */
+/** Messages, and bytes of data, queued for a slow connection before reading of the upstream's response is paused. */
 const maximumQueuedMessages = 256;
+const maximumQueuedBytes = 256 * 1024;
 
 /** Server side of AttemptService in a sidecar: passes events to `AttemptController` and executes its effects. */
 export class AttemptService implements ManagedPart {
@@ -335,14 +336,14 @@
   }
 
   /**
-   * Limits memory use by pausing reads from the upstream while too many messages are queued for the gateway. Returns
-   * undefined if reading can continue.
+   * Limits memory use by pausing reads from the upstream while too much is queued for the gateway. Returns undefined if
+   * reading can continue.
    */
   #waitForCapacity(key: AttemptKey): Promise<void> | undefined {
     const subscriber = this.#controller.findSubscriber(key);
     const stream = subscriber === undefined ? undefined : this.#streams.get(subscriber);
-    const isFull = stream !== undefined && stream.length > maximumQueuedMessages;
-    return isFull ? stream.waitUntilBelow(maximumQueuedMessages) : undefined;
+    const isFull = stream?.isAbove(maximumQueuedMessages, maximumQueuedBytes) === true;
+    return isFull ? stream.waitUntilBelow(maximumQueuedMessages, maximumQueuedBytes) : undefined;
   }
 
   #dropRefusedRequest(key: AttemptKey): void {
--- a/src/sidecar/attempts/response-stream.ts
+++ b/src/sidecar/attempts/response-stream.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from '../../common/index.js';
 import type { RunResponse } from '../../generated/pistachiospoke/v1/attempt_pb.js';
 import type { AttemptMessage } from './messages.js';
 import { encodeMessage } from './wire.js';
@@ -11,8 +12,9 @@
 interface JoinedData {
   readonly type: 'joined';
   readonly offset: number;
-  readonly chunks: Uint8Array[];
-  size: number;
+  readonly first: Uint8Array;
+  /** Copies, as a list of small chunks would need far more memory than their bytes. */
+  readonly others: ByteBuffer;
 }
 
 type QueuedMessage = Exclude<AttemptMessage, DataMessage> | JoinedData;
@@ -24,6 +26,7 @@
  */
 export class ResponseStream implements AsyncIterableIterator<RunResponse> {
   readonly #queue: QueuedMessage[] = [];
+  #queuedBytes = 0;
   #isClosed = false;
   #resolvePendingRead: ((result: IteratorResult<RunResponse, undefined>) => void) | undefined;
   #drainWaiters: (() => void)[] = [];
@@ -33,6 +36,11 @@
     return this.#queue.length;
   }
 
+  /** Whether the connection has more messages or data bytes left to read. */
+  isAbove(messages: number, bytes: number): boolean {
+    return this.#queue.length > messages || this.#queuedBytes > bytes;
+  }
+
   push(message: AttemptMessage): void {
     if (this.#isClosed) {
       return;
@@ -57,12 +65,13 @@
   /** Ends the iteration immediately and drops all queued messages. */
   abort(): void {
     this.#queue.length = 0;
+    this.#queuedBytes = 0;
     this.close();
   }
 
-  /** Resolves once no more than `maximum` messages are queued, or the stream is closed. */
-  async waitUntilBelow(maximum: number): Promise<void> {
-    while (this.#queue.length > maximum && !this.#isClosed) {
+  /** Resolves once no more messages or data bytes are queued, or the stream is closed. */
+  async waitUntilBelow(messages: number, bytes: number): Promise<void> {
+    while (this.isAbove(messages, bytes) && !this.#isClosed) {
       await new Promise<void>((resolve) => {
         this.#drainWaiters.push(resolve);
       });
@@ -76,6 +85,7 @@
   next(): Promise<IteratorResult<RunResponse, undefined>> {
     const message = this.#queue.shift();
     if (message !== undefined) {
+      this.#queuedBytes -= message.type === 'joined' ? measure(message) : 0;
       this.#notifyDrainWaiters();
       return Promise.resolve({ done: false, value: encodeMessage(toMessage(message)) });
     }
@@ -98,14 +108,14 @@
       return;
     }
     const { offset, bytes } = message;
+    this.#queuedBytes += bytes.length;
     const last = this.#queue.at(-1);
-    const isAdjacent = last?.type === 'joined' && last.offset + last.size === offset;
-    if (isAdjacent && last.size + bytes.length <= maximumJoinedBytes) {
-      last.chunks.push(bytes);
-      last.size += bytes.length;
+    const isAdjacent = last?.type === 'joined' && last.offset + measure(last) === offset;
+    if (isAdjacent && measure(last) + bytes.length <= maximumJoinedBytes) {
+      last.others.append(bytes);
       return;
     }
-    this.#queue.push({ type: 'joined', offset, chunks: [bytes], size: bytes.length });
+    this.#queue.push({ type: 'joined', offset, first: bytes, others: new ByteBuffer() });
   }
 
   #notifyDrainWaiters(): void {
@@ -120,12 +130,15 @@
   }
 }
 
+function measure({ first, others }: JoinedData): number {
+  return first.length + others.length;
+}
+
 function toMessage(queued: QueuedMessage): AttemptMessage {
   if (queued.type !== 'joined') {
     return queued;
   }
-  const [first] = queued.chunks;
-  const isSingle = queued.chunks.length === 1 && first !== undefined;
-  const bytes = isSingle ? first : Buffer.concat(queued.chunks);
-  return { type: 'data', offset: queued.offset, bytes };
+  const { offset, first, others } = queued;
+  const bytes = others.length === 0 ? first : Buffer.concat([first, others.bytes]);
+  return { type: 'data', offset, bytes };
 }
--- a/src/sidecar/attempts/resume-buffer.ts
+++ b/src/sidecar/attempts/resume-buffer.ts
@@ -1,15 +1,21 @@
+import { ByteBlocks } from '../../common/index.js';
+
+/** Bytes are dropped in blocks of at most this share of the buffer. */
+const blockShare = 1 / 64;
+
 /**
  * Buffers the last bytes of one response, so that a gateway whose connection went silent can resume at its offset.
  * The size is limited: the oldest bytes are dropped first, and `firstOffset` is the start of the bytes that remain.
  */
 export class ResumeBuffer {
   readonly #maximumBytes: number;
-  #chunks: Uint8Array[] = [];
+  readonly #blocks: ByteBlocks;
   #firstOffset = 0;
   #nextOffset = 0;
 
   constructor(maximumBytes: number) {
     this.#maximumBytes = maximumBytes;
+    this.#blocks = new ByteBlocks(maximumBytes * blockShare);
   }
 
   /** Offset of the oldest buffered byte. */
@@ -30,7 +36,7 @@
   /** Appends bytes and returns their offset. */
   append(bytes: Uint8Array): number {
     const offset = this.#nextOffset;
-    this.#chunks.push(bytes);
+    this.#blocks.append(bytes);
     this.#nextOffset += bytes.length;
     this.#trim();
     return offset;
@@ -43,10 +49,10 @@
     }
     const found: Uint8Array[] = [];
     let position = this.#firstOffset;
-    for (const chunk of this.#chunks) {
-      const end = position + chunk.length;
+    for (const block of this.#blocks.blocks) {
+      const end = position + block.length;
       if (end > offset) {
-        found.push(chunk.subarray(Math.max(0, offset - position)));
+        found.push(block.subarray(Math.max(0, offset - position)));
       }
       position = end;
     }
@@ -55,22 +61,13 @@
 
   /** Drops all bytes; the next offset stays the same. */
   clear(): void {
-    this.#chunks = [];
+    this.#blocks.clear();
     this.#firstOffset = this.#nextOffset;
   }
 
   #trim(): void {
-    let dropped = 0;
     while (this.size > this.#maximumBytes) {
-      const oldest = this.#chunks[dropped];
-      if (oldest === undefined) {
-        break;
-      }
-      this.#firstOffset += oldest.length;
-      dropped += 1;
-    }
-    if (dropped > 0) {
-      this.#chunks.splice(0, dropped);
+      this.#firstOffset += this.#blocks.removeFirst() ?? this.size;
     }
   }
 }
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -40,6 +40,8 @@
 }
 
 const connectTimeout: Milliseconds = 1000;
+/** Bytes of a response that wait to be read. They may come one by one, and an object for each of them needs a hundred times its memory. */
+const maximumUnreadBytes = 16 * 1024;
 
 /** Codes of errors that occur before any byte of the request is sent. */
 const unsentErrorCodes: ReadonlySet<string> = new Set([
@@ -81,6 +83,7 @@
     let client: LimitedClient | undefined;
     const options: RequestOptions = {
       dispatcher: this.#agent,
+      highWaterMark: maximumUnreadBytes,
       method: request.method,
       headers: flattenHeaders(request.headers),
       body: request.body.length > 0 ? request.body : null,
