A quarantined stream stays with its lost head

What callers saw: a partly forwarded stream was broken off when its group was lost, although its head still responded, because its prompt shares a quarantined part.

Cause: such a stream may not be sent to another group, but its attempt was cancelled before that was asked. Streams whose attempts are used up have stayed since for the same reason.

Change: whether it may move is asked before the attempt is given up.

Not tried on the deployed programs.

--- a/__tests__/direct/delivery-controller.test.ts
+++ b/__tests__/direct/delivery-controller.test.ts
@@ -366,6 +366,20 @@
     },
   );
 
+  // Guards against streams that are broken off while their head still responds: its group is lost, and a quarantine lets them go nowhere else.
+  it('stays at a lost group if it is quarantined and partly forwarded', () => {
+    const session = new Session();
+    const { controller } = session;
+    controller.handle({ type: 'started', now: 0 });
+    controller.handle({ type: 'passedOn' });
+    session.lost.add('a');
+    session.assessment = 'quarantined';
+    expect(controller.handle({ type: 'targetsChanged', now: 300 })).toEqual([]);
+    session.assessment = 'harmless';
+    const moved = controller.handle({ type: 'targetsChanged', now: 500 });
+    expect(describeEffects(moved)).toEqual(['cancel', 'send b 5500']);
+  });
+
   // Guards against a request without an end after it has stayed at a lost group.
   it.each<[DeliveryEvent, readonly string[]]>([
     [{ type: 'ended' }, ['finish']],
--- a/src/gateway/direct/delivery-controller.ts
+++ b/src/gateway/direct/delivery-controller.ts
@@ -217,9 +217,7 @@
     if (!isSent()) {
       return isServing && isAvailable(target, now) ? [] : this.#withdraw(target, now);
     }
-    // Nothing but the lost target can complete a partly forwarded response that may not move. The caller of any other can retry at once.
-    const isBound = !this.#options.isRetryable || (this.#isPassedOn && !this.#mayRetry(now));
-    if (isServing || isBound) {
+    if (isServing || this.#isBound(now)) {
       return [];
     }
     const replacement = this.#findReplacement(now, this.#tried, { type: 'urgent' });
@@ -317,15 +315,23 @@
     excluded: ReadonlySet<string>,
     mode: ChoiceMode,
   ): Target | undefined {
-    const { choose, assessCrashes } = this.#dependencies;
-    const isAllowed = this.#options.isRetryable && this.#mayRetry(now);
-    if (!isAllowed || assessCrashes(now) === 'quarantined') {
+    if (!this.#options.isRetryable || !this.#mayMove(now)) {
       return undefined;
     }
-    const choice = choose(excluded, now, mode);
+    const choice = this.#dependencies.choose(excluded, now, mode);
     return choice.type === 'target' ? choice.target : undefined;
   }
 
+  /** Nothing but the lost target can complete a partly forwarded response that may not move. The caller of any other can retry at once. */
+  #isBound(now: Milliseconds): boolean {
+    return !this.#options.isRetryable || (this.#isPassedOn && !this.#mayMove(now));
+  }
+
+  /** Whether a further attempt is allowed although the current one may have run. */
+  #mayMove(now: Milliseconds): boolean {
+    return this.#mayRetry(now) && this.#dependencies.assessCrashes(now) !== 'quarantined';
+  }
+
   /** Replaces an attempt that may have run, if there is a replacement and a retry is left. */
   #replaceAttempt(
     ending: DeliveryEffect,
