The soak of spoiled streams has slow callers, and streams that end with their connection

A fifth of the streams of plain upstreams end with their connection; 8 of 100 callers read nothing for up to 2.5 s, of events of up to 64 KiB.

The caller of the soaks had to learn what a reset is. Node's client takes one for the end of such a body in three cases: with an error beside a response that counts as complete; without any error, if the reset is read with the last bytes; and if the caller itself closes the connection. The second case was traced with a sender that resets after 475 KB to a reader that starts after 1.2 s: Node reads 178 KB and an orderly end, another client on the same bytes ECONNRESET.

Only bodies without length or chunks are judged in that way; for all others the rule is as it was, but for callers that leave before they read anything. One case is allowed: the system closes the connections of a killed gateway in order, so a body that ends with its connection looks whole then.

--- a/__tests__/platform/event-stream.ts
+++ b/__tests__/platform/event-stream.ts
@@ -9,6 +9,7 @@
   eventBytes: 'x-event-bytes',
   eventText: 'x-event-text',
   lineEnd: 'x-event-line-end',
+  bodyEnd: 'x-event-body-end',
 } as const;
 export const usualEventCount = 20;
 /** Time between two events, in milliseconds. */
--- a/__tests__/platform/soak/connection-tail.ts
+++ b/__tests__/platform/soak/connection-tail.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-/** Finds bytes on a caller's connection that belong to no response, which an HTTP client does not show. */
+/** Finds what an HTTP client does not show of a caller's connection: bytes that belong to no response, and some resets. */
 
 /** Enough to recognize the end of a body. */
 const keptLength = 256;
@@ -11,12 +11,22 @@
   #tail = '';
   #isResponseExpected = false;
   #bytesBetween = 0;
+  #isReset = false;
 
   constructor(socket: Socket) {
     socket.on('data', (bytes: Buffer) => {
       this.#tail = `${this.#tail}${bytes.toString('latin1')}`.slice(-keptLength);
       this.#bytesBetween += this.#isResponseExpected ? 0 : bytes.length;
     });
+    // Node reports a reset as the end if both are read together with the last bytes; only then there is no peer any more.
+    socket.prependListener('end', () => {
+      this.#isReset = socket.remoteAddress === undefined;
+    });
+  }
+
+  /** Whether what looks like the end of the connection is a reset by the other side. */
+  get isReset(): boolean {
+    return this.#isReset;
   }
 
   /** A request is being sent. Returns what arrived since the response before it. */
--- a/__tests__/platform/soak/kept-connection.ts
+++ b/__tests__/platform/soak/kept-connection.ts
@@ -98,9 +98,19 @@
       headAt = performance.now();
       strays.push(...listForeignFields(id, response));
     });
-    const leaving = leaveLater(request, plan);
-    const ended = readEnding(request, id, plan, (response, body) => {
-      strays.push(...listTrailers(response), ...(this.#tail?.end(response, body) ?? []));
+    let hasLeft = false;
+    const leaving = leaveLater(plan, () => {
+      hasLeft = true;
+      request.destroy();
+    });
+    const ended = readEnding(request, {
+      id,
+      plan,
+      hasLeft: () => hasLeft,
+      isReset: () => this.#tail?.isReset === true,
+      onComplete: (response, body) => {
+        strays.push(...listTrailers(response), ...(this.#tail?.end(response, body) ?? []));
+      },
     });
     await Promise.all([ended, sendBody(request, plan)]);
     clearTimeout(leaving);
@@ -110,23 +120,24 @@
 }
 
 type Received = Pick<Exchange, 'ending' | 'stream'>;
-/** Called with each complete response and its body. */
-type CompletionListener = (response: IncomingMessage, body: string) => void;
 type TimedEnding = Received & Pick<Exchange, 'endedAt'>;
 
-function leaveLater(
-  request: ClientRequest,
-  { leaveAfter }: RequestPlan,
-): NodeJS.Timeout | undefined {
-  return leaveAfter === undefined ? undefined : setTimeout(() => request.destroy(), leaveAfter);
+function leaveLater({ leaveAfter }: RequestPlan, leave: () => void): NodeJS.Timeout | undefined {
+  return leaveAfter === undefined ? undefined : setTimeout(leave, leaveAfter);
 }
 
-function readEnding(
-  request: ClientRequest,
-  id: string,
-  plan: RequestPlan,
-  onComplete: CompletionListener,
-): Promise<TimedEnding> {
+interface ExpectedResponse {
+  readonly id: string;
+  readonly plan: RequestPlan;
+  /** Whether the caller has closed its connection. */
+  readonly hasLeft: () => boolean;
+  /** Whether the gateway has reset the connection. */
+  readonly isReset: () => boolean;
+  /** Called with a complete response and its body. */
+  readonly onComplete: (response: IncomingMessage, body: string) => void;
+}
+
+function readEnding(request: ClientRequest, expected: ExpectedResponse): Promise<TimedEnding> {
   return new Promise((resolve) => {
     const finish = (received: Received): void => {
       resolve({ ...received, endedAt: performance.now() });
@@ -140,21 +151,15 @@
     });
     request.on('response', (response) => {
       isAnswered = true;
-      void readResponse(request, response, { id, plan, onComplete }).then(finish);
+      void readResponse(request, response, expected).then(finish);
     });
   });
 }
 
-interface ExpectedResponse {
-  readonly id: string;
-  readonly plan: RequestPlan;
-  readonly onComplete: CompletionListener;
-}
-
 async function readResponse(
   request: ClientRequest,
   response: IncomingMessage,
-  { id, plan, onComplete }: ExpectedResponse,
+  { id, plan, hasLeft, isReset, onComplete }: ExpectedResponse,
 ): Promise<Received> {
   const status = response.statusCode ?? 0;
   let body = '';
@@ -165,6 +170,7 @@
   request.on('error', noteFailure);
   response.on('error', noteFailure);
   await pause(plan.readDelay);
+  const hasLeftUnread = hasLeft();
   response.setEncoding('latin1').on('data', (text: string) => {
     body += text;
   });
@@ -174,7 +180,9 @@
   const isSuccess = status === 200;
   const { answer } = plan;
   const stream = isSuccess && answer.type === 'stream' ? readStream(id, answer, body) : undefined;
-  if (!response.complete) {
+  // Node takes a reset, and its own close, for the end of a body that ends with its connection.
+  const isCutOff = isUnframed(response) && (failure !== undefined || hasLeft() || isReset());
+  if (!response.complete || hasLeftUnread || isCutOff) {
     const error = `${failure === undefined ? 'ended early' : String(failure)} after ${body.length} bytes`;
     return { ending: { type: 'broken', status, error }, stream };
   }
@@ -184,6 +192,10 @@
   return { ending: { type: 'answered', status, name, isWhole }, stream };
 }
 
+function isUnframed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 /** Each success names its request and has a receipt; no response names another request. */
 function listForeignFields(id: string, { headers, statusCode = 0 }: IncomingMessage): string[] {
   const { 'x-attempt-id': named, 'x-response-seal': receipt } = headers;
--- a/__tests__/platform/soak/request-plan.ts
+++ b/__tests__/platform/soak/request-plan.ts
@@ -24,6 +24,8 @@
   readonly eventCount: number;
   readonly eventBytes: number;
   readonly lineEnd: LineEnd;
+  /** What tells the end of the body: the final chunk, or the end of the upstream's connection. */
+  readonly bodyEnd: 'chunk' | 'connection';
 }
 
 export type AnswerPlan =
@@ -93,6 +95,7 @@
         [streamHeaders.eventBytes]: String(answer.eventBytes),
         [streamHeaders.eventText]: nameOwner(id),
         [streamHeaders.lineEnd]: answer.lineEnd,
+        [streamHeaders.bodyEnd]: answer.bodyEnd,
       };
     case 'plain':
       return {
@@ -149,6 +152,7 @@
     eventCount,
     eventBytes: Math.min(eventBytes, largestEvent),
     lineEnd: 'LF',
+    bodyEnd: 'chunk',
   };
 }
 
--- a/__tests__/platform/soak/stream-judge.ts
+++ b/__tests__/platform/soak/stream-judge.ts
@@ -1,5 +1,6 @@
 import type { RunningProgram } from '../../support/index.js';
 import type { Ending, Exchange } from './kept-connection.js';
+import type { ProcessLives } from './process-lives.js';
 import type { FaultyResponse } from './faulty-response.js';
 import { maximumRuns } from './stream-plan.js';
 import type { SpoiledStream } from './stream-spoiler.js';
@@ -27,11 +28,13 @@
 export class StreamJudge {
   readonly #exchanges: readonly Exchange[];
   readonly #upstreams: UpstreamRecord;
+  readonly #gateways: ProcessLives;
 
-  /** Both may still grow. */
-  constructor(exchanges: readonly Exchange[], upstreams: UpstreamRecord) {
+  /** All of them may still grow. */
+  constructor(exchanges: readonly Exchange[], upstreams: UpstreamRecord, gateways: ProcessLives) {
     this.#exchanges = exchanges;
     this.#upstreams = upstreams;
+    this.#gateways = gateways;
   }
 
   /** Number of requests of which an upstream spoiled a stream and whose callers got all of it and nothing else. */
@@ -50,7 +53,13 @@
 
   findWrongStreams(): readonly string[] {
     return this.#exchanges.flatMap((exchange) => {
-      const faults = [...listFaults(exchange), ...this.#listRunFaults(exchange)];
+      const { stream, strays } = exchange;
+      const faults = [
+        ...strays,
+        ...(stream?.foreign === undefined ? [] : ['bytes of no event of the stream']),
+        ...listEndingFaults(this.#findEnding(exchange)),
+        ...this.#listRunFaults(exchange),
+      ];
       return faults.map((fault) => `${fault}: ${this.#describe(exchange)}`);
     });
   }
@@ -76,6 +85,16 @@
       .map((caller) => `caller ${caller} was served nothing in the calm`);
   }
 
+  /** The system closes the connections of a killed gateway in order, which looks like the end of a body that ends with its connection. */
+  #findEnding({ ending, plan: { answer }, life, startedAt, endedAt }: Exchange): Ending {
+    const { killedAt } = this.#gateways.find(life);
+    const wasKilled = killedAt !== undefined && killedAt >= startedAt && killedAt <= endedAt;
+    const isEndedByConnection = answer.type === 'stream' && answer.bodyEnd === 'connection';
+    return wasKilled && isEndedByConnection && ending.status === 200
+      ? { type: 'broken', status: ending.status, error: 'its gateway was killed' }
+      : ending;
+  }
+
   #listRunFaults({ id, plan, ending }: Exchange): readonly string[] {
     const runs = this.#upstreams.runs.get(id) ?? 0;
     const isRefused = ending.type === 'answered' && notRunStatuses.has(ending.status);
@@ -115,11 +134,6 @@
   return all.filter((each) => !some.includes(each));
 }
 
-function listFaults({ ending, stream, strays }: Exchange): readonly string[] {
-  const foreign = stream?.foreign === undefined ? [] : ['bytes of no event of the stream'];
-  return [...strays, ...foreign, ...listEndingFaults(ending)];
-}
-
 function listEndingFaults(ending: Ending): readonly string[] {
   if (ending.type === 'broken') {
     return ending.error.includes('Parse Error') ? ['bytes of no response'] : [];
--- a/__tests__/platform/soak/stream-plan.ts
+++ b/__tests__/platform/soak/stream-plan.ts
@@ -17,6 +17,12 @@
 const largestPadding = 200;
 /** Share of the streams whose lines do not all end with a line feed alone. */
 const otherLineEndShare = 0.3;
+/** Share of the streams of plain upstreams that end with their connection. */
+const connectionEndShare = 0.2;
+/** Share of the callers that read nothing at first, and of much larger events. */
+const slowReaderShare = 0.08;
+const longestReadDelay = 2500;
+const largestSlowPadding = 64 * 1024;
 /** Share of the broken streams that their callers resume. */
 const resumeShare = 0.7;
 const leaveShare = 0.08;
@@ -33,12 +39,13 @@
 export function drawStreamPlan(random: RandomSource, last: Exchange | undefined): RequestPlan {
   const resumed = findResumed(last);
   const isResumed = random.fraction() < resumeShare;
-  const answer = isResumed && resumed !== undefined ? resumed : drawStream(random);
+  const isSlowReader = random.fraction() < slowReaderShare;
+  const answer = isResumed && resumed !== undefined ? resumed : drawStream(random, isSlowReader);
   const isLeaving = random.fraction() < leaveShare;
   return {
     body: drawBody(random),
     answer,
-    readDelay: 0,
+    readDelay: isSlowReader ? random.integerBelow(longestReadDelay) : 0,
     ...(isLeaving ? { leaveAfter: random.integerBelow(longestStay) } : {}),
   };
 }
@@ -61,16 +68,19 @@
   return isResumable(answer) ? { ...answer, resumeAfter } : undefined;
 }
 
-function drawStream(random: RandomSource): StreamPlan {
+function drawStream(random: RandomSource, isSlowReader: boolean): StreamPlan {
   const { shortest, longest } = random.fraction() < longStreamShare ? longStream : shortStream;
   const duration = drawBetween(random, shortest, longest);
+  const path = paths[random.integerBelow(paths.length)] ?? streamPath;
+  const isEndedByConnection = path !== streamPath && random.fraction() < connectionEndShare;
   return {
     type: 'stream',
-    path: paths[random.integerBelow(paths.length)] ?? streamPath,
+    path,
     resumeAfter: 0,
     eventCount: Math.round(duration / usualEventInterval),
-    eventBytes: random.integerBelow(largestPadding),
+    eventBytes: random.integerBelow(isSlowReader ? largestSlowPadding : largestPadding),
     lineEnd: drawLineEnd(random),
+    bodyEnd: isEndedByConnection ? 'connection' : 'chunk',
   };
 }
 
--- a/__tests__/platform/soak/stream-spoiler.ts
+++ b/__tests__/platform/soak/stream-spoiler.ts
@@ -107,6 +107,10 @@
       }
       return;
     }
+    if (request.headers[streamHeaders.bodyEnd] === 'connection') {
+      response.useChunkedEncodingByDefault = false;
+      response.setHeader('connection', 'close');
+    }
     beginStream(request, response);
     this.writeStream(request.headers, response, usualEventInterval);
   };
--- a/__tests__/processes/platform-spoiled-stream-soak.test.ts
+++ b/__tests__/processes/platform-spoiled-stream-soak.test.ts
@@ -85,7 +85,7 @@
       spoiler.stop();
       note('no more faults');
       await pause(recoveryTime);
-      const judge = new StreamJudge(callers.exchanges, spoiler);
+      const judge = new StreamJudge(callers.exchanges, spoiler, processes.gateway.lives);
       const from = performance.now();
       await pause(calmTime);
       const findIdleCallers = (): readonly string[] =>
