The log of control hosts is bounded by the size of its commands

Cause: up to 2,000 entries were kept in memory and on disk, and 2,048 sent to a follower ahead of its acknowledgements, whatever their size.

An entry that is larger than a limit is sent by itself.

Evidence: both new tests of the consensus node failed before (1.2 MB on each disk where 0.6 MB may be; a follower that missed more than is kept was sent every entry) and pass.

--- a/__tests__/consensus/consensus-node.test.ts
+++ b/__tests__/consensus/consensus-node.test.ts
@@ -6,7 +6,11 @@
   systemClock,
   type Failure,
 } from '../../src/common/index.js';
-import { defaultTuning, type ConsensusMessage } from '../../src/consensus/core/index.js';
+import {
+  defaultTuning,
+  type ConsensusMessage,
+  type CoreTuning,
+} from '../../src/consensus/core/index.js';
 import {
   ConsensusNode,
   StreamTransport,
@@ -49,6 +53,13 @@
   }
 }
 
+/** Stores the last command only, as a state machine whose commands replace its state. */
+class LastCommandMachine extends ListMachine {
+  override takeSnapshot(): string {
+    return JSON.stringify(this.commands.slice(-1));
+  }
+}
+
 interface Member {
   readonly name: string;
   readonly node: ConsensusNode<number>;
@@ -92,13 +103,19 @@
   }
 });
 
+interface MemberOptions {
+  readonly machine: ListMachine;
+  readonly tuning: CoreTuning;
+  readonly snapshotInterval?: number;
+}
+
 function createMember(
   name: string,
   files: MemoryFileSystem,
   transport: ConsensusTransport,
   onLeading: () => void = () => undefined,
+  { machine, ...sizes }: MemberOptions = { machine: new ListMachine(), tuning },
 ): Member {
-  const machine = new ListMachine();
   const failures: Failure[] = [];
   const folder = new DataFolder({
     files,
@@ -114,8 +131,8 @@
     machine,
     folder,
     transport,
-    tuning,
     snapshotInterval: 5,
+    ...sizes,
     commitTimeout: 5000,
     clock: systemClock,
     random: createRandomSource(name.charCodeAt(0)),
@@ -143,14 +160,16 @@
 async function openInMemory(
   disks: readonly MemoryFileSystem[],
   onLeading: (name: string, network: MemoryNetwork) => void = () => undefined,
+  createOptions?: () => MemberOptions,
 ): Promise<{ readonly network: MemoryNetwork; readonly members: readonly Member[] }> {
   const network = new MemoryNetwork();
   const manager = createManager();
   const members = names.map((name, position) => {
     const files = disks[position] ?? new MemoryFileSystem();
-    const member = createMember(name, files, network.connect(name), () => {
+    const lead = (): void => {
       onLeading(name, network);
-    });
+    };
+    const member = createMember(name, files, network.connect(name), lead, createOptions?.());
     network.add(name, member.node);
     manager.add(member.node);
     return member;
@@ -279,6 +298,59 @@
   });
 });
 
+// Guards against control hosts that run out of disk and memory because large changes make up few entries.
+describe('a log of large changes', () => {
+  const changeSize = 20_000;
+  const limit = 200_000;
+  const changeCount = 60;
+  /** What is kept, what is applied since the snapshot, the snapshot while it is replaced, and what the files are larger than that. */
+  const folderLimit = 3 * limit;
+  const largeChange = 'x'.repeat(changeSize);
+
+  function openSmall(disks: readonly MemoryFileSystem[]): ReturnType<typeof openInMemory> {
+    return openInMemory(disks, undefined, () => ({
+      machine: new LastCommandMachine(),
+      tuning: {
+        ...tuning,
+        snapshotCharacters: limit,
+        retainedCharacters: limit,
+        windowCharacters: limit,
+      },
+      snapshotInterval: 1000,
+    }));
+  }
+
+  async function changeOften(members: readonly Member[], first: number): Promise<void> {
+    for (let count = first; count < first + changeCount; count += 1) {
+      await proposeSomewhere(members, `${count} ${largeChange}`);
+    }
+  }
+
+  it('stays within its limits in bytes', async () => {
+    const disks = names.map(() => new MemoryFileSystem());
+    const { members } = await openSmall(disks);
+    await changeOften(members, 0);
+    const sizes = disks.map((disk) => disk.size);
+    expect(sizes.filter((size) => size > folderLimit)).toEqual([]);
+  });
+
+  it('brings a follower up to date that missed more than is kept', async () => {
+    const { network, members } = await openSmall([]);
+    await changeOften(members, 0);
+    const leader = await findLeader(members);
+    const follower = findFollower(members, leader);
+    network.partitioned.add(follower.name);
+    await changeOften(
+      members.filter((member) => member !== follower),
+      changeCount,
+    );
+    network.partitioned.clear();
+    const last = `${2 * changeCount - 1} ${largeChange}`;
+    await waitFor('the follower', () => follower.machine.commands.at(-1) === last);
+    expect(follower.machine.commands.length).toBeLessThan(2 * changeCount);
+  });
+});
+
 describe('the streams between control hosts', () => {
   // Guards against a cluster that accepts no change although every host is up: a device between the hosts loses the state of
   // the open connections, so that bytes are lost without an error. Only a new connection works again.
--- a/__tests__/storage/memory-file-system.ts
+++ b/__tests__/storage/memory-file-system.ts
@@ -54,6 +54,11 @@
     file.synced = file.content;
   }
 
+  /** Bytes in all files. */
+  get size(): number {
+    return [...this.#names.values()].reduce((sum, { content }) => sum + content.length, 0);
+  }
+
   has(path: string): boolean {
     return this.#names.has(path);
   }
--- a/src/consensus/consensus-node.ts
+++ b/src/consensus/consensus-node.ts
@@ -14,6 +14,7 @@
 import type { ConsensusEnvelope } from '../generated/pistachiospoke/v1/control_pb.js';
 import {
   ConsensusCore,
+  countCharacters,
   type CommittedEntry,
   type ConsensusEffect,
   type ConsensusEvent,
@@ -104,6 +105,8 @@
   #queuedProposals: Proposal[] = [];
   #snapshotIndex = 0;
   #appliedIndex = 0;
+  /** Size of the commands applied since the last snapshot. */
+  #appliedCharacters = 0;
   #leadingSince: Milliseconds = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -275,6 +278,7 @@
         this.#options.machine.restoreSnapshot(effect.snapshot.index, effect.snapshot.data);
         this.#snapshotIndex = effect.snapshot.index;
         this.#appliedIndex = effect.snapshot.index;
+        this.#appliedCharacters = 0;
         return;
       case 'proposalFailed':
         this.#proposals.settle(effect.proposalId, new Err(effect.failure));
@@ -312,6 +316,7 @@
 
   #apply({ entry, proposalId }: CommittedEntry): void {
     this.#appliedIndex = entry.index;
+    this.#appliedCharacters += countCharacters(entry);
     if (entry.payload.type === 'leaderStart') {
       this.#reportCommittedTerm(entry);
     }
@@ -333,12 +338,15 @@
   }
 
   #takeSnapshotWhenDue(): void {
-    if (this.#appliedIndex - this.#snapshotIndex < this.#options.snapshotInterval) {
+    const { snapshotInterval, tuning, machine } = this.#options;
+    const areFewEntries = this.#appliedIndex - this.#snapshotIndex < snapshotInterval;
+    if (areFewEntries && this.#appliedCharacters < tuning.snapshotCharacters) {
       return;
     }
     const index = this.#appliedIndex;
-    const data = this.#options.machine.takeSnapshot();
+    const data = machine.takeSnapshot();
     this.#snapshotIndex = index;
+    this.#appliedCharacters = 0;
     this.#handle({ type: 'snapshotTaken', now: this.#now(), index, data });
   }
 
--- a/src/consensus/core/entry.ts
+++ b/src/consensus/core/entry.ts
@@ -26,6 +26,11 @@
 export type LogEntry = z.infer<typeof logEntrySchema>;
 export type EntryPayload = z.infer<typeof payload>;
 
+/** Size of an entry; only commands are large. */
+export function countCharacters({ payload }: LogEntry): number {
+  return payload.type === 'command' ? payload.command.length : 0;
+}
+
 /** Position of an entry. */
 export interface LogPosition {
   readonly index: number;
--- a/src/consensus/core/index.ts
+++ b/src/consensus/core/index.ts
@@ -1,5 +1,6 @@
 export { ConsensusCore } from './core.js';
 export {
+  countCharacters,
   hardStateSchema,
   logEntrySchema,
   snapshotSchema,
--- a/src/consensus/core/log.ts
+++ b/src/consensus/core/log.ts
@@ -1,4 +1,4 @@
-import type { LogEntry, LogPosition, Snapshot } from './entry.js';
+import { countCharacters, type LogEntry, type LogPosition, type Snapshot } from './entry.js';
 import { emptyMembership, type Membership } from './membership.js';
 
 /** A membership and the index of the entry that set it. */
@@ -64,6 +64,21 @@
     return this.#entries.slice(Math.max(from - offset, 0), Math.max(through - offset + 1, 0));
   }
 
+  /** First index of the entries before `through` (inclusive) that together stay within both limits; `through + 1` if none does. */
+  findStartWithin(through: number, maximumEntries: number, maximumCharacters: number): number {
+    let start = through + 1;
+    let characters = 0;
+    while (through - start + 1 < maximumEntries) {
+      const entry = this.entryAt(start - 1);
+      characters += entry === undefined ? Infinity : countCharacters(entry);
+      if (characters > maximumCharacters) {
+        return start;
+      }
+      start -= 1;
+    }
+    return start;
+  }
+
   /** First index of the run of entries that share the term of the entry at `index`. */
   findTermStart(index: number): number {
     const term = this.termAt(index);
--- a/src/consensus/core/replication.ts
+++ b/src/consensus/core/replication.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../../common/index.js';
-import type { LogEntry } from './entry.js';
+import { countCharacters, type LogEntry } from './entry.js';
 import type {
   AppendAcceptedMessage,
   AppendMessage,
@@ -203,16 +203,24 @@
     if (this.#needsSnapshot(follower)) {
       return [];
     }
-    const { batchEntries, batchCharacters, windowEntries } = this.#state.settings.tuning;
+    const { batchEntries, batchCharacters, windowEntries, windowCharacters } =
+      this.#state.settings.tuning;
     const windowEnd = follower.matchIndex + windowEntries;
     const from = follower.nextIndex;
     const isStreaming = follower.mode.type === 'streaming';
     const through = Math.min(from + batchEntries - 1, isStreaming ? windowEnd : Infinity);
+    const unacknowledged = isStreaming
+      ? sumCharacters(this.#state.log.slice(follower.matchIndex + 1, from - 1))
+      : 0;
+    const windowLeft = windowCharacters - unacknowledged;
     const entries = this.#state.log.slice(from, through);
     let characters = 0;
     const tooMany = entries.findIndex((entry, position) => {
-      characters += entry.payload.type === 'command' ? entry.payload.command.length : 0;
-      return position > 0 && characters > batchCharacters;
+      characters += countCharacters(entry);
+      // An entry that is larger than a limit is sent by itself.
+      return position === 0
+        ? unacknowledged > 0 && characters > windowLeft
+        : characters > Math.min(batchCharacters, windowLeft);
     });
     return tooMany === -1 ? entries : entries.slice(0, tooMany);
   }
@@ -237,3 +245,7 @@
       : header;
   }
 }
+
+function sumCharacters(entries: readonly LogEntry[]): number {
+  return entries.reduce((sum, entry) => sum + countCharacters(entry), 0);
+}
--- a/src/consensus/core/settings.ts
+++ b/src/consensus/core/settings.ts
@@ -13,11 +13,15 @@
   /** Limits of the entries in one message. */
   readonly batchEntries: number;
   readonly batchCharacters: number;
-  /** Entries that may be sent to a follower before it acknowledges them. */
+  /** Limits of the entries that may be sent to a follower before it acknowledges them. */
   readonly windowEntries: number;
+  readonly windowCharacters: number;
+  /** Size of the commands that are applied before the next snapshot is due. */
+  readonly snapshotCharacters: number;
   readonly snapshotChunkCharacters: number;
-  /** Entries kept before a snapshot, so that followers slightly behind need no snapshot. */
+  /** Limits of the entries kept before a snapshot, so that followers slightly behind need no snapshot. */
   readonly retainedEntries: number;
+  readonly retainedCharacters: number;
   /** Limit of uncommitted proposals; further ones are refused at once. */
   readonly pendingProposals: number;
 }
@@ -35,8 +39,11 @@
   batchEntries: 256,
   batchCharacters: 256 * 1024,
   windowEntries: 2048,
+  windowCharacters: 4 * 1024 * 1024,
+  snapshotCharacters: 4 * 1024 * 1024,
   snapshotChunkCharacters: 256 * 1024,
   retainedEntries: 1000,
+  retainedCharacters: 4 * 1024 * 1024,
   pendingProposals: 4096,
 };
 
--- a/src/consensus/core/state.ts
+++ b/src/consensus/core/state.ts
@@ -169,7 +169,9 @@
       return;
     }
     const snapshot: Snapshot = { index, term, membership: this.log.membershipAt(index), data };
-    const compactThrough = Math.max(index - this.settings.tuning.retainedEntries, 0);
+    const { retainedEntries, retainedCharacters } = this.settings.tuning;
+    const retainedStart = this.log.findStartWithin(index, retainedEntries, retainedCharacters);
+    const compactThrough = Math.max(retainedStart - 1, 0);
     this.log.compact(snapshot, compactThrough);
     this.outbox.persist({ type: 'snapshot', snapshot, compactThrough, discardsLog: false });
   }
