A connection that gives way keeps the bytes before a reset

Callers could lose the last part of a body that was read but still waited for its turn: Node read on meanwhile, and with the reset it discarded what the reader had not taken.

Reading stops now while more than a part of 4 KiB waits, and goes on once the reader has it all, so that a reset is read after these bytes.

--- a/__tests__/wire/upstream-connector.test.ts
+++ b/__tests__/wire/upstream-connector.test.ts
@@ -77,9 +77,11 @@
       work(workForRead);
     }
   });
-  await once(socket, 'end');
+  await new Promise((resolve) => {
+    socket.on('error', () => undefined).on('close', resolve);
+    socket.on('end', () => socket.destroy());
+  });
   clearImmediate(counter);
-  socket.destroy();
   return { received: Buffer.concat(chunks), turns };
 }
 
@@ -98,4 +100,14 @@
     expect(Math.max(...turns)).toBeLessThanOrEqual(limit);
     expect(received.equals(sent)).toBe(true);
   });
+
+  it('hands over all bytes before a reset', async () => {
+    const sent = createBytes().subarray(0, 60 * kilobyte);
+    upstream = new RawUpstream((socket) => {
+      socket.write(sent, () => socket.resetAndDestroy());
+    });
+    await upstream.open();
+    const { received } = await readInTurns(upstream.address, longWork);
+    expect(received.equals(sent)).toBe(true);
+  });
 });
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -44,6 +44,8 @@
   #end: 'closed' | 'reset' | 'reported' | undefined;
   #isOfferingEnd = false;
   #isGivingWay = false;
+  /** Whether reading goes on once the reader has all bytes that were read. */
+  #isReadOwed = false;
   /** Bytes that the reader got since the connection last gave way. */
   #bytesInTurn = 0;
   /** Undefined if the reader got no bytes the last time. */
@@ -61,7 +63,8 @@
         this.destroy(new EndlessHeadError());
         return false;
       }
-      return super.push(chunk, encoding);
+      // Node stops reading then; a reset that it read would discard the bytes that wait for their turn.
+      return super.push(chunk, encoding) && this.readableLength <= maximumReadBytes;
     }
     if (this.#end === undefined) {
       this.#end = this.#hasPeer() ? 'closed' : 'reset';
@@ -71,7 +74,9 @@
   }
 
   override _read(size: number): void {
-    if (this.#end === undefined) {
+    if (this.readableLength > maximumReadBytes) {
+      this.#isReadOwed = true;
+    } else if (this.#end === undefined) {
       super._read(size);
     }
   }
@@ -94,6 +99,10 @@
     const chunk: unknown = super.read(size ?? part);
     this.#bytesInTurn += Buffer.isBuffer(chunk) ? chunk.length : 0;
     this.#lastReadAt = chunk === null ? undefined : performance.now();
+    if (chunk === null && this.#isReadOwed) {
+      this.#isReadOwed = false;
+      this._read(this.readableHighWaterMark);
+    }
     return chunk;
   }
 
