The caller that reads tries again where the busy test closes its connection unread

'callers that do not read are closed when the memory budget is exceeded, and others are served' was red once beside other tests, with 'socket hang up' for the caller that reads.

Cause: gateway, upstream and callers of this test share one event loop. When that is late three times in a row, the gateway closes new connections unread, as its documentation says.

The caller now tries again as callers do, but only if the gateway has counted exactly its connection as closed unread; any other failure is one as before. All other checks are as they were.

--- a/__tests__/direct/memory-guard.test.ts
+++ b/__tests__/direct/memory-guard.test.ts
@@ -1,6 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { text } from 'node:stream/consumers';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { Registry } from 'prom-client';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -19,6 +20,8 @@
 const bufferBytes = 40_000;
 const chunk = 'x'.repeat(50_000);
 const slowCallers = 5;
+/** Time after which a caller tries again, in milliseconds. */
+const retryInterval = 20;
 const registry = new Registry();
 const upstream = new TestUpstream();
 const sockets: Socket[] = [];
@@ -98,6 +101,30 @@
   return Number(line?.[1] ?? 0);
 }
 
+async function countUnread(): Promise<number> {
+  const page = await registry.metrics();
+  const line = /pistachiospoke_connections_shed_total (\d+)/.exec(page);
+  return Number(line?.[1] ?? Number.NaN);
+}
+
+/**
+ * The gateway closes new connections unread while the event loop, which it shares with this test, is busy. Their callers try again; a
+ * connection that fails without being counted as closed for this reason is an error.
+ */
+async function callUntilAccepted(): Promise<string> {
+  for (;;) {
+    const before = await countUnread();
+    try {
+      return await callAndRead();
+    } catch (error) {
+      if ((await countUnread()) !== before + 1) {
+        throw error;
+      }
+    }
+    await pause(retryInterval);
+  }
+}
+
 describe('callers that do not read', () => {
   /**
    * Guards against a gateway that runs out of memory, and against a budget that makes other callers pay. Callers stop reading long responses;
@@ -123,7 +150,7 @@
     };
     Array.from({ length: slowCallers }, callWithoutReading);
     await waitFor('closed connections', async () => (await countClosed()) >= 1);
-    expect(await callAndRead()).toBe(chunk);
+    expect(await callUntilAccepted()).toBe(chunk);
     await waitFor('the end of a request at the upstream', () => ended >= 1);
     await waitFor('memory below the budget', async () => (await readHeldBytes()) <= bufferBytes);
   });
