An account whose name can't stand in a header field is refused with its document

Cause: upstreams get the name in a header field; the HTTP client refuses to write it while the attempt is being created, and the error is lost.

Why this works: the check is made where a change is submitted, and names the account; what is in the log already is applied as before. Names of Latin-1 go on being served.

--- a/__tests__/routing/documents.test.ts
+++ b/__tests__/routing/documents.test.ts
@@ -37,6 +37,21 @@
     expect(result.err && result.val.code).toBe('invalidRouting');
   });
 
+  // Guards against an account that is acknowledged, and whose requests then fail at their time limit, each of them.
+  it.each(['ሰላም', 'a\nb', 'a\u0000', '\u007f', ' a', 'a ', '\u{1f600}'])(
+    'refuses an account whose name cannot stand in a header field: %j',
+    async (name) => {
+      const accounts = [{ name, keys: ['key'] }];
+      const result = await checkRoutingDocument({ ...createDocument(), accounts });
+      expect(result.err && result.val.detail).toContain(JSON.stringify(name));
+    },
+  );
+
+  it.each(['a', 'é', 'north east', 'a\tb', '!~'])('accepts the account name %j', async (name) => {
+    const accounts = [{ name, keys: ['key'] }];
+    expect((await checkRoutingDocument(createDocument({ accounts }))).ok).toBe(true);
+  });
+
   it('does not reveal a key in its message', async () => {
     const accounts = [
       { name: 'a', keys: ['secret-key'] },
--- a/src/routing/check.ts
+++ b/src/routing/check.ts
@@ -7,6 +7,9 @@
 
 /** Validates routing documents before they are appended to the log. A document that fails is rejected and never takes effect. */
 
+/** Visible characters of Latin-1, with spaces and tabs between them. */
+const fieldValue = /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
+
 /** A document whose routes are still to be validated. */
 const outlineSchema = z.strictObject({
   ...routingDocumentSchema.unwrap().shape,
@@ -29,6 +32,7 @@
   const problems = [
     ...findUnknownServices(document),
     ...findWeightlessRoutes(document),
+    ...findUnsendableAccounts(document),
     ...findDuplicates('service', document.services, ({ name }) => name),
     ...findDuplicates('place', document.routes, ({ host, pathPrefix }) => `${host}${pathPrefix}`),
     ...findDuplicates('key', listKeys(document), ({ key }) => key, describeKeyOwner),
@@ -59,6 +63,13 @@
     .map(({ name }) => `the weights of route ${name} add up to 0`);
 }
 
+/** Upstreams get the name in a header field; a request of an account whose name can't stand there would never be sent. */
+function findUnsendableAccounts({ accounts }: RoutingDocument): readonly string[] {
+  return (accounts ?? [])
+    .filter(({ name }) => !fieldValue.test(name))
+    .map(({ name }) => `the name of account ${JSON.stringify(name)} can't stand in a header field`);
+}
+
 interface OwnedKey {
   readonly key: string;
   readonly account: string;
