--- a/__tests__/platform/test-engine.ts
+++ b/__tests__/platform/test-engine.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { Flood } from '../support/flood.js';
 import { usualEventInterval, writeEvents, type StreamWriter } from './event-stream.js';
 import { beginWork, endWork, type Work } from './work.js';
 
@@ -53,7 +54,7 @@
   '/order': 'order',
 };
 
-type EngineCall = 'report' | 'health' | 'order' | 'stream';
+export type EngineCall = 'report' | 'health' | 'order' | 'stream';
 
 export class TestEngine {
   readonly #initialId: string;
@@ -91,6 +92,10 @@
     order: [],
     stream: [],
   };
+  /** Bytes that are sent without end in place of the responses to a call: the beginning, and what is repeated. */
+  endless: { readonly call: EngineCall; readonly bytes: readonly [string, string] } | undefined;
+  /** The endless responses that were begun. */
+  readonly floods: Flood[] = [];
   /** Number of the next orders that get no response and are held back until `executeHeldOrders`. */
   ordersToHold = 0;
   readonly #heldOrders: OrderBody[] = [];
@@ -194,6 +199,10 @@
       request.socket.write(faulty);
       return;
     }
+    if (this.endless?.call === (engineCalls[url] ?? 'stream')) {
+      this.floods.push(new Flood(request.socket, ...this.endless.bytes));
+      return;
+    }
     switch (url) {
       case '/report':
         await pause(this.reportDelay);
