Both tests of late work stop their gateways in the same way

The parts of callers, the connections that write them and the signal stood in the test of each gateway; support/stop-while has them now. What the tests send and expect is as it was.

--- a/__tests__/processes/path-gateway-late-work.test.ts
+++ b/__tests__/processes/path-gateway-late-work.test.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { setTimeout as pause } from 'node:timers/promises';
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import { createRandomSource } from '../../src/common/index.js';
 import { TestUpstream } from '../direct/upstream.js';
 import { AnnouncedUpstream } from '../support/announced-upstream.js';
-import { Fleet, fleetService, OpenConnection, waitFor } from '../support/index.js';
-import { readResponses, type ReadResponse } from '../support/read-responses.js';
+import { Fleet, fleetService, waitFor } from '../support/index.js';
+import type { ReadResponse } from '../support/read-responses.js';
+import { beforeSignal, stopWhile, type Part } from '../support/stop-while.js';
 import { formatOwnHead } from './gateway-callers.js';
 
 /** Times in milliseconds; those of parts are after the signal. What is not over gets its answer half a second before the end. */
@@ -19,7 +19,6 @@
 };
 /** Work that does not end by itself before the gateway has stopped. */
 const endless = 2 * end;
-const beforeSignal = -200;
 const path = `/services/${fleetService}/a`;
 
 let fleet: Fleet;
@@ -66,11 +65,6 @@
   });
 }
 
-interface Part {
-  readonly at: number;
-  readonly text: string;
-}
-
 interface Request {
   readonly id: string;
   readonly run?: number;
@@ -97,23 +91,10 @@
   return upstream.received.some(({ headers }) => headers['x-id'] === id);
 }
 
-/** Stops the gateway while callers write their parts, and returns what each of them received. */
-async function stopWhile(
+function stopGatewayWhile(
   callers: readonly (readonly Part[])[],
 ): Promise<readonly (readonly ReadResponse[])[]> {
-  const { host } = new URL(fleet.origin());
-  const connections = await Promise.all(callers.map(() => OpenConnection.open(host)));
-  const signalAt = performance.now() - beforeSignal;
-  const written = callers.flatMap((parts, caller) =>
-    parts.map(async ({ at, text }) => {
-      await pause(Math.max(0, signalAt + at - performance.now()));
-      connections[caller]?.write(text);
-    }),
-  );
-  await pause(signalAt - performance.now());
-  fleet.member('gateway-1').program.signal('SIGTERM');
-  await Promise.all([...written, ...connections.map(({ closed }) => closed)]);
-  return connections.map(({ received }) => readResponses(received));
+  return stopWhile(fleet.member('gateway-1').program, new URL(fleet.origin()).host, callers);
 }
 
 /** Every request that the upstream got has a whole response, and every other one is rejected or has none. */
@@ -156,7 +137,7 @@
         return { ids, parts };
       }),
     );
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ ids }, index) => {
       expectDefinite(ids, received[index] ?? []);
     });
@@ -187,7 +168,7 @@
       }),
     );
     const cases = [...work, ...bodies];
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ ids }, index) => {
       expectDefinite(ids, received[index] ?? []);
     });
@@ -202,7 +183,7 @@
       const text = formatRequest({ id, run: Math.floor(random.fraction() * 800), isRepeatable });
       return { id, parts: [{ at: Math.floor(random.fraction() * end), text }] };
     });
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ id }, index) => {
       expectDefinite([id], received[index] ?? []);
     });
--- a/__tests__/processes/platform-gateway-late-work.test.ts
+++ b/__tests__/processes/platform-gateway-late-work.test.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { setTimeout as pause } from 'node:timers/promises';
 
 import { createRandomSource } from '../../src/common/index.js';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -7,15 +6,15 @@
 import { PlatformDeployment } from '../platform/deployment.js';
 import { createServiceHeaders, PlainService, servicePaths } from '../platform/plain-service.js';
 import { handleSoundly } from '../platform/spoiled-stream.js';
-import { formatHead, OpenConnection } from '../support/index.js';
-import { readResponses, type ReadResponse } from '../support/read-responses.js';
+import { formatHead } from '../support/index.js';
+import type { ReadResponse } from '../support/read-responses.js';
+import { beforeSignal, stopWhile, type Part } from '../support/stop-while.js';
 
 /** Times in milliseconds; those of parts are after the signal. The port of a gateway closes after half of the grace period. */
 const grace = 3000;
 const portCloses = grace / 2;
 /** Work that does not end by itself before the end of the grace period. */
 const endless = 2 * grace;
-const beforeSignal = -200;
 
 let deployment: PlatformDeployment;
 let service: PlainService;
@@ -61,12 +60,6 @@
   });
 }
 
-/** Bytes that are written to a connection some time after the signal. */
-interface Part {
-  readonly at: number;
-  readonly text: string;
-}
-
 interface Request {
   readonly id: string;
   readonly path: string;
@@ -90,25 +83,13 @@
   );
 }
 
-/** Stops a gateway while callers write their parts, and returns what each of them received. */
-async function stopWhile(
+/** Stops the next gateway. */
+function stopGatewayWhile(
   callers: readonly (readonly Part[])[],
 ): Promise<readonly (readonly ReadResponse[])[]> {
   const index = stoppedCount;
   stoppedCount += 1;
-  const address = deployment.gatewayAddress(index);
-  const connections = await Promise.all(callers.map(() => OpenConnection.open(address)));
-  const signalAt = performance.now() - beforeSignal;
-  const written = callers.flatMap((parts, caller) =>
-    parts.map(async ({ at, text }) => {
-      await pause(Math.max(0, signalAt + at - performance.now()));
-      connections[caller]?.write(text);
-    }),
-  );
-  await pause(signalAt - performance.now());
-  deployment.gatewayProgram(index).signal('SIGTERM');
-  await Promise.all([...written, ...connections.map(({ closed }) => closed)]);
-  return connections.map(({ received }) => readResponses(received));
+  return stopWhile(deployment.gatewayProgram(index), deployment.gatewayAddress(index), callers);
 }
 
 /** Every request that an upstream got has a whole response, and every other one is rejected or has none. */
@@ -152,7 +133,7 @@
         return { ids, parts };
       }),
     );
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ ids }, index) => {
       expectDefinite(ids, received[index] ?? []);
     });
@@ -162,7 +143,7 @@
   it('passes on no request behind a stream that has begun', async () => {
     const stream = { path: servicePaths.flowOnce, run: endless, begins: true };
     const laters = [beforeSignal, -100, 500, portCloses + 100];
-    const received = await stopWhile(
+    const received = await stopGatewayWhile(
       laters.map((at) => [
         { at: beforeSignal, text: formatRequest({ ...stream, id: `stream-${at}` }) },
         { at, text: formatRequest({ id: `behind-${at}`, path: servicePaths.once }) },
@@ -198,7 +179,7 @@
       }),
     );
     const cases = [...work, ...bodies];
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ ids }, index) => {
       expectDefinite(ids, received[index] ?? []);
     });
@@ -216,7 +197,7 @@
       const text = formatRequest({ id, path, run: Math.floor(random.fraction() * 1000) });
       return { id, parts: [{ at: Math.floor(random.fraction() * grace), text }] };
     });
-    const received = await stopWhile(cases.map(({ parts }) => parts));
+    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
     cases.forEach(({ id }, index) => {
       expectDefinite([id], received[index] ?? []);
     });
--- /dev/null
+++ b/__tests__/support/stop-while.ts
@@ -0,0 +1,36 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
+import { OpenConnection } from './open-connection.js';
+import type { RunningProgram } from './programs.js';
+import { readResponses, type ReadResponse } from './read-responses.js';
+
+/** Stops a gateway in the middle of what its callers write. Times in milliseconds after the signal. */
+
+/** Earliest time of a part; the connections are open by then. */
+export const beforeSignal = -200;
+
+/** Bytes that are written to a connection. */
+export interface Part {
+  readonly at: number;
+  readonly text: string;
+}
+
+/** Writes the parts of each caller to a connection of its own, and returns what each of them received. */
+export async function stopWhile(
+  program: RunningProgram,
+  address: string,
+  callers: readonly (readonly Part[])[],
+): Promise<readonly (readonly ReadResponse[])[]> {
+  const connections = await Promise.all(callers.map(() => OpenConnection.open(address)));
+  const signalAt = performance.now() - beforeSignal;
+  const written = callers.flatMap((parts, caller) =>
+    parts.map(async ({ at, text }) => {
+      await pause(Math.max(0, signalAt + at - performance.now()));
+      connections[caller]?.write(text);
+    }),
+  );
+  await pause(signalAt - performance.now());
+  program.signal('SIGTERM');
+  await Promise.all([...written, ...connections.map(({ closed }) => closed)]);
+  return connections.map(({ received }) => readResponses(received));
+}
