--- a/src/control/routing/routing-control.ts
+++ b/src/control/routing/routing-control.ts
@@ -63,6 +63,7 @@
 /** Interval of status messages to watchers; also how often the leader checks for silent instances. */
 const statusInterval: Milliseconds = 500;
 const failedReadLogLimit = { burst: 20, perSecond: 1 };
+
 /** Options of routing on a control host. */
 export interface RoutingControlOptions {
   readonly log: ReplicatedLog<CommandAnswer>;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -6,7 +6,6 @@
 import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
-import { mayBelongTo } from './dialect.js';
 import {
   DeliveryController,
   type ChoiceMode,
@@ -349,7 +348,7 @@
     const facts = dialect.readResponse(status, headers);
     this.#hasResponseHead = true;
     observer.noteResponse(target, facts, { requestId, sentAt: this.#sentAt });
-    if (!mayBelongTo(facts, requestId)) {
+    if (facts.requestId !== requestId) {
       // A late response to an earlier request on this connection. The outcome of the present request is unknown.
       this.#failAttempt(attempt, target, 'response belongs to another request');
       return;
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -47,10 +47,8 @@
   readonly isNotRun: boolean;
   /** Whether the response is a success without the receipt that upstreams add to each, or in an encoding; its bytes answer no request. */
   readonly isUnproven: boolean;
-  /** The request that the response belongs to; undefined if the upstream does not say. */
+  /** The request that the response belongs to; undefined if the upstream does not say. A response that does not name its request answers none. */
   readonly requestId: string | undefined;
-  /** Whether the response has to say to which request it belongs. */
-  readonly needsRequestId: boolean;
   readonly load: UpstreamLoad | undefined;
   /** Whether the request reached an upstream other than the intended one. */
   readonly isMisdirected: boolean;
@@ -64,16 +62,6 @@
   readonly coldFor: Milliseconds | undefined;
 }
 
-/** Whether a response may be the one to the request with the given identifier, rather than a late one to an earlier request. */
-export function mayBelongTo(
-  { requestId, needsRequestId }: ResponseMetadata,
-  identifier: string | undefined,
-): boolean {
-  return requestId === undefined
-    ? identifier === undefined || !needsRequestId
-    : requestId === identifier;
-}
-
 /** Header names and values alternating, as in Node's `rawHeaders`. */
 export type RawHeaders = readonly string[];
 
--- a/src/gateway/direct/upstream-observer.ts
+++ b/src/gateway/direct/upstream-observer.ts
@@ -9,7 +9,7 @@
 import { formatIdentity } from '../../routing/index.js';
 import type { EventFault } from '../events/index.js';
 import type { DirectMetrics } from './direct-metrics.js';
-import { mayBelongTo, type ResponseMetadata } from './dialect.js';
+import type { ResponseMetadata } from './dialect.js';
 
 /** Records what the headers of responses say about the upstreams that sent them. */
 
@@ -121,17 +121,16 @@
 
   #noteCold(
     { key, instance }: Target,
-    facts: ResponseMetadata,
+    { isMisdirected, requestId: answeredId, coldFor }: ResponseMetadata,
     { requestId }: AnsweredRequest,
   ): void {
-    const { isMisdirected, coldFor } = facts;
     const { permits, clock, log } = this.#options;
     const upstream = formatIdentity(instance);
     if (isMisdirected) {
       permits.noteMisdirected(upstream);
       return;
     }
-    if (coldFor === undefined || !mayBelongTo(facts, requestId)) {
+    if (coldFor === undefined || answeredId !== requestId) {
       return;
     }
     if (permits.noteCold(upstream, coldFor, clock.monotonic())) {
@@ -142,11 +141,10 @@
   /** Ignores responses from another upstream or to another request: their rate limit may not be that of the target. */
   #noteRateLimit(
     target: Target,
-    facts: ResponseMetadata,
+    { isMisdirected, requestId: answeredId, requestsPerSecond }: ResponseMetadata,
     { requestId, sentAt }: AnsweredRequest,
   ): void {
-    const { isMisdirected, requestsPerSecond } = facts;
-    if (isMisdirected || !mayBelongTo(facts, requestId)) {
+    if (isMisdirected || answeredId !== requestId) {
       return;
     }
     const { permits, clock, log } = this.#options;
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -11,6 +11,7 @@
   createUpstreamConnector,
   isFramedResponse,
   LimitedClient,
+  maximumUnreadBytes,
   type LimitedRequestOptions,
 } from '../../wire/index.js';
 import type { HeaderField, UpstreamRequest } from './messages.js';
@@ -40,8 +41,6 @@
 }
 
 const connectTimeout: Milliseconds = 1000;
-/** Bytes of a response that wait to be read. They may come one by one, and an object for each of them needs a hundred times its memory. */
-const maximumUnreadBytes = 16 * 1024;
 
 /** Codes of errors that occur before any byte of the request is sent. */
 const unsentErrorCodes: ReadonlySet<string> = new Set([
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -29,6 +29,7 @@
 export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
 export {
   createUpstreamConnector,
+  maximumUnreadBytes,
   UpstreamSocket,
   type UpstreamConnectorOptions,
 } from './upstream-connector.js';
--- a/src/wire/upstream-connector.ts
+++ b/src/wire/upstream-connector.ts
@@ -6,6 +6,8 @@
 
 /** TCP connections to upstreams for undici, on which a reset is never taken for the end of a response. */
 
+/** Bytes of a response that wait to be read. They may come one by one, and an object for each of them needs a hundred times its memory. */
+export const maximumUnreadBytes = 16 * 1024;
 /** Bytes that a reader gets at once, so that even the costliest to parse take little time. */
 const maximumReadBytes = 4 * 1024;
 /** A connection gives way to the others after so many bytes. */
