A slow gateway in a test leaves bytes that connections cannot compress

A whole check was red once: a sidecar owed nothing while its gateway had not read the answer. Cause: the answer was of zeros, which connections compress to nothing, so they took all of it without the gateway reading, and the verdict hung on the moment of the poll.

--- a/__tests__/requests/sidecar-drain.test.ts
+++ b/__tests__/requests/sidecar-drain.test.ts
@@ -1,3 +1,5 @@
+import { randomBytes } from 'node:crypto';
+
 import { createClient } from '@connectrpc/connect';
 import { createGrpcTransport } from '@connectrpc/connect-node';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -8,8 +10,8 @@
 import { admit, Cleanup, incarnation, modelGroup, startSidecar, startUpstream } from './fixture.js';
 
 const group = modelGroup('unused');
-/** More than connections hold on their way, and less than the sidecar queues. */
-const answerBytes = 1_500_000;
+/** Random bytes, which connections cannot compress: more than they hold on their way, and less than the sidecar queues. */
+const answer = randomBytes(200_000);
 const order = {
   name: { requestId: '1-a', attempt: 1, incarnation },
   group: group.name,
@@ -34,12 +36,12 @@
   // Failure: a stopping sidecar leaves with the end of an answer that a slow gateway has not read, and the answer is cut.
   it('owes the answer until the gateway has read it', async () => {
     const url = await startUpstream((_, response) => {
-      response.end(Buffer.alloc(answerBytes));
+      response.end(answer);
     }, cleanup);
     const { service, address } = await startSidecar(url, admit(group), cleanup);
     const transport = createGrpcTransport({ baseUrl: `http://${address}` });
-    const answer = createClient(AttemptService, transport).run(encodeRun(order, request));
-    const reader = answer[Symbol.asyncIterator]();
+    const messages = createClient(AttemptService, transport).run(encodeRun(order, request));
+    const reader = messages[Symbol.asyncIterator]();
     await reader.next();
     await waitFor('the upstream to have answered', () => service.unfinishedCount === 0);
     expect(service.owedCount).toBe(1);
