A status that promises "not run" needs the upstream's statement

What callers saw: 503, 429 or 408 for a request that must not run twice, although its upstream may have run it. These statuses tell a caller that the request has not run, so it sends it again.

Cause: a rejection that named its request was passed on, whether or not the upstream said that it had not run the request. Only that statement keeps the promise; the status alone is believed because it comes on a connection that works.

Change: on the platform a 503, 429 or 408 without the statement is unproven, as a success without a receipt is. The attempt counts as broken: the request is repeated where it may be, or answered with 502. A 421 is a statement by itself, as before. Pauses that such a response asks for still count.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -410,6 +410,26 @@
   });
 });
 
+// Guards against a caller that is told that its request has not run, and repeats it, although the upstream does not say so.
+describe('a status that promises that the request has not run', () => {
+  it.each([503, 429, 408])(
+    'is not passed on without a statement of the upstream: %i',
+    async (status) => {
+      changeView({
+        instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+      });
+      for (const upstream of [first, second]) {
+        upstream.handle = (_, response) => {
+          response.writeHead(status, { 'retry-after': '0.1' }).end('it ran');
+        };
+      }
+      const answer = await call('POST', '/book/7').answer;
+      expect(answer.status).toBe(502);
+      expect(first.received.length + second.received.length).toBe(1);
+    },
+  );
+});
+
 // Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
 describe('an upstream whose responses belong to other requests', () => {
   const requestCount = 20;
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -365,7 +365,7 @@
       return;
     }
     if (facts.isUnproven) {
-      this.#failAttempt(attempt, target, `unproven success: status ${status}`);
+      this.#failAttempt(attempt, target, `unproven response: status ${status}`);
       return;
     }
     if (isUpstreamFailure(status)) {
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -45,7 +45,10 @@
 export interface ResponseMetadata {
   /** Whether the upstream did not run the request and never will. */
   readonly isNotRun: boolean;
-  /** Whether the response is a success without the receipt that upstreams add to each, or in an encoding; its bytes answer no request. */
+  /**
+   * Whether the response claims what it does not prove; its bytes answer no request. A success needs the receipt that upstreams add to each,
+   * and no encoding; a status that tells callers that their request has not run needs the upstream's statement that it has not.
+   */
   readonly isUnproven: boolean;
   /** The request that the response belongs to; undefined if the upstream does not say. A response that does not name its request answers none. */
   readonly requestId: string | undefined;
