A success that says that its request has not run proves neither

What upstreams saw: a request that must not run twice was sent to a second upstream after a success with a receipt, because the response also said that the request had not run. If the second one answered likewise, the caller got 503 and could repeat it once more.

Cause: the statement was believed in any response. It belongs to rejections; a faulty upstream that sends both a success and the statement contradicts itself.

Change: on the platform the statement counts only in a response that is no success, and a success with it is unproven: the request is repeated where it may be, or answered with 502.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -430,6 +430,23 @@
   );
 });
 
+// Guards against a request that runs twice because a success also says that it has not run.
+describe('a success that says that its request has not run', () => {
+  it('is neither passed on nor a reason to repeat the request', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    for (const upstream of [first, second]) {
+      upstream.handle = (_, response) => {
+        response.writeHead(200, { 'x-not-executed': '1' }).end('it ran');
+      };
+    }
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(first.received.length + second.received.length).toBe(1);
+  });
+});
+
 // Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
 describe('an upstream whose responses belong to other requests', () => {
   const requestCount = 20;
--- a/src/gateway/direct/dialect.ts
+++ b/src/gateway/direct/dialect.ts
@@ -47,7 +47,8 @@
   readonly isNotRun: boolean;
   /**
    * Whether the response claims what it does not prove; its bytes answer no request. A success needs the receipt that upstreams add to each,
-   * and no encoding; a status that tells callers that their request has not run needs the upstream's statement that it has not.
+   * no encoding, and no statement that its request has not run; a status that tells callers that their request has not run needs that
+   * statement.
    */
   readonly isUnproven: boolean;
   /** The request that the response belongs to; undefined if the upstream does not say. A response that does not name its request answers none. */
