A response in an unknown transfer coding answers no request

What callers saw: compressed bytes as the body of a success, with its receipt and without any sign that they are compressed.

Cause: the transfer coding ends with the connection of the upstream, so it is not passed on; but nothing decodes it, and only the last coding was looked at, for the end of the body. A faulty head was believed for the rest.

Change: a response with any coding but chunks (or "identity", which is none) is no answer, as one with a content encoding is none.

Sidecars pass such bodies on as before.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -360,6 +360,23 @@
   });
 });
 
+// Guards against compressed bytes that reach a caller as plain ones, because the coding ends with the connection of the upstream.
+describe('a success with a transfer coding beside chunks', () => {
+  it.each(['gzip, chunked', 'chunked, chunked'])(
+    'is no answer to the request: %s',
+    async (codings) => {
+      changeView({ instances: new Map([createInstance('i-1', first)]) });
+      first.handle = (_request, response) => {
+        response.setHeader('transfer-encoding', codings);
+        response.end('of no run');
+      };
+      const { status, body } = await call('POST', '/book/7').answer;
+      expect(status).toBe(502);
+      expect(body).not.toContain('of no run');
+    },
+  );
+});
+
 // Guards against a success without a receipt that passes for one with a receipt, because the field is there.
 describe('a success whose receipt cannot be read', () => {
   it.each([
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -3,6 +3,7 @@
 import { assertNever, type Failure, type Milliseconds } from '../../common/index.js';
 import type { Dispatch, Target, TargetChoice, TargetCriteria } from '../../dispatch/index.js';
 import { formatIdentity } from '../../routing/index.js';
+import { isPlainBody } from '../../wire/index.js';
 import { EventReader, findFirstNumber, type EventFault } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import { DeliveryCrashes } from './delivery-crashes.js';
@@ -364,6 +365,10 @@
       this.#handle({ type: 'refused', now: this.#now() });
       return;
     }
+    if (!isPlainBody(headers['transfer-encoding'])) {
+      this.#failAttempt(attempt, target, 'response in an unknown transfer coding');
+      return;
+    }
     if (facts.isUnproven) {
       this.#failAttempt(attempt, target, `unproven response: status ${status}`);
       return;
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -24,7 +24,7 @@
   type LimitedClientOptions,
   type LimitedRequestOptions,
 } from './limited-client.js';
-export { isFramedResponse } from './response-framing.js';
+export { isFramedResponse, isPlainBody } from './response-framing.js';
 export { RpcClientPool } from './rpc-client.js';
 export { createRpcServer, type RpcServerOptions } from './rpc-server.js';
 export {
