A receipt that is not passed on proves no success

What callers saw: a success without its receipt.

Cause: the field that makes a success proven was looked for in the head of the upstream, but the fields that its Connection field names are not passed on, and that may name the receipt.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -377,6 +377,19 @@
   );
 });
 
+// Guards against a success that reaches its caller without its receipt, because the upstream says that it concerns the connection only.
+describe('a success whose receipt is named as a field of the connection', () => {
+  it('is no answer to the request', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('connection', 'close, X-Response-Seal');
+      response.end('of no run');
+    };
+    const { status, headers } = await call('POST', '/book/7').answer;
+    expect({ status, receipt: headers['x-response-seal'] }).toEqual({ status: 502 });
+  });
+});
+
 // Guards against a success without a receipt that passes for one with a receipt, because the field is there.
 describe('a success whose receipt cannot be read', () => {
   it.each([
