Sidecars pass on no response in an unknown transfer coding

What callers saw: compressed bytes as the body of a response of their model, without any sign that they are compressed.

Cause: as at the direct gateway, the coding ends with the connection of the upstream, and nothing decodes it.

Change: such a response counts as none, and its connection is closed.

Evidence: two new tests of requests/spoiled-streams, a stream and a body, failed in 1 of 1 run: status 200.

Result: 73 of 73 tests of requests/spoiled-streams and requests/arbitrary-responses.

--- a/__tests__/requests/spoiled-streams.test.ts
+++ b/__tests__/requests/spoiled-streams.test.ts
@@ -105,3 +105,24 @@
     expect(await readStream(await startPath([text]))).toBe(text);
   });
 });
+
+// Guards against compressed bytes that reach a caller as plain ones, because the coding ends with the connection of the upstream.
+describe.each([true, false])(
+  'a response in an unknown transfer coding, as a stream: %s',
+  (stream) => {
+    it('does not reach the caller', async () => {
+      const upstream = await startUpstream((request, response) => {
+        request.resume();
+        const type = stream ? 'text/event-stream' : 'application/json';
+        response.writeHead(200, { 'content-type': type, 'transfer-encoding': 'gzip, chunked' });
+        response.end('data: of no run\n\n');
+      }, cleanup);
+      const sidecar = await startSidecar(upstream, admit(modelGroup('', 1)), cleanup);
+      const watched = new FakeWatched();
+      watched.set([modelGroup(sidecar.address, 1)]);
+      const response = await chat((await startGateway(watched, cleanup)).url, { stream });
+      expect(response.status).toBeGreaterThanOrEqual(500);
+      expect(await response.text()).not.toContain('of no run');
+    });
+  },
+);
--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -10,6 +10,7 @@
 import {
   createUpstreamConnector,
   isFramedResponse,
+  isPlainBody,
   LimitedClient,
   maximumUnreadBytes,
   type LimitedRequestOptions,
@@ -95,6 +96,10 @@
     try {
       const response = await sendRequest(new URL(request.path, baseUrl), options);
       client?.noteHead(response.statusCode);
+      if (!isPlainBody(response.headers['transfer-encoding'])) {
+        response.body.on('error', () => undefined).destroy();
+        throw new Error('the response is in an unknown transfer coding');
+      }
       return {
         status: response.statusCode,
         headers: listHeaders(response.headers),
