A stream whose group is lost right after a fault is continued once

New test: the loss of the group comes in the turn of the fault, 1 ms and 5 ms after it. The stream moved once in each.

--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -1147,6 +1147,34 @@
     expect(answer?.body ?? '').not.toContain('no event');
   });
 
+  // Guards against events that come twice or are lost, because a stream is moved for the loss of its group and for the fault.
+  it.each([0, 1, 5])(
+    'are continued once if their group is lost %i ms after a fault',
+    async (delay) => {
+      openGroups(true);
+      handleInTurn(
+        (_, response) => {
+          const left = first.received.length > 0 ? second : first;
+          response.write(sound);
+          setTimeout(() => {
+            response.end('no event\n\n');
+            setTimeout(() => {
+              changeView({
+                engineGroups: new Map([createGroup(left === first ? 'small/1' : 'small/2', left)]),
+              });
+            }, delay);
+          }, 20);
+        },
+        (_, response) => {
+          response.end(rest);
+        },
+      );
+      const { body, isWhole } = await call('POST', '/draft/7', model).answer;
+      expect({ body, isWhole }).toEqual({ body: `${sound}${rest}`, isWhole: true });
+      expect(first.received.length + second.received.length).toBe(2);
+    },
+  );
+
   // Guards against an event whose caller does not find its identifier, because a byte order mark comes before it.
   it('pass on no byte order mark of the response that resumes them', async () => {
     openGroups(true);
