--- a/__tests__/direct/direct-gateway.test.ts
+++ b/__tests__/direct/direct-gateway.test.ts
@@ -360,6 +360,36 @@
   });
 });
 
+// Guards against compressed bytes that reach a caller as plain ones, because the coding ends with the connection of the upstream.
+describe('a success with a transfer coding beside chunks', () => {
+  it.each(['gzip, chunked', 'chunked, chunked'])(
+    'is no answer to the request: %s',
+    async (codings) => {
+      changeView({ instances: new Map([createInstance('i-1', first)]) });
+      first.handle = (_request, response) => {
+        response.setHeader('transfer-encoding', codings);
+        response.end('of no run');
+      };
+      const { status, body } = await call('POST', '/book/7').answer;
+      expect(status).toBe(502);
+      expect(body).not.toContain('of no run');
+    },
+  );
+});
+
+// Guards against a success that reaches its caller without its receipt, because the upstream says that it concerns the connection only.
+describe('a success whose receipt is named as a field of the connection', () => {
+  it('is no answer to the request', async () => {
+    changeView({ instances: new Map([createInstance('i-1', first)]) });
+    first.handle = (_request, response) => {
+      response.setHeader('connection', 'close, X-Response-Seal');
+      response.end('of no run');
+    };
+    const { status, headers } = await call('POST', '/book/7').answer;
+    expect({ status, receipt: headers['x-response-seal'] }).toEqual({ status: 502 });
+  });
+});
+
 // Guards against a success without a receipt that passes for one with a receipt, because the field is there.
 describe('a success whose receipt cannot be read', () => {
   it.each([
@@ -410,6 +440,43 @@
   });
 });
 
+// Guards against a caller that is told that its request has not run, and repeats it, although the upstream does not say so.
+describe('a status that promises that the request has not run', () => {
+  it.each([503, 429, 408])(
+    'is not passed on without a statement of the upstream: %i',
+    async (status) => {
+      changeView({
+        instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+      });
+      for (const upstream of [first, second]) {
+        upstream.handle = (_, response) => {
+          response.writeHead(status, { 'retry-after': '0.1' }).end('it ran');
+        };
+      }
+      const answer = await call('POST', '/book/7').answer;
+      expect(answer.status).toBe(502);
+      expect(first.received.length + second.received.length).toBe(1);
+    },
+  );
+});
+
+// Guards against a request that runs twice because a success also says that it has not run.
+describe('a success that says that its request has not run', () => {
+  it('is neither passed on nor a reason to repeat the request', async () => {
+    changeView({
+      instances: new Map([createInstance('i-1', first), createInstance('i-2', second)]),
+    });
+    for (const upstream of [first, second]) {
+      upstream.handle = (_, response) => {
+        response.writeHead(200, { 'x-not-executed': '1' }).end('it ran');
+      };
+    }
+    const answer = await call('POST', '/book/7').answer;
+    expect(answer.status).toBe(502);
+    expect(first.received.length + second.received.length).toBe(1);
+  });
+});
+
 // Guards against an upstream that gets most requests because it answers none of them, and does so faster than sound ones.
 describe('an upstream whose responses belong to other requests', () => {
   const requestCount = 20;
@@ -1080,6 +1147,34 @@
     expect(answer?.body ?? '').not.toContain('no event');
   });
 
+  // Guards against events that come twice or are lost, because a stream is moved for the loss of its group and for the fault.
+  it.each([0, 1, 5])(
+    'are continued once if their group is lost %i ms after a fault',
+    async (delay) => {
+      openGroups(true);
+      handleInTurn(
+        (_, response) => {
+          const left = first.received.length > 0 ? second : first;
+          response.write(sound);
+          setTimeout(() => {
+            response.end('no event\n\n');
+            setTimeout(() => {
+              changeView({
+                engineGroups: new Map([createGroup(left === first ? 'small/1' : 'small/2', left)]),
+              });
+            }, delay);
+          }, 20);
+        },
+        (_, response) => {
+          response.end(rest);
+        },
+      );
+      const { body, isWhole } = await call('POST', '/draft/7', model).answer;
+      expect({ body, isWhole }).toEqual({ body: `${sound}${rest}`, isWhole: true });
+      expect(first.received.length + second.received.length).toBe(2);
+    },
+  );
+
   // Guards against an event whose caller does not find its identifier, because a byte order mark comes before it.
   it('pass on no byte order mark of the response that resumes them', async () => {
     openGroups(true);
