A fleet that does not start says what its gateways responded last

Seen: a whole check was red with "the fleet did not start: ... last error: fetch failed", which names neither the gateway nor the cause. The error may have been of the first polls, while later ones got responses that were not kept; nothing was said of the programs that still ran. Cause: waitFor kept the message of the last error without its cause and time, and Fleet.start showed only programs that had exited. Change: waitFor says how long ago the last error was, and its causes. Fleet.start lists the last outcome (status and body, or error) of the request through each gateway and of the one to the service, and the last three warnings of each running program.

--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -10,6 +10,7 @@
   type FleetAddresses,
   type ShutdownTimes,
 } from './fleet-settings.js';
+import { FleetReadiness } from './fleet-readiness.js';
 import { reservePort } from './ports.js';
 import { ProgramGroup, type RunningProgram } from './programs.js';
 import { waitFor } from './wait.js';
@@ -56,8 +57,13 @@
   readonly isStreamed?: boolean;
   readonly tokens?: number;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Gives the request up. */
+  readonly signal?: AbortSignal;
 }
 
+/** Warnings of each running program in the message of a failed start. */
+const lastWarningCount = 3;
+
 const defaults = {
   controls: 1,
   gateways: 1,
@@ -84,17 +90,17 @@
     const group = await ProgramGroup.create();
     const completeOptions = { ...defaults, ...options };
     const fleet = new Fleet(group, await defineMembers(group, completeOptions));
+    const readiness = fleet.#createReadiness(completeOptions);
     try {
       for (const { name } of fleet.#definitions) {
         fleet.start(name);
       }
       await fleet.apply(createFleetConfiguration(completeOptions.replicaSize));
-      await waitFor('the model to answer', () => fleet.#isAnswering(completeOptions.gateways));
+      await waitFor('the model to answer', () => readiness.check());
     } catch (error) {
-      const ended = group.programs.filter(({ isRunning }) => !isRunning);
-      const outputs = ended.map(({ label, output }) => `${label} exited: ${output.slice(-2000)}`);
+      const details = [...readiness.describe(), ...describePrograms(group)];
       await group.stop();
-      throw new Error(`the fleet did not start: ${[String(error), ...outputs].join('\n')}`, {
+      throw new Error(`the fleet did not start: ${[String(error), ...details].join('\n')}`, {
         cause: error,
       });
     }
@@ -166,6 +172,7 @@
         stream: options.isStreamed ?? false,
         max_tokens: options.tokens ?? 4,
       }),
+      signal: options.signal ?? null,
     });
   }
 
@@ -175,11 +182,13 @@
     body: string,
     headers: Readonly<Record<string, string>> = {},
     gateway = 1,
+    signal?: AbortSignal,
   ): Promise<Response> {
     return fetch(`${this.origin(gateway)}/services/${fleetService}${path}`, {
       method: 'POST',
       headers: { authorization: `Bearer ${fleetKey}`, ...headers },
       body,
+      signal: signal ?? null,
     });
   }
 
@@ -187,22 +196,30 @@
     return this.group.stop();
   }
 
-  async #isAnswering(gateways: number): Promise<boolean> {
-    for (let gateway = 1; gateway <= gateways; gateway += 1) {
-      const response = await this.chat({ gateway });
-      await response.text();
-      if (response.status !== 200) {
-        return false;
-      }
-    }
-    return this.list('service').length === 0 || this.#isServiceAnswering();
+  /** Asks each gateway for the model, and one of them for the service. */
+  #createReadiness({ gateways, serviceHosts }: CompleteOptions): FleetReadiness {
+    const models = Array.from({ length: gateways }, (_, index) => ({
+      name: `model through gateway-${index + 1}`,
+      send: (signal: AbortSignal) => this.chat({ gateway: index + 1, signal }),
+    }));
+    const service = {
+      name: 'service through gateway-1',
+      send: (signal: AbortSignal) => this.callService('/ready', '', {}, 1, signal),
+    };
+    return new FleetReadiness(serviceHosts === 0 ? models : [...models, service]);
   }
+}
 
-  async #isServiceAnswering(): Promise<boolean> {
-    const response = await this.callService('/ready', '');
-    await response.text();
-    return response.status === 200;
-  }
+/** The end of the output of programs that have exited, and the last warnings of the others. */
+function describePrograms(group: ProgramGroup): readonly string[] {
+  const ended = group.programs.filter(({ isRunning }) => !isRunning);
+  const running = group.programs.filter(({ isRunning }) => isRunning);
+  return [
+    ...ended.map(({ label, output }) => `${label} exited: ${output.slice(-2000)}`),
+    ...running.flatMap((program) =>
+      program.listWarnings(lastWarningCount).map((line) => `${program.label} warned: ${line}`),
+    ),
+  ];
 }
 
 type CompleteOptions = typeof defaults &
--- a/__tests__/support/programs.ts
+++ b/__tests__/support/programs.ts
@@ -25,6 +25,9 @@
 /** Time after SIGTERM until a program is killed. */
 const stopTimeout = 30_000;
 
+/** Number of the level "warn" in log lines. */
+const warnLevel = 40;
+
 /** A program started by a {@link ProgramGroup}. */
 export class RunningProgram {
   readonly label: string;
@@ -61,6 +64,11 @@
     return this.#output;
   }
 
+  /** The last lines of the output, up to so many, that are log lines of at least the level "warn". */
+  listWarnings(count: number): readonly string[] {
+    return this.#output.split('\n').filter(isWarning).slice(-count);
+  }
+
   get isRunning(): boolean {
     return this.#exit === undefined;
   }
@@ -100,6 +108,11 @@
   }
 }
 
+function isWarning(line: string): boolean {
+  const level = /^\{"level":(\d+),/.exec(line)?.[1];
+  return level !== undefined && Number(level) >= warnLevel;
+}
+
 /** Owns the programs and the temporary folder of one test; `stop` stops the programs and removes the folder. */
 export class ProgramGroup {
   readonly folder: string;
--- a/__tests__/support/wait.ts
+++ b/__tests__/support/wait.ts
@@ -1,9 +1,16 @@
 /** Polls for conditions; tests never wait for a fixed time. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { describeAge, describeError } from './describe-error.js';
+
 const pollInterval = 25;
 const defaultTimeout = 60_000;
 
+interface PollFailure {
+  readonly error: unknown;
+  readonly at: number;
+}
+
 /**
  * Polls until the condition returns a value other than undefined or false without throwing.
  * The timeout in milliseconds only ends a hung test; no test result depends on how long the wait took.
@@ -14,7 +21,7 @@
   timeout = defaultTimeout,
 ): Promise<Value> {
   const end = performance.now() + timeout;
-  let lastError: unknown;
+  let lastFailure: PollFailure | undefined;
   while (performance.now() < end) {
     try {
       const value = await condition();
@@ -22,10 +29,19 @@
         return value;
       }
     } catch (error) {
-      lastError = error;
+      lastFailure = { error, at: performance.now() };
     }
     await sleep(pollInterval);
   }
-  const reason = lastError instanceof Error ? `; last error: ${lastError.message}` : '';
-  throw new Error(`timed out waiting for ${description}${reason}`);
+  throw new Error(`timed out waiting for ${description}${describeFailure(lastFailure)}`, {
+    cause: lastFailure?.error,
+  });
+}
+
+/** Says when the failure was: later polls may have gone without one. */
+function describeFailure(failure: PollFailure | undefined): string {
+  if (failure === undefined) {
+    return '';
+  }
+  return `; last error ${describeAge(failure.at)}: ${describeError(failure.error)}`;
 }
