Programs of a test end when the process of the test is ended

Seen: a test that never stops its fleet, and one whose runner is ended, leave their programs running. Cause: programs are stopped only by hooks of the tests. When the test runner is ended, its worker ends without running them. Hooks that fail or stop nothing, and programs that start while their group stops, leave programs as well. Evidence: groups-failures with a signal to the runner while 12 programs run. After SIGTERM and after SIGKILL its worker ends within 4 s, and 10 of 12 programs run on; the other two were killed by the test, the one that kills a member. After SIGTERM to the worker 12 of 12 run on. Change: a watchdog, a process of its own, is told over a pipe of each program that starts and exits, and kills what is left when the pipe closes. It works also if the process of the test was killed, and on suspended programs.

--- a/__tests__/support/programs.ts
+++ b/__tests__/support/programs.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 
 import { waitFor } from './wait.js';
+import { Watchdog } from './watchdog.js';
 
 export interface ProgramExit {
   readonly code: number | null;
@@ -113,6 +114,21 @@
   return level !== undefined && Number(level) >= warnLevel;
 }
 
+let watchdog: Watchdog | undefined;
+
+/** Makes sure that a program does not outlive this process. */
+function watch(child: ChildProcess): void {
+  const { pid } = child;
+  if (pid === undefined) {
+    return;
+  }
+  const started = (watchdog ??= new Watchdog());
+  started.add(pid);
+  child.once('exit', () => {
+    started.remove(pid);
+  });
+}
+
 /** Owns the programs and the temporary folder of one test; `stop` stops the programs and removes the folder. */
 export class ProgramGroup {
   readonly folder: string;
@@ -157,6 +173,7 @@
     );
     const program = new RunningProgram(options.label ?? name, child);
     this.#programs.push(program);
+    watch(child);
     return program;
   }
 
