A deployment of groups that cannot start stops what it has started

Cause: GroupDeployment.start threw, for example when control refuses its declaration, before the caller had anything that it could stop, so the programs ran on beside the next tests of the file. Change: a start that fails stops its programs.

--- a/__tests__/processes/groups-deployment.ts
+++ b/__tests__/processes/groups-deployment.ts
@@ -53,12 +53,13 @@
     const programs = await ProgramGroup.create();
     const [control, gateway] = [await reserveAddress(), await reserveAddress()];
     const deployment = new GroupDeployment(programs, options, control, gateway);
-    await deployment.#startControl();
-    for (const host of options.hosts) {
-      await deployment.#prepareHost(host);
+    try {
+      await deployment.#startPrograms();
+      await deployment.declare({ version: '1' });
+    } catch (error) {
+      await deployment.stop();
+      throw error;
     }
-    await deployment.#startGateway();
-    await deployment.declare({ version: '1' });
     return deployment;
   }
 
@@ -157,6 +158,14 @@
     });
   }
 
+  async #startPrograms(): Promise<void> {
+    await this.#startControl();
+    for (const host of this.#options.hosts) {
+      await this.#prepareHost(host);
+    }
+    await this.#startGateway();
+  }
+
   async #startControl(): Promise<void> {
     const name = 'control-1';
     const settings = {
