A failing load no longer keeps the fleet of faults under load from being stopped

Cause: the hook after each test stopped the load first; when that threw, because a request of the load failed or the load had not begun, the fleet was not stopped and its programs ran on beside the next tests. Change: the fleet is stopped in any case.

--- a/__tests__/processes/faults-under-load.test.ts
+++ b/__tests__/processes/faults-under-load.test.ts
@@ -26,8 +26,11 @@
 });
 
 afterEach(async () => {
-  await load.stop();
-  await fleet.stop();
+  try {
+    await load.stop();
+  } finally {
+    await fleet.stop();
+  }
 });
 
 /** Each kind of caller gets another whole answer. */
