The test of a stalled member stops its fleet

Seen: after a whole check with 1,975 of 1,975 tests green, ten programs ran on: one control host, one gateway, four sidecars and four engines of one fleet, the gateway busy. Their process ids follow that of the worker of path-stalled-member, the only test with such a fleet. Cause: the hook after the test stops the fleet in a variable to which the test never assigned it. Change: the test assigns it.

--- a/__tests__/processes/path-stalled-member.test.ts
+++ b/__tests__/processes/path-stalled-member.test.ts
@@ -19,6 +19,7 @@
 describe('a member whose sidecar stands still for a moment', () => {
   it('delays the callers of its group, which is the only one, and refuses none', async () => {
     const running = await Fleet.start({ controls: 1, serviceHosts: 0 });
+    fleet = running;
     const [, member] = running.list('sidecar');
     const answers: { readonly status: number; readonly text: string }[] = [];
     for (let stall = 0; stall < stallCount; stall += 1) {
