--- a/__tests__/support/programs.ts
+++ b/__tests__/support/programs.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 
 import { waitFor } from './wait.js';
+import { Watchdog } from './watchdog.js';
 
 export interface ProgramExit {
   readonly code: number | null;
@@ -25,6 +26,9 @@
 /** Time after SIGTERM until a program is killed. */
 const stopTimeout = 30_000;
 
+/** Number of the level "warn" in log lines. */
+const warnLevel = 40;
+
 /** A program started by a {@link ProgramGroup}. */
 export class RunningProgram {
   readonly label: string;
@@ -61,6 +65,11 @@
     return this.#output;
   }
 
+  /** The last lines of the output, up to so many, that are log lines of at least the level "warn". */
+  listWarnings(count: number): readonly string[] {
+    return this.#output.split('\n').filter(isWarning).slice(-count);
+  }
+
   get isRunning(): boolean {
     return this.#exit === undefined;
   }
@@ -100,6 +109,26 @@
   }
 }
 
+function isWarning(line: string): boolean {
+  const level = /^\{"level":(\d+),/.exec(line)?.[1];
+  return level !== undefined && Number(level) >= warnLevel;
+}
+
+let watchdog: Watchdog | undefined;
+
+/** Makes sure that a program does not outlive this process. */
+function watch(child: ChildProcess): void {
+  const { pid } = child;
+  if (pid === undefined) {
+    return;
+  }
+  const started = (watchdog ??= new Watchdog());
+  started.add(pid);
+  child.once('exit', () => {
+    started.remove(pid);
+  });
+}
+
 /** Owns the programs and the temporary folder of one test; `stop` stops the programs and removes the folder. */
 export class ProgramGroup {
   readonly folder: string;
@@ -144,6 +173,7 @@
     );
     const program = new RunningProgram(options.label ?? name, child);
     this.#programs.push(program);
+    watch(child);
     return program;
   }
 
