The relay of a sidecar refuses unknown transfer codings, not its client

Change: the client says whether the body is in no coding but chunks, and the relay gives up one that is not, and closes its connection.

--- a/src/sidecar/attempts/upstream-client.ts
+++ b/src/sidecar/attempts/upstream-client.ts
@@ -28,6 +28,10 @@
    * Otherwise the end of the connection ends it, also when the upstream has crashed.
    */
   readonly isFramed: boolean;
+  /** Whether the body is in no transfer coding but chunks; nothing decodes others. */
+  readonly isPlain: boolean;
+  /** Closes the connection, in place of reading the body. */
+  readonly discard: () => void;
 }
 
 /** Sends requests to the sidecar's local upstream. */
@@ -96,15 +100,15 @@
     try {
       const response = await sendRequest(new URL(request.path, baseUrl), options);
       client?.noteHead(response.statusCode);
-      if (!isPlainBody(response.headers['transfer-encoding'])) {
-        response.body.on('error', () => undefined).destroy();
-        throw new Error('the response is in an unknown transfer coding');
-      }
       return {
         status: response.statusCode,
         headers: listHeaders(response.headers),
         chunks: response.body,
         isFramed: isFramed(request.method, response.statusCode, response.headers),
+        isPlain: isPlainBody(response.headers['transfer-encoding']),
+        discard: () => {
+          response.body.on('error', () => undefined).destroy();
+        },
       };
     } catch (error) {
       throw new FailureError(createFailure(classifyError(error), describeError(error)));
--- a/src/sidecar/attempts/upstream-relay.ts
+++ b/src/sidecar/attempts/upstream-relay.ts
@@ -89,6 +89,10 @@
     let hasHead = false;
     try {
       const response = await upstream.start(request, signal);
+      if (!response.isPlain) {
+        response.discard();
+        throw new Error('the response is in an unknown transfer coding');
+      }
       hasHead = true;
       const { status, headers, isFramed } = response;
       const pause = readPause(status, headers);
