A stream without its first event is incomplete

What callers saw: a whole stream of no events, with status 200, if an upstream ended its response before the first one with a sound final chunk. Cause: a stream was asked only whether it ends inside an event. A new one has to begin with event 1, so its end before it is never sound. Change: on the platform such a response counts as broken: another upstream is asked where the route allows it, or the caller gets 502. The run of a stream that is resumed may have no events left, so there an empty one stays whole; responses to HEAD have no events to read.

--- a/__tests__/gateway/event-reader.test.ts
+++ b/__tests__/gateway/event-reader.test.ts
@@ -121,6 +121,21 @@
     },
   );
 
+  // Guards against a stream that passes for a whole one although its upstream sent none of its events.
+  it.each([
+    ['nothing', 1, '', true],
+    ['a comment', 1, ': comment\n\n', true],
+    ['blank lines', 1, '\n\r', true],
+    ['its only event', 1, event(1), false],
+    ['an event whose last line may go on', 1, 'id: 1\ndata: token\n\r', false],
+    ['nothing after the event at which it is resumed', 5, '', false],
+    ['nothing, where the first number is not known', undefined, '', false],
+  ])('is incomplete without the first event: %s', (_, expected, text, isIncomplete) => {
+    const reader = new EventReader(numbered, expected);
+    reader.push(Buffer.from(text));
+    expect(reader.isIncomplete).toBe(isIncomplete);
+  });
+
   it('takes any number for the first one if none is expected', () => {
     expect(readText(numbered, event(7) + event(8))).toMatchObject({ isWhole: true });
     expect(readText(numbered, event(7) + event(9))).toMatchObject({ fault: 'unexpectedId' });
--- a/__tests__/processes/platform-spoiled-streams.test.ts
+++ b/__tests__/processes/platform-spoiled-streams.test.ts
@@ -23,6 +23,9 @@
 /** Events before the spoiled one. */
 const soundCount = 4;
 
+/** Bodies of streams without any event. */
+const emptyStreams = { 'no bytes': '', 'a comment': ': of no run\n\n', 'blank lines': '\n\r\n' };
+
 type Handler = (request: IncomingMessage, response: ServerResponse) => unknown;
 
 let deployment: PlatformDeployment;
@@ -107,6 +110,30 @@
   });
 });
 
+// Guards against a stream that looks whole although its upstream sent none of its events.
+describe.each(Object.entries(emptyStreams))('a stream of %s', (_, text) => {
+  const spoil: Handler = (request, response) => {
+    beginStream(request, response);
+    response.end(text);
+  };
+
+  it('is answered by another upstream', async () => {
+    const { status, body, isWhole } = await callSpoiled(servicePaths.flow, spoil);
+    expect({ status, body, isWhole }).toEqual({ status: 200, body: wholeStream, isWhole: true });
+  });
+
+  it('is answered with 502 if it cannot be resumed', async () => {
+    const { status } = await callSpoiled(servicePaths.flowOnce, spoil);
+    expect(status).toBe(502);
+  });
+
+  it('is whole if its caller resumes it after the last event', async () => {
+    const headers = { 'last-event-id': String(eventCount) };
+    const { status, body, isWhole } = await callSpoiled(servicePaths.flow, spoil, headers);
+    expect({ status, body, isWhole }).toEqual({ status: 200, body: '', isWhole: true });
+  });
+});
+
 // Guards against events that come twice or are left out when a stream is resumed.
 describe('a stream that is resumed', () => {
   const breakOff: Handler = (request, response) =>
--- a/src/gateway/direct/delivery.ts
+++ b/src/gateway/direct/delivery.ts
@@ -380,7 +380,8 @@
     if (isUpstreamFailure(status) && this.#tryReplaceFailure(attempt, status)) {
       return;
     }
-    const isStream = this.#request.route.kind === 'streaming' && isSuccess(status);
+    const { route, method } = this.#request;
+    const isStream = route.kind === 'streaming' && method !== 'HEAD' && isSuccess(status);
     const reader = isStream ? this.#createReader() : undefined;
     if (!this.#responseWriter.begin(status, raw, reader)) {
       this.#abortAttempt(attempt, `response cannot continue the stream: status ${status}`);
@@ -449,8 +450,9 @@
   }
 
   #handleEnd(attempt: UpstreamAttempt, target: Target): void {
-    if (this.#responseWriter.isInsideEvent) {
-      this.#handleError(attempt, target, new Error('the response ended inside an event'), true);
+    if (this.#responseWriter.isIncompleteStream) {
+      const error = new Error('the stream ended inside an event, or before its first one');
+      this.#handleError(attempt, target, error, true);
       return;
     }
     if (this.#responseWriter.isUnframed) {
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -94,9 +94,12 @@
     return this.#head !== undefined && !this.#isCurrentFramed;
   }
 
-  /** Whether the current response is a stream that would end inside an event. Then it was broken off, even if it was announced as complete. */
-  get isInsideEvent(): boolean {
-    return this.#reader?.isInsideEvent === true;
+  /**
+   * Whether the current response is a stream that would end inside an event, or without any of its events. Then it was broken off, even if it
+   * was announced as complete.
+   */
+  get isIncompleteStream(): boolean {
+    return this.#reader?.isIncomplete === true;
   }
 
   /** Whether the current response holds back more bytes than any sound one, or makes up no event of so many, so that its end cannot be expected. */
--- a/src/gateway/events/event-reader.ts
+++ b/src/gateway/events/event-reader.ts
@@ -88,11 +88,22 @@
     return !this.#fields.isEmpty || this.#held.length > this.#lineStart;
   }
 
+  /** Whether the response would end inside an event, or before the first one of a stream that begins with it. */
+  get isIncomplete(): boolean {
+    const endsFirstEvent = this.#hasLastReturn && !this.#fields.isEmpty;
+    return this.isInsideEvent || (this.#isBeforeFirst && !endsFirstEvent);
+  }
+
   /** Returns the bytes held back; called when the response is complete and does not end inside an event. */
   finish(): Uint8Array {
     return this.#findPassed(this.#held.bytes, !this.#fields.isEmpty);
   }
 
+  /** Whether the first event of a numbered stream is still to come. The run of a stream that is resumed may have no events left. */
+  get #isBeforeFirst(): boolean {
+    return this.#format.type === 'numbered' && this.#expected === 1;
+  }
+
   /** Whether the last line is blank and ends with a carriage return, which a line feed could have followed. */
   get #hasLastReturn(): boolean {
     const isLast = this.#held.length === this.#lineStart + 1;
