--- a/src/gateway/direct/index.ts
+++ b/src/gateway/direct/index.ts
@@ -27,7 +27,7 @@
   UpstreamRequestOptions,
   TokenCounts,
 } from './dialect.js';
-export { ResponseWriter, dropConnectionFields } from './response-writer.js';
+export { ResponseWriter, dropConnectionFields, listConnectionFields } from './response-writer.js';
 export { DirectGateway, type DirectGatewayOptions } from './direct-gateway.js';
 export {
   createDirectGatewayProcess,
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -249,15 +249,18 @@
   }
 }
 
+/** Names, in lower case, of the fields that a value of a `Connection` header says to concern the connection only. */
+export function listConnectionFields(value: string): readonly string[] {
+  return value.split(',').map((name) => name.trim().toLowerCase());
+}
+
 /** Removes hop-by-hop headers, including those that a `Connection` header names. */
 export function dropConnectionFields(rawHeaders: RawHeaders): string[] {
   const named = new Set<string>();
   const kept: string[] = [];
   for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
     if (rawHeaders[at]?.toLowerCase() === 'connection') {
-      for (const token of (rawHeaders[at + 1] ?? '').split(',')) {
-        named.add(token.trim().toLowerCase());
-      }
+      listConnectionFields(rawHeaders[at + 1] ?? '').forEach((name) => named.add(name));
     }
   }
   for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -33,5 +33,6 @@
   type UpstreamRequestOptions,
   type TokenCounts,
   dropConnectionFields,
+  listConnectionFields,
 } from './direct/index.js';
 export { readBody } from './shell/body.js';
