Both tests of spoiled streams take turns of upstreams and sound requests from one place

The sound requests before each test, their number, and handlers that answer in turn stood in both files. The assertions are as they were.

--- a/__tests__/platform/spoiled-stream.ts
+++ b/__tests__/platform/spoiled-stream.ts
@@ -1,11 +1,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
-import { answerSoundly } from './plain-service.js';
+import {
+  answerSoundly,
+  servicePaths,
+  type PlainService,
+  type ServiceAnswer,
+} from './plain-service.js';
 
 /** Streams of a plain service, and what a faulty upstream sends in them. */
 
 export const eventCount = 10;
+/** Sound requests before a spoiled stream, of which the service's budget for retries is a share. */
+const soundRequestCount = 20;
 /** Time between two writes of a stream, in milliseconds; each arrives by itself. */
 const writeInterval = 10;
 
@@ -38,6 +45,8 @@
   return ids.map((id) => formatEvent(id, padding, lineEnd)).join('');
 }
 
+export type UpstreamHandler = (request: IncomingMessage, response: ServerResponse) => unknown;
+
 export const wholeStream = formatEvents(1, eventCount);
 
 /** What belongs to no event of the stream, in place of the event with the given number. */
@@ -96,6 +105,28 @@
   (isStream ? streamSoundly : answerSoundly)(request, response);
 }
 
+/** The given handlers answer the next requests of the service in turn; all others are answered soundly. */
+export function handleInTurn(
+  { upstreams }: PlainService,
+  ...handlers: readonly UpstreamHandler[]
+): void {
+  const left = [...handlers];
+  for (const upstream of upstreams) {
+    upstream.handle = (request, response) => {
+      (left.shift() ?? handleSoundly)(request, response);
+    };
+  }
+}
+
+/** Sends requests to upstreams that answer soundly, and returns the answers that are no success. */
+export async function sendSoundRequests(service: PlainService): Promise<readonly ServiceAnswer[]> {
+  handleInTurn(service);
+  const calls = Array.from({ length: soundRequestCount }, () =>
+    service.call(0, servicePaths.again),
+  );
+  return (await Promise.all(calls)).filter(({ status }) => status !== 200);
+}
+
 /** Sends sound events up to the given one, then the spoiled one, then what is to follow. */
 export async function streamSpoiled(
   request: IncomingMessage,
--- a/__tests__/processes/platform-spoiled-framing.test.ts
+++ b/__tests__/processes/platform-spoiled-framing.test.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
@@ -10,15 +9,13 @@
   eventCount,
   formatEvent,
   formatEvents,
-  handleSoundly,
+  handleInTurn,
   readResumePoint,
+  sendSoundRequests,
   wholeStream,
+  type UpstreamHandler,
 } from '../platform/spoiled-stream.js';
 
-type Handler = (request: IncomingMessage, response: ServerResponse) => unknown;
-
-/** Sound requests before each test, of which the service's budget for retries is a share. */
-const soundRequestCount = 20;
 const soundCount = 4;
 const gatewayCount = 3;
 const writeInterval = 10;
@@ -33,11 +30,7 @@
 });
 
 beforeEach(async () => {
-  handleInTurn();
-  const calls = Array.from({ length: soundRequestCount }, () =>
-    service.call(0, servicePaths.again),
-  );
-  expect((await Promise.all(calls)).filter(({ status }) => status !== 200)).toEqual([]);
+  expect(await sendSoundRequests(service)).toEqual([]);
 });
 
 afterAll(async () => {
@@ -45,16 +38,6 @@
   await deployment.stop();
 });
 
-/** The given handlers answer the next requests of the service in turn; all others are answered soundly. */
-function handleInTurn(...handlers: readonly Handler[]): void {
-  const left = [...handlers];
-  for (const upstream of service.upstreams) {
-    upstream.handle = (request, response) => {
-      (left.shift() ?? handleSoundly)(request, response);
-    };
-  }
-}
-
 const chunks = 'Transfer-Encoding: chunked';
 const lastChunk = '0\r\n\r\n';
 
@@ -63,7 +46,7 @@
 }
 
 /** Writes a head with the given fields and then the given parts of a body to the connection, which stays open. */
-function writeRaw(fields: string, ...parts: readonly string[]): Handler {
+function writeRaw(fields: string, ...parts: readonly string[]): UpstreamHandler {
   return async (request, { socket }) => {
     const id = String(request.headers['x-attempt-id']);
     const proof = `X-Attempt-Id: ${id}\r\nX-Response-Seal: seal of ${id}\r\nConnection: close`;
@@ -77,7 +60,7 @@
 const soundPart = formatChunk(formatEvents(1, soundCount));
 const whole = formatChunk(wholeStream);
 
-const spoiledFramings: Readonly<Record<string, Handler>> = {
+const spoiledFramings: Readonly<Record<string, UpstreamHandler>> = {
   'a length and chunks': writeRaw(`Content-Length: 5\r\n${chunks}`, whole, lastChunk),
   'two lengths': writeRaw('Content-Length: 40\r\nContent-Length: 20', formatEvents(1, 2)),
   'a length with a sign': writeRaw('Content-Length: +42', formatEvents(1, 2)),
@@ -101,13 +84,13 @@
 // Guards against streams whose caller gets other bytes than the events of the run, because their upstream frames them wrongly.
 describe.each(Object.entries(spoiledFramings))('a stream with %s', (_, spoil) => {
   it('is continued at another upstream, and its caller sees nothing of it', async () => {
-    handleInTurn(spoil);
+    handleInTurn(service, spoil);
     const { status, body, isWhole } = await service.call(0, servicePaths.flow);
     expect({ status, body, isWhole }).toEqual({ status: 200, body: wholeStream, isWhole: true });
   });
 
   it('is broken off, or answered with 502, if it cannot be resumed', async () => {
-    handleInTurn(spoil);
+    handleInTurn(service, spoil);
     const { status, body, isWhole } = await service.call(0, servicePaths.flowOnce);
     if (status !== 502) {
       expect({ status, isWhole }).toEqual({ status: 200, isWhole: false });
@@ -125,16 +108,16 @@
   const readAfter = 400;
 
   it('is continued after its last sound event', async () => {
-    const spoil: Handler = (request, response) => {
+    const spoil: UpstreamHandler = (request, response) => {
       beginStream(request, response);
       response.write(formatEvents(1, paddedSoundCount, padding));
       response.end(`no event\n\n${formatEvents(paddedSoundCount + 1, paddedCount, padding)}`);
     };
-    const goOn: Handler = (request, response) => {
+    const goOn: UpstreamHandler = (request, response) => {
       beginStream(request, response);
       response.end(formatEvents(readResumePoint(request) + 1, paddedCount, padding));
     };
-    handleInTurn(spoil, goOn);
+    handleInTurn(service, spoil, goOn);
     const { body, isWhole } = await service.call(0, servicePaths.flow, readAfter);
     expect(isWhole).toBe(true);
     expect(body === formatEvents(1, paddedCount, padding)).toBe(true);
@@ -147,7 +130,7 @@
     [1, 'soon after the signal', 5],
     [2, 'near the middle of the grace period', 450],
   ])('is continued by gateway %i if the fault comes %s', async (gateway, _, delay) => {
-    handleInTurn(async (request, response) => {
+    handleInTurn(service, async (request, response) => {
       beginStream(request, response);
       response.write(formatEvents(1, soundCount));
       await pause(writeInterval);
--- a/__tests__/processes/platform-spoiled-streams.test.ts
+++ b/__tests__/processes/platform-spoiled-streams.test.ts
@@ -1,5 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
-
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
 import { PlatformDeployment } from '../platform/deployment.js';
@@ -10,24 +8,22 @@
   eventCount,
   formatEvent,
   formatEvents,
-  handleSoundly,
+  handleInTurn,
   readResumePoint,
+  sendSoundRequests,
   spoiledEvents,
   streamSpoiled,
   wholeStream,
+  type UpstreamHandler,
 } from '../platform/spoiled-stream.js';
 import { waitFor } from '../support/index.js';
 
-/** Sound requests before each spoiled stream, of which the service's budget for retries is a share. */
-const soundRequestCount = 20;
 /** Events before the spoiled one. */
 const soundCount = 4;
 
 /** Bodies of streams without any event. */
 const emptyStreams = { 'no bytes': '', 'a comment': ': of no run\n\n', 'blank lines': '\n\r\n' };
 
-type Handler = (request: IncomingMessage, response: ServerResponse) => unknown;
-
 let deployment: PlatformDeployment;
 let service: PlainService;
 
@@ -38,13 +34,7 @@
 });
 
 beforeEach(async () => {
-  for (const upstream of service.upstreams) {
-    upstream.handle = handleSoundly;
-  }
-  const calls = Array.from({ length: soundRequestCount }, () =>
-    service.call(0, servicePaths.again),
-  );
-  expect((await Promise.all(calls)).filter(({ status }) => status !== 200)).toEqual([]);
+  expect(await sendSoundRequests(service)).toEqual([]);
 });
 
 afterAll(async () => {
@@ -53,18 +43,12 @@
 });
 
 /** Requests a stream that the given handler answers first; every other request is answered soundly. */
-async function callSpoiled(
+function callSpoiled(
   path: string,
-  handle: Handler,
+  handle: UpstreamHandler,
   headers: Readonly<Record<string, string>> = {},
 ): Promise<ServiceAnswer> {
-  let isFirst = true;
-  for (const upstream of service.upstreams) {
-    upstream.handle = (request, response) => {
-      (isFirst ? handle : handleSoundly)(request, response);
-      isFirst = false;
-    };
-  }
+  handleInTurn(service, handle);
   return service.call(0, path, 0, headers);
 }
 
@@ -74,7 +58,7 @@
 
 // Guards against stream events that no run made and that reach callers, because an upstream sent them on a connection that works.
 describe.each(cases)('a stream with %s, then %s', (_, continuation, create) => {
-  const spoil: Handler = (request, response) =>
+  const spoil: UpstreamHandler = (request, response) =>
     streamSpoiled(request, response, soundCount, create(soundCount + 1), continuation);
 
   it('is continued at another upstream, and its caller sees nothing of it', async () => {
@@ -95,7 +79,7 @@
 // Guards against a first event that no run made, when nothing has been sent to the caller yet.
 describe.each(Object.entries(spoiledEvents))('a stream that begins with %s', (_, create) => {
   // The number of the first event is 1, so its predecessors and it are left out.
-  const spoil: Handler = (request, response) =>
+  const spoil: UpstreamHandler = (request, response) =>
     streamSpoiled(request, response, 0, create(1), 'the other events');
 
   it('is answered by another upstream', async () => {
@@ -112,7 +96,7 @@
 
 // Guards against a stream that looks whole although its upstream sent none of its events.
 describe.each(Object.entries(emptyStreams))('a stream of %s', (_, text) => {
-  const spoil: Handler = (request, response) => {
+  const spoil: UpstreamHandler = (request, response) => {
     beginStream(request, response);
     response.end(text);
   };
@@ -136,7 +120,7 @@
 
 // Guards against events that come twice or are left out when a stream is resumed.
 describe('a stream that is resumed', () => {
-  const breakOff: Handler = (request, response) =>
+  const breakOff: UpstreamHandler = (request, response) =>
     streamSpoiled(request, response, soundCount, '', 'a reset');
 
   it.each([
@@ -145,7 +129,7 @@
     ['with the event that its caller has', soundCount],
   ])('is broken off if the other upstream goes on %s', async (_, first) => {
     let count = 0;
-    const goOn: Handler = (request, response) => {
+    const goOn: UpstreamHandler = (request, response) => {
       beginStream(request, response);
       response.end(formatEvents(first, eventCount));
     };
@@ -174,7 +158,7 @@
   });
 
   it('by its caller is asked for elsewhere if the upstream begins at another event', async () => {
-    const startOver: Handler = (request, response) => {
+    const startOver: UpstreamHandler = (request, response) => {
       beginStream(request, response);
       response.end(wholeStream);
     };
@@ -186,7 +170,7 @@
 
 // Guards against a part of an event that looks like the end of a whole stream.
 describe('a stream that ends inside an event, although its end was announced', () => {
-  const endInside: Handler = (request, response) => {
+  const endInside: UpstreamHandler = (request, response) => {
     beginStream(request, response);
     const first = readResumePoint(request) + 1;
     response.end(`${formatEvents(first, soundCount)}id: ${soundCount + 1}\ndata: tok`);
@@ -214,7 +198,7 @@
   };
 
   it.each(Object.entries(forms))('reaches its caller unchanged: %s', async (_, writes) => {
-    const handle: Handler = async (request, response) => {
+    const handle: UpstreamHandler = async (request, response) => {
       beginStream(request, response);
       for (const text of writes) {
         response.write(text);
@@ -227,7 +211,7 @@
   });
 
   it('is recognized by its media type, whatever its parameters and letters', async () => {
-    const handle: Handler = (request, response) => {
+    const handle: UpstreamHandler = (request, response) => {
       response.setHeader('content-type', 'Text/Event-Stream; charset=utf-8');
       const fields = { 'x-attempt-id': String(request.headers['x-attempt-id']) };
       response.writeHead(200, fields).end('data: of no run\n\n');
