Both tests of late work write slow bodies, and check their cases, in one way

The parts of a body that comes byte by byte stood in both files, and the loop over the cases three times in each. The assertions are as they were.

--- a/__tests__/processes/path-gateway-late-work.test.ts
+++ b/__tests__/processes/path-gateway-late-work.test.ts
@@ -7,7 +7,13 @@
 import { AnnouncedUpstream } from '../support/announced-upstream.js';
 import { Fleet, fleetService, waitFor } from '../support/index.js';
 import type { ReadResponse } from '../support/read-responses.js';
-import { beforeSignal, stopWhile, type Part } from '../support/stop-while.js';
+import {
+  beforeSignal,
+  stopWhile,
+  writeSlowly,
+  type Part,
+  type StopCase,
+} from '../support/stop-while.js';
 import { formatOwnHead } from './gateway-callers.js';
 
 /** Times in milliseconds; those of parts are after the signal. What is not over gets its answer half a second before the end. */
@@ -115,6 +121,17 @@
   expect(outcomes.filter((each) => !allowed(each))).toEqual([]);
 }
 
+/** Stops a gateway while the callers of the cases write, checks what they received, and returns it. */
+async function expectDefiniteAnswers(
+  cases: readonly StopCase[],
+): Promise<readonly (readonly ReadResponse[])[]> {
+  const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
+  cases.forEach(({ ids }, index) => {
+    expectDefinite(ids, received[index] ?? []);
+  });
+  return received;
+}
+
 describe('a gateway of sidecars that is stopped', () => {
   // Guards against requests that are passed on behind a long response on their connection, and end with it without their own.
   it('answers requests that were sent before the response to an earlier one', async () => {
@@ -137,10 +154,7 @@
         return { ids, parts };
       }),
     );
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ ids }, index) => {
-      expectDefinite(ids, received[index] ?? []);
-    });
+    await expectDefiniteAnswers(cases);
   });
 
   // Guards against requests that end without a response because their work outlasts the time to stop, or their body arrives during it.
@@ -159,19 +173,10 @@
       bodyEnds.map((bodyEnd) => {
         const id = `body-${isRepeatable}-${bodyEnd}`;
         const text = formatRequest({ id, run: 100, isRepeatable }, body);
-        const head = { at: beforeSignal, text: text.slice(0, -body.length) };
-        const parts = Array.from(body, (byte, index) => ({
-          at: beforeSignal + ((index + 1) * (bodyEnd - beforeSignal)) / body.length,
-          text: byte,
-        }));
-        return { ids: [id], parts: [head, ...parts] };
+        return { ids: [id], parts: writeSlowly(text, body, bodyEnd) };
       }),
     );
-    const cases = [...work, ...bodies];
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ ids }, index) => {
-      expectDefinite(ids, received[index] ?? []);
-    });
+    await expectDefiniteAnswers([...work, ...bodies]);
   });
 
   // Guards against connections that were open before the stop, whose first requests come late and are cut at the end.
@@ -181,12 +186,9 @@
       const id = `first-${index}`;
       const isRepeatable = index % 2 === 0;
       const text = formatRequest({ id, run: Math.floor(random.fraction() * 800), isRepeatable });
-      return { id, parts: [{ at: Math.floor(random.fraction() * end), text }] };
-    });
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ id }, index) => {
-      expectDefinite([id], received[index] ?? []);
+      return { ids: [id], parts: [{ at: Math.floor(random.fraction() * end), text }] };
     });
+    const received = await expectDefiniteAnswers(cases);
     expect(received.some(([first]) => first?.status === 200)).toBe(true);
   });
 });
--- a/__tests__/processes/platform-gateway-late-work.test.ts
+++ b/__tests__/processes/platform-gateway-late-work.test.ts
@@ -8,7 +8,13 @@
 import { handleSoundly } from '../platform/spoiled-stream.js';
 import { formatHead } from '../support/index.js';
 import type { ReadResponse } from '../support/read-responses.js';
-import { beforeSignal, stopWhile, type Part } from '../support/stop-while.js';
+import {
+  beforeSignal,
+  stopWhile,
+  writeSlowly,
+  type Part,
+  type StopCase,
+} from '../support/stop-while.js';
 
 /** Times in milliseconds; those of parts are after the signal. The port of a gateway closes after half of the grace period. */
 const grace = 3000;
@@ -109,6 +115,17 @@
   expect(outcomes.filter((each) => !allowed(each))).toEqual([]);
 }
 
+/** Stops a gateway while the callers of the cases write, checks what they received, and returns it. */
+async function expectDefiniteAnswers(
+  cases: readonly StopCase[],
+): Promise<readonly (readonly ReadResponse[])[]> {
+  const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
+  cases.forEach(({ ids }, index) => {
+    expectDefinite(ids, received[index] ?? []);
+  });
+  return received;
+}
+
 describe('a gateway that is stopped', () => {
   // Guards against requests that are passed on behind a long response on their connection, and end with it without their own.
   it('answers requests that were sent before the response to an earlier one', async () => {
@@ -133,10 +150,7 @@
         return { ids, parts };
       }),
     );
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ ids }, index) => {
-      expectDefinite(ids, received[index] ?? []);
-    });
+    await expectDefiniteAnswers(cases);
   });
 
   // Guards against requests behind a stream that outlasts the grace period, which are passed on and end with it.
@@ -170,19 +184,10 @@
       bodyEnds.map((end) => {
         const id = `body-${path}-${end}`;
         const text = formatRequest({ id, path, run: 100 }, body);
-        const head = { at: beforeSignal, text: text.slice(0, -body.length) };
-        const parts = Array.from(body, (byte, index) => ({
-          at: beforeSignal + ((index + 1) * (end - beforeSignal)) / body.length,
-          text: byte,
-        }));
-        return { ids: [id], parts: [head, ...parts] };
+        return { ids: [id], parts: writeSlowly(text, body, end) };
       }),
     );
-    const cases = [...work, ...bodies];
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ ids }, index) => {
-      expectDefinite(ids, received[index] ?? []);
-    });
+    const received = await expectDefiniteAnswers([...work, ...bodies]);
     const rejected = received.filter(([first]) => first?.status === 503);
     expect(rejected.length).toBeGreaterThan(0);
   });
@@ -195,12 +200,9 @@
       const id = `first-${index}`;
       const path = paths[index % paths.length] ?? '';
       const text = formatRequest({ id, path, run: Math.floor(random.fraction() * 1000) });
-      return { id, parts: [{ at: Math.floor(random.fraction() * grace), text }] };
-    });
-    const received = await stopGatewayWhile(cases.map(({ parts }) => parts));
-    cases.forEach(({ id }, index) => {
-      expectDefinite([id], received[index] ?? []);
+      return { ids: [id], parts: [{ at: Math.floor(random.fraction() * grace), text }] };
     });
+    const received = await expectDefiniteAnswers(cases);
     expect(received.some(([first]) => first?.status === 200)).toBe(true);
   });
 });
--- a/__tests__/support/stop-while.ts
+++ b/__tests__/support/stop-while.ts
@@ -15,6 +15,22 @@
   readonly text: string;
 }
 
+/** A caller's requests and the parts in which it writes them. */
+export interface StopCase {
+  readonly ids: readonly string[];
+  readonly parts: readonly Part[];
+}
+
+/** A request whose head is written before the signal, and whose body comes byte by byte until the given time. */
+export function writeSlowly(request: string, body: string, until: number): readonly Part[] {
+  const head = { at: beforeSignal, text: request.slice(0, -body.length) };
+  const bytes = Array.from(body, (byte, index) => ({
+    at: beforeSignal + ((index + 1) * (until - beforeSignal)) / body.length,
+    text: byte,
+  }));
+  return [head, ...bytes];
+}
+
 /** Writes the parts of each caller to a connection of its own, and returns what each of them received. */
 export async function stopWhile(
   program: RunningProgram,
