--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -15,6 +15,7 @@
 interface RunningGateway {
   readonly name: string;
   readonly address: string;
+  readonly readiness: string;
   readonly settingsFile: string;
   program: RunningProgram;
 }
@@ -24,8 +25,16 @@
   readonly operators: number;
 }
 
-/** Folder of the built programs: `deployment` has them as minified for the platform's machines. */
+/** Folder of the built programs: `deployment` has them as minified for the platform's machines, and runs them with the same flags. */
 export type PlatformBuild = 'platform' | 'deployment';
+type ProgramName = 'control' | 'gateway' | 'sidecar';
+
+/** Flags for Node on the platform's machines. */
+const deploymentFlags: Readonly<Record<ProgramName, readonly string[]>> = {
+  control: ['--max-old-space-size=200'],
+  gateway: ['--max-old-space-size=200'],
+  sidecar: ['--max-old-space-size=100', '--max-semi-space-size=2', '--optimize-for-size'],
+};
 
 export interface CallResult {
   readonly status: number;
@@ -170,6 +179,11 @@
     return this.#gateways[index]?.address ?? '';
   }
 
+  /** Address at which a load balancer asks a gateway whether it is ready. */
+  readinessAddress(index: number): string {
+    return this.#gateways[index]?.readiness ?? '';
+  }
+
   gatewayProgram(index: number): RunningProgram {
     const program = this.#gateways[index]?.program;
     if (program === undefined) {
@@ -261,12 +275,8 @@
 
   restartControl(index: number): void {
     const name = controlHosts[index] ?? '';
-    const program = this.group.start(
-      `${this.#build}/control`,
-      ['--settings', this.#settingsFiles.get(name) ?? ''],
-      { label: `control ${name}` },
-    );
-    this.#control.set(name, program);
+    const file = this.#settingsFiles.get(name) ?? '';
+    this.#control.set(name, this.#run('control', file, `control ${name}`));
   }
 
   /** Kills the sidecar of an engine and starts it again, while the engine keeps running. */
@@ -328,20 +338,19 @@
   startSidecar(index: number): void {
     const label = nameSidecar(index);
     const file = this.#settingsFiles.get(label) ?? '';
-    this.#sidecars[index] = this.group.start(`${this.#build}/sidecar`, ['--settings', file], {
-      label,
-    });
+    this.#sidecars[index] = this.#run('sidecar', file, label);
   }
 
   /** `contracts`: what the deployment has to cope with, as in the gateway's settings. */
   async startGateway(contracts: readonly string[] = []): Promise<void> {
     const name = `gateway-${this.#gateways.length + 1}`;
     const listen = `127.0.0.1:${await reservePort()}`;
+    const readiness = `127.0.0.1:${await reservePort()}`;
     const settings = {
       name,
       failureDomain: 'z0',
       listen,
-      readiness: `127.0.0.1:${await reservePort()}`,
+      readiness,
       seeds: this.#seeds,
       bounds: { graceMilliseconds: this.#graceMilliseconds },
       ...this.#describeEvacuation({}),
@@ -350,7 +359,7 @@
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
     const program = this.#runGateway(name, file);
-    this.#gateways.push({ name, address: listen, settingsFile: file, program });
+    this.#gateways.push({ name, address: listen, readiness, settingsFile: file, program });
   }
 
   #describeEvacuation(more: object): object {
@@ -359,8 +368,14 @@
   }
 
   #runGateway(name: string, settingsFile: string): RunningProgram {
-    return this.group.start(`${this.#build}/gateway`, ['--settings', settingsFile], {
-      label: name,
+    return this.#run('gateway', settingsFile, name);
+  }
+
+  #run(name: ProgramName, settingsFile: string, label: string): RunningProgram {
+    const nodeFlags = this.#build === 'deployment' ? deploymentFlags[name] : [];
+    return this.group.start(`${this.#build}/${name}`, ['--settings', settingsFile], {
+      label,
+      nodeFlags,
     });
   }
 }
