Clients that send tiny pieces are read one at a time

Seen by callers: eight connections with chunks of one byte took all processor time of a gateway for a minute; new connections were closed unread meanwhile. Cause: one read of 64 KB holds ten thousand pieces, each of which costs about the same however small it is. With eight such clients a turn of the event loop took 200 ms. Change: ReadTurns stops reading a client after 256 tiny pieces until its turn; one client has its turn in each turn of the event loop. Ruled out: pausing after the read by process.nextTick, which Node runs after each piece.

--- a/src/common/inbound/receive-body.ts
+++ b/src/common/inbound/receive-body.ts
@@ -5,6 +5,7 @@
 import { createFailure, type Failure } from '../failure.js';
 import { BodyStorage } from './body-storage.js';
 import { memoryRetryAfter, type InboundHold, type InboundMemory } from './inbound-memory.js';
+import { ReadTurns } from './read-turns.js';
 
 /** Receives the bodies of requests within the memory that a process has for them. */
 
@@ -39,6 +40,7 @@
   readonly #finish: (result: Result<ReceivedBody, Failure>) => void;
   readonly #hold: InboundHold | undefined;
   readonly #storage: BodyStorage;
+  readonly #turns: ReadTurns;
   readonly #releaseHold = (): void => {
     this.#hold?.release();
   };
@@ -56,6 +58,7 @@
     this.#hold = options.memory.open(() => {
       this.#fail(createFailure('bodyStalled', '', memoryRetryAfter));
     });
+    this.#turns = new ReadTurns(request.socket);
     this.#storage = new BodyStorage((bytes) => this.#hold?.reserve(bytes) === true);
   }
 
@@ -86,6 +89,7 @@
       this.#fail(createMemoryTaken());
     } else {
       this.#hold?.noteReceived(bytes.length);
+      this.#turns.notePiece(bytes.length);
       onReceived?.(size);
     }
   };
