--- a/src/common/inbound/index.ts
+++ b/src/common/inbound/index.ts
@@ -3,4 +3,5 @@
 export { endAfterBody } from './end-after-body.js';
 export { guardServer } from './guard-server.js';
 export { InboundMemory, memoryRetryAfter, type InboundHold } from './inbound-memory.js';
+export { estimateJsonMemory } from './json-memory.js';
 export { receiveBody, type ReceivedBody, type ReceiveOptions } from './receive-body.js';
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -42,6 +42,7 @@
 export { closeServer, openServer } from './http-server.js';
 export {
   endAfterBody,
+  estimateJsonMemory,
   guardServer,
   InboundMemory,
   memoryRetryAfter,
