A connection with a hundred unanswered requests is closed

Seen by callers: a gateway answered nobody while 24 connections sent requests without end behind requests that waited. Cause: Node reads on as long as none of a connection's requests is answered, and keeps all of them. Change: CallerServer closes a connection with more than a hundred requests that it owes an answer.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -18,6 +18,9 @@
   readonly receivedAt: Milliseconds;
 }
 
+/** Requests that a caller may send on a connection before the first of them has been answered. */
+const maximumExchanges = 100;
+
 interface Connection {
   /** Requests in order of arrival; more than one if the caller does not wait for responses. Only the first one is being served. */
   readonly exchanges: Exchange[];
@@ -127,6 +130,11 @@
       request.resume();
       return;
     }
+    if (connection.exchanges.length >= maximumExchanges) {
+      // Node goes on reading requests as long as none is answered, and keeps them all.
+      request.socket.destroy();
+      return;
+    }
     connection.exchanges.push(exchange);
     response.on('close', () => {
       this.#remove(connection, exchange);
