Calls between processes share the memory for what clients send

Seen by callers: clients of the port for calls between processes, or of the port for announcements, took the memory of a machine. Cause: Connect collects a message of up to 4 GB, for each call; nothing bounded the sum, nor the connections. Change: a message is at most 40 MiB, and holds memory of the same owner until it has arrived; sessions without a call make room for new connections.

--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -5,6 +5,7 @@
 import {
   createMetrics,
   createMetricsPage,
+  InboundMemory,
   type Clock,
   type ManagedPart,
   type Metrics,
@@ -49,6 +50,8 @@
 /** Options of a control host. */
 export interface ControlProcessOptions {
   readonly settings: ControlSettings;
+  /** Shared by all ports of the process, also those of others; by default it is made from the settings. */
+  readonly inbound?: InboundMemory;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -159,9 +162,12 @@
 
   /** Components in the order in which they are opened. */
   listParts(): readonly ManagedPart[] {
-    const { settings } = this.#options;
+    const { settings, clock } = this.#options;
+    const inbound = this.#options.inbound ?? new InboundMemory(settings.inbound.memoryBytes, clock);
     const server = createRpcServer({
       address: settings.listen,
+      inbound,
+      maximumConnections: settings.inbound.connections,
       routes: (router) => {
         this.#register(router);
       },
--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -86,6 +86,7 @@
   });
   const server = createRpcServer({
     address: internal,
+    inbound,
     routes: (router) => {
       levels.register(router);
     },
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -113,6 +113,8 @@
     });
     const server = createRpcServer({
       address: settings.listen,
+      inbound,
+      maximumConnections: settings.inbound.connections,
       routes: (router) => {
         this.#member.register(router);
         this.#attempts.register(router);
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -4,9 +4,18 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import { openServer, pause, type ManagedPart, type Milliseconds } from '../common/index.js';
+import {
+  InboundMemory,
+  openServer,
+  pause,
+  systemClock,
+  type ManagedPart,
+  type Milliseconds,
+} from '../common/index.js';
 import { compressionThreshold } from './compression.js';
+import { createRpcRequestClass } from './rpc-request.js';
 import { RunningCalls } from './running-calls.js';
+import { limitSessions } from './session-limit.js';
 
 /** RPC server for calls between processes of the system: Connect over HTTP/2 without TLS. */
 
@@ -15,9 +24,18 @@
 /** Time that unary calls get before that. A call that its process forwards is answered within it unless the other process is silent. */
 const callGracePeriod: Milliseconds = 1500;
 
+/** A change with the largest document that operators may send, and its source. */
+const maximumMessageBytes = 40 * 1024 * 1024;
+
+const defaultMemoryBytes = 32 * 1024 * 1024;
+const defaultMaximumConnections = 1024;
+
 /** Options of an RPC server. */
 export interface RpcServerOptions {
   readonly address: string;
+  /** Shared by all ports of the process; by default the port has memory of its own. */
+  readonly inbound?: InboundMemory;
+  readonly maximumConnections?: number;
   readonly routes: (router: ConnectRouter) => void;
 }
 
@@ -29,15 +47,19 @@
 
 /** Creates a server. Closing it answers the unary calls under way and then ends every session, so that no peer can delay the shutdown. */
 export function createRpcServer(options: RpcServerOptions): RpcServer {
+  const { inbound = new InboundMemory(defaultMemoryBytes, systemClock) } = options;
   const sessions = new Set<ServerHttp2Session>();
   const calls = new RunningCalls();
   const server = createServer(
+    { Http2ServerRequest: createRpcRequestClass(inbound) },
     connectNodeAdapter({
       routes: options.routes,
       compressMinBytes: compressionThreshold,
+      readMaxBytes: maximumMessageBytes,
       interceptors: [calls.interceptor],
     }),
   );
+  limitSessions(server, options.maximumConnections ?? defaultMaximumConnections);
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
