A session that has closed is not taken into the list of idle ones again

Seen by callers: nothing yet; found by reading. Cause: the end of a call on a session that had been closed before put the session back into the list for good, and such a session, which frees no connection, would be the first to make room. Change: only sessions that are in the list are counted; the two cases of an ended call have become one.

--- a/src/wire/session-limit.ts
+++ b/src/wire/session-limit.ts
@@ -13,10 +13,11 @@
   });
   server.on('stream', (stream) => {
     const { session } = stream;
-    if (session === undefined) {
+    const count = session === undefined ? undefined : calls.get(session);
+    if (session === undefined || count === undefined) {
       return;
     }
-    calls.set(session, (calls.get(session) ?? 0) + 1);
+    calls.set(session, count + 1);
     stream.once('close', () => {
       noteEnd(calls, session);
     });
@@ -32,12 +33,11 @@
   });
 }
 
+/** Moves the session behind those that became idle before; one that has closed meanwhile is not taken in again. */
 function noteEnd(calls: Map<Http2Session, number>, session: Http2Session): void {
-  const count = (calls.get(session) ?? 1) - 1;
-  if (session.destroyed || count > 0) {
-    calls.set(session, Math.max(0, count));
-    return;
+  const count = calls.get(session);
+  if (count !== undefined) {
+    calls.delete(session);
+    calls.set(session, count - 1);
   }
-  calls.delete(session);
-  calls.set(session, 0);
 }
