Floods, readers of a process's status and the forms of each port stand once in the tests

Cause: the crowds of clients wrote the loop of Flood again, twice; the peak of a process's memory was read beside the reader of its resident memory; the same list of forms was spelled out for three ports. Change: the crowds use Flood, which takes a count; one function reads the status of a process; testForms tests a port.

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -196,7 +196,7 @@
   restartGateway(index: number): void {
     const gateway = this.#gateways[index];
     if (gateway !== undefined) {
-      gateway.program = this.#runGateway(gateway.name, gateway.settingsFile);
+      gateway.program = this.#run('gateway', gateway.settingsFile, gateway.name);
     }
   }
 
@@ -358,7 +358,7 @@
       ...this.#gatewaySettings,
     };
     const file = await this.group.write(`${name}.json`, JSON.stringify(settings));
-    const program = this.#runGateway(name, file);
+    const program = this.#run('gateway', file, name);
     this.#gateways.push({ name, address: listen, readiness, settingsFile: file, program });
   }
 
@@ -367,10 +367,6 @@
     return limitMilliseconds === undefined ? {} : { evacuation: { ...more, limitMilliseconds } };
   }
 
-  #runGateway(name: string, settingsFile: string): RunningProgram {
-    return this.#run('gateway', settingsFile, name);
-  }
-
   #run(name: ProgramName, settingsFile: string, label: string): RunningProgram {
     const nodeFlags = this.#build === 'deployment' ? deploymentFlags[name] : [];
     return this.group.start(`${this.#build}/${name}`, ['--settings', settingsFile], {
--- a/__tests__/processes/path-misbehaving-clients.test.ts
+++ b/__tests__/processes/path-misbehaving-clients.test.ts
@@ -18,25 +18,24 @@
 const unary = { 'content-type': 'application/proto', 'connect-protocol-version': '1' };
 const streamed = { ...unary, 'content-type': 'application/connect+proto' };
 /** The prefix of a message of two gigabytes. */
-const longMessage = Buffer.from([0, 0x7f, 0xff, 0xff, 0xff]);
-const nothing = Buffer.alloc(0);
+const longMessage = '\x00\x7f\xff\xff\xff';
 
 /** A call of each kind at each port for calls between processes. */
 const calls: Readonly<Record<string, Pick<CallBytes, 'path' | 'headers' | 'beginning'>>> = {
   'control-1': {
     path: '/pistachiospoke.v1.ControlService/Submit',
     headers: unary,
-    beginning: nothing,
+    beginning: '',
   },
   'sidecar-1': {
     path: '/pistachiospoke.v1.AttemptService/Ask',
     headers: unary,
-    beginning: nothing,
+    beginning: '',
   },
   'gateway-1': {
     path: '/pistachiospoke.v1.GatewayService/Counters',
     headers: unary,
-    beginning: nothing,
+    beginning: '',
   },
   'control-1, streamed': {
     path: '/pistachiospoke.v1.ControlService/Report',
--- a/__tests__/processes/platform-misbehaving-clients.test.ts
+++ b/__tests__/processes/platform-misbehaving-clients.test.ts
@@ -139,16 +139,21 @@
   expect(programs.every(({ isRunning }) => isRunning)).toBe(true);
 }
 
-// Guards against callers that end a gateway, fill the memory or the descriptors of its machine, or keep it from its other callers.
-describe('callers that send what they like to a gateway', () => {
-  useDeployment();
-
-  it.each(Object.entries({ ...createBodyForms(servicePaths.again, bodyLimit), ...connections }))(
+/** Tests all forms at one port: bodies for a path with its limit, and connections. */
+function testForms(path: string, limit: number, findAddress: () => string): void {
+  it.each(Object.entries({ ...createBodyForms(path, limit), ...connections }))(
     'cost its machine no more than it has: %s',
     async (_, form) => {
-      await press(deployment.gatewayAddress(0), form);
+      await press(findAddress(), form);
     },
   );
+}
+
+// Guards against callers that end a gateway, fill the memory or the descriptors of its machine, or keep it from its other callers.
+describe('callers that send what they like to a gateway', () => {
+  useDeployment();
+
+  testForms(servicePaths.again, bodyLimit, () => deployment.gatewayAddress(0));
 
   it.each([
     ['an unknown route', format('/nowhere/1', chunkedField)],
@@ -167,12 +172,7 @@
 describe('clients that send what they like to the port for operators', () => {
   useDeployment();
 
-  it.each(Object.entries({ ...createBodyForms('/Config.Put', manifestLimit), ...connections }))(
-    'cost its machine no more than it has: %s',
-    async (_, form) => {
-      await press(deployment.operatorsAddress(0), form);
-    },
-  );
+  testForms('/Config.Put', manifestLimit, () => deployment.operatorsAddress(0));
 
   it('cost its machine no more than it has: heartbeats as long as a manifest', async () => {
     const path = '/Instances.Heartbeat/i-1';
@@ -201,10 +201,5 @@
 describe('clients that send what they like to the port for load balancers', () => {
   useDeployment();
 
-  it.each(Object.entries({ ...createBodyForms('/readyz', bodyLimit), ...connections }))(
-    'cost its machine no more than it has: %s',
-    async (_, form) => {
-      await press(deployment.readinessAddress(0), form);
-    },
-  );
+  testForms('/readyz', bodyLimit, () => deployment.readinessAddress(0));
 });
--- a/__tests__/support/call-crowd.ts
+++ b/__tests__/support/call-crowd.ts
@@ -1,12 +1,13 @@
 /** Many clients that send what they like on streams of the port for calls between processes. */
-import { connect, type ClientHttp2Session, type ClientHttp2Stream } from 'node:http2';
+import { connect, type ClientHttp2Session } from 'node:http2';
 
-const block = Buffer.alloc(64 * 1024);
+import { Flood } from './flood.js';
 
 export interface CallBytes {
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
-  readonly beginning: Buffer;
+  /** In Latin-1. */
+  readonly beginning: string;
   readonly connections: number;
   readonly callsPerConnection: number;
 }
@@ -35,19 +36,6 @@
 
 function startCall(session: ClientHttp2Session, { path, headers, beginning }: CallBytes): void {
   const stream = session.request({ ':method': 'POST', ':path': path, ...headers });
-  stream.on('error', () => undefined);
   stream.resume();
-  stream.on('drain', () => {
-    write(stream);
-  });
-  stream.write(beginning);
-  write(stream);
-}
-
-function write(stream: ClientHttp2Stream): void {
-  setImmediate(() => {
-    if (!stream.destroyed && stream.write(block)) {
-      write(stream);
-    }
-  });
+  new Flood(stream, beginning, '\0');
 }
--- a/__tests__/support/client-crowd.ts
+++ b/__tests__/support/client-crowd.ts
@@ -1,12 +1,12 @@
 /** Many connections of clients that nobody controls: they send what they like, and read whatever comes back. */
 import { connect, type Socket } from 'node:net';
 
-const writtenAtOnce = 64 * 1024;
+import { Flood } from './flood.js';
 
 /** Bytes that one client sends. */
 export interface ClientBytes {
   /** Sent once. */
-  readonly beginning: string | Buffer;
+  readonly beginning: string;
   /** Sent after that: so many times, or without end. */
   readonly repeated?: { readonly text: string; readonly count: number };
   /** Whether the client takes nothing of what it is sent. */
@@ -32,7 +32,7 @@
       if (bytes.isDeaf !== true) {
         socket.resume();
       }
-      new Sender(socket, bytes).start();
+      send(socket, bytes);
       return socket;
     });
   }
@@ -51,40 +51,10 @@
   }
 }
 
-/** Writes as fast as the other side reads. */
-class Sender {
-  readonly #socket: Socket;
-  readonly #beginning: string | Buffer;
-  readonly #block: Buffer;
-  #blocksLeft: number;
-
-  constructor(socket: Socket, { beginning, repeated }: ClientBytes) {
-    this.#socket = socket;
-    this.#beginning = beginning;
-    const { text, count } = repeated ?? { text: '', count: 0 };
-    const textsInBlock = Math.max(1, Math.floor(writtenAtOnce / Math.max(1, text.length)));
-    this.#block = Buffer.from(text.repeat(Math.min(textsInBlock, count)), 'latin1');
-    this.#blocksLeft = Math.ceil(count / textsInBlock);
-  }
-
-  start(): void {
-    this.#socket.on('drain', () => {
-      this.#write();
-    });
-    this.#socket.write(this.#beginning);
-    this.#write();
-  }
-
-  #write(): void {
-    // The other connections of this process get their turns between two writes.
-    setImmediate(() => {
-      if (this.#blocksLeft === 0 || this.#socket.destroyed) {
-        return;
-      }
-      this.#blocksLeft -= 1;
-      if (this.#socket.write(this.#block)) {
-        this.#write();
-      }
-    });
+function send(socket: Socket, { beginning, repeated }: ClientBytes): void {
+  if (repeated === undefined) {
+    socket.write(beginning);
+  } else {
+    new Flood(socket, beginning, repeated.text, repeated.count);
   }
 }
--- a/__tests__/support/flood.ts
+++ b/__tests__/support/flood.ts
@@ -1,33 +1,44 @@
-/** Responses of faulty upstreams that go on as fast as the other side reads them, until it closes the connection. */
-import type { Socket } from 'node:net';
+/** Bytes that a faulty or misbehaving peer sends as fast as the other side reads them, until that closes the connection. */
+import type { Duplex } from 'node:stream';
 
 const writtenAtOnce = 64 * 1024;
 
 export class Flood {
-  readonly #socket: Socket;
+  readonly #stream: Duplex;
   readonly #bytes: Buffer;
+  #writesLeft: number;
 
-  /** Sends the beginning, and then the repeated bytes without end. */
-  constructor(socket: Socket, beginning: string, repeated: string) {
-    this.#socket = socket;
-    const count = Math.ceil(writtenAtOnce / repeated.length);
-    this.#bytes = Buffer.from(repeated.repeat(count), 'latin1');
-    socket.on('error', () => undefined);
-    socket.on('drain', () => {
+  /** Sends the beginning, and then the repeated bytes: about so many times, or without end. */
+  constructor(
+    stream: Duplex,
+    beginning: string,
+    repeated: string,
+    count = Number.POSITIVE_INFINITY,
+  ) {
+    this.#stream = stream;
+    const repeatedAtOnce = Math.max(1, Math.floor(writtenAtOnce / repeated.length));
+    this.#bytes = Buffer.from(repeated.repeat(repeatedAtOnce), 'latin1');
+    this.#writesLeft = Math.ceil(count / repeatedAtOnce);
+    stream.on('error', () => undefined);
+    stream.on('drain', () => {
       this.#write();
     });
-    socket.write(beginning, 'latin1');
+    stream.write(beginning, 'latin1');
     this.#write();
   }
 
   get isClosed(): boolean {
-    return this.#socket.destroyed;
+    return this.#stream.destroyed;
   }
 
   #write(): void {
     // The other connections of this process get their turns between two writes.
     setImmediate(() => {
-      if (!this.#socket.destroyed && this.#socket.write(this.#bytes)) {
+      if (this.#writesLeft === 0 || this.#stream.destroyed) {
+        return;
+      }
+      this.#writesLeft -= 1;
+      if (this.#stream.write(this.#bytes)) {
         this.#write();
       }
     });
--- a/__tests__/support/process-resources.ts
+++ b/__tests__/support/process-resources.ts
@@ -1,10 +1,10 @@
 /** What the processes that a test has started take of their machine. */
-import { readdir, readFile, writeFile } from 'node:fs/promises';
+import { readdir, writeFile } from 'node:fs/promises';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { RunningProgram } from './programs.js';
+import { readPeakMemory } from './resident-memory.js';
 
-const bytesPerKilobyte = 1024;
 const measureInterval = 100;
 /** Written to `clear_refs`; see proc(5). */
 const resetPeakCommand = '5';
@@ -47,8 +47,6 @@
 }
 
 async function readProgram({ pid }: RunningProgram): Promise<Resources> {
-  const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
-  const kilobytes = /^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0;
   const descriptors = await readdir(`/proc/${pid}/fd`).catch(() => []);
-  return { peakBytes: Number(kilobytes) * bytesPerKilobyte, descriptors: descriptors.length };
+  return { peakBytes: (await readPeakMemory(pid)) ?? 0, descriptors: descriptors.length };
 }
