The port of a gateway for other processes takes only short messages

Seen by callers: nothing yet; clients of that port took up to 233 MB of a gateway, where the test allows 229. Cause: every port for calls between processes took messages of 40 MiB, which only changes at control need; a gateway is only asked for its counters, with an empty message. Change: the longest message is an option of the server; a gateway takes 64 KiB.

--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -18,6 +18,8 @@
 import { LogClaimClient } from './log-claim-client.js';
 import { ServiceLevels } from './service-levels.js';
 
+/** Messages to a gateway only ask for something. */
+const maximumMessageBytes = 64 * 1024;
 /** How long one control host may take for a claim before the next one is asked. */
 const claimTimeout: Milliseconds = 2000;
 
@@ -87,6 +89,7 @@
   const server = createRpcServer({
     address: internal,
     inbound,
+    maximumMessageBytes,
     routes: (router) => {
       levels.register(router);
     },
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -25,7 +25,7 @@
 const callGracePeriod: Milliseconds = 1500;
 
 /** A change with the largest document that operators may send, and its source. */
-const maximumMessageBytes = 40 * 1024 * 1024;
+const defaultMaximumMessageBytes = 40 * 1024 * 1024;
 
 const defaultMemoryBytes = 32 * 1024 * 1024;
 const defaultMaximumConnections = 1024;
@@ -36,6 +36,8 @@
   /** Shared by all ports of the process; by default the port has memory of its own. */
   readonly inbound?: InboundMemory;
   readonly maximumConnections?: number;
+  /** Longest message, in bytes. */
+  readonly maximumMessageBytes?: number;
   readonly routes: (router: ConnectRouter) => void;
 }
 
@@ -55,7 +57,7 @@
     connectNodeAdapter({
       routes: options.routes,
       compressMinBytes: compressionThreshold,
-      readMaxBytes: maximumMessageBytes,
+      readMaxBytes: options.maximumMessageBytes ?? defaultMaximumMessageBytes,
       interceptors: [calls.interceptor],
     }),
   );
