--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -45,6 +45,7 @@
   estimateJsonMemory,
   guardServer,
   InboundMemory,
+  isBodyUnread,
   memoryRetryAfter,
   receiveBody,
   type InboundHold,
--- a/src/gateway/direct/response-writer.ts
+++ b/src/gateway/direct/response-writer.ts
@@ -1,8 +1,13 @@
 import type { ServerResponse } from 'node:http';
 
-import { ByteBuffer, endAfterBody, findResultCode, type Failure } from '../../common/index.js';
+import {
+  ByteBuffer,
+  endAfterBody,
+  findResultCode,
+  isBodyUnread,
+  type Failure,
+} from '../../common/index.js';
 import { isFramedResponse } from '../../wire/index.js';
-import { isBodyRefused } from '../refusals.js';
 import { maximumEventBytes, type EventFault, type EventReader } from '../events/index.js';
 import { isSuccess, isUpstreamFailure } from '../response-status.js';
 import type { RawHeaders } from './dialect.js';
@@ -203,8 +208,7 @@
       error: { code: number, name: failure.code, message, advice, detail: failure.detail },
     });
     const retry = failure.retryAfterMilliseconds;
-    const isUnread = isBodyRefused(failure) && !this.#response.req.complete;
-    const endsConnection = this.#endsConnection() || isUnread;
+    const endsConnection = this.#endsConnection() || isBodyUnread(this.#response.req, failure);
     this.#response.writeHead(httpStatus, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -7,6 +7,7 @@
   assertNever,
   createFailure,
   InboundMemory,
+  isBodyUnread,
   openServer,
   receiveBody,
   type Failure,
@@ -18,7 +19,6 @@
 import { defaultRequestLimits } from '../limits.js';
 import { LoadTracker } from '../load-tracker.js';
 import { listModelNames } from '../reach.js';
-import { isBodyRefused } from '../refusals.js';
 import { RetryBudget } from '../retry-budget.js';
 import { Router } from '../router.js';
 import { findAccount } from './accounts.js';
@@ -309,7 +309,7 @@
 
   #fail(caller: CallerRequest, failure: Failure): void {
     this.#options.metrics.increment('gateway.refused', { result: failure.code });
-    if (isBodyRefused(failure) && !caller.request.complete) {
+    if (isBodyUnread(caller.request, failure)) {
       caller.response.shouldKeepAlive = false;
     }
     caller.fail(failure);
--- a/src/settings/common-settings.ts
+++ b/src/settings/common-settings.ts
@@ -66,14 +66,23 @@
 /** Address on which metrics are served as text; undefined to serve none. */
 export const metricsPageSettings = listenAddress.optional();
 
+/** Bytes. */
+export const mebibyte = 1024 * 1024;
+
+/** Defaults of the settings that bound what clients take. */
+interface InboundDefaults {
+  readonly memoryBytes: number;
+  readonly connections: number;
+}
+
 /** Settings that bound what the clients of a process take of its machine. */
-export function createInboundSettings(defaultMemoryBytes: number, defaultConnections: number) {
+export function createInboundSettings({ memoryBytes, connections }: InboundDefaults) {
   return z
     .strictObject({
       /** Bytes of requests that are held for the clients of all ports together. One large request fits even if it exceeds this alone. */
-      memoryBytes: z.int().min(1).default(defaultMemoryBytes),
+      memoryBytes: z.int().min(1).default(memoryBytes),
       /** Open connections of one port; beyond it, those that wait for their client are closed, the longest first. */
-      connections: z.int().min(1).default(defaultConnections),
+      connections: z.int().min(1).default(connections),
     })
     .readonly()
     .prefault({});
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -9,6 +9,7 @@
   createInboundSettings,
   listSeedHosts,
   logSettings,
+  mebibyte,
   metricsPageSettings,
   metricsSettings,
   nameSchema,
@@ -16,7 +17,6 @@
   shutdownSettings,
 } from './common-settings.js';
 
-const mebibyte = 1024 * 1024;
 const maximumVoterCount = 7;
 const maximumToleratedLosses = (maximumVoterCount - 1) / 2;
 
@@ -97,7 +97,7 @@
     evacuation,
     timeouts,
     planning,
-    inbound: createInboundSettings(32 * mebibyte, 1024),
+    inbound: createInboundSettings({ memoryBytes: 32 * mebibyte, connections: 1024 }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -5,13 +5,12 @@
   controlAddresses,
   createInboundSettings,
   logSettings,
+  mebibyte,
   metricsSettings,
   nameSchema,
   shutdownSettings,
 } from './common-settings.js';
 
-const mebibyte = 1024 * 1024;
-
 /** Limits for a single caller's request. */
 const limits = z
   .strictObject({
@@ -42,7 +41,7 @@
     internal: reachableAddress,
     control: controlAddresses,
     limits,
-    inbound: createInboundSettings(32 * mebibyte, 1920),
+    inbound: createInboundSettings({ memoryBytes: 32 * mebibyte, connections: 1920 }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/settings/routing-gateway-settings.ts
+++ b/src/settings/routing-gateway-settings.ts
@@ -5,13 +5,12 @@
   addControlAddresses,
   createInboundSettings,
   logSettings,
+  mebibyte,
   metricsPageSettings,
   nameSchema,
   requiredSeedSettings,
 } from './common-settings.js';
 
-const mebibyte = 1024 * 1024;
-
 /** Limits that operators guarantee to their callers. */
 const bounds = z
   .strictObject({
@@ -89,7 +88,7 @@
   coldUpstreams: coldUpstreams.exactOptional(),
   /** Absent if the memory held for callers is not limited. */
   memory: memory.exactOptional(),
-  inbound: createInboundSettings(32 * mebibyte, 1920),
+  inbound: createInboundSettings({ memoryBytes: 32 * mebibyte, connections: 1920 }),
   metricsPage: metricsPageSettings,
   log: logSettings,
 });
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -5,13 +5,12 @@
   controlAddresses,
   createInboundSettings,
   logSettings,
+  mebibyte,
   metricsSettings,
   nameSchema,
   shutdownSettings,
 } from './common-settings.js';
 
-const mebibyte = 1024 * 1024;
-
 /** Settings of pistachiospoke-sidecar. */
 export const sidecarSettingsSchema = z
   .strictObject({
@@ -32,7 +31,7 @@
     upstreamChecksFencingNumber: z.boolean().default(false),
     /** Number of attempts that the upstream accepts concurrently. */
     concurrency: z.int().min(1).max(10_000).default(16),
-    inbound: createInboundSettings(24 * mebibyte, 1024),
+    inbound: createInboundSettings({ memoryBytes: 24 * mebibyte, connections: 1024 }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/sidecar/upstream/announce-server.ts
+++ b/src/sidecar/upstream/announce-server.ts
@@ -2,9 +2,11 @@
 
 import {
   closeServer,
+  endAfterBody,
   findResultCode,
   formatFailure,
   guardServer,
+  isBodyUnread,
   openServer,
   parseJson,
   receiveBody,
@@ -49,7 +51,7 @@
   }
   const body = await receiveBody(request, response, { memory, maximumBytes: maximumBodyBytes });
   if (body.err) {
-    response.shouldKeepAlive = false;
+    response.shouldKeepAlive = !isBodyUnread(request, body.val);
     sendResponse(response, findResultCode(body.val).httpStatus, formatFailure(body.val));
     return;
   }
@@ -64,5 +66,5 @@
 
 function sendResponse(response: ServerResponse, status: number, message: string): void {
   response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify({ message }));
+  endAfterBody(response, JSON.stringify({ message }));
 }
