Programs bound the memory that V8 takes for new objects

Cause: V8 lets its young generation grow to 48 MB in each process before it collects, and the buffers that dead objects refer to stay until then. Only sidecars of the deploy file bounded it.

Change: gateways and control hosts of the deploy file get semi-spaces of 4 MB. Our own programs name the flag in their first line, npm start passes it, and the tests execute the programs as a host does.

--- a/__tests__/platform/deployment.ts
+++ b/__tests__/platform/deployment.ts
@@ -31,8 +31,8 @@
 
 /** Flags for Node on the platform's machines. */
 const deploymentFlags: Readonly<Record<ProgramName, readonly string[]>> = {
-  control: ['--max-old-space-size=200'],
-  gateway: ['--max-old-space-size=200'],
+  control: ['--max-old-space-size=200', '--max-semi-space-size=4'],
+  gateway: ['--max-old-space-size=200', '--max-semi-space-size=4'],
   sidecar: ['--max-old-space-size=100', '--max-semi-space-size=2', '--optimize-for-size'],
 };
 
@@ -368,10 +368,9 @@
   }
 
   #run(name: ProgramName, settingsFile: string, label: string): RunningProgram {
-    const nodeFlags = this.#build === 'deployment' ? deploymentFlags[name] : [];
     return this.group.start(`${this.#build}/${name}`, ['--settings', settingsFile], {
       label,
-      nodeFlags,
+      ...(this.#build === 'deployment' && { nodeFlags: deploymentFlags[name] }),
     });
   }
 }
--- a/__tests__/support/programs.ts
+++ b/__tests__/support/programs.ts
@@ -17,7 +17,7 @@
   /** Identifies the program in messages of failed tests; the program's name by default. */
   readonly label?: string;
   readonly environment?: Readonly<Record<string, string>>;
-  /** Command-line flags for Node itself. */
+  /** Command-line flags for Node itself, in place of those that the program names in its first line. */
   readonly nodeFlags?: readonly string[];
 }
 
@@ -163,14 +163,12 @@
     if (!existsSync(file)) {
       throw new Error(`${file} is missing: run npm run build first`);
     }
-    const child = spawn(
-      process.execPath,
-      [...(options.nodeFlags ?? []), file, ...commandArguments],
-      {
-        stdio: ['ignore', 'pipe', 'pipe'],
-        env: { ...process.env, ...options.environment },
-      },
-    );
+    const [command, ...flags] =
+      options.nodeFlags === undefined ? [file] : [process.execPath, ...options.nodeFlags, file];
+    const child = spawn(command, [...flags, ...commandArguments], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...options.environment },
+    });
     const program = new RunningProgram(options.label ?? name, child);
     this.#programs.push(program);
     watch(child);
--- a/scripts/bundle-options.mjs
+++ b/scripts/bundle-options.mjs
@@ -1,6 +1,8 @@
 /** esbuild options shared by programs and benches: each bundle is one ES module that Node runs without node_modules. */
 import { fileURLToPath } from 'node:url';
 
+import { nodeFlags } from './node-flags.mjs';
+
 const requireBanner =
   "import { createRequire as createRequireForBundle } from 'node:module';\n" +
   'const require = createRequireForBundle(import.meta.url);';
@@ -23,7 +25,7 @@
   target: 'node20',
   format: 'esm',
   mainFields: ['module', 'main'],
-  banner: { js: `#!/usr/bin/env node\n${requireBanner}` },
+  banner: { js: `#!/usr/bin/env -S node ${nodeFlags.join(' ')}\n${requireBanner}` },
   plugins: [assertWithoutSource],
   logLevel: 'warning',
 };
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -6,6 +6,8 @@
 import { createWriteStream, mkdirSync, readFileSync, readdirSync, rmSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { nodeFlags } from './node-flags.mjs';
+
 const examples = 'examples/local';
 const runFolder = 'run';
 const gatewayAddress = '127.0.0.1:8400';
@@ -26,7 +28,7 @@
 }
 
 function startProgram(name, program, args) {
-  const child = spawn(process.execPath, [`dist/${program}.js`, ...args], {
+  const child = spawn(process.execPath, [...nodeFlags, `dist/${program}.js`, ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
     detached: true,
   });
