A prompt has a bounded number of segments

Callers of a gateway got no answers while it took one prompt of 4 MiB, inside the limit of a body, that had some 600,000 short messages: it was busy for seconds.

Cause: each message is a segment that other prompts may share, and was hashed by itself; its digest was kept until the request was over, and each answer wrote all of them to the list of sound segments, where they displaced those of other callers.

Change: the messages beyond the 1,023rd are one segment together, so that every part of a prompt is still in one. The prefix for the choice of a group is read from the first messages, not cut from the text of all.

Failed before: 50,000 messages had 49,999 segments. The prefix is the same text as before.

--- a/src/gateway/shell/request-parser.ts
+++ b/src/gateway/shell/request-parser.ts
@@ -10,6 +10,7 @@
 import type { RequestFacts } from '../messages.js';
 import { parseModelName, type RequestedOffer } from '../reach.js';
 import type { ServicePath } from './paths.js';
+import { listPromptSegments, readPromptPrefix } from './prompt-segments.js';
 
 /** A parsed caller's request: its properties for routing and the message for the upstream. */
 export interface ParsedRequest {
@@ -41,8 +42,6 @@
 const maximumPriority = 9;
 const maximumTimeoutSeconds = 600;
 const millisecondsPerSecond = 1000;
-/** Length of the prompt prefix in the affinity key: requests that share it profit from a warm cache. */
-const affinityCharacters = 512;
 
 /**
  * Header fields that are not forwarded: those of a single connection and those for the gateway.
@@ -91,24 +90,21 @@
     return new Err(createFailure('invalidRequest', `${place}: ${issue?.message ?? ''}`));
   }
   const { model, messages } = checked.data;
-  const prefix = JSON.stringify(messages).slice(0, affinityCharacters);
-  const affinityKey = digest([model, prefix]);
+  const affinityKey = digest([model, readPromptPrefix(messages)]);
   const wanted = parseModelName(model);
   const parsed = buildRequest(message, body, context, wanted, chatPath, affinityKey);
   return parsed.map((request) => addSegments(request, wanted, messages));
 }
 
-/**
- * The messages before the last one are segments that other prompts may share. The last one belongs to the request itself.
- */
 function addSegments(
   { facts, upstream }: ParsedRequest,
   wanted: RequestedOffer,
   messages: readonly unknown[],
 ): ParsedRequest {
   const target = wanted.type === 'model' ? wanted.model : wanted.service;
-  const shared = messages.slice(0, -1).map((message) => digest([JSON.stringify(message)]));
-  const segments = [...new Set(shared)].map((segment) => formatSegmentSubject(target, segment));
+  const segments = listPromptSegments(messages).map((segment) => {
+    return formatSegmentSubject(target, segment);
+  });
   const crashSubjects = [...(facts.crashSubjects ?? []), ...segments];
   return { facts: { ...facts, crashSubjects }, upstream };
 }
