Chat completion requests have a bounded number of JSON values

Cause: the memory for what clients send counts bytes. JSON.parse needs up to sixty times the bytes for values of a few characters, and V8 kept what several requests needed one after the other. Text of values that are nested very deeply cannot be written again either: that throws.

Change: values and their depth are counted in the bytes, as for manifests, before a request is parsed; one with more than limits.maximumBodyValues (100,000 by default) or more than 1,000 inside one another is refused as too large (1008, not run). A conversation of 30,000 messages is still served.

--- a/__tests__/common/inbound-bodies.test.ts
+++ b/__tests__/common/inbound-bodies.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { estimateJsonMemory } from '../../src/common/index.js';
+import { estimateJsonMemory, measureJson } from '../../src/common/index.js';
 import { BodyStorage } from '../../src/common/inbound/index.js';
 import { MessageSizes } from '../../src/wire/message-sizes.js';
 
@@ -54,6 +54,14 @@
     const text = Buffer.from(JSON.stringify('{},\\"'.repeat(1000)));
     expect(estimateJsonMemory(text)).toBeLessThan(3 * text.length);
   });
+
+  it.each([
+    ['1', 1, 0],
+    ['[[],{"a":[1]},"[["]', 7, 3],
+    ['[1,2]', 3, 1],
+  ])('is of the values of %s, and of how deep they are nested', (text, values, depth) => {
+    expect(measureJson(Buffer.from(text))).toEqual({ values, depth });
+  });
 });
 
 // Guards against messages on streams whose memory is not accounted for, or is never released.
--- a/__tests__/requests/fixture.ts
+++ b/__tests__/requests/fixture.ts
@@ -204,6 +204,7 @@
     inbound: new InboundMemory(4_000_000, systemClock),
     maximumConnections: 100,
     maximumBodyBytes: 1_000_000,
+    maximumBodyValues: 100_000,
     maximumAnswerBytes: 1_000_000,
     drain: { unreadyPeriod: 0, hardLimit: 0 },
     ...overrides,
--- a/__tests__/support/fleet-settings.ts
+++ b/__tests__/support/fleet-settings.ts
@@ -45,6 +45,7 @@
   index: number,
   control: readonly string[],
   shutdown = quickShutdown,
+  maximumBodyBytes = 100_000,
 ): object {
   return {
     name: own.name,
@@ -52,7 +53,7 @@
     listen: own.externalAddress,
     internal: own.address,
     control,
-    limits: { maximumBodyBytes: 100_000 },
+    limits: { maximumBodyBytes },
     inbound: { connections: 1000 },
     shutdown,
   };
--- a/__tests__/support/fleet.ts
+++ b/__tests__/support/fleet.ts
@@ -28,6 +28,8 @@
   readonly crashOn?: string;
   /** Times in which gateways stop. */
   readonly gatewayShutdown?: ShutdownTimes;
+  /** What callers may send. */
+  readonly maximumBodyBytes?: number;
   /** Receives the addresses of the control hosts and returns the relay addresses that gateways and sidecars use instead. */
   readonly relayControl?: RelayControl;
   /** Like `relayControl`, for gateways only; called once per gateway. */
@@ -223,7 +225,10 @@
 }
 
 type CompleteOptions = typeof defaults &
-  Pick<FleetOptions, 'relayControl' | 'relayGatewayControl' | 'crashOn' | 'gatewayShutdown'>;
+  Pick<
+    FleetOptions,
+    'relayControl' | 'relayGatewayControl' | 'crashOn' | 'gatewayShutdown' | 'maximumBodyBytes'
+  >;
 
 async function defineMembers(
   group: ProgramGroup,
@@ -249,7 +254,13 @@
     ...services.map((own) => define(own, 'sidecar', createSidecarSettings(own, 'desk', control))),
     ...gateways.map(async (own, index) => {
       const ownControl = (await options.relayGatewayControl?.(own.name, control)) ?? control;
-      const settings = createGatewaySettings(own, index, ownControl, options.gatewayShutdown);
+      const settings = createGatewaySettings(
+        own,
+        index,
+        ownControl,
+        options.gatewayShutdown,
+        options.maximumBodyBytes,
+      );
       return define(own, 'gateway', settings);
     }),
     ...engines.map((sidecar, index) =>
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -43,6 +43,7 @@
 export {
   endAfterBody,
   estimateJsonMemory,
+  measureJson,
   guardServer,
   InboundMemory,
   isBodyUnread,
--- a/src/gateway/shell/gateway-options.ts
+++ b/src/gateway/shell/gateway-options.ts
@@ -23,6 +23,8 @@
   readonly inbound: InboundMemory;
   readonly maximumConnections: number;
   readonly maximumBodyBytes: number;
+  /** Maximum number of JSON values in a chat completion request. */
+  readonly maximumBodyValues: number;
   /** Maximum size of an answer that is not streamed and is buffered until it is complete. */
   readonly maximumAnswerBytes: number;
   /** Timeout of a request that does not specify one. */
--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -76,6 +76,7 @@
     inbound,
     maximumConnections: settings.inbound.connections,
     maximumBodyBytes: limits.maximumBodyBytes,
+    maximumBodyValues: limits.maximumBodyValues,
     maximumAnswerBytes: limits.maximumAnswerBytes,
     defaultTimeout: limits.requestTimeoutMilliseconds,
     drain: {
--- a/src/gateway/shell/gateway.ts
+++ b/src/gateway/shell/gateway.ts
@@ -236,6 +236,7 @@
       account: admitted.val,
       configuration: this.#options.watched.read().configuration,
       defaultTimeout: this.#options.defaultTimeout ?? defaultTimeout,
+      maximumValues: this.#options.maximumBodyValues,
     });
     if (parsed.err) {
       this.#fail(caller, parsed.val);
--- a/src/gateway/shell/request-parser.ts
+++ b/src/gateway/shell/request-parser.ts
@@ -3,7 +3,13 @@
 import { Err, Ok, type Result } from 'ts-results';
 import { z } from 'zod';
 
-import { createFailure, digest, type Failure, type Milliseconds } from '../../common/index.js';
+import {
+  createFailure,
+  digest,
+  measureJson,
+  type Failure,
+  type Milliseconds,
+} from '../../common/index.js';
 import type { Account, Configuration, RequestId } from '../../model/index.js';
 import { formatSegmentSubject } from '../../routing/index.js';
 import type { HeaderField, UpstreamRequest } from '../../sidecar/attempts/index.js';
@@ -25,6 +31,8 @@
   readonly account: Account;
   readonly configuration: Configuration;
   readonly defaultTimeout: Milliseconds;
+  /** Of JSON values in a chat completion request. */
+  readonly maximumValues: number;
 }
 
 /** Names of the product-specific header fields and of the standard idempotency key field, in lower case. */
@@ -39,6 +47,8 @@
 
 const chatPath = '/v1/chat/completions';
 const maximumKeyLength = 512;
+/** Lists and objects inside one another; formatting a value as text needs stack for each. */
+const maximumDepth = 1000;
 const maximumPriority = 9;
 const maximumTimeoutSeconds = 600;
 const millisecondsPerSecond = 1000;
@@ -79,7 +89,7 @@
   body: Buffer,
   context: ParseContext,
 ): Result<ParsedRequest, Failure> {
-  const json = parseJson(body);
+  const json = parseJson(body, context.maximumValues);
   if (json.err) {
     return json;
   }
@@ -179,7 +189,14 @@
   return service?.nonIdempotentByDefault ?? false;
 }
 
-function parseJson(body: Buffer): Result<unknown, Failure> {
+function parseJson(body: Buffer, maximumValues: number): Result<unknown, Failure> {
+  const { values, depth } = measureJson(body);
+  if (values > maximumValues) {
+    return new Err(createFailure('bodyTooLarge', `At most ${maximumValues} JSON values.`));
+  }
+  if (depth > maximumDepth) {
+    return new Err(createFailure('bodyTooLarge', `At most ${maximumDepth} nested JSON values.`));
+  }
   try {
     return new Ok(JSON.parse(body.toString('utf8')) as unknown);
   } catch (error) {
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -18,6 +18,8 @@
       .int()
       .min(1)
       .default(4 * mebibyte),
+    /** JSON values in a chat completion request: each costs memory and time, however short its text is. */
+    maximumBodyValues: z.int().min(1).default(100_000),
     /** Largest answer that is buffered before it is sent; streamed answers are not limited. */
     maximumAnswerBytes: z
       .int()
