The fields of a message between processes are counted before it is decoded

Operators saw nothing yet: a single call inside the limit of 40 MiB took a control host to 998 MB (fields that nobody knows, three bytes each) and to 556 MB (empty entries of a list, two bytes each), and a sidecar to 1,022 and 504 MB, where 229 may be.

Cause: the memory of a message was counted by its bytes. The decoder makes an object of each entry, and keeps each field that it does not know.

Change: fields are counted as the bytes arrive, with the schema and without keeping them; a message with more than 100,000 is refused, and one that the decoder could read in another way as well. A first form joined the message and counted it then: a control host took 241 MB for the copy. Unknown fields are not kept. A piece counts as 256 bytes, up to 16,384 of them: the library adds up all pieces for each new one.

Not shown: messages in frames of one byte have no test.

--- a/src/wire/rpc-request.ts
+++ b/src/wire/rpc-request.ts
@@ -1,10 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Http2ServerRequest } from 'node:http2';
 
+import type { DescMessage } from '@bufbuild/protobuf';
 import { Code, ConnectError } from '@connectrpc/connect';
 
 import type { InboundHold, InboundMemory } from '../common/index.js';
-import { MessageSizes } from './message-sizes.js';
+import { EntryCounter } from './entry-counter.js';
+import { MessageSizes, type MessageListener } from './message-sizes.js';
 
 /** Requests of an RPC server that hold memory of the process for each message until it has arrived. */
 
@@ -21,14 +23,31 @@
 const uncompressed = 'identity';
 /** A message is collected in pieces, then joined, and decoded from that. */
 const copiesOfMessage = 2;
+/** What a piece takes beside its bytes. */
+const pieceBytes = 256;
+/** Pieces of a message that has not arrived; processes of the system send some thousands. */
+const maximumPieces = 16 * 1024;
+/** Entries of lists and fields in one message. A report of all hosts has some ten thousand. */
+const maximumEntries = 100_000;
+
+/** Finds what the messages of a call consist of, by its path. */
+export type FindMessage = (path: string) => DescMessage | undefined;
 
 /** Creates the class of the requests of one server. */
-export function createRpcRequestClass(memory: InboundMemory): typeof Http2ServerRequest {
+export function createRpcRequestClass(
+  memory: InboundMemory,
+  findMessage: FindMessage,
+): typeof Http2ServerRequest {
   return class RpcRequest extends Http2ServerRequest {
     override async *[Symbol.asyncIterator](): AsyncGenerator<Buffer, undefined> {
       checkFormat(this.headers);
       const isUnary = this.headers['content-type'] === unaryType;
-      const sizes = new MessageSizes(isUnary);
+      const [path = ''] = this.url.split('?');
+      const message = findMessage(path);
+      if (message === undefined) {
+        throw new ConnectError('unknown call', Code.Unimplemented);
+      }
+      const sizes = new MessageSizes(isUnary, createEntryCheck(message));
       let hold: InboundHold | undefined;
       try {
         for await (const bytes of super[Symbol.asyncIterator]() as AsyncIterable<Buffer>) {
@@ -40,7 +59,7 @@
             hold ??= memory.open(() => {
               this.stream.destroy();
             });
-            growTo(hold, sizes.incompleteBytes * copiesOfMessage);
+            growTo(hold, sizes);
             hold?.noteReceived(bytes.length);
           }
           yield bytes;
@@ -53,6 +72,22 @@
   };
 }
 
+/** Throws once a message consists of too much, or is none. */
+function createEntryCheck(message: DescMessage): MessageListener {
+  let counter = new EntryCounter(message);
+  return {
+    onBegin: () => {
+      counter = new EntryCounter(message);
+    },
+    onBytes: (bytes) => {
+      countIn(counter, bytes);
+      if (counter.count > maximumEntries) {
+        throw new ConnectError('the message has too many entries', Code.ResourceExhausted);
+      }
+    },
+  };
+}
+
 /** Throws unless the messages are in a form in which their memory can be bounded before they are decoded. */
 function checkFormat(headers: IncomingHttpHeaders): void {
   const type = headers['content-type'] ?? '';
@@ -64,9 +99,22 @@
   }
 }
 
-/** Throws if there is no memory for so many bytes. */
-function growTo(hold: InboundHold | undefined, bytes: number): void {
-  if (hold === undefined || (bytes > hold.bytes && !hold.reserve(bytes - hold.bytes))) {
+function countIn(counter: EntryCounter, bytes: Buffer): void {
+  try {
+    counter.push(bytes);
+  } catch (error) {
+    throw ConnectError.from(error, Code.InvalidArgument);
+  }
+}
+
+/** Throws if there is no memory for what has arrived of a message. */
+function growTo(
+  hold: InboundHold | undefined,
+  { incompleteBytes, incompletePieces }: MessageSizes,
+): void {
+  const bytes = incompleteBytes * copiesOfMessage + incompletePieces * pieceBytes;
+  const isTaken = hold === undefined || (bytes > hold.bytes && !hold.reserve(bytes - hold.bytes));
+  if (isTaken || incompletePieces > maximumPieces) {
     throw new ConnectError('the memory for requests is taken', Code.ResourceExhausted);
   }
 }
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
 import type { Socket } from 'node:net';
 
+import type { DescMessage } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
@@ -52,10 +53,18 @@
   const { inbound = new InboundMemory(defaultMemoryBytes, systemClock) } = options;
   const sessions = new Set<ServerHttp2Session>();
   const calls = new RunningCalls();
+  const messages = new Map<string, DescMessage>();
   const server = createServer(
-    { Http2ServerRequest: createRpcRequestClass(inbound) },
+    { Http2ServerRequest: createRpcRequestClass(inbound, (path) => messages.get(path)) },
     connectNodeAdapter({
-      routes: options.routes,
+      routes: (router) => {
+        options.routes(router);
+        for (const { requestPath, method } of router.handlers) {
+          messages.set(requestPath, method.input);
+        }
+      },
+      // What nobody reads would take far more memory than it has bytes.
+      binaryOptions: { readUnknownFields: false },
       compressMinBytes: compressionThreshold,
       readMaxBytes: options.maximumMessageBytes ?? defaultMaximumMessageBytes,
       interceptors: [calls.interceptor],
