--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -43,10 +43,10 @@
 export {
   endAfterBody,
   estimateJsonMemory,
-  measureJson,
   guardServer,
   InboundMemory,
   isBodyUnread,
+  measureJson,
   memoryRetryAfter,
   receiveBody,
   type InboundHold,
