--- a/__tests__/processes/path-growing-messages.test.ts
+++ b/__tests__/processes/path-growing-messages.test.ts
@@ -3,7 +3,8 @@
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
-import { Fleet, waitFor } from '../support/index.js';
+import { Fleet } from '../support/index.js';
+import { waitForOrdinaryService } from '../support/ordinary-service.js';
 import { resetPeak, watchResources } from '../support/process-resources.js';
 
 const megabyte = 1024 * 1024;
@@ -74,14 +75,6 @@
   await fleet.stop();
 });
 
-async function expectOrdinaryService(): Promise<void> {
-  await waitFor('an ordinary request to be answered', async () => {
-    const response = await fleet.chat();
-    await response.text();
-    return response.status === 200;
-  });
-}
-
 /** Opens a connection on which the call is made again whenever it has ended. */
 function callAgainAndAgain(address: string, headers: Headers, body: Buffer): ClientHttp2Session {
   const session = connect(`http://${address}`);
@@ -113,7 +106,7 @@
       session.destroy();
     });
   }
-  await expectOrdinaryService();
+  await waitForOrdinaryService(fleet);
   expect(program.isRunning).toBe(true);
 }
 
--- a/__tests__/processes/path-idle-calls.test.ts
+++ b/__tests__/processes/path-idle-calls.test.ts
@@ -2,7 +2,8 @@
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
-import { Fleet, waitFor } from '../support/index.js';
+import { Fleet } from '../support/index.js';
+import { waitForOrdinaryService } from '../support/ordinary-service.js';
 import { resetPeak, watchResources } from '../support/process-resources.js';
 
 const megabyte = 1024 * 1024;
@@ -63,11 +64,7 @@
         session.destroy();
       });
     }
-    await waitFor('an ordinary request to be answered', async () => {
-      const response = await fleet.chat();
-      await response.text();
-      return response.status === 200;
-    });
+    await waitForOrdinaryService(fleet);
     expect(program.isRunning).toBe(true);
   });
 });
--- a/__tests__/processes/path-many-messages.test.ts
+++ b/__tests__/processes/path-many-messages.test.ts
@@ -1,14 +1,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { ClientCrowd } from '../support/client-crowd.js';
-import {
-  Fleet,
-  fleetKey,
-  fleetModel,
-  formatHead,
-  waitFor,
-  type RunningProgram,
-} from '../support/index.js';
+import { Fleet, fleetKey, fleetModel, formatHead, type RunningProgram } from '../support/index.js';
+import { waitForOrdinaryService } from '../support/ordinary-service.js';
 import { resetPeak, watchResources } from '../support/process-resources.js';
 
 const megabyte = 1024 * 1024;
@@ -71,14 +65,6 @@
 const headers = { authorization: `Bearer ${fleetKey}`, 'content-type': 'application/json' };
 const path = '/v1/chat/completions';
 
-async function expectOrdinaryService(): Promise<void> {
-  await waitFor('an ordinary request to be answered', async () => {
-    const response = await fleet.chat();
-    await response.text();
-    return response.status === 200;
-  });
-}
-
 // Guards against prompts of very many small messages that end a gateway, fill the memory of its machine, or keep it from its other callers.
 describe('prompts of very many messages', () => {
   it('are served', async () => {
@@ -109,7 +95,7 @@
       } finally {
         clients.close();
       }
-      await expectOrdinaryService();
+      await waitForOrdinaryService(fleet);
       expect(programs.every(({ isRunning }) => isRunning)).toBe(true);
     },
   );
--- a/__tests__/processes/path-misbehaving-clients.test.ts
+++ b/__tests__/processes/path-misbehaving-clients.test.ts
@@ -2,7 +2,8 @@
 
 import { CallCrowd, type CallBytes } from '../support/call-crowd.js';
 import { ClientCrowd, type ClientBytes } from '../support/client-crowd.js';
-import { Fleet, fleetKey, formatHead, waitFor, type RunningProgram } from '../support/index.js';
+import { Fleet, fleetKey, formatHead, type RunningProgram } from '../support/index.js';
+import { waitForOrdinaryService } from '../support/ordinary-service.js';
 import { resetPeak, watchResources } from '../support/process-resources.js';
 
 const megabyte = 1024 * 1024;
@@ -72,14 +73,6 @@
   await fleet.stop();
 });
 
-async function expectOrdinaryService(): Promise<void> {
-  await waitFor('an ordinary request to be answered', async () => {
-    const response = await fleet.chat();
-    await response.text();
-    return response.status === 200;
-  });
-}
-
 async function press(program: RunningProgram, start: () => { close: () => void }): Promise<void> {
   await resetPeak(program);
   const clients = start();
@@ -91,7 +84,7 @@
   } finally {
     clients.close();
   }
-  await expectOrdinaryService();
+  await waitForOrdinaryService(fleet);
   expect(program.isRunning).toBe(true);
 }
 
