Open calls between processes have a limit

Cause: nothing bounded the calls on a connection. Each takes 48 KB of heap before its first message has arrived, nearly all in the library for calls (heap of 1,000 open calls).

Change: OpenSessions, which limited connections, admits calls as well. All connections together have at most inbound.calls (1,024), one has a quarter of them, of which its peer is told, and no more than are left for all others. Beyond that a call is refused before the library sees it; a session is closed after 50 refusals in a row, and the one with the most calls gives way to one that has few.

--- a/__tests__/processes/path-idle-calls.test.ts
+++ b/__tests__/processes/path-idle-calls.test.ts
@@ -14,9 +14,17 @@
 const crowd = 24;
 const callsPerConnection = 1000;
 
-const paths = [
-  ['control-1', '/pistachiospoke.v1.ControlService/Report'],
-  ['sidecar-1', '/pistachiospoke.v1.AttemptService/Run'],
+const unfinished = Buffer.alloc(1);
+/** Flags and a size of zero: a whole message without any fields. */
+const empty = Buffer.alloc(5);
+
+/** The process that is called, what with, the path and what is sent on each call. */
+const calls = [
+  ['control-1', 'reports', '/pistachiospoke.v1.ControlService/Report', unfinished],
+  ['sidecar-1', 'attempts', '/pistachiospoke.v1.AttemptService/Run', unfinished],
+  ['control-1', 'watches of routing', '/pistachiospoke.v1.RoutingService/Watch', empty],
+  ['control-1', 'log streams', '/pistachiospoke.v1.ConsensusService/Exchange', empty],
+  ['sidecar-1', 'lease streams', '/pistachiospoke.v1.LeaseService/Hold', empty],
 ] as const;
 
 let fleet: Fleet;
@@ -29,8 +37,8 @@
   await fleet.stop();
 });
 
-/** Opens a connection with calls that send one byte each, and nothing after it. */
-function openIdleCalls(address: string, path: string): ClientHttp2Session {
+/** Opens a connection with calls that send so much each, and nothing after it. */
+function openIdleCalls(address: string, path: string, bytes: Buffer): ClientHttp2Session {
   const session = connect(`http://${address}`);
   session.on('error', () => undefined);
   session.once('remoteSettings', () => {
@@ -43,7 +51,7 @@
       });
       stream.on('error', () => undefined);
       stream.resume();
-      stream.write(Buffer.alloc(1));
+      stream.write(bytes);
     }
   });
   return session;
@@ -51,10 +59,10 @@
 
 // Guards against clients that fill the memory of a process with calls on which they send nothing.
 describe('calls between processes that go no further', () => {
-  it.each(paths)('cost %s no more than its machine has', async (name, path) => {
+  it.each(calls)('cost %s no more than its machine has: %s', async (name, _, path, bytes) => {
     const { address, program } = fleet.member(name);
     await resetPeak(program);
-    const sessions = Array.from({ length: crowd }, () => openIdleCalls(address, path));
+    const sessions = Array.from({ length: crowd }, () => openIdleCalls(address, path, bytes));
     try {
       const { peakBytes } = await watchResources([program], pressTime);
       expect(program.isRunning).toBe(true);
--- a/src/control/shell/control-process.ts
+++ b/src/control/shell/control-process.ts
@@ -168,6 +168,7 @@
       address: settings.listen,
       inbound,
       maximumConnections: settings.inbound.connections,
+      maximumCalls: settings.inbound.calls,
       routes: (router) => {
         this.#register(router);
       },
--- a/src/gateway/shell/gateway-process.ts
+++ b/src/gateway/shell/gateway-process.ts
@@ -90,6 +90,7 @@
   const server = createRpcServer({
     address: internal,
     inbound,
+    maximumCalls: settings.inbound.calls,
     maximumMessageBytes,
     routes: (router) => {
       levels.register(router);
--- a/src/settings/common-settings.ts
+++ b/src/settings/common-settings.ts
@@ -76,18 +76,34 @@
 }
 
 /** Settings that bound what the clients of a process take of its machine. */
-export function createInboundSettings({ memoryBytes, connections }: InboundDefaults) {
+export function createInboundSettings(defaults: InboundDefaults) {
+  return z.strictObject(createInboundShape(defaults)).readonly().prefault({});
+}
+
+/** The same for a process that other processes of the system call. */
+export function createCalledInboundSettings({
+  calls,
+  ...defaults
+}: InboundDefaults & { readonly calls: number }) {
   return z
     .strictObject({
-      /** Bytes of requests that are held for the clients of all ports together. One large request fits even if it exceeds this alone. */
-      memoryBytes: z.int().min(1).default(memoryBytes),
-      /** Open connections of one port; beyond it, those that wait for their client are closed, the longest first. */
-      connections: z.int().min(1).default(connections),
+      ...createInboundShape(defaults),
+      /** Open calls of other processes; beyond it, the connection with most of them is closed. */
+      calls: z.int().min(1).default(calls),
     })
     .readonly()
     .prefault({});
 }
 
+function createInboundShape({ memoryBytes, connections }: InboundDefaults) {
+  return {
+    /** Bytes of requests that are held for the clients of all ports together. One large request fits even if it exceeds this alone. */
+    memoryBytes: z.int().min(1).default(memoryBytes),
+    /** Open connections of one port; beyond it, those that wait for their client are closed, the longest first. */
+    connections: z.int().min(1).default(connections),
+  };
+}
+
 /** Settings for the graceful shutdown of a process. */
 export const shutdownSettings = z
   .strictObject({
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -6,7 +6,7 @@
 
 import { reachableAddress } from './address.js';
 import {
-  createInboundSettings,
+  createCalledInboundSettings,
   listSeedHosts,
   logSettings,
   mebibyte,
@@ -97,7 +97,11 @@
     evacuation,
     timeouts,
     planning,
-    inbound: createInboundSettings({ memoryBytes: 32 * mebibyte, connections: 1024 }),
+    inbound: createCalledInboundSettings({
+      memoryBytes: 32 * mebibyte,
+      connections: 1024,
+      calls: 1024,
+    }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -3,7 +3,7 @@
 import { listenAddress, reachableAddress } from './address.js';
 import {
   controlAddresses,
-  createInboundSettings,
+  createCalledInboundSettings,
   logSettings,
   mebibyte,
   metricsSettings,
@@ -43,7 +43,11 @@
     internal: reachableAddress,
     control: controlAddresses,
     limits,
-    inbound: createInboundSettings({ memoryBytes: 32 * mebibyte, connections: 1920 }),
+    inbound: createCalledInboundSettings({
+      memoryBytes: 32 * mebibyte,
+      connections: 1920,
+      calls: 1024,
+    }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -3,7 +3,7 @@
 import { listenAddress, reachableAddress } from './address.js';
 import {
   controlAddresses,
-  createInboundSettings,
+  createCalledInboundSettings,
   logSettings,
   mebibyte,
   metricsSettings,
@@ -31,7 +31,11 @@
     upstreamChecksFencingNumber: z.boolean().default(false),
     /** Number of attempts that the upstream accepts concurrently. */
     concurrency: z.int().min(1).max(10_000).default(16),
-    inbound: createInboundSettings({ memoryBytes: 24 * mebibyte, connections: 1024 }),
+    inbound: createCalledInboundSettings({
+      memoryBytes: 24 * mebibyte,
+      connections: 1024,
+      calls: 1024,
+    }),
     shutdown: shutdownSettings,
     log: logSettings,
     metrics: metricsSettings,
--- a/src/sidecar/shell/sidecar-process.ts
+++ b/src/sidecar/shell/sidecar-process.ts
@@ -115,6 +115,7 @@
       address: settings.listen,
       inbound,
       maximumConnections: settings.inbound.connections,
+      maximumCalls: settings.inbound.calls,
       routes: (router) => {
         this.#member.register(router);
         this.#attempts.register(router);
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import { constants, createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
 import type { Socket } from 'node:net';
 
 import type { DescMessage } from '@bufbuild/protobuf';
@@ -16,7 +16,7 @@
 import { compressionThreshold } from './compression.js';
 import { createRpcRequestClass } from './rpc-request.js';
 import { RunningCalls } from './running-calls.js';
-import { limitSessions } from './session-limit.js';
+import { OpenSessions } from './open-sessions.js';
 
 /** RPC server for calls between processes of the system: Connect over HTTP/2 without TLS. */
 
@@ -30,6 +30,7 @@
 
 const defaultMemoryBytes = 32 * 1024 * 1024;
 const defaultMaximumConnections = 1024;
+const defaultMaximumCalls = 1024;
 
 /** Options of an RPC server. */
 export interface RpcServerOptions {
@@ -37,6 +38,8 @@
   /** Shared by all ports of the process; by default the port has memory of its own. */
   readonly inbound?: InboundMemory;
   readonly maximumConnections?: number;
+  /** Calls that are open at a time, over all connections. */
+  readonly maximumCalls?: number;
   /** Longest message, in bytes. */
   readonly maximumMessageBytes?: number;
   readonly routes: (router: ConnectRouter) => void;
@@ -54,23 +57,38 @@
   const sessions = new Set<ServerHttp2Session>();
   const calls = new RunningCalls();
   const messages = new Map<string, DescMessage>();
+  const answer = connectNodeAdapter({
+    routes: (router) => {
+      options.routes(router);
+      for (const { requestPath, method } of router.handlers) {
+        messages.set(requestPath, method.input);
+      }
+    },
+    // What nobody reads would take far more memory than it has bytes.
+    binaryOptions: { readUnknownFields: false },
+    compressMinBytes: compressionThreshold,
+    readMaxBytes: options.maximumMessageBytes ?? defaultMaximumMessageBytes,
+    interceptors: [calls.interceptor],
+  });
+  const open = new OpenSessions({
+    connections: options.maximumConnections ?? defaultMaximumConnections,
+    calls: options.maximumCalls ?? defaultMaximumCalls,
+  });
   const server = createServer(
-    { Http2ServerRequest: createRpcRequestClass(inbound, (path) => messages.get(path)) },
-    connectNodeAdapter({
-      routes: (router) => {
-        options.routes(router);
-        for (const { requestPath, method } of router.handlers) {
-          messages.set(requestPath, method.input);
-        }
-      },
-      // What nobody reads would take far more memory than it has bytes.
-      binaryOptions: { readUnknownFields: false },
-      compressMinBytes: compressionThreshold,
-      readMaxBytes: options.maximumMessageBytes ?? defaultMaximumMessageBytes,
-      interceptors: [calls.interceptor],
-    }),
+    {
+      Http2ServerRequest: createRpcRequestClass(inbound, (path) => messages.get(path)),
+      settings: { maxConcurrentStreams: open.callsOfSession },
+    },
+    (request, response) => {
+      if (open.admit(request.stream)) {
+        answer(request, response);
+      } else {
+        // The client may try again, as nothing has been done.
+        request.stream.close(constants.NGHTTP2_REFUSED_STREAM);
+      }
+    },
   );
-  limitSessions(server, options.maximumConnections ?? defaultMaximumConnections);
+  open.guard(server);
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
