Pieces of messages between processes do not keep what was read with them

A client could let a control host or a sidecar hold far more than it is counted for: a call sends a long message byte by byte, with a whole message of another call between two bytes.

Cause: Node hands out pieces as views of the buffer of one read, up to 64 KB. A piece of one byte, which waits for the rest of its message, kept all of it, and counted as 257 bytes. A message may have 16,384 pieces.

Change: a piece that has to wait is copied; a message that arrives in one piece, as nearly all do, is not.

--- a/src/wire/rpc-request.ts
+++ b/src/wire/rpc-request.ts
@@ -55,14 +55,15 @@
           if (sizes.incompleteBytes === 0) {
             hold?.release();
             hold = undefined;
+            yield bytes;
           } else {
             hold ??= memory.open(() => {
               this.stream.destroy();
             });
             growTo(hold, sizes);
             hold?.noteReceived(bytes.length);
+            yield detach(bytes);
           }
-          yield bytes;
         }
       } finally {
         hold?.release();
@@ -107,6 +108,13 @@
   }
 }
 
+/** Copies a piece that is kept: it would keep all that was read with it. */
+function detach(bytes: Buffer): Buffer {
+  const copy = Buffer.allocUnsafeSlow(bytes.length);
+  bytes.copy(copy);
+  return copy;
+}
+
 /** Throws if there is no memory for what has arrived of a message. */
 function growTo(
   hold: InboundHold | undefined,
