--- a/src/settings/common-settings.ts
+++ b/src/settings/common-settings.ts
@@ -81,7 +81,7 @@
 }
 
 /** The same for a process that other processes of the system call. */
-export function createCalledInboundSettings({
+export function createInboundSettingsWithCalls({
   calls,
   ...defaults
 }: InboundDefaults & { readonly calls: number }) {
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -6,7 +6,7 @@
 
 import { reachableAddress } from './address.js';
 import {
-  createCalledInboundSettings,
+  createInboundSettingsWithCalls,
   listSeedHosts,
   logSettings,
   mebibyte,
@@ -97,7 +97,7 @@
     evacuation,
     timeouts,
     planning,
-    inbound: createCalledInboundSettings({
+    inbound: createInboundSettingsWithCalls({
       memoryBytes: 32 * mebibyte,
       connections: 1024,
       calls: 1024,
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -3,7 +3,7 @@
 import { listenAddress, reachableAddress } from './address.js';
 import {
   controlAddresses,
-  createCalledInboundSettings,
+  createInboundSettingsWithCalls,
   logSettings,
   mebibyte,
   metricsSettings,
@@ -43,7 +43,7 @@
     internal: reachableAddress,
     control: controlAddresses,
     limits,
-    inbound: createCalledInboundSettings({
+    inbound: createInboundSettingsWithCalls({
       memoryBytes: 32 * mebibyte,
       connections: 1920,
       calls: 1024,
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -3,7 +3,7 @@
 import { listenAddress, reachableAddress } from './address.js';
 import {
   controlAddresses,
-  createCalledInboundSettings,
+  createInboundSettingsWithCalls,
   logSettings,
   mebibyte,
   metricsSettings,
@@ -31,7 +31,7 @@
     upstreamChecksFencingNumber: z.boolean().default(false),
     /** Number of attempts that the upstream accepts concurrently. */
     concurrency: z.int().min(1).max(10_000).default(16),
-    inbound: createCalledInboundSettings({
+    inbound: createInboundSettingsWithCalls({
       memoryBytes: 24 * mebibyte,
       connections: 1024,
       calls: 1024,
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -70,17 +70,17 @@
     readMaxBytes: options.maximumMessageBytes ?? defaultMaximumMessageBytes,
     interceptors: [calls.interceptor],
   });
-  const open = new OpenSessions({
+  const openSessions = new OpenSessions({
     connections: options.maximumConnections ?? defaultMaximumConnections,
     calls: options.maximumCalls ?? defaultMaximumCalls,
   });
   const server = createServer(
     {
       Http2ServerRequest: createRpcRequestClass(inbound, (path) => messages.get(path)),
-      settings: { maxConcurrentStreams: open.callsOfSession },
+      settings: { maxConcurrentStreams: openSessions.callsOfSession },
     },
     (request, response) => {
-      if (open.admit(request.stream)) {
+      if (openSessions.admit(request.stream)) {
         answer(request, response);
       } else {
         // The client may try again, as nothing has been done.
@@ -88,7 +88,7 @@
       }
     },
   );
-  open.guard(server);
+  openSessions.guard(server);
   const sockets = new Set<Socket>();
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
