--- a/__tests__/processes/path-growing-messages.test.ts
+++ b/__tests__/processes/path-growing-messages.test.ts
@@ -5,7 +5,7 @@
 
 import { Fleet } from '../support/index.js';
 import { waitForOrdinaryService } from '../support/ordinary-service.js';
-import { resetPeak, watchResources } from '../support/process-resources.js';
+import { pressWithSessions } from '../support/session-crowd.js';
 
 const megabyte = 1024 * 1024;
 /** What the machine of an upstream has for the process beside it; the machines of gateways and control hosts have more. */
@@ -94,18 +94,13 @@
 }
 
 async function press(size: number, name: string, headers: Headers, body: Buffer): Promise<void> {
-  const { address, program } = fleet.member(name);
-  await resetPeak(program);
-  const sessions = Array.from({ length: size }, () => callAgainAndAgain(address, headers, body));
-  try {
-    const { peakBytes } = await watchResources([program], pressTime);
-    expect(program.isRunning).toBe(true);
-    expect(peakBytes).toBeLessThan(processMemory);
-  } finally {
-    sessions.forEach((session) => {
-      session.destroy();
-    });
-  }
+  const member = fleet.member(name);
+  const { program } = member;
+  const { peakBytes } = await pressWithSessions(member, size, pressTime, (address) => {
+    return callAgainAndAgain(address, headers, body);
+  });
+  expect(program.isRunning).toBe(true);
+  expect(peakBytes).toBeLessThan(processMemory);
   await waitForOrdinaryService(fleet);
   expect(program.isRunning).toBe(true);
 }
--- a/__tests__/processes/path-idle-calls.test.ts
+++ b/__tests__/processes/path-idle-calls.test.ts
@@ -4,7 +4,7 @@
 
 import { Fleet } from '../support/index.js';
 import { waitForOrdinaryService } from '../support/ordinary-service.js';
-import { resetPeak, watchResources } from '../support/process-resources.js';
+import { pressWithSessions } from '../support/session-crowd.js';
 
 const megabyte = 1024 * 1024;
 /** What the machine of an upstream has for the process beside it; the machines of gateways and control hosts have more. */
@@ -60,18 +60,13 @@
 // Guards against clients that fill the memory of a process with calls on which they send nothing.
 describe('calls between processes that go no further', () => {
   it.each(calls)('cost %s no more than its machine has: %s', async (name, _, path, bytes) => {
-    const { address, program } = fleet.member(name);
-    await resetPeak(program);
-    const sessions = Array.from({ length: crowd }, () => openIdleCalls(address, path, bytes));
-    try {
-      const { peakBytes } = await watchResources([program], pressTime);
-      expect(program.isRunning).toBe(true);
-      expect(peakBytes).toBeLessThan(processMemory);
-    } finally {
-      sessions.forEach((session) => {
-        session.destroy();
-      });
-    }
+    const member = fleet.member(name);
+    const { program } = member;
+    const { peakBytes } = await pressWithSessions(member, crowd, pressTime, (address) => {
+      return openIdleCalls(address, path, bytes);
+    });
+    expect(program.isRunning).toBe(true);
+    expect(peakBytes).toBeLessThan(processMemory);
     await waitForOrdinaryService(fleet);
     expect(program.isRunning).toBe(true);
   });
--- a/__tests__/processes/path-tiny-pieces.test.ts
+++ b/__tests__/processes/path-tiny-pieces.test.ts
@@ -4,7 +4,7 @@
 
 import { Fleet } from '../support/index.js';
 import { waitForOrdinaryService } from '../support/ordinary-service.js';
-import { resetPeak, watchResources } from '../support/process-resources.js';
+import { pressWithSessions } from '../support/session-crowd.js';
 
 const megabyte = 1024 * 1024;
 /** What the machine of an upstream has for the process beside it; the machines of gateways and control hosts have more. */
@@ -106,20 +106,13 @@
 // Guards against clients that keep whole read buffers of a process in memory by one byte of each.
 describe('pieces of a message that are read together with others', () => {
   it.each(calls)('cost %s no more than its machine has', async (name, longPath, fillPath) => {
-    const { address, program } = fleet.member(name);
-    await resetPeak(program);
-    const sessions = Array.from({ length: crowd }, () => {
+    const member = fleet.member(name);
+    const { program } = member;
+    const { peakBytes } = await pressWithSessions(member, crowd, pressTime, (address) => {
       return sendTinyPieces(address, longPath, fillPath);
     });
-    try {
-      const { peakBytes } = await watchResources([program], pressTime);
-      expect(program.isRunning).toBe(true);
-      expect(peakBytes).toBeLessThan(processMemory);
-    } finally {
-      sessions.forEach((session) => {
-        session.destroy();
-      });
-    }
+    expect(program.isRunning).toBe(true);
+    expect(peakBytes).toBeLessThan(processMemory);
     await waitForOrdinaryService(fleet);
     expect(program.isRunning).toBe(true);
   });
